--- /dev/null
+++ b/almondstair/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: time and randomness are arguments."""
--- /dev/null
+++ b/almondstair/errors.py
@@ -0,0 +1,225 @@
+"""The closed list of error kinds and the table from kind to answer.
+
+Every answer the system makes itself is built from this table, so a caller, an
+operator and a script see the same kind under the same code everywhere.
+"""
+
+import enum
+from typing import NamedTuple, TypedDict
+
+PROBLEM_CONTENT_TYPE = "application/problem+json"
+
+
+class Ran(enum.StrEnum):
+    """Whether the request may have been run by an upstream."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+class ErrorKind(enum.StrEnum):
+    """Every way in which the system refuses, fails or stops."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_PATH = "unknown_path"
+    KEY_MISSING = "key_missing"
+    KEY_REUSED = "key_reused"
+    DEADLINE_UNREADABLE = "deadline_unreadable"
+    DEADLINE_PASSED = "deadline_passed"
+    NO_SLOT = "no_slot"
+    LINK_FULL = "link_full"
+    NO_UPSTREAM = "no_upstream"
+    QUARANTINED = "quarantined"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    CLAIM_IN_FLIGHT = "claim_in_flight"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    UPSTREAM_LOST = "upstream_lost"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
+    ENTRY_LEAVING = "entry_leaving"
+    ENTRY_LOST = "entry_lost"
+    EDIT_CONFLICT = "edit_conflict"
+    EDIT_PENDING = "edit_pending"
+    EDIT_UNKNOWN = "edit_unknown"
+    CONFIGURATION_INVALID = "configuration_invalid"
+    NOT_FOUND = "not_found"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    SETTINGS_INVALID = "settings_invalid"
+    ENTRY_UNREACHABLE = "entry_unreachable"
+    USAGE = "usage"
+    INTERNAL = "internal"
+
+
+class ErrorRule(NamedTuple):
+    """How one error kind is answered.
+
+    Attributes:
+      code: number of the kind; never reused.
+      http_status: HTTP status of an answer of this kind.
+      ran: what the answer says about the request, unless the raiser knows
+        better.
+      retry_after_ms: when the caller may come back, in milliseconds; None
+        when coming back does not help.
+      exit_code: process exit code of a command-line tool or daemon.
+      title: one line for people.
+    """
+
+    code: int
+    http_status: int
+    ran: Ran
+    retry_after_ms: int | None
+    exit_code: int
+    title: str
+
+
+ERROR_TABLE: dict[ErrorKind, ErrorRule] = {
+    ErrorKind.BAD_REQUEST: ErrorRule(
+        1001, 400, Ran.NO, None, 3, "The request is malformed"
+    ),
+    ErrorKind.BODY_TOO_LARGE: ErrorRule(
+        1002, 413, Ran.NO, None, 3, "The body is over the limit of its class"
+    ),
+    ErrorKind.UNKNOWN_SERVICE: ErrorRule(
+        1003, 404, Ran.NO, None, 3, "No such service"
+    ),
+    ErrorKind.UNKNOWN_PATH: ErrorRule(
+        1004, 404, Ran.NO, None, 3, "No request class for this method and path"
+    ),
+    ErrorKind.KEY_MISSING: ErrorRule(
+        1005, 400, Ran.NO, None, 3, "This work needs an Idempotency-Key"
+    ),
+    ErrorKind.KEY_REUSED: ErrorRule(
+        1006, 422, Ran.NO, None, 3, "The Idempotency-Key names another request"
+    ),
+    ErrorKind.DEADLINE_UNREADABLE: ErrorRule(
+        1007, 400, Ran.NO, None, 3, "Deadline-Ms is not a whole number above 0"
+    ),
+    ErrorKind.DEADLINE_PASSED: ErrorRule(
+        2001, 504, Ran.NO, None, 4, "The deadline passed before dispatch"
+    ),
+    ErrorKind.NO_SLOT: ErrorRule(
+        2002, 503, Ran.NO, 1000, 4, "Every slot for this work is taken"
+    ),
+    ErrorKind.LINK_FULL: ErrorRule(
+        2003, 503, Ran.NO, 1000, 4, "The link to the region is at its cap"
+    ),
+    ErrorKind.NO_UPSTREAM: ErrorRule(
+        2004, 503, Ran.NO, 5000, 4, "No upstream of the service takes work"
+    ),
+    ErrorKind.QUARANTINED: ErrorRule(
+        2005, 503, Ran.NO, 300_000, 4, "This request crashed upstreams before"
+    ),
+    ErrorKind.CLAIM_UNAVAILABLE: ErrorRule(
+        2006, 503, Ran.NO, 3000, 4, "The key cannot be claimed now"
+    ),
+    ErrorKind.CLAIM_IN_FLIGHT: ErrorRule(
+        2007, 409, Ran.UNKNOWN, 1000, 4, "The key's first request is running"
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorRule(
+        2008, 409, Ran.UNKNOWN, None, 4, "The key's outcome is not known"
+    ),
+    ErrorKind.UPSTREAM_LOST: ErrorRule(
+        3001, 502, Ran.UNKNOWN, 1000, 5, "The upstream's answer was cut short"
+    ),
+    ErrorKind.UPSTREAM_TIMEOUT: ErrorRule(
+        3002, 504, Ran.UNKNOWN, None, 5, "No whole answer before the deadline"
+    ),
+    ErrorKind.ENTRY_LEAVING: ErrorRule(
+        3003, 503, Ran.NO, 500, 5, "This entry is leaving; look up another"
+    ),
+    ErrorKind.ENTRY_LOST: ErrorRule(
+        3004, 502, Ran.UNKNOWN, 1000, 5, "The next entry's answer was cut short"
+    ),
+    ErrorKind.EDIT_CONFLICT: ErrorRule(
+        4001, 409, Ran.NO, None, 6, "Somebody else edited the configuration"
+    ),
+    ErrorKind.EDIT_PENDING: ErrorRule(
+        4002, 202, Ran.YES, 1000, 7, "The edit is not yet in force everywhere"
+    ),
+    ErrorKind.EDIT_UNKNOWN: ErrorRule(
+        4003, 503, Ran.UNKNOWN, 2000, 8, "It is not known whether the edit held"
+    ),
+    ErrorKind.CONFIGURATION_INVALID: ErrorRule(
+        4004, 422, Ran.NO, None, 9, "The configuration is not valid"
+    ),
+    ErrorKind.NOT_FOUND: ErrorRule(
+        4005, 404, Ran.NO, None, 10, "There is nothing of this name"
+    ),
+    ErrorKind.PLATFORM_UNAVAILABLE: ErrorRule(
+        5001, 503, Ran.NO, 3000, 11, "The platform's service does not answer"
+    ),
+    ErrorKind.SETTINGS_INVALID: ErrorRule(
+        6001, 500, Ran.NO, None, 2, "The settings are not valid"
+    ),
+    ErrorKind.ENTRY_UNREACHABLE: ErrorRule(
+        6002, 502, Ran.UNKNOWN, 1000, 12, "The entry does not answer"
+    ),
+    ErrorKind.USAGE: ErrorRule(
+        6003, 400, Ran.NO, None, 64, "The command was not understood"
+    ),
+    ErrorKind.INTERNAL: ErrorRule(
+        9001, 500, Ran.UNKNOWN, None, 70, "The system failed inside"
+    ),
+}
+
+
+class Problem(TypedDict):
+    """Body of an answer of the system's own, after RFC 9457."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    kind: str
+    code: int
+    ran: str
+    retry_after_ms: int | None
+
+
+class AlmondstairError(Exception):
+    """An error of the closed list.
+
+    Attributes:
+      kind: which error.
+      detail: what happened, for people, with a remedy where there is one.
+      ran: whether the request may have run.
+      retry_after_ms: when coming back helps, in milliseconds, or None.
+    """
+
+    def __init__(
+        self,
+        *,
+        kind: ErrorKind,
+        detail: str = "",
+        ran: Ran | None = None,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        """Makes an error; `ran` and `retry_after_ms` default to the table."""
+        rule = ERROR_TABLE[kind]
+        super().__init__(f"{kind}: {detail or rule.title}")
+        self.kind = kind
+        self.detail = detail or rule.title
+        self.ran = ran or rule.ran
+        self.retry_after_ms = retry_after_ms
+        if retry_after_ms is None:
+            self.retry_after_ms = rule.retry_after_ms
+
+    @property
+    def rule(self) -> ErrorRule:
+        """The table's row for this kind."""
+        return ERROR_TABLE[self.kind]
+
+    def problem(self) -> Problem:
+        """Returns the answer's body."""
+        return Problem(
+            type=f"urn:almondstair:error:{self.kind}",
+            title=self.rule.title,
+            status=self.rule.http_status,
+            detail=self.detail,
+            kind=str(self.kind),
+            code=self.rule.code,
+            ran=str(self.ran),
+            retry_after_ms=self.retry_after_ms,
+        )
--- /dev/null
+++ b/almondstair/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service and VM list."""
--- /dev/null
+++ b/almondstair/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tools."""
