--- /dev/null
+++ b/almondstair/dispatch.py
@@ -0,0 +1,252 @@
+"""Takes a call to an upstream: here, or through another entry.
+
+The entry that a caller asked is the only one that tries again; the entry that
+it forwards to makes one attempt and says whether the request ran.
+"""
+
+from collections.abc import Awaitable, Callable
+import time
+from typing import NamedTuple
+
+from opentelemetry import trace
+from tornado import httputil
+
+from almondstair.core.entry_table import EntryRow
+from almondstair.core.model import Upstream
+from almondstair.core.requests import RequestProgress
+from almondstair.errors import ERROR_TABLE
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+from almondstair.errors import Ran
+from almondstair.frontend import Call
+from almondstair.http_client import RECEIVE_BUFFER_BYTES
+from almondstair.http_client import Exchange
+from almondstair.http_client import HttpClient
+from almondstair.http_client import Sent
+from almondstair.http_messages import ANSWER_HEADER
+from almondstair.http_messages import CALLER_ZONE_HEADER
+from almondstair.http_messages import DEADLINE_HEADER
+from almondstair.http_messages import KEY_HEADER
+from almondstair.http_messages import TRACE_HEADER
+from almondstair.http_messages import ResponseHead
+from almondstair.http_messages import read_entry_answer
+from almondstair.http_messages import remaining_ms
+from almondstair.tracing import Tracing
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class Outcome(NamedTuple):
+    """What became of one attempt.
+
+    Attributes:
+      exchange: how the exchange ended.
+      error: what to answer when there is no whole answer, else None.
+    """
+
+    exchange: Exchange
+    error: AlmondstairError | None
+
+
+class Sender:
+    """Sends a call's request to one address and passes its answer back."""
+
+    def __init__(self, *, tracing: Tracing, own_zone: str) -> None:
+        """Makes the clients for upstreams and for entries."""
+        self._tracing = tracing
+        self._own_zone = own_zone
+        self.upstreams = HttpClient(connect_timeout_s=CONNECT_TIMEOUT_S)
+        self.entries = HttpClient(
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
+        )
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self.upstreams.close()
+        self.entries.close()
+
+    async def to_upstream(
+        self,
+        *,
+        call: Call,
+        name: str,
+        upstream: Upstream,
+        may_write: Callable[[], bool],
+        pace: Callable[[int], Awaitable[None]],
+    ) -> Outcome:
+        """Runs a call at an upstream.
+
+        Args:
+          call: the call.
+          name: name of the upstream.
+          upstream: the upstream.
+          may_write: whether this entry may still use its slot; asked before
+            and after the head of the request is written.
+          pace: awaited before bytes of the request's body move.
+        """
+        with self._tracing.span(
+            "upstream",
+            traceparent=call.traceparent,
+            kind=trace.SpanKind.CLIENT,
+        ) as span:
+            span.set_attribute("upstream", name)
+            exchange = await self._exchange(
+                client=self.upstreams,
+                address=upstream.address,
+                call=call,
+                path=call.head.path,
+                trace_header=self._tracing.header(
+                    span, otherwise=call.traceparent
+                ),
+                may_write=may_write,
+                pace=pace,
+            )
+            span.set_attribute("sent", exchange.sent.value)
+        return Outcome(exchange, _upstream_error(exchange, name))
+
+    async def to_entry(
+        self,
+        *,
+        call: Call,
+        entry: EntryRow,
+        pace: Callable[[int], Awaitable[None]],
+    ) -> Outcome:
+        """Forwards a call to another entry."""
+        with self._tracing.span(
+            "forward",
+            traceparent=call.traceparent,
+            kind=trace.SpanKind.CLIENT,
+        ) as span:
+            span.set_attribute("to", entry.name)
+            exchange = await self._exchange(
+                client=self.entries,
+                address=entry.forward_address,
+                call=call,
+                path=f"/{call.head.service}{call.head.path}",
+                trace_header=self._tracing.header(
+                    span, otherwise=call.traceparent
+                ),
+                may_write=lambda: True,
+                pace=pace,
+                to_entry=True,
+            )
+            span.set_attribute("sent", exchange.sent.value)
+        return Outcome(exchange, _entry_error(exchange, entry.name))
+
+    async def _exchange(
+        self,
+        *,
+        client: HttpClient,
+        address: str,
+        call: Call,
+        path: str,
+        trace_header: str,
+        may_write: Callable[[], bool],
+        pace: Callable[[int], Awaitable[None]],
+        to_entry: bool = False,
+    ) -> Exchange:
+        fresh = not call.head.request_class.idempotent
+        try:
+            stream = await client.connect(address, fresh=fresh)
+        except (OSError, TimeoutError):
+            return Exchange(sent=Sent.NOT_SENT)
+        # A process that was frozen since its last look at the clock must not
+        # write now: the deadline is what bounds how long others wait for it.
+        left_ms = remaining_ms(deadline_s=call.head.deadline_s)
+        if left_ms <= 0 or not may_write() or not call.progress.dispatch():
+            stream.close()
+            return Exchange(sent=Sent.NOT_SENT)
+        headers = call.headers.copy()
+        headers[DEADLINE_HEADER] = str(left_ms)
+        if trace_header:
+            headers[TRACE_HEADER] = trace_header
+        if call.head.key:
+            headers[KEY_HEADER] = call.head.key
+        if to_entry:
+            headers[CALLER_ZONE_HEADER] = self._own_zone
+        refusal = _entry_refusal if to_entry else None
+        exchange = await client.exchange(
+            address=address,
+            stream=stream,
+            start_line=httputil.RequestStartLine(
+                call.head.method, path, "HTTP/1.1"
+            ),
+            headers=headers,
+            body=call.body,
+            sink=call.answer,
+            pace=pace,
+            refusal=refusal,
+            wait_for_continue=to_entry,
+            after_write=_still_in_time(call, may_write),
+        )
+        if exchange.sent in (Sent.NOT_SENT, Sent.REFUSED):
+            call.progress.not_run()
+        return exchange
+
+
+def _still_in_time(
+    call: Call, may_write: Callable[[], bool]
+) -> Callable[[], bool]:
+    """Returns the check that follows the write of a request's head.
+
+    A freeze between the check before the write and the write itself sends a
+    request late. No clock check can close that gap from one side; this one
+    shortens it: the connection is closed at once, which cancels the work.
+    """
+
+    def check() -> bool:
+        return time.monotonic() < call.head.deadline_s and may_write()
+
+    return check
+
+
+def _entry_refusal(head: ResponseHead) -> str:
+    answer = read_entry_answer(value=head.headers.get(ANSWER_HEADER, ""))
+    if answer is None:
+        return ""
+    kind, ran = answer
+    if ran is not Ran.NO:
+        return ""
+    return str(kind)
+
+
+def _upstream_error(exchange: Exchange, name: str) -> AlmondstairError | None:
+    if exchange.sent is Sent.WHOLE:
+        return None
+    if exchange.sent is Sent.NOT_SENT:
+        return AlmondstairError(
+            kind=ErrorKind.NO_UPSTREAM,
+            detail=f"upstream {name} cannot be reached",
+        )
+    if exchange.sent is Sent.REFUSED:
+        return AlmondstairError(
+            kind=ErrorKind.NO_SLOT,
+            detail=f"upstream {name} refused: {exchange.refused}",
+        )
+    return AlmondstairError(kind=ErrorKind.UPSTREAM_LOST)
+
+
+def _entry_error(exchange: Exchange, name: str) -> AlmondstairError | None:
+    if exchange.sent is Sent.WHOLE:
+        return None
+    if exchange.sent is Sent.NOT_SENT:
+        return AlmondstairError(
+            kind=ErrorKind.ENTRY_LOST,
+            detail=f"entry {name} cannot be reached",
+            ran=Ran.NO,
+        )
+    if exchange.sent is Sent.REFUSED:
+        kind = ErrorKind(exchange.refused)
+        retry_after_ms = ERROR_TABLE[kind].retry_after_ms
+        return AlmondstairError(
+            kind=kind, ran=Ran.NO, retry_after_ms=retry_after_ms
+        )
+    return AlmondstairError(kind=ErrorKind.ENTRY_LOST)
+
+
+def timeout_error(progress: RequestProgress) -> AlmondstairError:
+    """Returns the answer for a deadline that passed."""
+    if progress.may_have_run:
+        return AlmondstairError(kind=ErrorKind.UPSTREAM_TIMEOUT)
+    return AlmondstairError(kind=ErrorKind.DEADLINE_PASSED)
--- /dev/null
+++ b/almondstair/frontend.py
@@ -0,0 +1,479 @@
+"""The two HTTP front doors of an entry: for callers and for other entries."""
+
+import abc
+import asyncio
+from collections.abc import Awaitable
+import time
+from typing import NamedTuple
+
+import msgspec
+from tornado import httpserver
+from tornado import httputil
+from tornado import netutil
+
+from almondstair import log
+from almondstair.answers import ConnectionAnswer
+from almondstair.body import RequestBody
+from almondstair.core.model import Configuration
+from almondstair.core.requests import Progress
+from almondstair.core.requests import RequestHead
+from almondstair.core.requests import RequestProgress
+from almondstair.core.requests import check_key
+from almondstair.core.requests import deadline_s
+from almondstair.core.requests import find_class
+from almondstair.core.requests import split_path
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+from almondstair.errors import Ran
+from almondstair.http_client import CHUNK_BYTES
+from almondstair.http_client import MAX_BODY_BYTES
+from almondstair.http_client import MAX_BUFFER_BYTES
+from almondstair.http_messages import CALLER_ZONE_HEADER
+from almondstair.http_messages import DEADLINE_HEADER
+from almondstair.http_messages import KEY_HEADER
+from almondstair.http_messages import TRACE_HEADER
+from almondstair.http_messages import check_request_framing
+from almondstair.http_messages import end_to_end_headers
+
+LOOKUP_PATH = "/v1/entries"
+# Past its own limit a header block still gets an answer; past this one the
+# connection is closed without.
+HARD_HEADER_LIMIT_BYTES = 512 * 1024
+IDLE_CONNECTION_LIMIT_S = 60.0
+HEADER_TIMEOUT_S = 20.0
+# How long and how far a refused body is still read, so that closing does not
+# reset the connection before the caller has read the refusal.
+DISCARD_LIMIT_S = 2.0
+DISCARD_LIMIT_BYTES = 4 << 20
+_STREAMING_METHODS = frozenset(("POST", "PUT", "PATCH"))
+
+
+class Call(NamedTuple):
+    """One request under way.
+
+    Attributes:
+      head: what it asks for.
+      headers: its end-to-end headers.
+      body: its body, perhaps still arriving.
+      answer: where its answer goes.
+      progress: whether it may still be dispatched.
+      traceparent: W3C trace header, or empty.
+      caller_zone: availability zone of the entry that the caller asked.
+      from_entry: whether another entry sent it.
+    """
+
+    head: RequestHead
+    headers: httputil.HTTPHeaders
+    body: RequestBody
+    answer: ConnectionAnswer
+    progress: RequestProgress
+    traceparent: str
+    caller_zone: str
+    from_entry: bool
+
+
+class CallHandler(abc.ABC):
+    """What the front doors need from the rest of an entry."""
+
+    @abc.abstractmethod
+    def configuration(self) -> Configuration:
+        """Returns the configuration in force."""
+
+    @abc.abstractmethod
+    async def handle(self, call: Call) -> None:
+        """Answers a call; raises only for faults inside."""
+
+    @abc.abstractmethod
+    def lookup(self, *, service: str, caller_ip: str) -> dict[str, object]:
+        """Returns the body of a look-up; raises `unknown_service`."""
+
+    @abc.abstractmethod
+    def leaving(self) -> bool:
+        """Whether connections should be closed after their answer."""
+
+    @abc.abstractmethod
+    def refusing(self) -> bool:
+        """Whether new requests are refused."""
+
+
+class FrontDoor(httputil.HTTPServerConnectionDelegate):
+    """Makes an `IncomingRequest` for each request of each connection."""
+
+    def __init__(
+        self, *, handler: CallHandler, own_zone: str, for_entries: bool
+    ) -> None:
+        """Makes a front door.
+
+        Args:
+          handler: the entry behind it.
+          own_zone: availability zone of this entry.
+          for_entries: whether other entries connect here.
+        """
+        self.handler = handler
+        self.own_zone = own_zone
+        self.for_entries = for_entries
+        self.running: set[asyncio.Task[None]] = set()
+        self._server: httpserver.HTTPServer | None = None
+
+    def listen(self, address: str) -> None:
+        """Binds `ip:port` and starts to serve.
+
+        Raises:
+          OSError: the address cannot be bound.
+        """
+        ip, _, port = address.rpartition(":")
+        sockets = netutil.bind_sockets(int(port), address=ip)
+        self._server = httpserver.HTTPServer(
+            self,
+            chunk_size=CHUNK_BYTES,
+            max_header_size=HARD_HEADER_LIMIT_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            max_buffer_size=MAX_BUFFER_BYTES,
+            idle_connection_timeout=IDLE_CONNECTION_LIMIT_S,
+        )
+        self._server.add_sockets(sockets)
+
+    def stop_listening(self) -> None:
+        """Takes no more connections; open ones go on."""
+        if self._server is not None:
+            self._server.stop()
+
+    async def close(self) -> None:
+        """Closes every connection that is still open."""
+        if self._server is not None:
+            await self._server.close_all_connections()
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: httputil.HTTPConnection,
+    ) -> httputil.HTTPMessageDelegate:
+        """Receives the next request of a connection."""
+        return IncomingRequest(door=self, connection=request_conn)
+
+
+class IncomingRequest(httputil.HTTPMessageDelegate):
+    """Reads one request and hands it to the entry."""
+
+    def __init__(
+        self, *, door: FrontDoor, connection: httputil.HTTPConnection
+    ) -> None:
+        """Receives a request that arrived at `door` on `connection`."""
+        self._door = door
+        self._connection = connection
+        self._answer = ConnectionAnswer(
+            connection=connection, for_entry=door.for_entries
+        )
+        self._answer.end_connection = self._end_answer
+        self._body = RequestBody()
+        self._call: Call | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._lookup_service: str | None = None
+        self._expects_continue = False
+        self._started = False
+        self._read = False
+        self._ended = False
+        self._body_limit_bytes = 0
+        self._discard_timer: asyncio.TimerHandle | None = None
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        """Checks the head and starts the call when no body need be awaited."""
+        assert isinstance(start_line, httputil.RequestStartLine)
+        self._expects_continue = "Expect" in headers
+        self._answer.method = start_line.method
+        self._answer.close_after = self._door.handler.leaving()
+        try:
+            length = check_request_framing(
+                start_line=start_line, headers=headers
+            )
+        except AlmondstairError as error:
+            self._refuse_and_close(error)
+            return None
+        try:
+            self._open_call(start_line, headers, length)
+        except AlmondstairError as error:
+            self._refuse(error)
+            return None
+        return self._early_start()
+
+    def _open_call(
+        self,
+        start_line: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+        length: int | None,
+    ) -> None:
+        path, _, query = start_line.path.partition("?")
+        if path == LOOKUP_PATH and not self._door.for_entries:
+            self._lookup_service = _service_argument(start_line, query)
+            return
+        service, rest = split_path(path=start_line.path)
+        request_class = find_class(
+            configuration=self._door.handler.configuration(),
+            service=service,
+            method=start_line.method,
+            path=rest,
+        )
+        if self._door.handler.refusing():
+            raise AlmondstairError(kind=ErrorKind.ENTRY_LEAVING)
+        self._body_limit_bytes = request_class.body_limit_bytes
+        if length is not None and length > self._body_limit_bytes:
+            raise _too_large(self._body_limit_bytes)
+        if length is None and start_line.method not in _STREAMING_METHODS:
+            raise AlmondstairError(
+                kind=ErrorKind.BAD_REQUEST,
+                detail=f"a {start_line.method} body needs a Content-Length",
+            )
+        key = headers.get(KEY_HEADER, "")
+        head = RequestHead(
+            service=service,
+            request_class=request_class,
+            method=start_line.method,
+            path=rest,
+            key=check_key(request_class=request_class, key=key),
+            deadline_s=deadline_s(
+                request_class=request_class,
+                header=headers.get(DEADLINE_HEADER, ""),
+                now_s=time.monotonic(),
+            ),
+        )
+        zone = self._door.own_zone
+        if self._door.for_entries:
+            zone = headers.get(CALLER_ZONE_HEADER, zone)
+        self._call = Call(
+            head=head,
+            headers=end_to_end_headers(headers=headers),
+            body=self._body,
+            answer=self._answer,
+            progress=RequestProgress(),
+            traceparent=headers.get(TRACE_HEADER, ""),
+            caller_zone=zone,
+            from_entry=self._door.for_entries,
+        )
+        if length == 0:
+            self._body.end()
+
+    def _early_start(self) -> Awaitable[None] | None:
+        """Starts a call whose body waits for a go-ahead.
+
+        Another entry asks `100-continue` before a long body: it is admitted
+        first, so that a refusal comes before the body has crossed a link.
+        """
+        if not self._expects_continue or self._call is None:
+            return None
+        if not self._door.for_entries:
+            return None
+        self._body.streaming = True
+        self._start()
+        assert self._task is not None
+        return self._until_dispatched()
+
+    async def _until_dispatched(self) -> None:
+        assert self._call is not None
+        assert self._task is not None
+        admitted = self._call.answer.admitted
+        waiter = asyncio.ensure_future(admitted.wait())
+        await asyncio.wait(
+            (waiter, self._task), return_when=asyncio.FIRST_COMPLETED
+        )
+        waiter.cancel()
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Takes a chunk of the body."""
+        if self._call is None or self._ended:
+            self._discard(chunk)
+            return None
+        size_bytes = self._body.size_bytes + len(chunk)
+        if size_bytes > self._body_limit_bytes:
+            self._over_limit()
+            return None
+        wait = self._body.put(chunk)
+        if not self._started and self._body.overflows():
+            self._body.streaming = True
+            self._start()
+        return wait
+
+    def _over_limit(self) -> None:
+        assert self._call is not None
+        error = _too_large(self._body_limit_bytes)
+        if self._call.progress.may_have_run:
+            error = AlmondstairError(
+                kind=error.kind, detail=error.detail, ran=Ran.UNKNOWN
+            )
+        self._body.abort()
+        if self._task is not None:
+            self._task.cancel()
+        self._refuse(error)
+
+    def _discard(self, chunk: bytes) -> None:
+        self._body.size_bytes += len(chunk)
+        over = self._body.size_bytes > DISCARD_LIMIT_BYTES
+        if over and self._discard_timer is not None:
+            self._finish_connection()
+
+    def finish(self) -> None:
+        """Takes the end of the request."""
+        self._read = True
+        if self._ended:
+            if self._discard_timer is not None:
+                self._finish_connection()
+            return
+        self._body.end()
+        if self._lookup_service is not None:
+            self._answer_lookup(self._lookup_service)
+            return
+        if self._call is None:
+            return
+        self._watch_caller()
+        if not self._started:
+            self._start()
+
+    def _watch_caller(self) -> None:
+        set_close_callback = getattr(
+            self._connection, "set_close_callback", None
+        )
+        if set_close_callback is not None:
+            set_close_callback(self._caller_gone)
+
+    def on_connection_close(self) -> None:
+        """The sender went away before the end of its request."""
+        self._body.abort()
+        self._caller_gone()
+
+    def _caller_gone(self) -> None:
+        """Cancels what nobody waits for any more.
+
+        Work that must not repeat and may have started goes on to its end: its
+        outcome is recorded, and the caller's repeat gets it.
+        """
+        self._answer.caller_gone = True
+        if self._call is None or self._task is None:
+            return
+        if not self._call.head.key:
+            self._task.cancel()
+            return
+        if self._call.progress.state is not Progress.DISPATCHED:
+            self._task.cancel()
+            return
+        if not self._body.whole:
+            self._task.cancel()
+
+    def _start(self) -> None:
+        assert self._call is not None
+        self._started = True
+        self._task = asyncio.ensure_future(self._run(self._call))
+        self._door.running.add(self._task)
+        self._task.add_done_callback(self._door.running.discard)
+
+    async def _run(self, call: Call) -> None:
+        try:
+            await self._door.handler.handle(call)
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            log.event(log.Event.REQUEST_BROKEN, error=error)
+            if not call.progress.answer():
+                self._answer.abort()
+                return
+            ran = Ran.NO
+            if call.progress.may_have_run:
+                ran = Ran.UNKNOWN
+            self._answer.problem(
+                AlmondstairError(kind=ErrorKind.INTERNAL, ran=ran)
+            )
+
+    def _answer_lookup(self, service: str) -> None:
+        context = getattr(self._connection, "context", None)
+        caller_ip = getattr(context, "remote_ip", "") or ""
+        try:
+            body = self._door.handler.lookup(
+                service=service, caller_ip=caller_ip
+            )
+        except AlmondstairError as error:
+            self._refuse(error)
+            return
+        content = msgspec.json.encode(body)
+        headers = httputil.HTTPHeaders(
+            {
+                "Content-Type": "application/json",
+                "Content-Length": str(len(content)),
+                "Cache-Control": f"max-age={body['ttl_s']}",
+            }
+        )
+        if self._answer.close_after:
+            headers["Connection"] = "close"
+        start_line = httputil.ResponseStartLine("HTTP/1.1", 200, "OK")
+        self._connection.write_headers(start_line, headers, content)
+        self._finish_connection()
+
+    def _refuse_and_close(self, error: AlmondstairError) -> None:
+        self._answer.close_after = True
+        self._read = True
+        self._write_problem(error)
+
+    def _refuse(self, error: AlmondstairError) -> None:
+        """Answers before the call starts or in place of its answer.
+
+        A body that is still arriving is read and dropped for a while: closing
+        at once would reset the connection, and the caller would see the reset
+        instead of the refusal.
+        """
+        self._call = None
+        if not self._answer.untouched:
+            self._answer.abort()
+            return
+        if self._expects_continue and not self._read:
+            self._refuse_and_close(error)
+            return
+        self._write_problem(error)
+
+    def _write_problem(self, error: AlmondstairError) -> None:
+        log.event(
+            log.Event.REQUEST_REFUSED, kind=str(error.kind), detail=error.detail
+        )
+        self._answer.problem(error)
+
+    def _end_answer(self) -> None:
+        """Ends the exchange, or waits a while for the rest of the request."""
+        self._ended = True
+        self._body.abort()
+        # The sender of an unsent body waits for a go-ahead: nothing to drop.
+        waits = self._expects_continue and self._body.size_bytes == 0
+        if self._read or waits:
+            self._finish_connection()
+            return
+        if self._discard_timer is None:
+            self._discard_timer = asyncio.get_running_loop().call_later(
+                DISCARD_LIMIT_S, self._finish_connection
+            )
+
+    def _finish_connection(self) -> None:
+        if self._discard_timer is not None:
+            self._discard_timer.cancel()
+            self._discard_timer = None
+        self._connection.finish()
+
+
+def _service_argument(start_line: httputil.RequestStartLine, query: str) -> str:
+    if start_line.method not in ("GET", "HEAD"):
+        raise AlmondstairError(
+            kind=ErrorKind.BAD_REQUEST, detail="a look-up is a GET"
+        )
+    arguments = httputil.parse_qs_bytes(query)
+    values = arguments.get("service", [])
+    if len(values) != 1:
+        raise AlmondstairError(
+            kind=ErrorKind.BAD_REQUEST,
+            detail="give the service once: /v1/entries?service=NAME",
+        )
+    return values[0].decode("utf-8", "replace")
+
+
+def _too_large(limit_bytes: int) -> AlmondstairError:
+    return AlmondstairError(
+        kind=ErrorKind.BODY_TOO_LARGE,
+        detail=f"the body may have {limit_bytes} bytes",
+    )
--- /dev/null
+++ b/almondstair/http_client.py
@@ -0,0 +1,423 @@
+"""HTTP/1.1 towards upstreams and other entries, over kept connections.
+
+Built on tornado's `HTTP1Connection` rather than its ready-made clients: this
+one says which bytes of a request were written, never sends a request twice by
+itself, and streams both ways with back-pressure.
+"""
+
+import abc
+import asyncio
+from collections.abc import Awaitable, Callable
+import enum
+import socket
+import time
+from typing import NamedTuple
+
+from tornado import http1connection
+from tornado import httputil
+from tornado import iostream
+
+from almondstair.body import BodyAborted
+from almondstair.body import RequestBody
+from almondstair.http_messages import REFUSED_HEADER
+from almondstair.http_messages import ResponseHead
+from almondstair.http_messages import answer_is_framed
+
+IDLE_LIMIT_S = 4.0
+FRESH_LIMIT_S = 0.5
+IDLE_LIMIT_PER_ADDRESS = 16
+CHUNK_BYTES = 64 * 1024
+MAX_BUFFER_BYTES = 1 << 20
+MAX_BODY_BYTES = 1 << 50
+# Bounds what lies in the kernel between two entries, so that pacing the reader
+# paces the link too.
+RECEIVE_BUFFER_BYTES = 128 * 1024
+CONTINUE = 100
+
+Pace = Callable[[int], Awaitable[None]]
+
+
+class Sent(enum.Enum):
+    """How an exchange ended."""
+
+    WHOLE = "whole"
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    LOST = "lost"
+    CUT = "cut"
+    CALLER_GONE = "caller_gone"
+
+
+class Exchange(NamedTuple):
+    """What became of one request.
+
+    Attributes:
+      sent: how it ended.
+      head: head of the answer, if one came.
+      refused: value of the other side's documented refusal, or empty.
+      answer_bytes: bytes of the answer's body that were passed on.
+      request_bytes: bytes of the request's body that were written.
+    """
+
+    sent: Sent
+    head: ResponseHead | None = None
+    refused: str = ""
+    answer_bytes: int = 0
+    request_bytes: int = 0
+
+
+class AnswerSink(abc.ABC):
+    """Where the answer of an exchange goes."""
+
+    @abc.abstractmethod
+    def head(self, head: ResponseHead) -> None:
+        """Takes the head of a final answer."""
+
+    @abc.abstractmethod
+    def data(self, chunk: bytes) -> Awaitable[None]:
+        """Takes a chunk of the body; awaited before more is read."""
+
+
+async def no_pace(size_bytes: int) -> None:
+    """Lets bytes move at once."""
+
+
+class _AnswerDelegate(httputil.HTTPMessageDelegate):
+    """Receives one answer from tornado's parser."""
+
+    def __init__(self, *, method: str, sink: AnswerSink) -> None:
+        self.method = method
+        self.sink = sink
+        self.response: ResponseHead | None = None
+        self.refused = ""
+        self.whole = False
+        self.framed = True
+        self.answer_bytes = 0
+        self.go_ahead = asyncio.Event()
+        self.on_whole: Callable[[], None] = lambda: None
+        self.before_head: Callable[[ResponseHead], str] = _upstream_refusal
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        assert isinstance(start_line, httputil.ResponseStartLine)
+        if start_line.code == CONTINUE:
+            self.go_ahead.set()
+            return
+        if start_line.code < 200:
+            return
+        head = ResponseHead(start_line.code, start_line.reason, headers)
+        self.response = head
+        self.refused = self.before_head(head)
+        # Without a length only the closing of the connection ends the body,
+        # and a crash looks the same: such an answer cannot be called whole.
+        self.framed = answer_is_framed(method=self.method, head=head)
+        if self.refused or not self.framed:
+            return
+        self.sink.head(head)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        if self.refused or not self.framed:
+            return None
+        self.answer_bytes += len(chunk)
+        return self.sink.data(chunk)
+
+    def finish(self) -> None:
+        self.whole = True
+        self.on_whole()
+
+    def on_connection_close(self) -> None:
+        self.go_ahead.set()
+
+
+def _upstream_refusal(head: ResponseHead) -> str:
+    if head.status != 503:
+        return ""
+    return head.headers.get(REFUSED_HEADER, "")
+
+
+class HttpClient:
+    """Sends requests to `ip:port` addresses, each exactly once."""
+
+    def __init__(
+        self, *, connect_timeout_s: float, receive_buffer_bytes: int = 0
+    ) -> None:
+        """Makes a client.
+
+        Args:
+          connect_timeout_s: longest time for a new connection.
+          receive_buffer_bytes: kernel buffer per connection; 0 for the
+            system's own choice.
+        """
+        self._connect_timeout_s = connect_timeout_s
+        self._receive_buffer_bytes = receive_buffer_bytes
+        self._idle: dict[str, list[tuple[iostream.IOStream, float]]] = {}
+        self.connections_made = 0
+
+    def close(self) -> None:
+        """Closes every idle connection."""
+        for streams in self._idle.values():
+            for stream, _ in streams:
+                stream.close()
+        self._idle.clear()
+
+    def _take_idle(
+        self, address: str, limit_s: float
+    ) -> iostream.IOStream | None:
+        streams = self._idle.get(address, [])
+        now_s = time.monotonic()
+        while streams:
+            stream, since_s = streams.pop()
+            if stream.closed():
+                continue
+            if now_s - since_s > limit_s:
+                stream.close()
+                continue
+            return stream
+        return None
+
+    async def _connect(self, address: str) -> iostream.IOStream:
+        ip, _, port = address.rpartition(":")
+        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        if self._receive_buffer_bytes:
+            raw.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_RCVBUF,
+                self._receive_buffer_bytes,
+            )
+        stream = iostream.IOStream(raw, max_buffer_size=MAX_BUFFER_BYTES)
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                await stream.connect((ip, int(port)))
+        except BaseException:
+            stream.close()
+            raise
+        stream.set_nodelay(True)
+        self.connections_made += 1
+        return stream
+
+    async def connect(self, address: str, *, fresh: bool) -> iostream.IOStream:
+        """Returns a connection to `address`, kept or new.
+
+        A kept connection may have been closed by the other side a moment ago;
+        a request written to it is then lost without having run, but nobody
+        can know. Work that must not repeat therefore asks for a `fresh` one:
+        just used or new.
+
+        Raises:
+          OSError: the connection could not be made.
+          TimeoutError: it took too long.
+        """
+        limit_s = FRESH_LIMIT_S if fresh else IDLE_LIMIT_S
+        stream = self._take_idle(address, limit_s)
+        if stream is not None:
+            return stream
+        try:
+            return await self._connect(address)
+        except iostream.StreamClosedError as error:
+            raise OSError(f"{address} refused the connection") from error
+
+    def _keep(self, address: str, stream: iostream.IOStream) -> None:
+        streams = self._idle.setdefault(address, [])
+        if len(streams) >= IDLE_LIMIT_PER_ADDRESS:
+            stream.close()
+            return
+        # Reading in idle times is what makes tornado notice a close.
+        stream.set_close_callback(lambda: None)
+        streams.append((stream, time.monotonic()))
+
+    async def exchange(
+        self,
+        *,
+        address: str,
+        stream: iostream.IOStream,
+        start_line: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+        body: RequestBody,
+        sink: AnswerSink,
+        pace: Pace = no_pace,
+        refusal: Callable[[ResponseHead], str] | None = None,
+        wait_for_continue: bool = False,
+        after_write: Callable[[], bool] = lambda: True,
+    ) -> Exchange:
+        """Sends one request and passes its answer on.
+
+        Args:
+          address: where `stream` leads; it is kept under this name.
+          stream: an open connection; owned by this call from now on.
+          start_line: method and path.
+          headers: end-to-end headers.
+          body: the request's body.
+          sink: receives the answer, unless it is a refusal.
+          pace: awaited with a size in bytes before body bytes move.
+          refusal: finds the documented refusal in a head, or returns empty;
+            None for the one of upstreams.
+          wait_for_continue: hold a streaming body back until the other side
+            asks for it.
+          after_write: called when the head has been written; when it returns
+            False the request is cancelled at once.
+
+        Returns:
+          How it ended; a cancelled call closes the connection.
+        """
+        call = _Call(
+            stream=stream, method=start_line.method, sink=sink, body=body
+        )
+        if refusal is not None:
+            call.delegate.before_head = refusal
+        try:
+            result = await call.run(
+                start_line=start_line,
+                headers=headers,
+                pace=pace,
+                wait_for_continue=wait_for_continue,
+                after_write=after_write,
+            )
+        except BaseException:
+            call.close()
+            raise
+        if call.reusable:
+            self._keep(address, stream)
+        else:
+            call.close()
+        return result
+
+
+class _Call:
+    """One exchange on one connection."""
+
+    def __init__(
+        self,
+        *,
+        stream: iostream.IOStream,
+        method: str,
+        sink: AnswerSink,
+        body: RequestBody,
+    ) -> None:
+        self.stream = stream
+        self.body = body
+        self.delegate = _AnswerDelegate(method=method, sink=sink)
+        self.delegate.on_whole = self._answer_is_whole
+        self.connection = http1connection.HTTP1Connection(
+            stream,
+            True,
+            http1connection.HTTP1ConnectionParameters(
+                chunk_size=CHUNK_BYTES, max_body_size=MAX_BODY_BYTES
+            ),
+        )
+        self.request_bytes = 0
+        self.request_written = False
+        self.caller_gone = False
+        self.reusable = False
+        self._pump: asyncio.Task[None] | None = None
+
+    def close(self) -> None:
+        if self._pump is not None:
+            self._pump.cancel()
+        self.connection.close()
+
+    def _answer_is_whole(self) -> None:
+        # An answer before the end of the request: nobody wants the rest.
+        if not self.request_written:
+            self.close()
+
+    async def run(
+        self,
+        *,
+        start_line: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+        pace: Pace,
+        wait_for_continue: bool,
+        after_write: Callable[[], bool],
+    ) -> Exchange:
+        whole_body = None
+        if self.body.replayable:
+            whole_body = self.body.replay()
+            headers["Content-Length"] = str(len(whole_body))
+            if whole_body:
+                await pace(len(whole_body))
+            elif start_line.method in ("GET", "HEAD", "DELETE", "OPTIONS"):
+                del headers["Content-Length"]
+        elif wait_for_continue:
+            headers["Expect"] = "100-continue"
+        if self.stream.closed():
+            # Closed while the body waited for its pace: nothing was written.
+            return Exchange(sent=Sent.NOT_SENT)
+        write = self.connection.write_headers(start_line, headers, whole_body)
+        write.add_done_callback(_consume)
+        if not after_write():
+            self.close()
+            return Exchange(sent=Sent.LOST)
+        if whole_body is not None:
+            self.request_bytes = len(whole_body)
+            self.request_written = True
+            self.connection.finish()
+        else:
+            self._pump = asyncio.ensure_future(
+                self._pump_body(pace, wait_for_continue)
+            )
+        return await self._read(headers)
+
+    async def _pump_body(self, pace: Pace, wait_for_continue: bool) -> None:
+        try:
+            if wait_for_continue:
+                await self.delegate.go_ahead.wait()
+            while chunk := await self.body.read():
+                await pace(len(chunk))
+                await self.connection.write(chunk)
+                self.request_bytes += len(chunk)
+            self.request_written = True
+            self.connection.finish()
+        except BodyAborted:
+            self.caller_gone = True
+            self.connection.close()
+        except (iostream.StreamClosedError, httputil.HTTPOutputError):
+            self.connection.close()
+
+    async def _read(self, headers: httputil.HTTPHeaders) -> Exchange:
+        open_after = False
+        try:
+            open_after = await self.connection.read_response(self.delegate)
+        except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
+            open_after = False
+        if self._pump is not None and not self._pump.done():
+            self._pump.cancel()
+        self.reusable = self._may_be_reused(open_after)
+        return Exchange(
+            sent=self._how_it_ended(),
+            head=self.delegate.response,
+            refused=self.delegate.refused,
+            answer_bytes=self.delegate.answer_bytes,
+            request_bytes=self.request_bytes,
+        )
+
+    def _may_be_reused(self, open_after: bool) -> bool:
+        if not open_after or self.stream.closed():
+            return False
+        if not self.delegate.whole or not self.request_written:
+            return False
+        assert self.delegate.response is not None
+        connection = self.delegate.response.headers.get("Connection", "")
+        return connection.lower() != "close"
+
+    def _how_it_ended(self) -> Sent:
+        if self.delegate.refused:
+            return Sent.REFUSED
+        if self.caller_gone:
+            return Sent.CALLER_GONE
+        if self.delegate.response is None:
+            return Sent.LOST
+        if not self.delegate.framed:
+            return Sent.CUT
+        if not self.delegate.whole:
+            return Sent.CUT
+        return Sent.WHOLE
+
+
+def _consume(future: "asyncio.Future[None]") -> None:
+    # A write that fails is seen again by the reader of the answer; without
+    # this the loop would log a "never retrieved" error for each lost peer.
+    if not future.cancelled():
+        future.exception()
--- /dev/null
+++ b/almondstair/http_messages.py
@@ -0,0 +1,170 @@
+"""Headers that cross an entry, and the checks on a message's framing."""
+
+import re
+import time
+from typing import NamedTuple
+
+import msgspec
+from tornado import httputil
+
+from almondstair.errors import PROBLEM_CONTENT_TYPE
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+from almondstair.errors import Ran
+
+MAX_HEADER_BYTES = 32 * 1024
+KEY_HEADER = "Idempotency-Key"
+DEADLINE_HEADER = "Deadline-Ms"
+TRACE_HEADER = "Traceparent"
+OWN_PREFIX = "Almondstair-"
+# An entry's own answer towards another entry, as `kind;ran`.
+ANSWER_HEADER = "Almondstair-Answer"
+# An upstream's documented refusal: it did not run the request.
+REFUSED_HEADER = "Almondstair-Refused"
+CALLER_ZONE_HEADER = "Almondstair-Caller-Zone"
+LOAD_HEADER = "Upstream-Load"
+
+_HOP_BY_HOP = frozenset(
+    (
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "Proxy-Connection",
+        "Te",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Expect",
+    )
+)
+_LENGTH = re.compile(r"[0-9]{1,18}\Z")
+_STATUS_WITHOUT_BODY = frozenset((204, 304))
+
+
+class ResponseHead(NamedTuple):
+    """Start line and headers of an answer."""
+
+    status: int
+    reason: str
+    headers: httputil.HTTPHeaders
+
+
+def check_request_framing(
+    *, start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+) -> int | None:
+    """Checks that every reader of a request finds the same end of it.
+
+    What goes wrong: a request with two lengths ends at one place for this
+    entry and at another for the upstream, and its tail is then run as a
+    second request (smuggling). One would notice requests in a journal that
+    no caller sent. Only one plain framing passes.
+
+    Returns:
+      The length of the body in bytes, None when it is chunked.
+
+    Raises:
+      AlmondstairError: `bad_request`.
+    """
+    lengths = headers.get_list("Content-Length")
+    encodings = headers.get_list("Transfer-Encoding")
+    size_bytes = 0
+    for name, value in headers.get_all():
+        size_bytes += len(name) + len(value) + 4
+    if size_bytes > MAX_HEADER_BYTES:
+        raise _bad(f"the headers are over {MAX_HEADER_BYTES} bytes")
+    if lengths and encodings:
+        raise _bad("Content-Length and Transfer-Encoding exclude each other")
+    if len(lengths) > 1 or len(encodings) > 1:
+        raise _bad("the body's length is given twice")
+    if encodings:
+        if encodings[0].lower() != "chunked":
+            raise _bad("Transfer-Encoding must be chunked")
+        if start_line.version == "HTTP/1.0":
+            raise _bad("HTTP/1.0 has no Transfer-Encoding")
+        return None
+    if lengths:
+        if not _LENGTH.match(lengths[0]):
+            raise _bad("Content-Length is not a whole number")
+        return int(lengths[0])
+    return 0
+
+
+def _bad(detail: str) -> AlmondstairError:
+    return AlmondstairError(kind=ErrorKind.BAD_REQUEST, detail=detail)
+
+
+def answer_is_framed(*, method: str, head: ResponseHead) -> bool:
+    """Says whether the end of an answer can be told from a cut."""
+    if method == "HEAD" or head.status in _STATUS_WITHOUT_BODY:
+        return True
+    if "Content-Length" in head.headers:
+        return True
+    return head.headers.get("Transfer-Encoding", "").lower() == "chunked"
+
+
+def end_to_end_headers(
+    *, headers: httputil.HTTPHeaders, drop_own: bool = True
+) -> httputil.HTTPHeaders:
+    """Returns the headers that travel on, without the hop-by-hop ones.
+
+    Args:
+      headers: headers as they arrived.
+      drop_own: whether to drop the headers that entries use among themselves.
+    """
+    named = set()
+    for token in headers.get("Connection", "").split(","):
+        named.add(token.strip().title())
+    kept = httputil.HTTPHeaders()
+    for name, value in headers.get_all():
+        if name in _HOP_BY_HOP or name in named:
+            continue
+        if drop_own and name.startswith(OWN_PREFIX):
+            continue
+        kept.add(name, value)
+    return kept
+
+
+def remaining_ms(*, deadline_s: float) -> int:
+    """Returns the whole milliseconds left until a monotonic deadline."""
+    return int((deadline_s - time.monotonic()) * 1000)
+
+
+def problem_head(
+    *, error: AlmondstairError, size_bytes: int, for_entry: bool
+) -> ResponseHead:
+    """Returns the head of an answer of the system's own.
+
+    Args:
+      error: what to answer.
+      size_bytes: length of the body.
+      for_entry: whether another entry reads it rather than a caller.
+    """
+    headers = httputil.HTTPHeaders()
+    headers["Content-Type"] = PROBLEM_CONTENT_TYPE
+    headers["Content-Length"] = str(size_bytes)
+    headers["Cache-Control"] = "no-store"
+    if error.retry_after_ms is not None:
+        # Whole seconds, rounded up: the header knows no smaller unit.
+        headers["Retry-After"] = str(-(-error.retry_after_ms // 1000))
+    if for_entry:
+        headers[ANSWER_HEADER] = f"{error.kind};{error.ran}"
+    status = error.rule.http_status
+    reason = httputil.responses.get(status, "Unknown")
+    return ResponseHead(status=status, reason=reason, headers=headers)
+
+
+def problem_body(*, error: AlmondstairError) -> bytes:
+    """Returns the JSON body of an answer of the system's own."""
+    return msgspec.json.encode(error.problem())
+
+
+def read_entry_answer(*, value: str) -> tuple[ErrorKind, Ran] | None:
+    """Reads `Almondstair-Answer`; None when it is absent or unreadable."""
+    kind, separator, ran = value.partition(";")
+    if not separator:
+        return None
+    try:
+        return ErrorKind(kind), Ran(ran)
+    except ValueError:
+        return None
--- /dev/null
+++ b/almondstair/log.py
@@ -0,0 +1,149 @@
+"""Structured logs: numbered events as JSON lines.
+
+Every event is listed in `Event`; docs/LOG-EVENTS.md is the catalogue for
+operators and a test keeps the two equal. Warnings say what to change.
+"""
+
+import enum
+import logging
+import sys
+from typing import NamedTuple
+
+from pythonjsonlogger.json import JsonFormatter
+
+LOGGER_NAME = "almondstair"
+logger = logging.getLogger(LOGGER_NAME)
+
+
+class EventRule(NamedTuple):
+    """Number, level and text of a log event."""
+
+    number: int
+    level: int
+    text: str
+
+
+class Event(enum.Enum):
+    """Every event that is logged."""
+
+    STARTED = EventRule(100, logging.INFO, "entry started")
+    STOPPING = EventRule(101, logging.INFO, "entry is leaving")
+    STOPPED = EventRule(102, logging.INFO, "entry stopped")
+    STOP_CUT = EventRule(
+        103,
+        logging.WARNING,
+        "requests were still in flight at the end of a stop; raise "
+        "timing.stop_limit_ms",
+    )
+    FATAL = EventRule(104, logging.CRITICAL, "entry cannot go on")
+    REQUEST_REFUSED = EventRule(200, logging.DEBUG, "request refused")
+    REQUEST_FAILED = EventRule(201, logging.WARNING, "request failed")
+    REQUEST_BROKEN = EventRule(
+        202, logging.ERROR, "handling a request failed inside"
+    )
+    UPSTREAM_LOST = EventRule(
+        203, logging.WARNING, "upstream closed without a whole answer"
+    )
+    UPSTREAM_UNREACHABLE = EventRule(
+        204,
+        logging.WARNING,
+        "upstream cannot be reached; check its address and whether it runs",
+    )
+    REQUEST_QUARANTINED = EventRule(
+        205, logging.WARNING, "request is quarantined: it crashed upstreams"
+    )
+    CLAIM_NOT_RECORDED = EventRule(
+        206,
+        logging.WARNING,
+        "the outcome of a claim is not yet recorded; the platform's service "
+        "does not answer",
+    )
+    PLATFORM_DOWN = EventRule(
+        300,
+        logging.WARNING,
+        "the platform's service does not answer; check platform.url",
+    )
+    PLATFORM_BACK = EventRule(
+        301, logging.INFO, "the platform's service answers again"
+    )
+    VM_LIST_STALE = EventRule(
+        302, logging.WARNING, "the VM list is not to be had; the last one holds"
+    )
+    ENTRY_TABLE_CHANGED = EventRule(310, logging.INFO, "entry table changed")
+    ENTRY_SILENT = EventRule(
+        311,
+        logging.WARNING,
+        "an entry of the table is silent; check its VM and the network",
+    )
+    ENTRY_HEARD = EventRule(312, logging.INFO, "a silent entry is heard again")
+    PEER_MESSAGE_BAD = EventRule(
+        313, logging.WARNING, "a message from a peer could not be read"
+    )
+    CONFIGURATION_IN_FORCE = EventRule(
+        320, logging.INFO, "configuration is in force"
+    )
+    CONFIGURATION_OLDER = EventRule(
+        321,
+        logging.ERROR,
+        "the platform's service holds an older configuration than the one in "
+        "force; it is kept; restore the newer one with almondstairctl config "
+        "edit",
+    )
+    CONFIGURATION_BAD = EventRule(
+        322,
+        logging.ERROR,
+        "a stored configuration is not valid and is not applied",
+    )
+    EDIT = EventRule(323, logging.INFO, "an operator edited the configuration")
+    UPSTREAM_LEAVING = EventRule(330, logging.INFO, "upstream is leaving")
+    UPSTREAM_RETURNED = EventRule(331, logging.INFO, "upstream is back")
+    HOME_CHANGED = EventRule(
+        332, logging.INFO, "the home of an upstream changed"
+    )
+    SETTINGS_BAD = EventRule(400, logging.ERROR, "the settings are not valid")
+
+
+def setup(*, level: str, file: str) -> None:
+    """Sends the log as JSON lines to `file`, or to standard error.
+
+    Args:
+      level: name of the lowest level that is written.
+      file: path, or empty for standard error.
+    """
+    handler: logging.Handler = logging.StreamHandler(sys.stderr)
+    if file:
+        handler = logging.FileHandler(file, encoding="utf-8")
+    formatter = JsonFormatter(
+        "{asctime}{levelname}{message}",
+        style="{",
+        rename_fields={"asctime": "time", "levelname": "level"},
+    )
+    handler.setFormatter(formatter)
+    logger.handlers.clear()
+    logger.addHandler(handler)
+    logger.setLevel(level)
+    logger.propagate = False
+    # tornado reports each refused connection and malformed request; those
+    # reach the log as events of our own.
+    logging.getLogger("tornado").setLevel(logging.CRITICAL)
+
+
+def event(
+    what: Event, *, error: BaseException | None = None, **fields: object
+) -> None:
+    """Logs one event.
+
+    Args:
+      what: the event.
+      error: an exception whose traceback belongs to it.
+      **fields: what it concerns; names carry their unit.
+    """
+    rule = what.value
+    if not logger.isEnabledFor(rule.level):
+        return
+    extra: dict[str, object] = {
+        "event": rule.number,
+        "event_name": what.name.lower(),
+    }
+    extra.update(fields)
+    logger.log(rule.level, rule.text, exc_info=error, extra=extra)
--- /dev/null
+++ b/almondstair/metrics.py
@@ -0,0 +1,83 @@
+"""Metrics by statsd: counted here, sent in one batch a second.
+
+docs/METRICS.md lists every name; a test keeps the two equal.
+"""
+
+from collections import defaultdict
+import enum
+
+from statsd import StatsClient
+
+FLUSH_INTERVAL_S = 1.0
+TIMINGS_PER_FLUSH = 200
+
+
+class Metric(enum.StrEnum):
+    """Every metric's name below the prefix; `*` stands for a label."""
+
+    LOOKUPS = "lookups"
+    REQUESTS = "requests.*"
+    REFUSALS = "refusals.*"
+    LATENCY_MS = "latency_ms.*"
+    RETRIES = "retries"
+    FORWARDS = "forwards.*"
+    CLAIMS = "claims.*"
+    SLOTS_BUSY = "slots_busy"
+    SLOTS_FREE = "slots_free"
+    LINK_BYTES = "link_bytes.*"
+    PLATFORM_ERRORS = "platform_errors"
+    HEARTBEAT_BYTES = "heartbeat_bytes"
+    CONFIGURATION_VERSION = "configuration_version"
+
+
+class Metrics:
+    """Counts, gauges and timings of one entry."""
+
+    def __init__(self, *, statsd_address: str, prefix: str) -> None:
+        """Makes the collection.
+
+        Args:
+          statsd_address: `ip:port` of a statsd listener; empty sends nothing.
+          prefix: first part of every name.
+        """
+        self._client: StatsClient | None = None
+        if statsd_address:
+            ip, _, port = statsd_address.rpartition(":")
+            self._client = StatsClient(ip, int(port), prefix=prefix)
+        self.counts: dict[str, int] = defaultdict(int)
+        self._gauges: dict[str, float] = {}
+        self._timings: list[tuple[str, float]] = []
+
+    def count(self, metric: Metric, label: str = "", by: int = 1) -> None:
+        """Adds to a counter."""
+        self.counts[_name(metric, label)] += by
+
+    def gauge(self, metric: Metric, value: float) -> None:
+        """Sets a gauge."""
+        self._gauges[metric.value] = value
+
+    def timing(self, metric: Metric, label: str, value_ms: float) -> None:
+        """Adds a timing in milliseconds; some are dropped under load."""
+        if self._client is None:
+            return
+        if len(self._timings) < TIMINGS_PER_FLUSH:
+            self._timings.append((_name(metric, label), value_ms))
+
+    def flush(self) -> None:
+        """Sends what has gathered."""
+        if self._client is None:
+            self.counts.clear()
+            return
+        with self._client.pipeline() as pipe:
+            for name, value in self.counts.items():
+                pipe.incr(name, value)
+            for name, level in self._gauges.items():
+                pipe.gauge(name, level)
+            for name, value_ms in self._timings:
+                pipe.timing(name, value_ms)
+        self.counts.clear()
+        self._timings.clear()
+
+
+def _name(metric: Metric, label: str) -> str:
+    return metric.value.replace("*", label)
