Add homes of upstreams and exact admission to their slots

Cause: an upstream must never have more in flight than its slots, whoever dies, freezes or is cut off, and without the platform's service. Nothing counted slots so far.

Each upstream gets one home by rendezvous hash over its region's entries. The duty moves like a token: the home of an epoch starts on the record of the last holder, which names the slots its work still takes. If an entry was lost since, every slot counts as taken until the longest deadline passed. One slot is a reserve between home and successor, guarded by T1 and T2.

Weighed: having every home of a new epoch wait for all entries of the region (simple, but one frozen entry would stop unrelated hand-overs; kept only for the case without a record of the epoch just before), and waiting out the longest deadline on each start of an entry (safe, but a rolling restart would idle an n-th of the region for minutes). The table's lost_epoch and a row's incarnation tell a planned stop from a lost entry.

--- /dev/null
+++ b/almondstair/core/admission.py
@@ -0,0 +1,462 @@
+"""Admission: which request may take which slot of which upstream.
+
+Slots are counted exactly by the home of each upstream, so an upstream never has
+more in flight than its slots. What an upstream reports of itself can only lower
+what is used, and only for a short time, since such reports lag or lie.
+"""
+
+import enum
+import math
+from typing import NamedTuple
+
+from almondstair.core.homes import Duty
+from almondstair.core.homes import Homes
+from almondstair.core.model import Configuration
+from almondstair.core.model import Priority
+from almondstair.core.slot_book import SlotBook
+from almondstair.core.slot_book import Ticket
+from almondstair.core.slow_start import DEFAULT_LIMITS
+from almondstair.core.slow_start import SlowStart
+from almondstair.core.slow_start import SlowStartLimits
+from almondstair.core.slow_start import UsualLatency
+from almondstair.errors import ErrorKind
+
+KEPT_FRACTION: dict[Priority, float] = {
+    Priority.INTERACTIVE: 0.0,
+    Priority.COMMIT: 0.05,
+    Priority.UPLOAD: 0.15,
+    Priority.BATCH: 0.3,
+}
+SERVICE_TIME_WEIGHT = 0.1
+FIRST_SERVICE_TIME_S = 0.2
+LEAST_RETRY_MS = 100
+MOST_RETRY_MS = 30_000
+REPORT_LIMIT_S = 1.0
+
+
+class Outcome(enum.StrEnum):
+    """How a request at an upstream ended."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    REFUSED = "refused"
+    CANCELLED = "cancelled"
+
+
+class Admission(NamedTuple):
+    """A slot taken for one request."""
+
+    ticket: Ticket
+    upstream: str
+    service: str
+    admitted_s: float
+
+
+class Refusal(NamedTuple):
+    """No slot now.
+
+    Attributes:
+      kind: why.
+      retry_after_ms: when coming back helps.
+    """
+
+    kind: ErrorKind
+    retry_after_ms: int
+
+
+class UpstreamReport(NamedTuple):
+    """What an upstream says of itself, on an answer or to a probe."""
+
+    slots: int
+    busy: int
+    draining: bool
+
+
+class UpstreamStatus(NamedTuple):
+    """One upstream as operators see it.
+
+    Attributes:
+      name: its name.
+      allowed_slots: what the home protocol allows this entry.
+      usable_slots: what slow start allows.
+      in_flight: requests of this entry.
+      busy_elsewhere: slots held for other entries' work.
+      leaving: whether it gets new work.
+      report_age_s: age of its last report, None if there was none.
+    """
+
+    name: str
+    allowed_slots: int
+    usable_slots: int
+    in_flight: int
+    busy_elsewhere: int
+    leaving: bool
+    report_age_s: float | None
+
+
+class _UpstreamState:
+    """What admission remembers of one upstream."""
+
+    def __init__(
+        self,
+        *,
+        services: tuple[str, ...],
+        slots: int,
+        limits: SlowStartLimits,
+    ) -> None:
+        self.services = services
+        self.slots = slots
+        self.ramp = SlowStart(slots=slots, limits=limits)
+        self.report: UpstreamReport | None = None
+        self.report_s = float("-inf")
+        self.foreign_busy = 0
+        self.draining = False
+
+
+class SlotTable:
+    """Slots of the upstreams that this entry is home or successor of."""
+
+    def __init__(
+        self,
+        *,
+        homes: Homes,
+        book: SlotBook,
+        limits: SlowStartLimits = DEFAULT_LIMITS,
+        kept_fraction: dict[Priority, float] | None = None,
+    ) -> None:
+        """Makes a table without upstreams.
+
+        Args:
+          homes: what this entry may do at each upstream.
+          book: the same book that `homes` reads.
+          limits: constants of slow start.
+          kept_fraction: part of a service's slots that work of each priority
+            leaves to the ones above it.
+        """
+        self._homes = homes
+        self._book = book
+        self._limits = limits
+        self._kept_fraction = kept_fraction or KEPT_FRACTION
+        self._states: dict[str, _UpstreamState] = {}
+        self._by_service: dict[str, list[str]] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._usual = UsualLatency()
+        self._service_time_s: dict[str, float] = {}
+
+    def set_configuration(self, *, configuration: Configuration) -> None:
+        """Takes the upstreams of a configuration, keeping what is known."""
+        states: dict[str, _UpstreamState] = {}
+        self._by_service = {}
+        for name, upstream in configuration.upstreams.items():
+            state = self._states.get(name)
+            if state is None:
+                state = _UpstreamState(
+                    services=upstream.services,
+                    slots=upstream.slots,
+                    limits=self._limits,
+                )
+            state.services = upstream.services
+            state.slots = upstream.slots
+            state.ramp.set_slots(slots=upstream.slots)
+            states[name] = state
+            for service in upstream.services:
+                self._by_service.setdefault(service, []).append(name)
+        self._states = states
+
+    def set_leaving(self, *, names: frozenset[str]) -> None:
+        """Takes the upstreams that operators or the VM list call leaving."""
+        self._leaving = names
+
+    def heard_upstream(
+        self, *, upstream: str, report: UpstreamReport, now_s: float
+    ) -> None:
+        """Takes an upstream's report of itself.
+
+        Its word that it drains stands until it says otherwise; silence does
+        not take it back.
+        """
+        state = self._states.get(upstream)
+        if state is None:
+            return
+        in_flight = len(self._book.running(upstream=upstream))
+        state.report = report
+        state.report_s = now_s
+        state.foreign_busy = max(0, report.busy - in_flight)
+        state.draining = report.draining
+
+    def choose(
+        self,
+        *,
+        service: str,
+        priority: Priority,
+        deadline_s: float,
+        now_s: float,
+        avoid: frozenset[str] = frozenset(),
+    ) -> Admission | Refusal:
+        """Takes a slot at the best upstream of a service.
+
+        Args:
+          service: the service.
+          priority: of the request's class.
+          deadline_s: when the request is given up.
+          now_s: the time.
+          avoid: upstreams that this request must not go to.
+        """
+        best_name = ""
+        best_free = 0
+        for name in self._by_service.get(service, []):
+            if name in avoid:
+                continue
+            free = self._free(upstream=name, deadline_s=deadline_s, now_s=now_s)
+            if free > best_free:
+                best_name = name
+                best_free = free
+        if not best_name:
+            return self.refusal(service=service, now_s=now_s)
+        return self.admit(
+            upstream=best_name,
+            service=service,
+            priority=priority,
+            deadline_s=deadline_s,
+            now_s=now_s,
+        )
+
+    def admit(
+        self,
+        *,
+        upstream: str,
+        service: str,
+        priority: Priority,
+        deadline_s: float,
+        now_s: float,
+    ) -> Admission | Refusal:
+        """Takes a slot at one upstream, or says why not."""
+        if deadline_s <= now_s:
+            return Refusal(ErrorKind.DEADLINE_PASSED, LEAST_RETRY_MS)
+        if (
+            self._free(upstream=upstream, deadline_s=deadline_s, now_s=now_s)
+            < 1
+        ):
+            return self.refusal(service=service, now_s=now_s)
+        duty = self._homes.duty(upstream=upstream, now_s=now_s)
+        if not duty.reserve_only:
+            kept = self._kept_slots(
+                service=service, priority=priority, now_s=now_s
+            )
+            if self.free_slots(service=service, now_s=now_s) <= kept:
+                return self.refusal(service=service, now_s=now_s)
+        ticket = self._book.start(
+            upstream=upstream,
+            service=service,
+            deadline_s=deadline_s,
+            reserve=duty.reserve_only,
+        )
+        return Admission(ticket, upstream, service, now_s)
+
+    def release(
+        self,
+        *,
+        admission: Admission,
+        outcome: Outcome,
+        now_s: float,
+        connection_closed: bool = True,
+        work: str = "",
+    ) -> None:
+        """Gives a slot back.
+
+        Args:
+          admission: what `admit` returned.
+          outcome: how it ended.
+          now_s: the time.
+          connection_closed: whether the upstream's work is surely over, by a
+            whole answer, a refusal or a closed connection. Otherwise the slot
+            stays taken until the deadline, since the upstream may still run
+            the request and the next one would be one too many.
+          work: kind of work, whose latency is compared with its like.
+        """
+        if connection_closed:
+            self._book.end(ticket=admission.ticket)
+        state = self._states.get(admission.upstream)
+        if state is None or outcome is Outcome.CANCELLED:
+            return
+        if outcome is not Outcome.ANSWERED:
+            state.ramp.refused(now_s=now_s)
+            return
+        latency_s = now_s - admission.admitted_s
+        ratio = self._usual.ratio(
+            work=f"{admission.service}/{work}", latency_s=latency_s
+        )
+        state.ramp.answered(ratio=ratio, now_s=now_s)
+        self._note_service_time(service=admission.service, latency_s=latency_s)
+
+    def still_mine(self, *, admission: Admission, now_s: float) -> bool:
+        """Says whether a request may still be running at its upstream.
+
+        To be asked just before and just after the first byte is written: an
+        entry that was frozen in between finds that its duty has moved, and
+        closes the connection.
+        """
+        if admission.ticket.until_s - self._book.margin_s <= now_s:
+            return False
+        duty = self._homes.duty(upstream=admission.upstream, now_s=now_s)
+        if duty.allowed_slots < 1:
+            return False
+        if duty.reserve_only != admission.ticket.reserve:
+            return not duty.reserve_only
+        used = self._used(upstream=admission.upstream, duty=duty, now_s=now_s)
+        return used <= duty.allowed_slots
+
+    def free_slots(self, *, service: str, now_s: float) -> int:
+        """Returns the slots that interactive work could take now."""
+        free = 0
+        for name in self._by_service.get(service, []):
+            free += self._free(upstream=name, deadline_s=now_s, now_s=now_s)
+        return free
+
+    def usable_slots(self, *, service: str, now_s: float) -> int:
+        """Returns the slots of a service that this entry may fill."""
+        usable = 0
+        for name in self._by_service.get(service, []):
+            usable += self._usable(upstream=name, now_s=now_s)
+        return usable
+
+    def service_time_s(self, *, service: str) -> float:
+        """Returns the measured mean time that a request holds a slot."""
+        return self._service_time_s.get(service, FIRST_SERVICE_TIME_S)
+
+    def refusal(
+        self, *, service: str, now_s: float, waiting: int = 0
+    ) -> Refusal:
+        """Returns the refusal of a request with a time to come back."""
+        usable = self.usable_slots(service=service, now_s=now_s)
+        if usable < 1:
+            return Refusal(
+                self._kind_without_slots(service=service),
+                self._bounded_ms(wait_s=self._wait_for_duty_s(now_s=now_s)),
+            )
+        wait_s = self.service_time_s(service=service) * (waiting + 1) / usable
+        return Refusal(ErrorKind.NO_SLOT, self._bounded_ms(wait_s=wait_s))
+
+    def status(self, *, now_s: float) -> tuple[UpstreamStatus, ...]:
+        """Returns the upstreams that this entry has a duty at."""
+        rows = []
+        for name, state in self._states.items():
+            duty = self._homes.duty(upstream=name, now_s=now_s)
+            in_flight = len(self._book.running(upstream=name))
+            if duty.allowed_slots < 1 and in_flight == 0:
+                continue
+            age_s = None
+            if state.report is not None:
+                age_s = now_s - state.report_s
+            rows.append(
+                UpstreamStatus(
+                    name=name,
+                    allowed_slots=duty.allowed_slots,
+                    usable_slots=state.ramp.usable_slots(now_s=now_s),
+                    in_flight=in_flight,
+                    busy_elsewhere=len(duty.busy_until_s),
+                    leaving=self._is_leaving(upstream=name),
+                    report_age_s=age_s,
+                )
+            )
+        return tuple(rows)
+
+    def _is_leaving(self, *, upstream: str) -> bool:
+        return upstream in self._leaving or self._states[upstream].draining
+
+    def _free(self, *, upstream: str, deadline_s: float, now_s: float) -> int:
+        """Returns the slots open to a request with this deadline."""
+        self._book.expire(upstream=upstream, now_s=now_s)
+        duty = self._homes.duty(upstream=upstream, now_s=now_s)
+        limit = self._limit(upstream=upstream, duty=duty, now_s=now_s)
+        used = self._used(upstream=upstream, duty=duty, now_s=now_s)
+        free = limit - used
+        if deadline_s - now_s <= self._homes.reserve_deadline_s:
+            return max(0, free)
+        long_used = self._long_used(upstream=upstream, duty=duty, now_s=now_s)
+        return max(0, min(free, duty.long_slots - long_used))
+
+    def _usable(self, *, upstream: str, now_s: float) -> int:
+        duty = self._homes.duty(upstream=upstream, now_s=now_s)
+        limit = self._limit(upstream=upstream, duty=duty, now_s=now_s)
+        return max(0, limit - len(duty.busy_until_s))
+
+    def _limit(self, *, upstream: str, duty: Duty, now_s: float) -> int:
+        state = self._states.get(upstream)
+        if state is None or duty.allowed_slots < 1:
+            return 0
+        if self._is_leaving(upstream=upstream):
+            return 0
+        usable = state.ramp.usable_slots(now_s=now_s)
+        if duty.reserve_only:
+            return min(usable, duty.allowed_slots)
+        # What others hold is counted as used, and is not cold start's matter.
+        usable += len(duty.busy_until_s)
+        return min(usable, duty.allowed_slots, self._reported(state, now_s))
+
+    def _reported(self, state: _UpstreamState, now_s: float) -> int:
+        """Returns the slots that the upstream's own report leaves.
+
+        It is believed for a short time and never below one: an upstream that
+        reports itself full without end would get no work to disprove it.
+        """
+        if state.report is None or now_s - state.report_s > REPORT_LIMIT_S:
+            return state.slots
+        left = min(state.slots, state.report.slots) - state.foreign_busy
+        return max(1, left)
+
+    def _used(self, *, upstream: str, duty: Duty, now_s: float) -> int:
+        running = self._book.running(upstream=upstream)
+        if not duty.reserve_only:
+            return len(running) + len(duty.busy_until_s)
+        used = 0
+        for ticket in running:
+            if ticket.reserve:
+                used += 1
+        return used
+
+    def _long_used(self, *, upstream: str, duty: Duty, now_s: float) -> int:
+        short_until_s = now_s + self._homes.reserve_deadline_s
+        used = 0
+        for until_s in duty.busy_until_s:
+            if until_s > short_until_s:
+                used += 1
+        for ticket in self._book.running(upstream=upstream):
+            if ticket.until_s - self._book.margin_s > short_until_s:
+                used += 1
+        return used
+
+    def _kept_slots(
+        self, *, service: str, priority: Priority, now_s: float
+    ) -> int:
+        """Returns the slots that a priority leaves to the ones above it."""
+        usable = self.usable_slots(service=service, now_s=now_s)
+        kept = math.ceil(self._kept_fraction[priority] * usable)
+        return max(0, min(kept, usable - 1))
+
+    def _note_service_time(self, *, service: str, latency_s: float) -> None:
+        known_s = self._service_time_s.get(service)
+        if known_s is None:
+            self._service_time_s[service] = latency_s
+            return
+        known_s += SERVICE_TIME_WEIGHT * (latency_s - known_s)
+        self._service_time_s[service] = known_s
+
+    def _kind_without_slots(self, *, service: str) -> ErrorKind:
+        for name in self._by_service.get(service, []):
+            if not self._is_leaving(upstream=name):
+                return ErrorKind.NO_SLOT
+        return ErrorKind.NO_UPSTREAM
+
+    def _wait_for_duty_s(self, *, now_s: float) -> float:
+        """Returns the time until the first slot held for others is free."""
+        soonest_s = now_s + FIRST_SERVICE_TIME_S * 5
+        for name in self._states:
+            duty = self._homes.duty(upstream=name, now_s=now_s)
+            for until_s in duty.busy_until_s:
+                soonest_s = min(soonest_s, until_s)
+        return soonest_s - now_s
+
+    def _bounded_ms(self, *, wait_s: float) -> int:
+        wait_ms = math.ceil(wait_s * 1000)
+        return max(LEAST_RETRY_MS, min(MOST_RETRY_MS, wait_ms))
--- a/almondstair/core/entry_table.py
+++ b/almondstair/core/entry_table.py
@@ -18,6 +18,12 @@
       forward_address: `ip:port` of its listener for other entries' requests.
       peer_address: `ip:port` of its socket for control messages.
       operator_address: `ip:port` of its listener for operators.
+      incarnation: drawn anew by each process start. A process that finds
+        another incarnation in its own row must have the row replaced before
+        it holds any duty, since its predecessor's work may still be running.
+      joined_epoch: epoch under which this incarnation entered the table.
+      leaving: whether it is handing over its duties before it is dropped; it
+        still acknowledges tables, but is home or successor of nothing.
     """
 
     name: str
@@ -27,6 +33,9 @@
     forward_address: str
     peer_address: str
     operator_address: str
+    incarnation: str = ""
+    joined_epoch: int = 0
+    leaving: bool = False
 
 
 class EntryTable(NamedTuple):
@@ -35,10 +44,14 @@
     Attributes:
       epoch: grows by one with each change; 0 is the empty table before any.
       entries: the rows, in any order.
+      lost_epoch: the last epoch that dropped an entry which had not released
+        its duties; 0 if there was none. Work that such an entry left running
+        is known to nobody, so slots are held back after it.
     """
 
     epoch: int = 0
     entries: tuple[EntryRow, ...] = ()
+    lost_epoch: int = 0
 
     def row(self, *, name: str) -> EntryRow | None:
         """Returns the row of an entry, None if it is not in the table."""
@@ -55,3 +68,52 @@
                 continue
             names.append(entry.name)
         return tuple(names)
+
+    def with_entry(self, *, row: EntryRow) -> "EntryTable":
+        """Returns the next table, with an entry added or replaced.
+
+        Replacing another incarnation counts as losing the old one: its
+        process is dead, and nobody knows which requests it left running.
+        """
+        epoch = self.epoch + 1
+        old = self.row(name=row.name)
+        lost_epoch = self.lost_epoch
+        if old is not None and old.incarnation != row.incarnation:
+            lost_epoch = epoch
+        joined_epoch = epoch
+        if old is not None and old.incarnation == row.incarnation:
+            joined_epoch = old.joined_epoch
+        rows = self._rows_without(name=row.name)
+        rows.append(row._replace(joined_epoch=joined_epoch))
+        return EntryTable(epoch, tuple(rows), lost_epoch)
+
+    def with_leaving(self, *, name: str) -> "EntryTable":
+        """Returns the next table, with an entry marked as leaving."""
+        rows = []
+        for entry in self.entries:
+            if entry.name == name:
+                entry = entry._replace(leaving=True)  # noqa: PLW2901
+            rows.append(entry)
+        return EntryTable(self.epoch + 1, tuple(rows), self.lost_epoch)
+
+    def without(self, *, name: str, released: bool) -> "EntryTable":
+        """Returns the next table, with an entry dropped.
+
+        Args:
+          name: the entry.
+          released: True only if the entry itself said, when it was marked as
+            leaving, that it had nothing in flight any more (`Homes.idle`).
+        """
+        epoch = self.epoch + 1
+        lost_epoch = self.lost_epoch
+        if not released:
+            lost_epoch = epoch
+        rows = self._rows_without(name=name)
+        return EntryTable(epoch, tuple(rows), lost_epoch)
+
+    def _rows_without(self, *, name: str) -> list[EntryRow]:
+        rows = []
+        for entry in self.entries:
+            if entry.name != name:
+                rows.append(entry)
+        return rows
--- /dev/null
+++ b/almondstair/core/homes.py
@@ -0,0 +1,610 @@
+"""Homes: which entry dispatches to which upstream, and how that moves.
+
+Each upstream has one home among the entries of its region, so its slots are
+counted in one place. A duty moves with the entry table, under these rules:
+
+* The home of an epoch starts when the entry that held the duty before has
+  applied the same epoch and says which slots its work still takes. It knows the
+  last holder because it held the epoch just before, or because every entry of
+  the region has applied this epoch and none held a later one.
+* When an entry was lost since, the last holder may have been that one. Every
+  slot then counts as taken until the longest deadline has passed.
+* One slot of each upstream is a reserve for short work. The home uses it only
+  while its successor, the next entry in rank, has acknowledged it within T1.
+  The successor uses it once it has not heard the home for T2 = T1 + the longest
+  deadline of work allowed in the reserve, and says nothing to the home while it
+  has work there. So a frozen home, which wakes up believing in its duty, and
+  its successor never take more than the slots together.
+
+Nothing here needs the platform's service or a vote: without either, the duties
+of the last table go on.
+"""
+
+from typing import NamedTuple
+
+import xxhash
+
+from almondstair.core.entry_table import EntryTable
+from almondstair.core.model import Configuration
+from almondstair.core.slot_book import SlotBook
+
+RESERVE_SLOTS = 1
+LEAST_SLOTS_WITH_RESERVE = 2
+NEVER_S = float("-inf")
+
+
+class HomedUpstream(NamedTuple):
+    """What the home protocol needs to know of an upstream.
+
+    Attributes:
+      name: its name.
+      region: its region.
+      slots: requests that it runs at once.
+      longest_deadline_s: longest deadline of any class that it runs.
+    """
+
+    name: str
+    region: str
+    slots: int
+    longest_deadline_s: float
+
+
+class Duty(NamedTuple):
+    """What this entry may do at an upstream now.
+
+    Attributes:
+      allowed_slots: most requests at once, `busy_until_s` included; 0 when
+        this entry may not dispatch to it at all.
+      long_slots: most of them that may last longer than the reserve allows.
+      reserve_only: whether this entry acts as successor, with short work only;
+        then just its own reserve requests count against `allowed_slots`.
+      busy_until_s: one time for each slot taken by another entry's work.
+    """
+
+    allowed_slots: int
+    long_slots: int = 0
+    reserve_only: bool = False
+    busy_until_s: tuple[float, ...] = ()
+
+
+NO_DUTY = Duty(allowed_slots=0)
+
+
+class HeldRecord(NamedTuple):
+    """What a former holder tells the home of the epoch about one upstream.
+
+    Attributes:
+      upstream: its name.
+      held_epoch: last epoch in which the sender held the duty.
+      busy_left_s: for each slot that may still be taken, the seconds until it
+        is surely free.
+    """
+
+    upstream: str
+    held_epoch: int
+    busy_left_s: tuple[float, ...]
+
+
+class HomesReport(NamedTuple):
+    """What one entry tells another of its region with each heartbeat.
+
+    Attributes:
+      entry: the sender.
+      incarnation: its incarnation.
+      epoch: epoch of the table that it has applied.
+      sent_s: its own clock at sending; only the sender ever compares it.
+      settled: whether it has nothing left of reserve duties of older epochs.
+      echo_incarnation: incarnation of the receiver whose report is echoed.
+      echo_sent_s: `sent_s` of the receiver's last report, or None while the
+        sender has work in a reserve slot of the receiver.
+      records: duties that the sender held and whose home is the receiver.
+    """
+
+    entry: str
+    incarnation: str
+    epoch: int
+    sent_s: float
+    settled: bool
+    echo_incarnation: str = ""
+    echo_sent_s: float | None = None
+    records: tuple[HeldRecord, ...] = ()
+
+
+class _Token(NamedTuple):
+    """The duty of one upstream as this entry holds or last held it."""
+
+    held_epoch: int
+    busy_until_s: tuple[float, ...] = ()
+    source: str = ""
+
+
+class _Offer(NamedTuple):
+    """A record received under the current epoch, in this entry's time."""
+
+    entry: str
+    held_epoch: int
+    busy_until_s: tuple[float, ...]
+
+
+class _Peer(NamedTuple):
+    """What was last heard of one entry.
+
+    Attributes:
+      incarnation: its incarnation.
+      heard_s: when anything came from it.
+      sent_s: its own clock at the newest report.
+      settled_epoch: highest epoch it settled under.
+      settled_s: when that was heard.
+      echo_epoch: epoch of the newest echo.
+      echo_sent_s: this entry's own clock at the report that was echoed.
+    """
+
+    incarnation: str
+    heard_s: float
+    sent_s: float
+    settled_epoch: int = 0
+    settled_s: float = NEVER_S
+    echo_epoch: int = 0
+    echo_sent_s: float = NEVER_S
+
+
+def ranked(*, upstream: str, names: tuple[str, ...]) -> tuple[str, ...]:
+    """Returns entries in their rendezvous order for an upstream."""
+    scored = []
+    for name in names:
+        score = xxhash.xxh3_64_intdigest(f"{upstream}\0{name}".encode())
+        scored.append((score, name))
+    scored.sort(reverse=True)
+    ordered = []
+    for _, name in scored:
+        ordered.append(name)
+    return tuple(ordered)
+
+
+def homed_upstreams(
+    *, configuration: Configuration
+) -> tuple[HomedUpstream, ...]:
+    """Returns the upstreams of a configuration as the protocol needs them."""
+    homed = []
+    for name, upstream in configuration.upstreams.items():
+        region = configuration.region_of(
+            availability_zone=upstream.availability_zone
+        )
+        if region is None:
+            continue
+        longest_ms = 0
+        for service in upstream.services:
+            for request_class in configuration.services[service].classes:
+                longest_ms = max(longest_ms, request_class.deadline_ms)
+        homed.append(
+            HomedUpstream(name, region, upstream.slots, longest_ms / 1000)
+        )
+    return tuple(homed)
+
+
+class Homes:
+    """This entry's view of the duties, and the rules by which they move."""
+
+    def __init__(
+        self,
+        *,
+        entry_name: str,
+        incarnation: str,
+        t1_s: float,
+        reserve_deadline_s: float,
+        margin_s: float,
+        book: SlotBook,
+    ) -> None:
+        """Makes the view of an entry that holds nothing yet.
+
+        Args:
+          entry_name: this entry.
+          incarnation: drawn anew at each start of the process.
+          t1_s: how long an acknowledgement lets the home use the reserve.
+          reserve_deadline_s: longest deadline of work in the reserve.
+          margin_s: allowance for clock drift and late cancellation.
+          book: requests that this entry has in flight.
+        """
+        self._name = entry_name
+        self._incarnation = incarnation
+        self._t1_s = t1_s
+        self._reserve_deadline_s = reserve_deadline_s
+        self._margin_s = margin_s
+        self._t2_s = t1_s + reserve_deadline_s + margin_s
+        self._book = book
+        self._upstreams: dict[str, HomedUpstream] = {}
+        self._table = EntryTable()
+        self._applied_s = NEVER_S
+        self._lost_s = NEVER_S
+        self._ranks: dict[str, tuple[str, ...]] = {}
+        self._tokens: dict[str, _Token] = {}
+        self._offers: dict[str, dict[str, _Offer]] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._pending: set[str] = set()
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the table in use."""
+        return self._table.epoch
+
+    @property
+    def reserve_deadline_s(self) -> float:
+        """Longest deadline of work that may use a reserve slot."""
+        return self._reserve_deadline_s
+
+    def set_upstreams(self, *, upstreams: tuple[HomedUpstream, ...]) -> None:
+        """Takes the upstreams of the configuration in force."""
+        self._upstreams = {}
+        for upstream in upstreams:
+            self._upstreams[upstream.name] = upstream
+        self._ranks.clear()
+        self._list_pending()
+
+    def home_of(self, *, upstream: str) -> str | None:
+        """Returns the home of an upstream, None when there is none."""
+        rank = self._rank(upstream=upstream)
+        if not rank:
+            return None
+        return rank[0]
+
+    def successor_of(self, *, upstream: str) -> str | None:
+        """Returns the successor, None in a region of one entry."""
+        rank = self._rank(upstream=upstream)
+        if len(rank) < 2:
+            return None
+        return rank[1]
+
+    def update_table(self, *, table: EntryTable, now_s: float) -> None:
+        """Applies a table; one that is not newer changes nothing."""
+        if table.epoch <= self._table.epoch:
+            return
+        old_epoch = self._table.epoch
+        if table.lost_epoch > self._table.lost_epoch:
+            self._lost_s = now_s
+        self._table = table
+        self._applied_s = now_s
+        self._ranks.clear()
+        self._offers.clear()
+        if self._was_dropped(since_epoch=old_epoch):
+            # The others counted this process as lost and others hold its
+            # duties by now; keeping them would run two homes at once.
+            self._tokens.clear()
+        else:
+            self._keep_duties(old_epoch=old_epoch)
+        self._list_pending()
+        self._take_over_all(now_s=now_s)
+
+    def heard(self, *, report: HomesReport, now_s: float) -> None:
+        """Takes a report of another entry, in any order and however late."""
+        row = self._table.row(name=report.entry)
+        if row is None or row.incarnation != report.incarnation:
+            # An old process of the same name, or one whose row is not yet
+            # replaced: its word would stand for work nobody accounts for.
+            return
+        peer = self._peer(report=report)
+        newest = report.sent_s >= peer.sent_s
+        peer = peer._replace(
+            heard_s=now_s, sent_s=max(peer.sent_s, report.sent_s)
+        )
+        peer = self._with_echo(peer=peer, report=report)
+        if report.settled and report.epoch > peer.settled_epoch:
+            peer = peer._replace(settled_epoch=report.epoch, settled_s=now_s)
+        self._peers[report.entry] = peer
+        if newest and report.epoch == self._table.epoch:
+            self._take_records(report=report, now_s=now_s)
+            self._take_over_all(now_s=now_s)
+
+    def report_to(self, *, peer: str, now_s: float) -> HomesReport:
+        """Returns what this entry tells a peer now."""
+        echo_incarnation = ""
+        echo_sent_s = None
+        known = self._peers.get(peer)
+        if known is not None and not self._in_reserve_of(home=peer):
+            echo_incarnation = known.incarnation
+            echo_sent_s = known.sent_s
+        return HomesReport(
+            entry=self._name,
+            incarnation=self._incarnation,
+            epoch=self._table.epoch,
+            sent_s=now_s,
+            settled=self._settled_itself(),
+            echo_incarnation=echo_incarnation,
+            echo_sent_s=echo_sent_s,
+            records=self._records_for(home=peer, now_s=now_s),
+        )
+
+    def duty(self, *, upstream: str, now_s: float) -> Duty:
+        """Returns what this entry may do at an upstream now."""
+        known = self._upstreams.get(upstream)
+        if known is None or not self._in_table():
+            return NO_DUTY
+        if self.home_of(upstream=upstream) == self._name:
+            return self._home_duty(upstream=known, now_s=now_s)
+        if self.successor_of(upstream=upstream) == self._name:
+            return self._successor_duty(upstream=known, now_s=now_s)
+        return NO_DUTY
+
+    def idle(self, *, now_s: float) -> bool:
+        """Says whether a leaving entry has released everything it held."""
+        row = self._table.row(name=self._name)
+        if row is not None and not row.leaving:
+            return False
+        for token in self._tokens.values():
+            if any(until_s > now_s for until_s in token.busy_until_s):
+                # Slots held for a lost entry are known to this one alone.
+                return False
+        for name in self._book.upstreams():
+            self._book.expire(upstream=name, now_s=now_s)
+        return not self._book.upstreams()
+
+    def _in_table(self) -> bool:
+        row = self._table.row(name=self._name)
+        return row is not None and row.incarnation == self._incarnation
+
+    def _was_dropped(self, *, since_epoch: int) -> bool:
+        row = self._table.row(name=self._name)
+        if row is None or row.incarnation != self._incarnation:
+            return True
+        return row.joined_epoch > since_epoch
+
+    def _keep_duties(self, *, old_epoch: int) -> None:
+        for name, token in self._tokens.items():
+            if token.held_epoch != old_epoch:
+                continue
+            if self.home_of(upstream=name) != self._name:
+                continue
+            self._tokens[name] = token._replace(held_epoch=self._table.epoch)
+
+    def _rank(self, *, upstream: str) -> tuple[str, ...]:
+        cached = self._ranks.get(upstream)
+        if cached is not None:
+            return cached
+        known = self._upstreams.get(upstream)
+        if known is None:
+            return ()
+        names = []
+        for row in self._table.entries:
+            if row.region != known.region or row.leaving:
+                continue
+            names.append(row.name)
+        rank = ranked(upstream=upstream, names=tuple(names))
+        self._ranks[upstream] = rank
+        return rank
+
+    def _peer(self, *, report: HomesReport) -> _Peer:
+        peer = self._peers.get(report.entry)
+        if peer is not None and peer.incarnation == report.incarnation:
+            return peer
+        return _Peer(report.incarnation, NEVER_S, NEVER_S)
+
+    def _with_echo(self, *, peer: _Peer, report: HomesReport) -> _Peer:
+        if report.echo_sent_s is None:
+            return peer
+        if report.echo_incarnation != self._incarnation:
+            return peer
+        if report.epoch < peer.echo_epoch:
+            return peer
+        sent_s = report.echo_sent_s
+        if report.epoch == peer.echo_epoch:
+            sent_s = max(sent_s, peer.echo_sent_s)
+        return peer._replace(echo_epoch=report.epoch, echo_sent_s=sent_s)
+
+    def _take_records(self, *, report: HomesReport, now_s: float) -> None:
+        for record in report.records:
+            until = []
+            for left_s in record.busy_left_s:
+                until.append(now_s + left_s + self._margin_s)
+            offer = _Offer(report.entry, record.held_epoch, tuple(until))
+            offers = self._offers.setdefault(record.upstream, {})
+            offers[report.entry] = offer
+            self._refresh_token(upstream=record.upstream, offer=offer)
+
+    def _refresh_token(self, *, upstream: str, offer: _Offer) -> None:
+        """Frees slots as the work of the former holder ends."""
+        token = self._tokens.get(upstream)
+        if token is None or token.source != offer.entry:
+            return
+        if token.held_epoch != self._table.epoch:
+            return
+        if offer.held_epoch >= token.held_epoch:
+            return
+        self._tokens[upstream] = token._replace(busy_until_s=offer.busy_until_s)
+
+    def _records_for(
+        self, *, home: str, now_s: float
+    ) -> tuple[HeldRecord, ...]:
+        records = []
+        for name, token in self._tokens.items():
+            if token.held_epoch == self._table.epoch:
+                continue
+            if self.home_of(upstream=name) != home:
+                continue
+            left = self._busy_left_s(upstream=name, token=token, now_s=now_s)
+            records.append(HeldRecord(name, token.held_epoch, left))
+        return tuple(records)
+
+    def _busy_left_s(
+        self, *, upstream: str, token: _Token, now_s: float
+    ) -> tuple[float, ...]:
+        left = []
+        for until_s in token.busy_until_s:
+            if until_s > now_s:
+                left.append(until_s - now_s)
+        for ticket in self._book.running(upstream=upstream):
+            if not ticket.reserve:
+                left.append(max(0.0, ticket.until_s - now_s))
+        return tuple(left)
+
+    def _in_reserve_of(self, *, home: str) -> bool:
+        """Says whether this entry has work in a reserve slot of a home."""
+        for name in self._book.upstreams():
+            if self.home_of(upstream=name) != home:
+                continue
+            if self._has_reserve_work(upstream=name):
+                return True
+        return False
+
+    def _has_reserve_work(self, *, upstream: str) -> bool:
+        for ticket in self._book.running(upstream=upstream):
+            if ticket.reserve:
+                return True
+        return False
+
+    def _settled_itself(self) -> bool:
+        """Says whether no reserve work of an older epoch is left.
+
+        Without this an old successor's request and the home's, which a new
+        successor lets use the reserve again, would take one slot too many.
+        """
+        for name in self._book.upstreams():
+            rank = self._rank(upstream=name)[:2]
+            if self._name in rank:
+                continue
+            if self._has_reserve_work(upstream=name):
+                return False
+        return True
+
+    def _settled_s(self, *, region: str) -> float | None:
+        """Returns when the last entry of the region settled, None if not all.
+
+        Only the very epoch counts: an entry that is ahead may be home under a
+        table that this entry has not seen.
+        """
+        latest_s = self._applied_s
+        for row in self._table.entries:
+            if row.region != region or row.name == self._name:
+                continue
+            peer = self._peers.get(row.name)
+            if peer is None or peer.incarnation != row.incarnation:
+                return None
+            if peer.settled_epoch != self._table.epoch:
+                return None
+            latest_s = max(latest_s, peer.settled_s)
+        return latest_s
+
+    def _home_duty(self, *, upstream: HomedUpstream, now_s: float) -> Duty:
+        self._take_over(upstream=upstream, now_s=now_s)
+        token = self._tokens.get(upstream.name)
+        if token is None or token.held_epoch != self._table.epoch:
+            return NO_DUTY
+        busy = []
+        for until_s in token.busy_until_s:
+            if until_s > now_s:
+                busy.append(until_s)
+        if upstream.slots < LEAST_SLOTS_WITH_RESERVE:
+            return Duty(
+                allowed_slots=upstream.slots,
+                long_slots=upstream.slots,
+                busy_until_s=tuple(busy),
+            )
+        long_slots = upstream.slots - RESERVE_SLOTS
+        allowed = long_slots
+        if self._reserve_is_mine(upstream=upstream, now_s=now_s):
+            allowed = upstream.slots
+        return Duty(
+            allowed_slots=allowed,
+            long_slots=long_slots,
+            busy_until_s=tuple(busy),
+        )
+
+    def _list_pending(self) -> None:
+        """Lists the duties that are this entry's but not yet taken over."""
+        self._pending.clear()
+        if not self._in_table():
+            return
+        for name in self._upstreams:
+            if self.home_of(upstream=name) != self._name:
+                continue
+            token = self._tokens.get(name)
+            if token is not None and token.held_epoch == self._table.epoch:
+                continue
+            self._pending.add(name)
+
+    def _take_over_all(self, *, now_s: float) -> None:
+        for name in sorted(self._pending):
+            self._take_over(upstream=self._upstreams[name], now_s=now_s)
+
+    def _take_over(self, *, upstream: HomedUpstream, now_s: float) -> None:
+        """Starts a pending duty if its last holder is accounted for."""
+        if upstream.name not in self._pending:
+            return
+        best = self._last_holder(upstream=upstream)
+        if best is None:
+            return
+        busy = best.busy_until_s
+        if not self._accounts_for_lost(holder=best):
+            busy = self._all_busy(upstream=upstream, now_s=now_s)
+        token = _Token(self._table.epoch, busy, best.entry)
+        self._tokens[upstream.name] = token
+        self._pending.discard(upstream.name)
+
+    def _last_holder(self, *, upstream: HomedUpstream) -> _Offer | None:
+        """Returns the last holder's record, None while it is not known.
+
+        An epoch has one home, so a record of the epoch just before is the last.
+        Otherwise every entry must have settled under this epoch, lest one that
+        is frozen, or whose report was lost, still dispatches.
+        """
+        best = _Offer("", 0, ())
+        own = self._tokens.get(upstream.name)
+        if own is not None:
+            best = _Offer(self._name, own.held_epoch, own.busy_until_s)
+        for offer in self._offers.get(upstream.name, {}).values():
+            if offer.held_epoch > best.held_epoch:
+                best = offer
+        if self._held_just_before(holder=best):
+            return best
+        if self._settled_s(region=upstream.region) is None:
+            return None
+        return best
+
+    def _accounts_for_lost(self, *, holder: _Offer) -> bool:
+        """Says whether no entry can have been lost holding the duty."""
+        if holder.held_epoch >= self._table.lost_epoch:
+            return True
+        return self._held_just_before(holder=holder)
+
+    def _held_just_before(self, *, holder: _Offer) -> bool:
+        if not holder.entry:
+            return False
+        return holder.held_epoch == self._table.epoch - 1
+
+    def _all_busy(
+        self, *, upstream: HomedUpstream, now_s: float
+    ) -> tuple[float, ...]:
+        """Holds every slot until a lost entry's work is surely over."""
+        longest_s = now_s + upstream.longest_deadline_s + self._margin_s
+        busy = [longest_s] * upstream.slots
+        if upstream.slots >= LEAST_SLOTS_WITH_RESERVE:
+            busy[0] = min(longest_s, now_s + self._t2_s)
+        return tuple(busy)
+
+    def _reserve_is_mine(
+        self, *, upstream: HomedUpstream, now_s: float
+    ) -> bool:
+        """Says whether the home may use the reserve slot."""
+        if self._settled_s(region=upstream.region) is None:
+            return False
+        lost_work_s = self._lost_s + self._reserve_deadline_s + self._margin_s
+        if now_s < lost_work_s:
+            # A lost successor may have left a request in the reserve.
+            return False
+        successor = self.successor_of(upstream=upstream.name)
+        if successor is None:
+            return True
+        peer = self._peers.get(successor)
+        if peer is None or peer.echo_epoch != self._table.epoch:
+            return False
+        return now_s - peer.echo_sent_s <= self._t1_s
+
+    def _successor_duty(self, *, upstream: HomedUpstream, now_s: float) -> Duty:
+        if upstream.slots < LEAST_SLOTS_WITH_RESERVE:
+            return NO_DUTY
+        settled_s = self._settled_s(region=upstream.region)
+        home = self.home_of(upstream=upstream.name)
+        if settled_s is None or home is None:
+            return NO_DUTY
+        silent_since_s = max(settled_s, self._peers[home].heard_s)
+        if now_s - silent_since_s <= self._t2_s:
+            return NO_DUTY
+        return Duty(allowed_slots=RESERVE_SLOTS, reserve_only=True)
