Let a batch to the platform hold any conditional writes

Cause: a request costs the platform two writes, its claim and its outcome; a batch of creations alone would leave every outcome a write of its own.

Change: create_many becomes write_many, one nested transaction of compare-and-swaps, where revision 0 means 'must not exist'.

--- a/almondstair/platform/base.py
+++ b/almondstair/platform/base.py
@@ -93,11 +93,20 @@
     current: Record | None = None
 
 
-class Creation(NamedTuple):
-    """One create-if-absent of a batch."""
+class ConditionalWrite(NamedTuple):
+    """One compare-and-swap of a batch.
+
+    Attributes:
+      key: the key.
+      value: its next value.
+      mod_revision: revision that the writer read; 0 for a key that must not
+        exist.
+      lease_id: lease of the key from now on, 0 when none.
+    """
 
     key: str
     value: bytes
+    mod_revision: int = 0
     lease_id: int = 0
 
 
@@ -183,19 +192,18 @@
         """Deletes a key if its last change was at `mod_revision`."""
 
     @abc.abstractmethod
-    async def create_many(
-        self, *, creations: Sequence[Creation]
+    async def write_many(
+        self, *, writes: Sequence[ConditionalWrite]
     ) -> tuple[CasResult, ...]:
-        """Writes each key that does not exist, in one call.
+        """Writes each key whose condition holds, in one call.
 
-        One existing key does not keep the others from being written. Keys
-        must differ from each other.
+        A condition that fails does not keep the others from being written.
 
         Args:
-          creations: at most `MAX_BATCH` keys.
+          writes: at most `MAX_BATCH`, each of another key.
 
         Returns:
-          One outcome for each creation, in their order.
+          One outcome for each write, in their order.
         """
 
     @abc.abstractmethod
@@ -226,7 +234,7 @@
 
 
 MAX_BATCH = 64
-"""Most creations in one `create_many`; etcd takes 128 operations by default."""
+"""Most writes in one `write_many`; etcd takes 128 operations by default."""
 
 
 class VmState(enum.StrEnum):
--- a/almondstair/platform/etcd.py
+++ b/almondstair/platform/etcd.py
@@ -344,21 +344,22 @@
         delete = {"request_delete_range": {"key": _to_wire(key.encode())}}
         return await self._change(key, mod_revision, delete)
 
-    async def create_many(
-        self, *, creations: Sequence[base.Creation]
+    async def write_many(
+        self, *, writes: Sequence[base.ConditionalWrite]
     ) -> tuple[base.CasResult, ...]:
         """See the base class."""
         operations = []
         keys = set()
-        for creation in creations:
-            keys.add(creation.key)
+        for write in writes:
+            keys.add(write.key)
+            put = _put(
+                key=write.key, value=write.value, lease_id=write.lease_id
+            )
             transaction = _conditional(
-                key=creation.key,
-                mod_revision=0,
-                change=_put(**creation._asdict()),
+                key=write.key, mod_revision=write.mod_revision, change=put
             )
             operations.append({"request_txn": transaction})
-        if len(keys) != len(creations) or len(creations) > base.MAX_BATCH:
+        if len(keys) != len(writes) or len(writes) > base.MAX_BATCH:
             raise ValueError("a batch takes up to 64 keys, each once")
         body = {"compare": [], "success": operations, "failure": []}
         answer = await self._call("/v3/kv/txn", body, True, _TxnAnswer)
@@ -367,7 +368,7 @@
         for response in answer.get("responses", []):
             nested = response.get("response_txn", {})
             results.append(_cas_result(nested, revision))
-        if len(results) != len(creations):
+        if len(results) != len(writes):
             raise base.PlatformError(
                 failure=base.PlatformFailure.UNKNOWN,
                 detail="the platform answered for another number of keys",
