Claim idempotency keys before dispatch and record outcomes after

Cause: an approval or a lock must run at most once though the write of its claim may take effect with its answer lost, the service may be out, and the claiming process may die or freeze at any step.

Ruled out: deleting the key on release (a lost write that arrives later would leave a claim that nobody holds); taking over the claim of a dead entry (whether it dispatched is known to nobody); a lease for each key.

Outcomes are brought in behind the answer, from bounded memory.

--- /dev/null
+++ b/almondstair/claims.py
@@ -0,0 +1,408 @@
+"""Claims of idempotency keys in the platform's service.
+
+Carries out what `almondstair.core.ledger` decides: calls, leases, batches, and
+the outcomes that are brought in behind the caller's back once it is answered.
+"""
+
+import asyncio
+from collections.abc import Callable
+import secrets
+import time
+from typing import NamedTuple
+
+from almondstair.core import ledger
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+from almondstair.platform import base
+from almondstair.platform import batching
+
+LEASE_PERIOD_S = 3600.0
+MAX_UNSETTLED = 10_000
+MAX_UNSETTLED_BODY_BYTES = 16 << 20
+MAX_FIRST_SEEN = 10_000
+MAX_SETTLED_AT_ONCE = base.MAX_BATCH
+SETTLE_TIMEOUT_S = 5.0
+RETRY_FIRST_S = 0.2
+RETRY_LAST_S = 5.0
+NONCE_BYTES = 16
+
+
+class ClaimCounts(NamedTuple):
+    """Figures for metrics.
+
+    Attributes:
+      writes: conditional writes of claims and outcomes.
+      calls: calls to the service that carried them.
+      unsettled: outcomes that the service does not have yet.
+      dropped: outcomes given up for want of memory; a repeat of their key is
+        answered `outcome_unknown`.
+      overtaken: outcomes whose key held somebody else's claim; for a released
+        claim this is ordinary.
+    """
+
+    writes: int
+    calls: int
+    unsettled: int
+    dropped: int
+    overtaken: int
+
+
+class Claims:
+    """Makes claims for one entry and brings in their outcomes."""
+
+    def __init__(
+        self,
+        *,
+        service: base.KeyValueService,
+        entry_name: str,
+        incarnation: str,
+        is_live: Callable[[str, str], bool],
+        retention_s: float,
+        claim_timeout_s: float = 1.0,
+        max_batch: int = base.MAX_BATCH,
+        max_under_way: int = 2,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Makes an empty set of claims.
+
+        Args:
+          service: the platform's key-value service.
+          entry_name: name of this entry.
+          incarnation: random name of this process.
+          is_live: whether an entry's process, by name and incarnation, is
+            live as far as this entry knows.
+          retention_s: shortest time that a key is kept.
+          claim_timeout_s: longest time that one claim may take.
+          max_batch: most writes in one call to the service.
+          max_under_way: most such calls at once.
+          now: monotonic clock of the loop.
+        """
+        self._service = service
+        self._entry_name = entry_name
+        self._incarnation = incarnation
+        self._is_live = is_live
+        self._claim_timeout_s = claim_timeout_s
+        self._now = now
+        self._batcher = batching.WriteBatcher(
+            service=service, max_batch=max_batch, max_under_way=max_under_way
+        )
+        self._lease = batching.SharedLease(
+            service=service,
+            keep_s=retention_s,
+            period_s=LEASE_PERIOD_S,
+            now=now,
+        )
+        self._open: dict[str, ledger.ClaimRecord] = {}
+        self._unsettled: dict[bytes, ledger.Settlement] = {}
+        self._outcomes: dict[str, ledger.ClaimRecord] = {}
+        self._unsettled_body_bytes = 0
+        self._first_seen_s: dict[bytes, float] = {}
+        self._settling: asyncio.Task[None] | None = None
+        self._dropped = 0
+        self._overtaken = 0
+
+    @property
+    def counts(self) -> ClaimCounts:
+        """Figures so far."""
+        return ClaimCounts(
+            writes=self._batcher.counts.writes,
+            calls=self._batcher.counts.calls,
+            unsettled=len(self._unsettled),
+            dropped=self._dropped,
+            overtaken=self._overtaken,
+        )
+
+    async def claim(
+        self, *, service: str, key: str, fingerprint: bytes, deadline_s: float
+    ) -> ledger.Claim | ledger.RecordedAnswer:
+        """Claims a key, or says why it is not to be had.
+
+        Args:
+          service: name of the service that the request is for.
+          key: the caller's idempotency key.
+          fingerprint: see `ledger.request_fingerprint`.
+          deadline_s: the request's deadline, in monotonic seconds.
+
+        Returns:
+          The claim, on which the request may be dispatched; it must be ended
+          by `record`, `record_unknown` or `release`. Or the recorded answer
+          of the first request with this key.
+
+        Raises:
+          AlmondstairError: `claim_unavailable` or `deadline_passed`, and the
+            request will not run by this call; `claim_in_flight`,
+            `outcome_unknown` or `key_reused` for a repeat.
+        """
+        place = ledger.service_key(service=service, key=key)
+        wanted = ledger.ClaimRecord(
+            format=ledger.RECORD_FORMAT,
+            nonce=secrets.token_bytes(NONCE_BYTES),
+            print=ledger.claim_print(key=key, fingerprint=fingerprint),
+            entry=self._entry_name,
+            incarnation=self._incarnation,
+            time_left_ms=max(int((deadline_s - self._now()) * 1000), 0),
+            state=ledger.RecordState.CLAIMED,
+        )
+        answer = self._look_here(place, wanted)
+        if answer is not None:
+            return answer
+        claiming = ledger.Claiming(wanted=wanted, look=self._look_beside)
+        self._open[place] = wanted
+        held = False
+        try:
+            await self._make(claiming, place, deadline_s)
+            if claiming.verdict is ledger.Verdict.OURS:
+                held = self._now() < deadline_s
+        finally:
+            if not held:
+                del self._open[place]
+                self._give_up(claiming, place)
+        if held:
+            return ledger.Claim(
+                place=place,
+                record=wanted,
+                mod_revision=claiming.mod_revision,
+                deadline_s=deadline_s,
+            )
+        return self._refuse(claiming, deadline_s)
+
+    async def record(
+        self, claim: ledger.Claim, answer: ledger.RecordedAnswer
+    ) -> None:
+        """Ends a claim whose request was answered whole.
+
+        Returns without waiting for the service, so that the caller's answer is
+        not held back; until the service has it, a repeat at this entry is
+        answered from memory.
+        """
+        claim.close(ledger.ClaimPhase.DONE)
+        self._end(claim, ledger.RecordState.DONE, answer)
+
+    async def record_unknown(self, claim: ledger.Claim) -> None:
+        """Ends a claim that may have run, without a whole answer."""
+        claim.close(ledger.ClaimPhase.UNKNOWN)
+        self._end(claim, ledger.RecordState.UNKNOWN, None)
+
+    async def release(self, claim: ledger.Claim) -> None:
+        """Ends a claim whose request certainly did not run, and will not."""
+        claim.close(ledger.ClaimPhase.RELEASED)
+        self._end(claim, ledger.RecordState.RELEASED, None)
+
+    async def drain(self, *, timeout_s: float) -> bool:
+        """Waits until the service has every outcome.
+
+        Returns:
+          Whether it has.
+        """
+        if self._settling is None:
+            return True
+        done, _ = await asyncio.wait((self._settling,), timeout=timeout_s)
+        return bool(done)
+
+    def close(self) -> None:
+        """Stops bringing in outcomes."""
+        if self._settling is not None:
+            self._settling.cancel()
+
+    def _look_here(
+        self, place: str, wanted: ledger.ClaimRecord
+    ) -> ledger.RecordedAnswer | None:
+        """Answers a repeat from memory; None when the service must be asked."""
+        known = self._open.get(place) or self._outcomes.get(place)
+        if known is None:
+            return None
+        here = ledger.Bystander(
+            holder_live=True, deadline_passed=False, never_dispatched=False
+        )
+        verdict = ledger.judge(record=known, wanted=wanted, seen=here)
+        return _answer_or_raise(verdict, known)
+
+    def _look_beside(self, record: ledger.ClaimRecord) -> ledger.Bystander:
+        now_s = self._now()
+        seen_s = self._first_seen_s.setdefault(record.nonce, now_s)
+        if len(self._first_seen_s) > MAX_FIRST_SEEN:
+            del self._first_seen_s[next(iter(self._first_seen_s))]
+        # The claim was made before it was first seen here, so its deadline is
+        # no later than this, by whatever clock.
+        last_s = seen_s + record.time_left_ms / 1000
+        unsettled = self._unsettled.get(record.nonce)
+        return ledger.Bystander(
+            holder_live=self._holder_live(record),
+            deadline_passed=now_s > last_s,
+            never_dispatched=unsettled is not None
+            and unsettled.record.state is ledger.RecordState.RELEASED,
+        )
+
+    def _holder_live(self, record: ledger.ClaimRecord) -> bool:
+        if record.incarnation == self._incarnation:
+            # Claims that this process holds are answered from memory. This one
+            # is not among them: its outcome was dropped.
+            return False
+        return self._is_live(record.entry, record.incarnation)
+
+    async def _make(
+        self, claiming: ledger.Claiming, place: str, deadline_s: float
+    ) -> None:
+        until_s = min(deadline_s, self._now() + self._claim_timeout_s)
+        while claiming.action is not ledger.ClaimAction.STOP:
+            try:
+                if claiming.action is ledger.ClaimAction.READ_BACK:
+                    claiming.on_read(await self._read(place, until_s))
+                    continue
+                write = base.ConditionalWrite(
+                    key=place,
+                    value=ledger.encode_record(claiming.wanted),
+                    mod_revision=claiming.base_revision,
+                )
+                claiming.on_write(await self._write(write, True, until_s))
+            except base.PlatformError as error:
+                claiming.on_failure(error)
+            except asyncio.CancelledError:
+                # The caller left. A write may be out, which nobody awaits now.
+                claiming.may_be_written = True
+                raise
+
+    async def _read(self, place: str, until_s: float) -> base.Record | None:
+        try:
+            async with asyncio.timeout_at(until_s):
+                return await self._service.get(key=place)
+        except TimeoutError as error:
+            raise base.PlatformError(
+                failure=base.PlatformFailure.UNAVAILABLE, detail="timeout"
+            ) from error
+
+    async def _write(
+        self, write: base.ConditionalWrite, urgent: bool, until_s: float
+    ) -> base.CasResult:
+        lease_id = await self._lease.current()
+        try:
+            return await self._batcher.write(
+                write=write._replace(lease_id=lease_id),
+                urgent=urgent,
+                until_s=until_s,
+            )
+        except base.PlatformError as error:
+            if error.failure is base.PlatformFailure.REFUSED:
+                # A lease that the service lost would fail every later claim.
+                self._lease.forget(lease_id)
+            raise
+
+    def _give_up(self, claiming: ledger.Claiming, place: str) -> None:
+        """Sees to it that a claim which nobody holds is claimable again."""
+        mod_revision = claiming.mod_revision
+        if claiming.verdict is not ledger.Verdict.OURS:
+            if not claiming.may_be_written:
+                return
+            mod_revision = claiming.base_revision
+        self._settle(
+            place,
+            claiming.wanted._replace(state=ledger.RecordState.RELEASED),
+            mod_revision,
+        )
+
+    def _refuse(
+        self, claiming: ledger.Claiming, deadline_s: float
+    ) -> ledger.RecordedAnswer:
+        verdict = claiming.verdict
+        if verdict is None or verdict is ledger.Verdict.OURS:
+            if self._now() >= deadline_s:
+                raise AlmondstairError(kind=ErrorKind.DEADLINE_PASSED)
+            detail = "the platform does not answer"
+            if claiming.failure is not None:
+                detail = claiming.failure.detail
+            raise AlmondstairError(
+                kind=ErrorKind.CLAIM_UNAVAILABLE, detail=detail
+            )
+        return _answer_or_raise(verdict, claiming.found)
+
+    def _end(
+        self,
+        claim: ledger.Claim,
+        state: ledger.RecordState,
+        answer: ledger.RecordedAnswer | None,
+    ) -> None:
+        self._open.pop(claim.place, None)
+        record = claim.record._replace(state=state, answer=answer)
+        self._settle(claim.place, record, claim.mod_revision)
+
+    def _settle(
+        self, place: str, record: ledger.ClaimRecord, mod_revision: int
+    ) -> None:
+        if len(self._unsettled) >= MAX_UNSETTLED:
+            # A long outage under load would otherwise take all memory.
+            self._dropped += 1
+            return
+        body_bytes = _body_bytes(record) + self._unsettled_body_bytes
+        if record.answer is not None and body_bytes > MAX_UNSETTLED_BODY_BYTES:
+            record = record._replace(answer=record.answer._replace(body=None))
+        self._unsettled_body_bytes += _body_bytes(record)
+        self._unsettled[record.nonce] = ledger.Settlement(
+            place=place, record=record, mod_revision=mod_revision
+        )
+        if record.state is not ledger.RecordState.RELEASED:
+            self._outcomes[place] = record
+        if self._settling is None:
+            self._settling = asyncio.get_running_loop().create_task(
+                self._settle_all()
+            )
+
+    async def _settle_all(self) -> None:
+        delay_s = RETRY_FIRST_S
+        try:
+            while self._unsettled:
+                if await self._settle_some():
+                    delay_s = RETRY_FIRST_S
+                    continue
+                await asyncio.sleep(delay_s)
+                delay_s = min(delay_s * 2, RETRY_LAST_S)
+        finally:
+            self._settling = None
+
+    async def _settle_some(self) -> bool:
+        """Tries the oldest outcomes; returns whether none of them failed."""
+        settlements = []
+        for settlement in self._unsettled.values():
+            settlements.append(self._settle_one(settlement))
+            if len(settlements) == MAX_SETTLED_AT_ONCE:
+                break
+        return all(await asyncio.gather(*settlements))
+
+    async def _settle_one(self, settlement: ledger.Settlement) -> bool:
+        until_s = self._now() + SETTLE_TIMEOUT_S
+        state = ledger.SettlementState.AGAIN
+        while state is ledger.SettlementState.AGAIN:
+            try:
+                write = settlement.write(lease_id=0)
+                result = await self._write(write, False, until_s)
+            except base.PlatformError:
+                return False
+            state = settlement.on_write(result)
+        if state is ledger.SettlementState.OVERTAKEN:
+            self._overtaken += 1
+        self._forget(settlement)
+        return True
+
+    def _forget(self, settlement: ledger.Settlement) -> None:
+        record = settlement.record
+        del self._unsettled[record.nonce]
+        self._unsettled_body_bytes -= _body_bytes(record)
+        if record.state is not ledger.RecordState.RELEASED:
+            del self._outcomes[settlement.place]
+
+
+def _body_bytes(record: ledger.ClaimRecord) -> int:
+    if record.answer is None or record.answer.body is None:
+        return 0
+    return len(record.answer.body)
+
+
+def _answer_or_raise(
+    verdict: ledger.Verdict, record: ledger.ClaimRecord | None
+) -> ledger.RecordedAnswer:
+    if verdict is not ledger.Verdict.ANSWERED:
+        raise ledger.verdict_error(verdict)
+    if record is None or record.answer is None:
+        raise ledger.verdict_error(ledger.Verdict.UNKNOWN)
+    if record.answer.body is None:
+        raise ledger.answer_not_kept(record.answer)
+    return record.answer
