Divide a link's cap among entries by allowances and loans

Cause: no entry may push a link past its cap, and there is no leader to grant. Weighed: static shares waste what idles, a leader fails over slowly. Change: a token bucket whose rate and depth together are the allowance of a second, loans that end by themselves, growth only after everyone acknowledged the epoch, and a process that starts from nothing. A loan dies with its epoch, and an entry acknowledges an epoch only when what it lent fits its new allowance.

--- /dev/null
+++ b/almondstair/core/links.py
@@ -0,0 +1,482 @@
+"""The share of one link that one entry may use, in one direction.
+
+A link runs from an availability zone to a region and has a cap in bytes per
+second. The entries of the zone divide it without a leader. Each has an
+*allowance*: the cap divided by the entries of the zone in the entry table. It
+may use its allowance, less what it lent, plus what it borrowed. The sum of
+these over all entries never passes the cap, in any window of one second:
+
+* Rate and depth of the token bucket together stay within the allowance of a
+  window, so stored tokens are part of the cap and not an addition to it.
+* An allowance shrinks as soon as a new epoch of the table is known, and grows
+  only after every other entry of the table acknowledged that epoch.
+* A process starts without an allowance. It gets one from a table that was read
+  from the platform since it started, and not before all loans of an earlier
+  process under its name have ended.
+* Loans follow the rules of `almondstair.core.loans`.
+
+What no rule here closes: a process frozen between `take` and the write to the
+socket moves one piece late. Callers take anew for each piece, so it is one
+piece for each request in flight and not more.
+"""
+
+from typing import NamedTuple
+
+from almondstair.core.loans import BorrowedBook
+from almondstair.core.loans import LentBook
+from almondstair.core.loans import Loan
+from almondstair.core.loans import LoanRequest
+from almondstair.core.loans import LoanTiming
+from almondstair.core.token_bucket import TokenBucket
+
+WINDOW_S = 1.0
+# Part of the share of a window that may be stored and spent in one burst. The
+# rest is the rate, so this part of the cap is out of reach of steady load.
+DEPTH_FRACTION = 0.04
+# Part of its allowance that a lender keeps for requests of its own.
+KEPT_FRACTION = 0.05
+# Room above its measured use that an entry wants before it lends or asks.
+ROOM_FACTOR = 1.25
+# Peers asked in one round; bounds the messages in a zone of many entries.
+ASKED_PEERS = 4
+# Longest wait that is returned, since a loan may arrive meanwhile.
+LONGEST_WAIT_S = 0.05
+SHORTEST_WAIT_S = 0.001
+# A use that is measured over a shorter time than this says little.
+METER_INTERVAL_S = 0.1
+METER_MEMORY_S = 1.0
+
+
+class Part(NamedTuple):
+    """How much of a piece may move now.
+
+    Attributes:
+      size_bytes: bytes that may move now; may be 0.
+      wait_s: when nothing may move, seconds until asking again makes sense.
+    """
+
+    size_bytes: int
+    wait_s: float
+
+
+class LinkStatus(NamedTuple):
+    """What metrics, heartbeats and operators see of a share.
+
+    Attributes:
+      epoch: epoch of the entry table in use.
+      acknowledged_epoch: epoch that peers may count on.
+      allowance_bytes_per_s: own part of the cap.
+      lent_bytes_per_s: lent to peers.
+      borrowed_bytes_per_s: borrowed from peers.
+      used_bytes_per_s: measured use, smoothed over about a second.
+      busy: whether something had to wait within the last term.
+    """
+
+    epoch: int
+    acknowledged_epoch: int
+    allowance_bytes_per_s: int
+    lent_bytes_per_s: int
+    borrowed_bytes_per_s: int
+    used_bytes_per_s: int
+    busy: bool
+
+
+class _Meter:
+    """Measures the use of the link, smoothed over about a second."""
+
+    def __init__(self, *, now_s: float) -> None:
+        self._moved_bytes = 0
+        self._since_s = now_s
+        self._used_bytes_per_s = 0.0
+
+    def add(self, size_bytes: int) -> None:
+        """Counts bytes that moved."""
+        self._moved_bytes += size_bytes
+
+    def used_bytes_per_s(self, *, now_s: float) -> float:
+        """Returns the smoothed use."""
+        elapsed_s = now_s - self._since_s
+        if elapsed_s < METER_INTERVAL_S:
+            return self._used_bytes_per_s
+        latest = self._moved_bytes / elapsed_s
+        weight = min(1.0, elapsed_s / METER_MEMORY_S)
+        self._used_bytes_per_s += (latest - self._used_bytes_per_s) * weight
+        self._moved_bytes = 0
+        self._since_s = now_s
+        return self._used_bytes_per_s
+
+
+class LinkShare:
+    """One entry's share of one link in one direction.
+
+    Every method takes the monotonic time, read anew for that call.
+    """
+
+    def __init__(
+        self,
+        *,
+        link: str,
+        entry_name: str,
+        incarnation: int,
+        cap_bytes_per_s: int,
+        now_s: float,
+        timing: LoanTiming | None = None,
+    ) -> None:
+        """Makes a share without an allowance.
+
+        Args:
+          link: name of the link and direction, the same on every entry.
+          entry_name: this entry.
+          incarnation: number of this process; another one at each start.
+          cap_bytes_per_s: cap of the link.
+          now_s: monotonic time in seconds at the start of the process.
+          timing: durations of loans; the same on every entry.
+        """
+        self._link = link
+        self._entry_name = entry_name
+        self._incarnation = incarnation
+        self._cap_bytes_per_s = cap_bytes_per_s
+        self._timing = timing or LoanTiming()
+        # An earlier process under this name may have lent its allowance and
+        # died. Its borrowers use it until their terms end, so a new process
+        # that used it at once would be the second user of the same bytes.
+        self._quiet_until_s = now_s + self._timing.lender_term_s
+        self._epoch = 0
+        self._entries: tuple[str, ...] = ()
+        self._table_is_fresh = False
+        self._released = False
+        self._heard_epochs: dict[str, int] = {}
+        self._acknowledged_epoch = 0
+        self._allowance_bytes_per_s = 0
+        self._lent = LentBook(timing=self._timing)
+        self._borrowed = BorrowedBook(timing=self._timing)
+        self._bucket = TokenBucket(now_s=now_s)
+        self._meter = _Meter(now_s=now_s)
+        self._refused_s = float("-inf")
+        self._asked_s = float("-inf")
+        self._next_peer = 0
+        self._next_change_s = self._quiet_until_s
+
+    @property
+    def link(self) -> str:
+        """Name of the link and direction."""
+        return self._link
+
+    @property
+    def largest_take_bytes(self) -> int:
+        """The largest size for which `take` can succeed at present."""
+        return int(self._bucket.depth_bytes)
+
+    # Moving bytes.
+
+    def take(self, *, size_bytes: int, now_s: float) -> float:
+        """Asks to move a piece that cannot be divided.
+
+        Args:
+          size_bytes: size of the piece.
+          now_s: monotonic time in seconds.
+
+        Returns:
+          0.0 when the piece may move now and was paid for, else the seconds to
+          wait before asking again. A piece above `largest_take_bytes` waits
+          for ever; use `take_part` for those.
+        """
+        if now_s >= self._next_change_s:
+            self._settle(now_s=now_s)
+        if self._bucket.take(size_bytes=size_bytes, now_s=now_s):
+            self._meter.add(size_bytes)
+            return 0.0
+        self._refused_s = now_s
+        return self._wait_s(size_bytes=size_bytes)
+
+    def take_part(self, *, size_bytes: int, now_s: float) -> Part:
+        """Asks to move as much of a piece as possible.
+
+        Args:
+          size_bytes: size of the piece.
+          now_s: monotonic time in seconds.
+
+        Returns:
+          How much may move now and was paid for. To spare tiny writes this is
+          nothing until half a bucket, or the whole piece, is there.
+        """
+        if now_s >= self._next_change_s:
+            self._settle(now_s=now_s)
+        least_bytes = min(size_bytes, int(self._bucket.depth_bytes / 2) + 1)
+        self._bucket.fill(now_s=now_s)
+        wait_s = self._wait_s(size_bytes=least_bytes)
+        taken_bytes = 0
+        if self._bucket.tokens >= least_bytes:
+            taken_bytes = self._bucket.take_up_to(
+                size_bytes=size_bytes, now_s=now_s
+            )
+            wait_s = 0.0
+        if taken_bytes < size_bytes:
+            self._refused_s = now_s
+        self._meter.add(taken_bytes)
+        return Part(taken_bytes, wait_s)
+
+    # The entry table.
+
+    def on_epoch(
+        self,
+        *,
+        epoch: int,
+        entries: tuple[str, ...],
+        from_platform: bool,
+        now_s: float,
+    ) -> None:
+        """Adopts a newer entry table; an older one changes nothing.
+
+        Args:
+          epoch: epoch of the table.
+          entries: names of the entries of the link's availability zone in it.
+          from_platform: whether this process read it from the platform itself,
+            after it started. Otherwise a process that was restarted could
+            take its allowance from a table older than one which it had
+            acknowledged before, while a new entry counts on that.
+          now_s: monotonic time in seconds.
+        """
+        self._settle(now_s=now_s)
+        if epoch < self._epoch:
+            return
+        if from_platform:
+            self._table_is_fresh = True
+        if epoch > self._epoch:
+            self._epoch = epoch
+            self._entries = entries
+            self._borrowed.drop_all()
+            self._lent.forget_except(entries=entries)
+        self._apply(now_s=now_s)
+
+    def on_acknowledged(self, *, entry: str, epoch: int, now_s: float) -> None:
+        """Notes that `entry` acknowledged `epoch` for this link."""
+        if epoch <= self._heard_epochs.get(entry, 0):
+            return
+        self._heard_epochs[entry] = epoch
+        self._settle(now_s=now_s)
+
+    def acknowledged_epoch(self, *, now_s: float) -> int:
+        """Returns the epoch that peers may count on.
+
+        It lags behind the epoch in use while more is lent than the new
+        allowance: borrowers may use that until their terms end.
+        """
+        self._settle(now_s=now_s)
+        return self._acknowledged_epoch
+
+    def on_cap(self, *, cap_bytes_per_s: int, now_s: float) -> None:
+        """Adopts a cap from a new configuration.
+
+        The sum of use is at or under the new cap once the configuration is in
+        force on every entry and the loans of before have ended.
+        """
+        self._cap_bytes_per_s = cap_bytes_per_s
+        self._settle(now_s=now_s)
+
+    def release(self, *, now_s: float) -> None:
+        """Gives up the allowance and all loans for good, before leaving."""
+        self._released = True
+        self._borrowed.drop_all()
+        self._settle(now_s=now_s)
+
+    # Loans.
+
+    def ask(self, *, now_s: float) -> tuple[LoanRequest, ...]:
+        """Returns the requests to send now, often none.
+
+        Call it a few times a second. Lenders of present loans are asked first,
+        which renews those loans before they end.
+        """
+        self._settle(now_s=now_s)
+        if self._released or self._entry_name not in self._entries:
+            return ()
+        if now_s - self._asked_s < self._timing.ask_interval_s:
+            return ()
+        wanted_bytes_per_s = self._wanted_bytes_per_s(now_s=now_s)
+        if wanted_bytes_per_s <= 0:
+            return ()
+        self._asked_s = now_s
+        requests = []
+        for lender in self._peers_to_ask():
+            sequence = self._borrowed.next_sequence(lender=lender, now_s=now_s)
+            request = LoanRequest(
+                link=self._link,
+                borrower=self._entry_name,
+                lender=lender,
+                incarnation=self._incarnation,
+                sequence=sequence,
+                epoch=self._epoch,
+                wanted_bytes_per_s=wanted_bytes_per_s,
+            )
+            requests.append(request)
+        return tuple(requests)
+
+    def lend(self, *, request: LoanRequest, now_s: float) -> Loan | None:
+        """Answers a request; the share is lowered before this returns.
+
+        Args:
+          request: the request, which may be duplicated or late.
+          now_s: monotonic time in seconds.
+
+        Returns:
+          The loan to send, or None when nothing is lent.
+        """
+        self._settle(now_s=now_s)
+        if not self._may_answer(request):
+            return None
+        repeated = self._lent.repeated(request=request)
+        if repeated is not None:
+            return repeated
+        if self._lent.is_late(request=request):
+            return None
+        share_bytes_per_s = self._lendable(request=request, now_s=now_s)
+        if share_bytes_per_s <= 0:
+            return None
+        loan = Loan(
+            link=self._link,
+            borrower=request.borrower,
+            lender=self._entry_name,
+            incarnation=request.incarnation,
+            sequence=request.sequence,
+            epoch=request.epoch,
+            share_bytes_per_s=share_bytes_per_s,
+        )
+        self._lent.add(loan=loan, now_s=now_s)
+        self._apply(now_s=now_s)
+        return loan
+
+    def accept(self, *, loan: Loan, now_s: float) -> bool:
+        """Takes up a loan; one that is late or unasked for is refused."""
+        self._settle(now_s=now_s)
+        if self._released or loan.borrower != self._entry_name:
+            return False
+        if loan.incarnation != self._incarnation:
+            return False
+        if loan.epoch != self._epoch:
+            return False
+        if not self._borrowed.accept(loan=loan, now_s=now_s):
+            return False
+        self._apply(now_s=now_s)
+        return True
+
+    def status(self, *, now_s: float) -> LinkStatus:
+        """Returns what is known of the share."""
+        self._settle(now_s=now_s)
+        used_bytes_per_s = self._meter.used_bytes_per_s(now_s=now_s)
+        return LinkStatus(
+            epoch=self._epoch,
+            acknowledged_epoch=self._acknowledged_epoch,
+            allowance_bytes_per_s=self._allowance_bytes_per_s,
+            lent_bytes_per_s=self._lent.share_bytes_per_s,
+            borrowed_bytes_per_s=self._borrowed.share_bytes_per_s,
+            used_bytes_per_s=int(used_bytes_per_s),
+            busy=self._is_busy(now_s=now_s),
+        )
+
+    # Inner parts.
+
+    def _settle(self, *, now_s: float) -> None:
+        """Applies, in order of time, all that ended by `now_s`.
+
+        The order matters after a freeze: tokens flow in at the rate of a loan
+        only until that loan ended.
+        """
+        while self._next_change_s <= now_s:
+            change_s = self._next_change_s
+            self._lent.expire(now_s=change_s)
+            self._borrowed.expire(now_s=change_s)
+            self._apply(now_s=change_s)
+        self._apply(now_s=now_s)
+
+    def _apply(self, *, now_s: float) -> None:
+        """Computes allowance and bucket from the present state."""
+        self._update_allowance(now_s=now_s)
+        own = self._allowance_bytes_per_s - self._lent.share_bytes_per_s
+        share = max(0, own) + self._borrowed.share_bytes_per_s
+        self._bucket.resize(
+            rate_bytes_per_s=share * (1.0 - DEPTH_FRACTION),
+            depth_bytes=share * DEPTH_FRACTION * WINDOW_S,
+            now_s=now_s,
+        )
+        if self._lent.share_bytes_per_s <= self._allowance_bytes_per_s:
+            self._acknowledged_epoch = self._epoch
+        self._next_change_s = min(
+            self._lent.next_end_s, self._borrowed.next_end_s
+        )
+        if now_s < self._quiet_until_s:
+            self._next_change_s = min(self._next_change_s, self._quiet_until_s)
+
+    def _update_allowance(self, *, now_s: float) -> None:
+        if self._released or self._entry_name not in self._entries:
+            self._allowance_bytes_per_s = 0
+            return
+        target = self._cap_bytes_per_s // len(self._entries)
+        if self._may_grow(now_s=now_s):
+            self._allowance_bytes_per_s = target
+            return
+        self._allowance_bytes_per_s = min(self._allowance_bytes_per_s, target)
+
+    def _may_grow(self, *, now_s: float) -> bool:
+        if not self._table_is_fresh or now_s < self._quiet_until_s:
+            return False
+        for entry in self._entries:
+            if entry == self._entry_name:
+                continue
+            # An entry of an older epoch still uses the share of that epoch.
+            if self._heard_epochs.get(entry, 0) < self._epoch:
+                return False
+        return True
+
+    def _may_answer(self, request: LoanRequest) -> bool:
+        if self._released or request.lender != self._entry_name:
+            return False
+        # Loans across epochs would outlive the drop in `on_epoch`.
+        if request.epoch != self._epoch:
+            return False
+        return request.borrower in self._entries
+
+    def _lendable(self, *, request: LoanRequest, now_s: float) -> int:
+        """Returns what may be lent for `request`, in bytes per second."""
+        asking = self._lent.note_asked(borrower=request.borrower, now_s=now_s)
+        # An entry that borrows is short itself; lending on what it borrowed
+        # would let two entries feed each other's demand.
+        if self._borrowed.share_bytes_per_s or self._is_busy(now_s=now_s):
+            return 0
+        used = self._meter.used_bytes_per_s(now_s=now_s) * ROOM_FACTOR
+        kept = self._allowance_bytes_per_s * KEPT_FRACTION
+        idle = int(self._allowance_bytes_per_s - max(used, kept))
+        lent_to_others = self._lent.share_bytes_per_s
+        lent_to_others -= self._lent.share_of(borrower=request.borrower)
+        share = min(idle - lent_to_others, idle // asking)
+        return min(share, request.wanted_bytes_per_s)
+
+    def _wanted_bytes_per_s(self, *, now_s: float) -> int:
+        """Returns how much more than its own the entry could use."""
+        own = self._allowance_bytes_per_s - self._lent.share_bytes_per_s
+        if self._is_busy(now_s=now_s):
+            return self._cap_bytes_per_s - max(0, own)
+        used = self._meter.used_bytes_per_s(now_s=now_s)
+        return int(used * ROOM_FACTOR) - max(0, own)
+
+    def _peers_to_ask(self) -> tuple[str, ...]:
+        """Returns present lenders, then others in turn."""
+        lenders = self._borrowed.lenders
+        others = []
+        for entry in self._entries:
+            if entry != self._entry_name and entry not in lenders:
+                others.append(entry)
+        chosen = list(lenders)
+        for step in range(min(ASKED_PEERS, len(others))):
+            chosen.append(others[(self._next_peer + step) % len(others)])
+        self._next_peer += ASKED_PEERS
+        return tuple(chosen)
+
+    def _is_busy(self, *, now_s: float) -> bool:
+        return now_s - self._refused_s < self._timing.term_s
+
+    def _wait_s(self, *, size_bytes: int) -> float:
+        wait_s = self._bucket.wait_s(
+            size_bytes=size_bytes, longest_s=LONGEST_WAIT_S
+        )
+        return max(wait_s, SHORTEST_WAIT_S)
--- /dev/null
+++ b/almondstair/core/token_bucket.py
@@ -0,0 +1,94 @@
+"""A token bucket whose rate and depth change while it runs."""
+
+
+class TokenBucket:
+    """Paces bytes: one token is one byte.
+
+    Tokens flow in at a rate and are stored up to a depth, so any window of
+    w seconds lets at most `rate * w + depth` bytes through. A new bucket is
+    empty.
+    """
+
+    __slots__ = ("_depth_bytes", "_filled_s", "_rate_bytes_per_s", "_tokens")
+
+    def __init__(self, *, now_s: float) -> None:
+        """Makes an empty bucket without a rate."""
+        self._rate_bytes_per_s = 0.0
+        self._depth_bytes = 0.0
+        self._tokens = 0.0
+        self._filled_s = now_s
+
+    @property
+    def depth_bytes(self) -> float:
+        """The most tokens that the bucket stores."""
+        return self._depth_bytes
+
+    @property
+    def tokens(self) -> float:
+        """Tokens stored at the last `fill`, `resize` or take."""
+        return self._tokens
+
+    @property
+    def rate_bytes_per_s(self) -> float:
+        """How fast tokens flow in."""
+        return self._rate_bytes_per_s
+
+    def fill(self, *, now_s: float) -> None:
+        """Lets in the tokens due by `now_s`; an earlier time does nothing."""
+        elapsed_s = now_s - self._filled_s
+        if elapsed_s <= 0.0:
+            return
+        tokens = self._tokens + elapsed_s * self._rate_bytes_per_s
+        self._tokens = min(tokens, self._depth_bytes)
+        self._filled_s = now_s
+
+    def resize(
+        self, *, rate_bytes_per_s: float, depth_bytes: float, now_s: float
+    ) -> None:
+        """Changes rate and depth from `now_s` on.
+
+        Stored tokens above the new depth are lost: a lender that kept them
+        would spend them while the borrower already spends its own.
+
+        Args:
+          rate_bytes_per_s: new rate.
+          depth_bytes: new depth.
+          now_s: monotonic time in seconds.
+        """
+        self.fill(now_s=now_s)
+        self._rate_bytes_per_s = rate_bytes_per_s
+        self._depth_bytes = depth_bytes
+        self._tokens = min(self._tokens, depth_bytes)
+
+    def take(self, *, size_bytes: int, now_s: float) -> bool:
+        """Takes `size_bytes` tokens, or none of them.
+
+        Returns:
+          Whether the tokens were there.
+        """
+        self.fill(now_s=now_s)
+        if size_bytes > self._tokens:
+            return False
+        self._tokens -= size_bytes
+        return True
+
+    def take_up_to(self, *, size_bytes: int, now_s: float) -> int:
+        """Takes as many whole tokens as there are, `size_bytes` at most."""
+        self.fill(now_s=now_s)
+        taken_bytes = min(size_bytes, int(self._tokens))
+        self._tokens -= taken_bytes
+        return taken_bytes
+
+    def wait_s(self, *, size_bytes: int, longest_s: float) -> float:
+        """Returns the seconds until `size_bytes` tokens are there.
+
+        Args:
+          size_bytes: tokens wanted.
+          longest_s: answer when the wait is longer or would never end.
+        """
+        missing = size_bytes - self._tokens
+        if missing <= 0.0:
+            return 0.0
+        if missing > self._rate_bytes_per_s * longest_s:
+            return longest_s
+        return missing / self._rate_bytes_per_s
