--- /dev/null
+++ b/almondstair/core/health.py
@@ -0,0 +1,155 @@
+"""What answers tell of a region or an upstream, before what it claims itself.
+
+A load report can stop, freeze at "idle" or lie, and a health endpoint can say
+well while answers fail. What the sender sees on its own requests cannot:
+refusals, failures and the time to an answer. They are kept here as averages
+and condensed into one factor by which a claim of free slots is multiplied.
+"""
+
+from typing import NamedTuple
+
+DEFAULT_HALF_LIFE_S = 2.0
+BASELINE_HALF_LIFE_S = 60.0
+# However fast requests come, one sample moves an average at least this much;
+# however rare, at most this much, so that a single lost request after a pause
+# is no verdict.
+MIN_STEP = 0.02
+MAX_STEP = 0.5
+# Latency up to this many times the usual one is taken as noise.
+STRETCH_TOLERATED = 1.5
+# Something must be sent for a recovery to be seen.
+MIN_FACTOR = 0.02
+
+
+class HealthView(NamedTuple):
+    """The averages of one region or upstream.
+
+    Attributes:
+      refused: fraction of requests refused.
+      failed: fraction of requests failed or lost.
+      stretch: latency over the usual latency of the same request class.
+      factor: what a claim of free slots is multiplied by, 0 to 1.
+    """
+
+    refused: float
+    failed: float
+    stretch: float
+    factor: float
+
+
+UNSEEN = HealthView(refused=0.0, failed=0.0, stretch=1.0, factor=1.0)
+
+
+class _Average:
+    """An average over time that forgets by half each half-life."""
+
+    __slots__ = ("_half_life_s", "_updated_s", "value")
+
+    def __init__(self, *, value: float, half_life_s: float) -> None:
+        self.value = value
+        self._half_life_s = half_life_s
+        self._updated_s: float | None = None
+
+    def add(self, *, sample: float, now_s: float) -> None:
+        elapsed_s = 0.0
+        if self._updated_s is not None:
+            elapsed_s = now_s - self._updated_s
+        step = 1.0 - 0.5 ** (elapsed_s / self._half_life_s)
+        step = min(MAX_STEP, max(MIN_STEP, step))
+        self.value += step * (sample - self.value)
+        self._updated_s = now_s
+
+
+class _Record:
+    """The averages of one name."""
+
+    __slots__ = ("baselines_ms", "failed", "refused", "stretch")
+
+    def __init__(self, *, half_life_s: float) -> None:
+        self.refused = _Average(value=0.0, half_life_s=half_life_s)
+        self.failed = _Average(value=0.0, half_life_s=half_life_s)
+        self.stretch = _Average(value=1.0, half_life_s=half_life_s)
+        self.baselines_ms: dict[str, _Average] = {}
+
+
+class HealthTable:
+    """In-band evidence by name of region or upstream.
+
+    The averages move only with new samples. A name that is sent nothing keeps
+    the verdict of its last answers: time without evidence is not recovery.
+    """
+
+    def __init__(self, *, half_life_s: float = DEFAULT_HALF_LIFE_S) -> None:
+        """Makes an empty table.
+
+        Args:
+          half_life_s: time after which an old sample counts half.
+        """
+        self._half_life_s = half_life_s
+        self._records: dict[str, _Record] = {}
+
+    def answered(
+        self, *, name: str, request_class: str, latency_ms: float, now_s: float
+    ) -> None:
+        """Counts a whole answer and its latency."""
+        record = self._record(name)
+        record.refused.add(sample=0.0, now_s=now_s)
+        record.failed.add(sample=0.0, now_s=now_s)
+        baseline = record.baselines_ms.get(request_class)
+        if baseline is None:
+            baseline = _Average(
+                value=latency_ms, half_life_s=BASELINE_HALF_LIFE_S
+            )
+            record.baselines_ms[request_class] = baseline
+        usual_ms = max(baseline.value, 0.001)
+        record.stretch.add(sample=latency_ms / usual_ms, now_s=now_s)
+        if latency_ms < baseline.value:
+            # A baseline learned on cold caches would hide later slowness, so
+            # it follows downwards at once and upwards slowly.
+            baseline.value = (baseline.value + latency_ms) / 2.0
+        else:
+            baseline.add(sample=latency_ms, now_s=now_s)
+
+    def refused(self, *, name: str, now_s: float) -> None:
+        """Counts a refusal: certainly not run."""
+        record = self._record(name)
+        record.refused.add(sample=1.0, now_s=now_s)
+
+    def failed(self, *, name: str, now_s: float) -> None:
+        """Counts a lost connection, a timeout or a failed answer."""
+        record = self._record(name)
+        record.failed.add(sample=1.0, now_s=now_s)
+
+    def view(self, *, name: str) -> HealthView:
+        """Returns the averages of a name; an unseen one counts as well."""
+        record = self._records.get(name)
+        if record is None:
+            return UNSEEN
+        refused = record.refused.value
+        failed = record.failed.value
+        stretch = record.stretch.value
+        factor = (1.0 - refused) * (1.0 - failed) ** 2
+        if stretch > STRETCH_TOLERATED:
+            factor *= STRETCH_TOLERATED / stretch
+        return HealthView(
+            refused=refused,
+            failed=failed,
+            stretch=stretch,
+            factor=max(MIN_FACTOR, factor),
+        )
+
+    def usable_slots(self, *, name: str, slots: int) -> int:
+        """Returns how many slots of an upstream deserve work, at least one."""
+        usable = round(slots * self.view(name=name).factor)
+        return max(1, min(slots, usable))
+
+    def forget(self, *, name: str) -> None:
+        """Drops a name that is no longer configured."""
+        self._records.pop(name, None)
+
+    def _record(self, name: str) -> _Record:
+        record = self._records.get(name)
+        if record is None:
+            record = _Record(half_life_s=self._half_life_s)
+            self._records[name] = record
+        return record
--- /dev/null
+++ b/almondstair/core/quarantine.py
@@ -0,0 +1,191 @@
+"""Requests that crash the upstreams that run them.
+
+Symptom: an upstream dies mid-request; the caller, told nothing, sends the
+request again through another entry; the next upstream dies. Unchecked, one
+request takes down a region. A connection lost without an answer is therefore a
+strike against the request, known by its fingerprint. After one strike it runs
+only where nothing else runs; after strikes on two different upstreams no entry
+dispatches it for some minutes.
+"""
+
+import enum
+from typing import NamedTuple
+
+import xxhash
+
+DEFAULT_STRIKE_LIFE_S = 300.0
+DEFAULT_CAPACITY = 1024
+DEFAULT_DIGEST_LIMIT = 16
+STRIKES_TO_QUARANTINE = 2
+# A mark on its last seconds is neither sent nor taken. Otherwise each entry
+# would learn it from a peer just after forgetting it, a little longer each
+# time by the transit time, and a mark could outlive its time without end.
+RELAY_MARGIN_S = 10.0
+
+
+class Verdict(enum.StrEnum):
+    """How a request may be dispatched."""
+
+    CLEAR = "clear"
+    ALONE = "alone"
+    QUARANTINED = "quarantined"
+
+
+class Mark(NamedTuple):
+    """One strike as heartbeats carry it.
+
+    Attributes:
+      fingerprint: fingerprint of the request, 64 bits.
+      upstream: hash of the upstream's name, 32 bits.
+      remaining_s: time left; a span, since entries share no clock.
+    """
+
+    fingerprint: int
+    upstream: int
+    remaining_s: int
+
+
+class _Strike:
+    """A strike as this entry keeps it."""
+
+    __slots__ = ("expires_s", "times_sent")
+
+    def __init__(self, *, expires_s: float) -> None:
+        self.expires_s = expires_s
+        self.times_sent = 0
+
+
+def request_fingerprint(*, method: str, path: str, body_digest: bytes) -> int:
+    """Returns the fingerprint of a request, 64 bits.
+
+    Headers stay out of it: a resend carries new deadlines and traces.
+    """
+    digest = xxhash.xxh3_64()
+    digest.update(method.encode())
+    digest.update(b"\0")
+    digest.update(path.encode())
+    digest.update(b"\0")
+    digest.update(body_digest)
+    return digest.intdigest()
+
+
+def body_digest(*, body: bytes) -> bytes:
+    """Returns the digest of a body, or of the part of it at hand."""
+    return xxhash.xxh3_64_digest(body)
+
+
+class Quarantine:
+    """Strikes by request, own and learned from peers."""
+
+    def __init__(
+        self,
+        *,
+        strike_life_s: float = DEFAULT_STRIKE_LIFE_S,
+        capacity: int = DEFAULT_CAPACITY,
+    ) -> None:
+        """Makes an empty table.
+
+        Args:
+          strike_life_s: how long a strike counts, and so how long a request
+            stays quarantined at most.
+          capacity: most requests kept; the oldest is dropped first.
+        """
+        self._strike_life_s = strike_life_s
+        self._capacity = capacity
+        self._strikes: dict[int, dict[int, _Strike]] = {}
+
+    def strike(self, *, fingerprint: int, upstream: str, now_s: float) -> None:
+        """Counts a connection to `upstream` lost without an answer."""
+        self._add(
+            fingerprint=fingerprint,
+            upstream=xxhash.xxh32_intdigest(upstream.encode()),
+            expires_s=now_s + self._strike_life_s,
+        )
+
+    def verdict(self, *, fingerprint: int, now_s: float) -> Verdict:
+        """Returns how a request may be dispatched now."""
+        by_upstream = self._strikes.get(fingerprint)
+        if by_upstream is None:
+            return Verdict.CLEAR
+        _drop_expired(by_upstream=by_upstream, now_s=now_s)
+        if not by_upstream:
+            del self._strikes[fingerprint]
+            return Verdict.CLEAR
+        if len(by_upstream) < STRIKES_TO_QUARANTINE:
+            return Verdict.ALONE
+        return Verdict.QUARANTINED
+
+    def remaining_s(self, *, fingerprint: int, now_s: float) -> float:
+        """Returns how long a request stays quarantined, 0 if it is not."""
+        by_upstream = self._strikes.get(fingerprint, {})
+        ends: list[float] = []
+        for strike in by_upstream.values():
+            ends.append(strike.expires_s)
+        if len(ends) < STRIKES_TO_QUARANTINE:
+            return 0.0
+        ends.sort(reverse=True)
+        return max(0.0, ends[STRIKES_TO_QUARANTINE - 1] - now_s)
+
+    def digest(
+        self, *, now_s: float, limit: int = DEFAULT_DIGEST_LIMIT
+    ) -> tuple[Mark, ...]:
+        """Returns at most `limit` marks for the next heartbeat.
+
+        Marks sent least often come first, so that each gets its turn.
+        """
+        waiting: list[tuple[int, int, int]] = []
+        for fingerprint, by_upstream in self._strikes.items():
+            for upstream, strike in by_upstream.items():
+                if strike.expires_s - now_s <= RELAY_MARGIN_S:
+                    continue
+                waiting.append((strike.times_sent, fingerprint, upstream))
+        waiting.sort()
+        marks: list[Mark] = []
+        for _, fingerprint, upstream in waiting[:limit]:
+            strike = self._strikes[fingerprint][upstream]
+            strike.times_sent += 1
+            remaining_s = int(strike.expires_s - now_s)
+            marks.append(Mark(fingerprint, upstream, remaining_s))
+        return tuple(marks)
+
+    def merge(self, *, marks: tuple[Mark, ...], now_s: float) -> None:
+        """Takes in a peer's marks; taking them in again changes nothing."""
+        for mark in marks:
+            if mark.remaining_s <= RELAY_MARGIN_S:
+                continue
+            known = self._strikes.get(mark.fingerprint, {})
+            if mark.upstream in known:
+                continue
+            life_s = min(float(mark.remaining_s), self._strike_life_s)
+            self._add(
+                fingerprint=mark.fingerprint,
+                upstream=mark.upstream,
+                expires_s=now_s + life_s,
+            )
+
+    def expire(self, *, now_s: float) -> None:
+        """Forgets what has run out; called now and then."""
+        for fingerprint in list(self._strikes):
+            self.verdict(fingerprint=fingerprint, now_s=now_s)
+
+    def __len__(self) -> int:
+        """Returns the number of requests with a strike."""
+        return len(self._strikes)
+
+    def _add(
+        self, *, fingerprint: int, upstream: int, expires_s: float
+    ) -> None:
+        by_upstream = self._strikes.get(fingerprint)
+        if by_upstream is None:
+            if len(self._strikes) >= self._capacity:
+                oldest = next(iter(self._strikes))
+                del self._strikes[oldest]
+            by_upstream = {}
+            self._strikes[fingerprint] = by_upstream
+        by_upstream[upstream] = _Strike(expires_s=expires_s)
+
+
+def _drop_expired(*, by_upstream: dict[int, _Strike], now_s: float) -> None:
+    for upstream in list(by_upstream):
+        if by_upstream[upstream].expires_s <= now_s:
+            del by_upstream[upstream]
