Steer by policy, ramp, silence and in-band evidence

A policy (local, spread, round robin) gives target weights from views of the regions; ramps bound how fast weights grow; silent regions decay to a floor; lost or failing regions are left at once. Lower priorities see a smaller region, so they are moved or refused first.

--- a/almondstair/core/health.py
+++ b/almondstair/core/health.py
@@ -9,14 +9,20 @@
 from typing import NamedTuple
 
 DEFAULT_HALF_LIFE_S = 2.0
-BASELINE_HALF_LIFE_S = 60.0
+# The usual latency follows downwards faster than upwards: one learned on cold
+# caches would otherwise hide later slowness, and slowness that lasts would
+# soon pass for usual.
+BASELINE_UP_HALF_LIFE_S = 60.0
+BASELINE_DOWN_HALF_LIFE_S = 20.0
+BASELINE_LEARNING_SAMPLES = 20
+MIN_BASELINE_MS = 0.001
 # However fast requests come, one sample moves an average at least this much;
 # however rare, at most this much, so that a single lost request after a pause
 # is no verdict.
 MIN_STEP = 0.02
 MAX_STEP = 0.5
 # Latency up to this many times the usual one is taken as noise.
-STRETCH_TOLERATED = 1.5
+STRETCH_TOLERATED = 2.0
 # Something must be sent for a recovery to be seen.
 MIN_FACTOR = 0.02
 
@@ -60,16 +66,43 @@
         self._updated_s = now_s
 
 
+class _Baseline:
+    """The usual latency of one request class at one name."""
+
+    __slots__ = ("_samples", "_updated_s", "value_ms")
+
+    def __init__(self) -> None:
+        self.value_ms = 0.0
+        self._samples = 0
+        self._updated_s = 0.0
+
+    def add(self, *, latency_ms: float, now_s: float) -> None:
+        half_life_s = BASELINE_UP_HALF_LIFE_S
+        if latency_ms < self.value_ms:
+            half_life_s = BASELINE_DOWN_HALF_LIFE_S
+        step = 1.0 - 0.5 ** ((now_s - self._updated_s) / half_life_s)
+        self._samples += 1
+        if self._samples <= BASELINE_LEARNING_SAMPLES:
+            step = 1.0 / self._samples
+        self.value_ms += min(1.0, step) * (latency_ms - self.value_ms)
+        self._updated_s = now_s
+
+    @property
+    def learning(self) -> bool:
+        """Whether too little was seen to call anything usual."""
+        return self._samples <= BASELINE_LEARNING_SAMPLES
+
+
 class _Record:
     """The averages of one name."""
 
-    __slots__ = ("baselines_ms", "failed", "refused", "stretch")
+    __slots__ = ("baselines", "failed", "refused", "stretch")
 
     def __init__(self, *, half_life_s: float) -> None:
         self.refused = _Average(value=0.0, half_life_s=half_life_s)
         self.failed = _Average(value=0.0, half_life_s=half_life_s)
         self.stretch = _Average(value=1.0, half_life_s=half_life_s)
-        self.baselines_ms: dict[str, _Average] = {}
+        self.baselines: dict[str, _Baseline] = {}
 
 
 class HealthTable:
@@ -95,20 +128,15 @@
         record = self._record(name)
         record.refused.add(sample=0.0, now_s=now_s)
         record.failed.add(sample=0.0, now_s=now_s)
-        baseline = record.baselines_ms.get(request_class)
+        baseline = record.baselines.get(request_class)
         if baseline is None:
-            baseline = _Average(
-                value=latency_ms, half_life_s=BASELINE_HALF_LIFE_S
-            )
-            record.baselines_ms[request_class] = baseline
-        usual_ms = max(baseline.value, 0.001)
+            baseline = _Baseline()
+            record.baselines[request_class] = baseline
+        usual_ms = max(baseline.value_ms, MIN_BASELINE_MS)
+        baseline.add(latency_ms=latency_ms, now_s=now_s)
+        if baseline.learning:
+            return
         record.stretch.add(sample=latency_ms / usual_ms, now_s=now_s)
-        if latency_ms < baseline.value:
-            # A baseline learned on cold caches would hide later slowness, so
-            # it follows downwards at once and upwards slowly.
-            baseline.value = (baseline.value + latency_ms) / 2.0
-        else:
-            baseline.add(sample=latency_ms, now_s=now_s)
 
     def refused(self, *, name: str, now_s: float) -> None:
         """Counts a refusal: certainly not run."""
@@ -121,7 +149,7 @@
         record.failed.add(sample=1.0, now_s=now_s)
 
     def view(self, *, name: str) -> HealthView:
-        """Returns the averages of a name; an unseen one counts as well."""
+        """Returns the averages of a name; one never seen is healthy."""
         record = self._records.get(name)
         if record is None:
             return UNSEEN
--- /dev/null
+++ b/almondstair/core/steering.py
@@ -0,0 +1,586 @@
+"""Chooses the region that a request is sent to.
+
+Three rules stand between a policy's target and what is done:
+
+* a weight grows by at most the profile's ramp a second, since moved traffic
+  lands on cold caches;
+* a region whose reports are older than the limit is unknown: its weight halves
+  again and again down to a floor and never grows;
+* a region without live entries or upstreams, or whose answers nearly all
+  fail, is left at once; the others take over its weight, and each takes only
+  work for which it has free slots, low priority refused first.
+"""
+
+from typing import NamedTuple
+
+from almondstair.core import ramps
+from almondstair.core.health import HealthTable
+from almondstair.core.health import HealthView
+from almondstair.core.loads import RegionLoad
+from almondstair.core.loads import configured_slots
+from almondstair.core.model import Configuration
+from almondstair.core.model import Priority
+from almondstair.core.model import Profile
+from almondstair.core.policies import POLICIES
+from almondstair.core.policies import RegionView
+from almondstair.core.policies import RegionWeight
+from almondstair.core.policies import SteeringInput
+
+STEP_INTERVAL_S = 0.05
+# A pause of this process is no licence to move much at once afterwards.
+MAX_STEP_S = 1.0
+# A region that fails this part of its answers is left like a lost one.
+FAILED_AS_LOST = 0.8
+# Part of a region's slots that each priority leaves free for higher ones.
+SLOTS_LEFT_FREE: dict[Priority, float] = {
+    Priority.INTERACTIVE: 0.0,
+    Priority.COMMIT: 0.0,
+    Priority.UPLOAD: 0.1,
+    Priority.BATCH: 0.25,
+}
+# Work that is tried even where no slot is reported free: admission beside the
+# upstreams knows better than a report that lags.
+ALWAYS_TRIED = (Priority.INTERACTIVE, Priority.COMMIT)
+
+
+class SteeringLimits(NamedTuple):
+    """Constants of steering.
+
+    Attributes:
+      report_limit_s: age at which a load report counts as unknown.
+      floor_weight: weight down to which an unknown region decays.
+      decay_half_life_s: time in which the weight of an unknown region halves.
+    """
+
+    report_limit_s: float = 3.0
+    floor_weight: float = 0.02
+    decay_half_life_s: float = 1.0
+
+
+DEFAULT_LIMITS = SteeringLimits()
+
+
+class RegionStatus(NamedTuple):
+    """One region of one service as steering sees it, for status pages.
+
+    Attributes:
+      region: name.
+      live: whether it takes work at all.
+      known: whether a report within the limit exists.
+      age_s: age of the youngest report, None if there never was one.
+      slots: slots reported, else configured.
+      free_slots: free slots claimed, less what was sent since.
+      health: averages of the answers seen.
+    """
+
+    region: str
+    live: bool
+    known: bool
+    age_s: float | None
+    slots: float
+    free_slots: float
+    health: HealthView
+
+
+class _Flow(NamedTuple):
+    """Work that shares weights.
+
+    Lower priorities have their own: they see a smaller region, so they are
+    moved away, or refused, before higher ones notice anything.
+    """
+
+    service: str
+    availability_zone: str
+    priority: Priority
+
+
+class _InForce:
+    """Weights in force for one flow."""
+
+    __slots__ = ("stepped_s", "weights")
+
+    def __init__(self, *, weights: ramps.Weights, stepped_s: float) -> None:
+        self.weights = weights
+        self.stepped_s = stepped_s
+
+
+class Steering:
+    """Views of all regions and the weights in force."""
+
+    def __init__(
+        self,
+        *,
+        configuration: Configuration,
+        limits: SteeringLimits = DEFAULT_LIMITS,
+    ) -> None:
+        """Makes steering that knows the configuration and no load yet.
+
+        Args:
+          configuration: regions, links, upstreams, services and profiles.
+          limits: constants.
+        """
+        self._limits = limits
+        self._loads: dict[tuple[str, str], RegionLoad] = {}
+        self._flows: dict[_Flow, _InForce] = {}
+        self._lost: set[str] = set()
+        self._link_headroom: dict[tuple[str, str], float] = {}
+        self._latency_ms: dict[tuple[str, str], float] = {}
+        self._health = HealthTable()
+        self.configure(configuration=configuration)
+
+    def configure(self, *, configuration: Configuration) -> None:
+        """Takes a new configuration; weights go on from where they are."""
+        self._configuration = configuration
+        self._latency_ms.clear()
+        loads: dict[tuple[str, str], RegionLoad] = {}
+        slots_by_key = configured_slots(configuration=configuration)
+        for key, slots in slots_by_key.items():
+            load = self._loads.get(key)
+            if load is None:
+                load = RegionLoad(
+                    configured_slots=slots, limit_s=self._limits.report_limit_s
+                )
+            load.configured_slots = slots
+            loads[key] = load
+        self._loads = loads
+        for flow in list(self._flows):
+            if flow.service not in configuration.services:
+                del self._flows[flow]
+
+    def observe(
+        self,
+        *,
+        region: str,
+        service: str,
+        source: str,
+        slots: int,
+        free_slots: int,
+        age_s: float,
+        now_s: float,
+    ) -> None:
+        """Takes a load report; one on an unknown region or service is dropped.
+
+        Args:
+          region: region reported on.
+          service: service reported on.
+          source: who reports; sources of one region add up.
+          slots: slots of the service that the source answers for.
+          free_slots: free ones among them.
+          age_s: age of the measurement when it arrived.
+          now_s: now.
+        """
+        load = self._loads.get((region, service))
+        if load is None:
+            return
+        load.report(
+            source=source,
+            slots=slots,
+            free_slots=free_slots,
+            measured_s=now_s - age_s,
+        )
+
+    def forget_source(self, *, source: str) -> None:
+        """Drops the reports of an entry that left the entry table."""
+        for load in self._loads.values():
+            load.forget(source=source)
+
+    def observe_link(
+        self, *, availability_zone: str, region: str, headroom: float
+    ) -> None:
+        """Takes the unused part of a link's cap, 0 to 1."""
+        self._link_headroom[(availability_zone, region)] = headroom
+
+    def region_lost(self, *, region: str) -> None:
+        """Leaves a region at once: all its entries are silent or gone."""
+        self._lost.add(region)
+
+    def region_back(self, *, region: str) -> None:
+        """Lets a region take work again; its weight grows from nothing."""
+        self._lost.discard(region)
+
+    def sent(self, *, region: str, service: str) -> None:
+        """Counts a request sent to a region."""
+        load = self._loads.get((region, service))
+        if load is not None:
+            load.sent()
+
+    def answered(
+        self,
+        *,
+        region: str,
+        service: str,
+        request_class: str,
+        latency_ms: float,
+        now_s: float,
+    ) -> None:
+        """Counts a whole answer of a region."""
+        self._returned(region=region, service=service)
+        self._health.answered(
+            name=_health_name(region=region, service=service),
+            request_class=request_class,
+            latency_ms=latency_ms,
+            now_s=now_s,
+        )
+
+    def refused(self, *, region: str, service: str, now_s: float) -> None:
+        """Counts a refusal by a region: certainly not run."""
+        self._returned(region=region, service=service)
+        name = _health_name(region=region, service=service)
+        self._health.refused(name=name, now_s=now_s)
+
+    def failed(self, *, region: str, service: str, now_s: float) -> None:
+        """Counts a failed, lost or late answer of a region."""
+        self._returned(region=region, service=service)
+        name = _health_name(region=region, service=service)
+        self._health.failed(name=name, now_s=now_s)
+
+    def choose(
+        self,
+        *,
+        service: str,
+        priority: Priority,
+        availability_zone: str,
+        now_s: float,
+        draw: float,
+    ) -> tuple[str, ...]:
+        """Returns the regions to try, the chosen one first.
+
+        Args:
+          service: a configured service.
+          priority: priority of the request.
+          availability_zone: zone of the caller.
+          now_s: now.
+          draw: uniform in [0, 1).
+
+        Returns:
+          Regions with room for work of this priority; empty when none that
+          the work may go to has any: the request is refused at once.
+        """
+        weights = self.weights(
+            service=service,
+            availability_zone=availability_zone,
+            now_s=now_s,
+            priority=priority,
+        )
+        bound_ms = self._profile(service=service).latency_bound_ms
+        open_regions: list[RegionWeight] = []
+        may_start = False
+        for weight in weights:
+            flows = weight.weight > ramps.NEGLIGIBLE
+            if (
+                not flows
+                and self._distance_ms(
+                    availability_zone=availability_zone, region=weight.region
+                )
+                > bound_ms
+            ):
+                continue
+            if not self._has_room(
+                region=weight.region,
+                service=service,
+                priority=priority,
+                now_s=now_s,
+            ):
+                continue
+            may_start = may_start or flows
+            open_regions.append(weight)
+        if may_start:
+            return ramps.drawn_order(weights=open_regions, draw=draw)
+        # Regions of no weight are fallbacks only. Were all the work to start
+        # there, it would land on cold caches at once, past the ramp.
+        if priority not in ALWAYS_TRIED:
+            return ()
+        return ramps.drawn_order(weights=list(weights), draw=draw)
+
+    def weights(
+        self,
+        *,
+        service: str,
+        availability_zone: str,
+        now_s: float,
+        priority: Priority = Priority.INTERACTIVE,
+    ) -> tuple[RegionWeight, ...]:
+        """Returns the weights in force for live regions, heaviest first."""
+        flow = _Flow(service, availability_zone, priority)
+        in_force = self._flows.get(flow)
+        if in_force is None:
+            in_force = _InForce(
+                weights=self._initial(flow=flow, now_s=now_s), stepped_s=now_s
+            )
+            self._flows[flow] = in_force
+        due = now_s - in_force.stepped_s >= STEP_INTERVAL_S
+        if due or self._holds_lost(flow=flow, in_force=in_force, now_s=now_s):
+            self._step(flow=flow, in_force=in_force, now_s=now_s)
+        live: list[RegionWeight] = []
+        for region, weight in in_force.weights.items():
+            live.append(RegionWeight(region, weight))
+        live.sort(key=_by_weight, reverse=True)
+        return tuple(live)
+
+    def status(self, *, service: str, now_s: float) -> tuple[RegionStatus, ...]:
+        """Returns every region of a service with the age of its report."""
+        rows: list[RegionStatus] = []
+        for region in self._configuration.regions:
+            load = self._loads[(region, service)]
+            totals = load.totals(now_s=now_s)
+            name = _health_name(region=region, service=service)
+            row = RegionStatus(
+                region=region,
+                live=self._is_live(region=region, service=service, now_s=now_s),
+                known=totals.known,
+                age_s=load.youngest_age_s(now_s=now_s),
+                slots=totals.slots,
+                free_slots=totals.free_slots,
+                health=self._health.view(name=name),
+            )
+            rows.append(row)
+        return tuple(rows)
+
+    def _returned(self, *, region: str, service: str) -> None:
+        load = self._loads.get((region, service))
+        if load is not None:
+            load.returned()
+
+    def _is_live(self, *, region: str, service: str, now_s: float) -> bool:
+        if region in self._lost:
+            return False
+        load = self._loads.get((region, service))
+        if load is None or load.configured_slots == 0:
+            return False
+        return load.totals(now_s=now_s).slots > 0
+
+    def _has_room(
+        self, *, region: str, service: str, priority: Priority, now_s: float
+    ) -> bool:
+        policy = POLICIES[self._profile(service=service).policy]
+        totals = self._loads[(region, service)].totals(now_s=now_s)
+        if not totals.known or not policy.follows_load:
+            return True
+        left_free = totals.slots * SLOTS_LEFT_FREE[priority]
+        return totals.free_slots > left_free
+
+    def _profile(self, *, service: str) -> Profile:
+        name = self._configuration.services[service].profile
+        return self._configuration.profiles[name]
+
+    def _distance_ms(self, *, availability_zone: str, region: str) -> float:
+        key = (availability_zone, region)
+        known_ms = self._latency_ms.get(key)
+        if known_ms is not None:
+            return known_ms
+        distance_ms = float("inf")
+        link = self._configuration.link(
+            availability_zone=availability_zone, region=region
+        )
+        if link is not None:
+            distance_ms = link.latency_ms
+        own = self._configuration.region_of(availability_zone=availability_zone)
+        if region == own:
+            distance_ms = 0.0
+        self._latency_ms[key] = distance_ms
+        return distance_ms
+
+    def _live_regions(self, *, flow: _Flow, now_s: float) -> list[str]:
+        """Returns the live regions, nearest first."""
+        distances: list[tuple[float, str]] = []
+        for region in self._configuration.regions:
+            if not self._is_live(
+                region=region, service=flow.service, now_s=now_s
+            ):
+                continue
+            distance_ms = self._distance_ms(
+                availability_zone=flow.availability_zone, region=region
+            )
+            distances.append((distance_ms, region))
+        distances.sort()
+        regions: list[str] = []
+        for _, region in distances:
+            regions.append(region)
+        return regions
+
+    def _view(
+        self, *, region: str, flow: _Flow, slots: float, free_slots: float
+    ) -> RegionView:
+        """Returns a region as work of this priority sees it."""
+        name = _health_name(region=region, service=flow.service)
+        health = self._health.view(name=name)
+        left_free = slots * SLOTS_LEFT_FREE[flow.priority]
+        link_key = (flow.availability_zone, region)
+        return RegionView(
+            region=region,
+            latency_ms=self._distance_ms(
+                availability_zone=flow.availability_zone, region=region
+            ),
+            slots=slots - left_free,
+            free_slots=max(0.0, free_slots * health.factor - left_free),
+            link_headroom=self._link_headroom.get(link_key, 1.0),
+        )
+
+    def _policy_weights(
+        self, *, flow: _Flow, views: list[RegionView]
+    ) -> ramps.Weights:
+        profile = self._profile(service=flow.service)
+        rows = POLICIES[profile.policy].weights(
+            request=SteeringInput(
+                views=tuple(views),
+                headroom_fraction=profile.headroom_fraction,
+                latency_bound_ms=profile.latency_bound_ms,
+            )
+        )
+        weights: ramps.Weights = {}
+        for row in rows:
+            weights[row.region] = row.weight
+        return weights
+
+    def _initial(self, *, flow: _Flow, now_s: float) -> ramps.Weights:
+        """Returns the weights to start from: the policy on configured slots.
+
+        Nothing has been heard yet, so this is a place to start and not a
+        claim that the regions are idle: until reports come, nothing grows.
+        """
+        views: list[RegionView] = []
+        for region in self._live_regions(flow=flow, now_s=now_s):
+            slots = self._loads[(region, flow.service)].configured_slots
+            view = self._view(
+                region=region, flow=flow, slots=slots, free_slots=slots
+            )
+            views.append(view)
+        return self._policy_weights(flow=flow, views=views)
+
+    def _holds_lost(
+        self, *, flow: _Flow, in_force: _InForce, now_s: float
+    ) -> bool:
+        """Returns whether a region that is not live still has weight."""
+        for region in in_force.weights:
+            if not self._is_live(
+                region=region, service=flow.service, now_s=now_s
+            ):
+                return True
+        return False
+
+    def _step(self, *, flow: _Flow, in_force: _InForce, now_s: float) -> None:
+        """Moves the weights of a flow on to now."""
+        elapsed_s = min(MAX_STEP_S, now_s - in_force.stepped_s)
+        in_force.stepped_s = now_s
+        live = self._live_regions(flow=flow, now_s=now_s)
+        if not live:
+            in_force.weights = {}
+            return
+        profile = self._profile(service=flow.service)
+        if not POLICIES[profile.policy].follows_load:
+            in_force.weights = self._initial(flow=flow, now_s=now_s)
+            return
+        known = self._known_regions(flow=flow, live=live, now_s=now_s)
+        target = self._target(
+            flow=flow,
+            live=live,
+            known=known,
+            current=in_force.weights,
+            elapsed_s=elapsed_s,
+            now_s=now_s,
+        )
+        start = self._left_at_once(
+            flow=flow,
+            live=live,
+            known=known,
+            current=in_force.weights,
+            target=target,
+        )
+        growth = profile.ramp_fraction_per_s * elapsed_s
+        in_force.weights = ramps.ramped(
+            start=start, target=target, growth=growth
+        )
+
+    def _known_regions(
+        self, *, flow: _Flow, live: list[str], now_s: float
+    ) -> list[str]:
+        known: list[str] = []
+        for region in live:
+            load = self._loads[(region, flow.service)]
+            if load.totals(now_s=now_s).known:
+                known.append(region)
+        return known
+
+    def _target(
+        self,
+        *,
+        flow: _Flow,
+        live: list[str],
+        known: list[str],
+        current: ramps.Weights,
+        elapsed_s: float,
+        now_s: float,
+    ) -> ramps.Weights:
+        """Returns where the weights should go, summing to one."""
+        if not known:
+            return ramps.kept(current=current, regions=live)
+        target: ramps.Weights = {}
+        left = 1.0
+        views: list[RegionView] = []
+        for region in live:
+            if region in known:
+                load = self._loads[(region, flow.service)]
+                totals = load.totals(now_s=now_s)
+                view = self._view(
+                    region=region,
+                    flow=flow,
+                    slots=totals.slots,
+                    free_slots=totals.free_slots,
+                )
+                views.append(view)
+                continue
+            target[region] = ramps.decayed(
+                weight=current.get(region, 0.0),
+                floor=self._limits.floor_weight,
+                elapsed_s=elapsed_s,
+                half_life_s=self._limits.decay_half_life_s,
+            )
+            left -= target[region]
+        weights = self._policy_weights(flow=flow, views=views)
+        for region, weight in weights.items():
+            target[region] = weight * max(0.0, left)
+        return target
+
+    def _left_at_once(
+        self,
+        *,
+        flow: _Flow,
+        live: list[str],
+        known: list[str],
+        current: ramps.Weights,
+        target: ramps.Weights,
+    ) -> ramps.Weights:
+        """Returns the weights after lost and failing regions were left.
+
+        A failing region keeps the floor, so that its recovery is noticed.
+        """
+        cut = dict(current)
+        heirs: list[str] = []
+        for region in live:
+            if self._is_failing(region=region, service=flow.service):
+                continue
+            if region in known:
+                heirs.append(region)
+        if not heirs:
+            return ramps.abandoned(
+                current=cut, live=live, heirs=known, target=target
+            )
+        for region in live:
+            if self._is_failing(region=region, service=flow.service):
+                held = cut.get(region, 0.0)
+                cut[region] = min(held, self._limits.floor_weight)
+        return ramps.abandoned(
+            current=cut, live=live, heirs=heirs, target=target
+        )
+
+    def _is_failing(self, *, region: str, service: str) -> bool:
+        name = _health_name(region=region, service=service)
+        return self._health.view(name=name).failed >= FAILED_AS_LOST
+
+
+def _health_name(*, region: str, service: str) -> str:
+    return f"{region}/{service}"
+
+
+def _by_weight(weight: RegionWeight) -> float:
+    return weight.weight
