--- /dev/null
+++ b/almondstair/configuration_checks.py
@@ -0,0 +1,230 @@
+"""Checks a deployment configuration against itself.
+
+Types are checked before; here names must exist, ends must be unique, and one
+document must not say two things.
+"""
+
+from almondstair import addresses
+from almondstair import faults as faults_module
+from almondstair.core import model
+
+_HTTP_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+
+
+def check(
+    configuration: model.Configuration, *, faults: faults_module.FaultList
+) -> None:
+    """Adds every fault of a configuration."""
+    _check_regions(configuration, faults=faults)
+    _check_services(configuration, faults=faults)
+    _check_upstreams(configuration, faults=faults)
+    _check_links(configuration, faults=faults)
+    _check_marks(configuration, faults=faults)
+
+
+def longest_deadline_ms(configuration: model.Configuration) -> int:
+    """Returns the longest deadline of all request classes."""
+    longest_ms = 0
+    for service in configuration.services.values():
+        for request_class in service.classes:
+            longest_ms = max(longest_ms, request_class.deadline_ms)
+    return longest_ms
+
+
+def availability_zones(
+    configuration: model.Configuration,
+) -> tuple[str, ...]:
+    """Returns the availability zones of all regions."""
+    zones: list[str] = []
+    for region in configuration.regions.values():
+        zones.extend(region.availability_zones)
+    return tuple(zones)
+
+
+def _check_regions(
+    configuration: model.Configuration, *, faults: faults_module.FaultList
+) -> None:
+    seen: dict[str, str] = {}
+    for name, region in configuration.regions.items():
+        key = f"regions.{name}.availability_zones"
+        if not region.availability_zones:
+            faults.add(
+                key=key,
+                problem="the region has no availability zone",
+                remedy="name at least one",
+            )
+        for index, zone in enumerate(region.availability_zones):
+            if zone in seen:
+                faults.add(
+                    key=f"{key}[{index}]",
+                    problem=f"{zone!r} is already in {seen[zone]}",
+                    remedy="put each availability zone in one region, once",
+                )
+                continue
+            seen[zone] = f"regions.{name}"
+
+
+def _check_services(
+    configuration: model.Configuration, *, faults: faults_module.FaultList
+) -> None:
+    profiles = tuple(configuration.profiles)
+    for name, service in configuration.services.items():
+        if service.profile not in configuration.profiles:
+            faults.add(
+                key=f"services.{name}.profile",
+                problem=f"there is no profile {service.profile!r}",
+                remedy=faults_module.known_words(service.profile, profiles),
+            )
+        if not service.classes:
+            faults.add(
+                key=f"services.{name}.classes",
+                problem="the service has no request class",
+                remedy="add at least one [[services.NAME.classes]]",
+            )
+        _check_classes(service, name=name, faults=faults)
+
+
+def _check_classes(
+    service: model.Service, *, name: str, faults: faults_module.FaultList
+) -> None:
+    seen: set[str] = set()
+    for index, request_class in enumerate(service.classes):
+        key = f"services.{name}.classes[{index}]"
+        if request_class.name in seen:
+            faults.add(
+                key=f"{key}.name",
+                problem=f"{request_class.name!r} names an earlier class too",
+                remedy="give each class of a service its own name",
+            )
+        seen.add(request_class.name)
+        _check_class(request_class, key=key, faults=faults)
+
+
+def _check_class(
+    request_class: model.RequestClass,
+    *,
+    key: str,
+    faults: faults_module.FaultList,
+) -> None:
+    if not request_class.methods:
+        faults.add(
+            key=f"{key}.methods",
+            problem="the class covers no method",
+            remedy="name at least one HTTP method",
+        )
+    for index, method in enumerate(request_class.methods):
+        if method in _HTTP_METHODS:
+            continue
+        faults.add(
+            key=f"{key}.methods[{index}]",
+            problem=f"{method!r} is no HTTP method that is served",
+            remedy=faults_module.known_words(method.upper(), _HTTP_METHODS),
+        )
+    if not request_class.path.startswith("/"):
+        faults.add(
+            key=f"{key}.path",
+            problem=f"{request_class.path!r} does not begin with /",
+            remedy="write the path below the service, such as /orders/*",
+        )
+    if "*" in request_class.path[:-1]:
+        faults.add(
+            key=f"{key}.path",
+            problem=f"{request_class.path!r} has a * before its end",
+            remedy="use * only as the last character",
+        )
+
+
+def _check_upstreams(
+    configuration: model.Configuration, *, faults: faults_module.FaultList
+) -> None:
+    zones = availability_zones(configuration)
+    services = tuple(configuration.services)
+    seen: dict[str, str] = {}
+    for name, upstream in configuration.upstreams.items():
+        key = f"upstreams.{name}"
+        if upstream.availability_zone not in zones:
+            faults.add(
+                key=f"{key}.availability_zone",
+                problem="no region has the availability zone "
+                f"{upstream.availability_zone!r}",
+                remedy=faults_module.known_words(
+                    upstream.availability_zone, zones
+                ),
+            )
+        if not upstream.services:
+            faults.add(
+                key=f"{key}.services",
+                problem="the upstream runs no service",
+                remedy="name at least one service",
+            )
+        for index, service in enumerate(upstream.services):
+            if service in services:
+                continue
+            faults.add(
+                key=f"{key}.services[{index}]",
+                problem=f"there is no service {service!r}",
+                remedy=faults_module.known_words(service, services),
+            )
+        problem = addresses.address_problem(upstream.address)
+        if problem is not None:
+            faults.add(
+                key=f"{key}.address",
+                problem=f"{upstream.address!r} {problem}",
+                remedy=addresses.REMEDY,
+            )
+        if upstream.address in seen:
+            # Two names for one instance would count its slots twice.
+            faults.add(
+                key=f"{key}.address",
+                problem=f"{upstream.address} is also {seen[upstream.address]}",
+                remedy="give each upstream its own address",
+            )
+            continue
+        seen[upstream.address] = f"{key}.address"
+
+
+def _check_links(
+    configuration: model.Configuration, *, faults: faults_module.FaultList
+) -> None:
+    zones = availability_zones(configuration)
+    regions = tuple(configuration.regions)
+    seen: dict[tuple[str, str], str] = {}
+    for index, link in enumerate(configuration.links):
+        key = f"links[{index}]"
+        if link.availability_zone not in zones:
+            faults.add(
+                key=f"{key}.availability_zone",
+                problem="no region has the availability zone "
+                f"{link.availability_zone!r}",
+                remedy=faults_module.known_words(link.availability_zone, zones),
+            )
+        if link.region not in regions:
+            faults.add(
+                key=f"{key}.region",
+                problem=f"there is no region {link.region!r}",
+                remedy=faults_module.known_words(link.region, regions),
+            )
+        ends = (link.availability_zone, link.region)
+        if ends in seen:
+            # Two caps for one link would leave open which one holds.
+            faults.add(
+                key=key,
+                problem=f"the same link as {seen[ends]}",
+                remedy="keep one link from an availability zone to a region",
+            )
+            continue
+        seen[ends] = key
+
+
+def _check_marks(
+    configuration: model.Configuration, *, faults: faults_module.FaultList
+) -> None:
+    seen: set[str] = set()
+    for index, name in enumerate(configuration.marks.leaving):
+        if name in seen:
+            faults.add(
+                key=f"marks.leaving[{index}]",
+                problem=f"{name!r} is already marked",
+                remedy="name each VM once",
+            )
+        seen.add(name)
--- /dev/null
+++ b/almondstair/faults.py
@@ -0,0 +1,138 @@
+"""What is wrong with a document, and what to write instead."""
+
+import difflib
+from typing import NamedTuple
+
+from almondstair import errors
+
+Location = tuple[int | str, ...]
+
+
+class Fault(NamedTuple):
+    """One thing wrong with a document.
+
+    Attributes:
+      file: the file, or another name of the document.
+      key: dotted key, empty when the whole file is meant.
+      problem: what is wrong.
+      remedy: what to write instead.
+    """
+
+    file: str
+    key: str
+    problem: str
+    remedy: str
+
+    def __str__(self) -> str:
+        """Returns the fault as one line."""
+        place = self.file
+        if self.key:
+            place = f"{self.file}: {self.key}"
+        return f"{place}: {self.problem}; {self.remedy}"
+
+
+class InvalidDocumentError(errors.AlmondstairError):
+    """A document with faults.
+
+    Attributes:
+      faults: every fault that was found.
+    """
+
+    def __init__(
+        self, *, kind: errors.ErrorKind, faults: tuple[Fault, ...]
+    ) -> None:
+        """Makes the error; its detail has one line for each fault."""
+        lines: list[str] = []
+        for fault in faults:
+            lines.append(str(fault))
+        super().__init__(kind=kind, detail="\n".join(lines))
+        self.faults = faults
+
+
+class FaultList:
+    """Collects faults of one document.
+
+    Attributes:
+      file: name of the document in each fault.
+    """
+
+    def __init__(self, *, file: str) -> None:
+        """Starts without faults."""
+        self.file = file
+        self._faults: list[Fault] = []
+
+    def add(self, *, key: str, problem: str, remedy: str) -> None:
+        """Adds a fault of this document."""
+        self._faults.append(
+            Fault(file=self.file, key=key, problem=problem, remedy=remedy)
+        )
+
+    def add_unless_covered(self, other: "FaultList") -> None:
+        """Adds the faults of another list that have not been named already.
+
+        A fault on a key covers the keys above and below it: what is found
+        there stems from the stand-in for the faulty part.
+        """
+        covered = tuple(fault.key for fault in self._faults)
+        for fault in other.faults():
+            if _covers(covered, fault.key):
+                continue
+            self._faults.append(fault)
+
+    def has_below(self, key: str) -> bool:
+        """Returns whether a fault is on a key or below it."""
+        return any(_is_below(fault.key, key) for fault in self._faults)
+
+    def faults(self) -> tuple[Fault, ...]:
+        """Returns the faults in the order of their discovery."""
+        return tuple(self._faults)
+
+
+def _covers(covered: tuple[str, ...], key: str) -> bool:
+    for other in covered:
+        if _is_below(key, other) or _is_below(other, key):
+            return True
+    return False
+
+
+def _is_below(key: str, ancestor: str) -> bool:
+    return key == ancestor or key.startswith((f"{ancestor}.", f"{ancestor}["))
+
+
+def key_of(location: Location) -> str:
+    """Returns a location as a dotted key, such as `links[2].region`."""
+    key = ""
+    for part in location:
+        if isinstance(part, int):
+            key += f"[{part}]"
+            continue
+        key += f".{part}" if key else part
+    return key
+
+
+def suggestion(word: str, known: tuple[str, ...]) -> str | None:
+    """Returns the known word that was most likely meant, None if unclear.
+
+    A word that lacks only its unit suffix finds the whole key.
+    """
+    for candidate in known:
+        if candidate.startswith(f"{word}_"):
+            return candidate
+    close = difflib.get_close_matches(word, known, n=1)
+    if close:
+        return close[0]
+    stem = word.rsplit("_", 1)[0]
+    for candidate in known:
+        if candidate.startswith(f"{stem}_"):
+            return candidate
+    return None
+
+
+def known_words(word: str, known: tuple[str, ...]) -> str:
+    """Returns the remedy for a word that is not one of the known ones."""
+    meant = suggestion(word, known)
+    if meant is not None:
+        return f"write {meant}"
+    if not known:
+        return "define it first"
+    return f"use one of: {', '.join(known)}"
--- a/almondstair/settings.py
+++ b/almondstair/settings.py
@@ -15,20 +15,21 @@
 from annotated_types import Le
 import pydantic
 
+from almondstair import addresses
+from almondstair import configuration_checks
 from almondstair import errors
+from almondstair import faults as faults_module
 from almondstair import validation
 from almondstair.core import model
 
-_HTTP_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
-_ADDRESS_REMEDY = "write an IP number and a port, such as 192.0.2.7:8080"
 # A heartbeat may be lost; two lost in a row must not look like a dead entry.
 _HEARTBEATS_IN_SILENCE_LIMIT = 3
 
 
 def _check_address(address: str) -> str:
-    problem = validation.address_problem(address)
+    problem = addresses.address_problem(address)
     if problem is not None:
-        raise ValueError(f"the address {problem}; {_ADDRESS_REMEDY}")
+        raise ValueError(f"the address {problem}; {addresses.REMEDY}")
     return address
 
 
@@ -42,9 +43,9 @@
     parts = urlparse.urlsplit(url)
     if parts.scheme not in ("http", "https"):
         raise ValueError("write a URL that begins with http:// or https://")
-    problem = validation.address_problem(parts.netloc)
+    problem = addresses.address_problem(parts.netloc)
     if problem is not None:
-        raise ValueError(f"the URL's host {problem}; {_ADDRESS_REMEDY}")
+        raise ValueError(f"the URL's host {problem}; {addresses.REMEDY}")
     return url
 
 
@@ -229,7 +230,7 @@
     """
     settings, faults = _settings_and_faults(Path(path))
     if faults or settings is None:
-        raise validation.InvalidDocumentError(
+        raise faults_module.InvalidDocumentError(
             kind=errors.ErrorKind.SETTINGS_INVALID, faults=faults
         )
     return settings
@@ -250,7 +251,7 @@
     """
     configuration, faults = _configuration_and_faults(text, source=source)
     if faults or configuration is None:
-        raise validation.InvalidDocumentError(
+        raise faults_module.InvalidDocumentError(
             kind=errors.ErrorKind.CONFIGURATION_INVALID, faults=faults
         )
     return configuration
@@ -272,7 +273,7 @@
     configuration: model.Configuration | None = None
     text: str | None = None
     if settings is not None:
-        deployment = validation.FaultList(file=settings.deployment_file)
+        deployment = faults_module.FaultList(file=settings.deployment_file)
         text = validation.read_text(
             Path(settings.deployment_file), faults=deployment
         )
@@ -287,7 +288,7 @@
             settings=settings, configuration=configuration, source=str(path)
         )
     if faults or settings is None or configuration is None or text is None:
-        raise validation.InvalidDocumentError(
+        raise faults_module.InvalidDocumentError(
             kind=errors.ErrorKind.SETTINGS_INVALID, faults=faults
         )
     return Loaded(
@@ -297,59 +298,23 @@
     )
 
 
-def check_together(
-    *, settings: Settings, configuration: model.Configuration, source: str
-) -> tuple[validation.Fault, ...]:
-    """Returns what in the settings does not fit the configuration."""
-    faults = validation.FaultList(file=source)
-    zone = settings.entry.availability_zone
-    region = configuration.region_of(availability_zone=zone)
-    if region is None:
-        faults.add(
-            key="entry.availability_zone",
-            problem=f"no region has the availability zone {zone!r}",
-            remedy=validation.known_words(zone, _zones(configuration)),
-        )
-    if region is not None and region != settings.entry.region:
-        faults.add(
-            key="entry.region",
-            problem=f"{zone!r} is not in the region {settings.entry.region!r}",
-            remedy=f"write {region}",
-        )
-    longest_ms = longest_deadline_ms(configuration)
-    if settings.platform.claim_retention_s * 1000 <= longest_ms:
-        # A claim that is forgotten while its request may still run would let
-        # a resend of the same key run a second time.
-        faults.add(
-            key="platform.claim_retention_s",
-            problem=f"not longer than the longest deadline, {longest_ms} ms",
-            remedy="write a time longer than any deadline and any resend",
-        )
-    return faults.faults()
-
-
-def longest_deadline_ms(configuration: model.Configuration) -> int:
-    """Returns the longest deadline of all request classes."""
-    longest_ms = 0
-    for service in configuration.services.values():
-        for request_class in service.classes:
-            longest_ms = max(longest_ms, request_class.deadline_ms)
-    return longest_ms
-
-
 def _settings_and_faults(
     path: Path,
-) -> tuple[Settings | None, tuple[validation.Fault, ...]]:
-    faults = validation.FaultList(file=str(path))
+) -> tuple[Settings | None, tuple[faults_module.Fault, ...]]:
+    faults = faults_module.FaultList(file=str(path))
     text = validation.read_text(path, faults=faults)
     if text is None:
         return None, faults.faults()
     settings = _convert(text, to=Settings, faults=faults)
     if settings is None:
         return None, faults.faults()
-    _check_entry_addresses(settings.entry, faults=faults)
-    _check_timing(settings.timing, faults=faults)
-    _check_tracing(settings.tracing, faults=faults)
+    across = faults_module.FaultList(file=str(path))
+    _check_entry_addresses(settings.entry, faults=across)
+    _check_timing(settings.timing, faults=across)
+    _check_tracing(settings.tracing, faults=across)
+    faults.add_unless_covered(across)
+    if faults.has_below("deployment_file"):
+        return None, faults.faults()
     deployment_path = path.parent / settings.deployment_file
     settings = settings._replace(deployment_file=str(deployment_path))
     return settings, faults.faults()
@@ -357,21 +322,20 @@
 
 def _configuration_and_faults(
     text: str, *, source: str
-) -> tuple[model.Configuration | None, tuple[validation.Fault, ...]]:
-    faults = validation.FaultList(file=source)
+) -> tuple[model.Configuration | None, tuple[faults_module.Fault, ...]]:
+    faults = faults_module.FaultList(file=source)
     configuration = _convert(text, to=model.Configuration, faults=faults)
-    if configuration is None:
+    if configuration is None or faults.has_below("regions"):
+        # Without its regions, nearly every other name would seem unknown.
         return None, faults.faults()
-    _check_regions(configuration, faults=faults)
-    _check_services(configuration, faults=faults)
-    _check_upstreams(configuration, faults=faults)
-    _check_links(configuration, faults=faults)
-    _check_marks(configuration, faults=faults)
+    across = faults_module.FaultList(file=source)
+    configuration_checks.check(configuration, faults=across)
+    faults.add_unless_covered(across)
     return configuration, faults.faults()
 
 
 def _convert(
-    text: str, *, to: type[T], faults: validation.FaultList
+    text: str, *, to: type[T], faults: faults_module.FaultList
 ) -> T | None:
     document: dict[str, Any] | None = validation.parse_toml(text, faults=faults)
     if document is None:
@@ -380,7 +344,7 @@
 
 
 def _check_entry_addresses(
-    entry: EntrySettings, *, faults: validation.FaultList
+    entry: EntrySettings, *, faults: faults_module.FaultList
 ) -> None:
     seen: dict[str, str] = {}
     for field in entry._fields:
@@ -398,7 +362,7 @@
 
 
 def _check_timing(
-    timing: TimingSettings, *, faults: validation.FaultList
+    timing: TimingSettings, *, faults: faults_module.FaultList
 ) -> None:
     least_ms = timing.heartbeat_interval_ms * _HEARTBEATS_IN_SILENCE_LIMIT
     if timing.silence_limit_ms < least_ms:
@@ -411,7 +375,7 @@
 
 
 def _check_tracing(
-    tracing: TracingSettings, *, faults: validation.FaultList
+    tracing: TracingSettings, *, faults: faults_module.FaultList
 ) -> None:
     if tracing.exporter is TraceExporter.FILE and not tracing.file:
         faults.add(
@@ -421,194 +385,34 @@
         )
 
 
-def _zones(configuration: model.Configuration) -> tuple[str, ...]:
-    zones: list[str] = []
-    for region in configuration.regions.values():
-        zones.extend(region.availability_zones)
-    return tuple(zones)
-
-
-def _check_regions(
-    configuration: model.Configuration, *, faults: validation.FaultList
-) -> None:
-    seen: dict[str, str] = {}
-    for name, region in configuration.regions.items():
-        key = f"regions.{name}.availability_zones"
-        if not region.availability_zones:
-            faults.add(
-                key=key,
-                problem="the region has no availability zone",
-                remedy="name at least one",
-            )
-        for index, zone in enumerate(region.availability_zones):
-            if zone in seen:
-                faults.add(
-                    key=f"{key}[{index}]",
-                    problem=f"{zone!r} is already in {seen[zone]}",
-                    remedy="put each availability zone in one region, once",
-                )
-                continue
-            seen[zone] = f"regions.{name}"
-
-
-def _check_services(
-    configuration: model.Configuration, *, faults: validation.FaultList
-) -> None:
-    profiles = tuple(configuration.profiles)
-    for name, service in configuration.services.items():
-        if service.profile not in configuration.profiles:
-            faults.add(
-                key=f"services.{name}.profile",
-                problem=f"there is no profile {service.profile!r}",
-                remedy=validation.known_words(service.profile, profiles),
-            )
-        if not service.classes:
-            faults.add(
-                key=f"services.{name}.classes",
-                problem="the service has no request class",
-                remedy="add at least one [[services.NAME.classes]]",
-            )
-        _check_classes(service, name=name, faults=faults)
-
-
-def _check_classes(
-    service: model.Service, *, name: str, faults: validation.FaultList
-) -> None:
-    seen: set[str] = set()
-    for index, request_class in enumerate(service.classes):
-        key = f"services.{name}.classes[{index}]"
-        if request_class.name in seen:
-            faults.add(
-                key=f"{key}.name",
-                problem=f"{request_class.name!r} names an earlier class too",
-                remedy="give each class of a service its own name",
-            )
-        seen.add(request_class.name)
-        _check_class(request_class, key=key, faults=faults)
-
-
-def _check_class(
-    request_class: model.RequestClass, *, key: str, faults: validation.FaultList
-) -> None:
-    if not request_class.methods:
-        faults.add(
-            key=f"{key}.methods",
-            problem="the class covers no method",
-            remedy="name at least one HTTP method",
-        )
-    for index, method in enumerate(request_class.methods):
-        if method in _HTTP_METHODS:
-            continue
+def check_together(
+    *, settings: Settings, configuration: model.Configuration, source: str
+) -> tuple[faults_module.Fault, ...]:
+    """Returns what in the settings does not fit the configuration."""
+    faults = faults_module.FaultList(file=source)
+    zone = settings.entry.availability_zone
+    region = configuration.region_of(availability_zone=zone)
+    if region is None:
         faults.add(
-            key=f"{key}.methods[{index}]",
-            problem=f"{method!r} is no HTTP method that is served",
-            remedy=validation.known_words(method.upper(), _HTTP_METHODS),
+            key="entry.availability_zone",
+            problem=f"no region has the availability zone {zone!r}",
+            remedy=faults_module.known_words(
+                zone, configuration_checks.availability_zones(configuration)
+            ),
         )
-    if not request_class.path.startswith("/"):
+    if region is not None and region != settings.entry.region:
         faults.add(
-            key=f"{key}.path",
-            problem=f"{request_class.path!r} does not begin with /",
-            remedy="write the path below the service, such as /orders/*",
+            key="entry.region",
+            problem=f"{zone!r} is not in the region {settings.entry.region!r}",
+            remedy=f"write {region}",
         )
-    if "*" in request_class.path[:-1]:
+    longest_ms = configuration_checks.longest_deadline_ms(configuration)
+    if settings.platform.claim_retention_s * 1000 <= longest_ms:
+        # A claim that is forgotten while its request may still run would let
+        # a resend of the same key run a second time.
         faults.add(
-            key=f"{key}.path",
-            problem=f"{request_class.path!r} has a * before its end",
-            remedy="use * only as the last character",
+            key="platform.claim_retention_s",
+            problem=f"not longer than the longest deadline, {longest_ms} ms",
+            remedy="write a time longer than any deadline and any resend",
         )
-
-
-def _check_upstreams(
-    configuration: model.Configuration, *, faults: validation.FaultList
-) -> None:
-    zones = _zones(configuration)
-    services = tuple(configuration.services)
-    seen: dict[str, str] = {}
-    for name, upstream in configuration.upstreams.items():
-        key = f"upstreams.{name}"
-        if upstream.availability_zone not in zones:
-            faults.add(
-                key=f"{key}.availability_zone",
-                problem="no region has the availability zone "
-                f"{upstream.availability_zone!r}",
-                remedy=validation.known_words(
-                    upstream.availability_zone, zones
-                ),
-            )
-        if not upstream.services:
-            faults.add(
-                key=f"{key}.services",
-                problem="the upstream runs no service",
-                remedy="name at least one service",
-            )
-        for index, service in enumerate(upstream.services):
-            if service in services:
-                continue
-            faults.add(
-                key=f"{key}.services[{index}]",
-                problem=f"there is no service {service!r}",
-                remedy=validation.known_words(service, services),
-            )
-        problem = validation.address_problem(upstream.address)
-        if problem is not None:
-            faults.add(
-                key=f"{key}.address",
-                problem=f"{upstream.address!r} {problem}",
-                remedy=_ADDRESS_REMEDY,
-            )
-        if upstream.address in seen:
-            # Two names for one instance would count its slots twice.
-            faults.add(
-                key=f"{key}.address",
-                problem=f"{upstream.address} is also {seen[upstream.address]}",
-                remedy="give each upstream its own address",
-            )
-            continue
-        seen[upstream.address] = f"{key}.address"
-
-
-def _check_links(
-    configuration: model.Configuration, *, faults: validation.FaultList
-) -> None:
-    zones = _zones(configuration)
-    regions = tuple(configuration.regions)
-    seen: dict[tuple[str, str], str] = {}
-    for index, link in enumerate(configuration.links):
-        key = f"links[{index}]"
-        if link.availability_zone not in zones:
-            faults.add(
-                key=f"{key}.availability_zone",
-                problem="no region has the availability zone "
-                f"{link.availability_zone!r}",
-                remedy=validation.known_words(link.availability_zone, zones),
-            )
-        if link.region not in regions:
-            faults.add(
-                key=f"{key}.region",
-                problem=f"there is no region {link.region!r}",
-                remedy=validation.known_words(link.region, regions),
-            )
-        ends = (link.availability_zone, link.region)
-        if ends in seen:
-            # Two caps for one link would leave open which one holds.
-            faults.add(
-                key=key,
-                problem=f"the same link as {seen[ends]}",
-                remedy="keep one link from an availability zone to a region",
-            )
-            continue
-        seen[ends] = key
-
-
-def _check_marks(
-    configuration: model.Configuration, *, faults: validation.FaultList
-) -> None:
-    seen: set[str] = set()
-    for index, name in enumerate(configuration.marks.leaving):
-        if name in seen:
-            faults.add(
-                key=f"marks.leaving[{index}]",
-                problem=f"{name!r} is already marked",
-                remedy="name each VM once",
-            )
-        seen.add(name)
+    return faults.faults()
--- a/almondstair/validation.py
+++ b/almondstair/validation.py
@@ -5,14 +5,13 @@
 string never passes for a number.
 """
 
-import difflib
-import ipaddress
+import copy
+import enum
 import json
 from pathlib import Path
 import tomllib
 from typing import (
     Any,
-    NamedTuple,
     TypeVar,
     get_args,
     get_origin,
@@ -22,78 +21,26 @@
 import pydantic
 from pydantic_core import ErrorDetails
 
-from almondstair import errors
+from almondstair.faults import FaultList
+from almondstair.faults import Location
+from almondstair.faults import key_of
+from almondstair.faults import known_words
 
 T = TypeVar("T")
-Location = tuple[int | str, ...]
 
 _UNKNOWN_KEYS = ("unexpected_keyword_argument", "extra_forbidden")
 _MISSING_KEYS = ("missing_argument", "missing")
-_MAX_PORT = 65535
-
-
-class Fault(NamedTuple):
-    """One thing wrong with a document.
-
-    Attributes:
-      file: the file, or another name of the document.
-      key: dotted key, empty when the whole file is meant.
-      problem: what is wrong.
-      remedy: what to write instead.
-    """
-
-    file: str
-    key: str
-    problem: str
-    remedy: str
-
-    def __str__(self) -> str:
-        """Returns the fault as one line."""
-        place = self.file
-        if self.key:
-            place = f"{self.file}: {self.key}"
-        return f"{place}: {self.problem}; {self.remedy}"
-
-
-class InvalidDocumentError(errors.AlmondstairError):
-    """A document with faults.
-
-    Attributes:
-      faults: every fault that was found.
-    """
-
-    def __init__(
-        self, *, kind: errors.ErrorKind, faults: tuple[Fault, ...]
-    ) -> None:
-        """Makes the error; its detail has one line for each fault."""
-        lines: list[str] = []
-        for fault in faults:
-            lines.append(str(fault))
-        super().__init__(kind=kind, detail="\n".join(lines))
-        self.faults = faults
-
-
-class FaultList:
-    """Collects faults of one document.
-
-    Attributes:
-      file: name of the document in each fault.
-    """
-
-    def __init__(self, *, file: str) -> None:
-        """Starts without faults."""
-        self.file = file
-        self._faults: list[Fault] = []
-
-    def add(self, *, key: str, problem: str, remedy: str) -> None:
-        """Adds a fault of this document."""
-        self._faults.append(
-            Fault(file=self.file, key=key, problem=problem, remedy=remedy)
-        )
-
-    def faults(self) -> tuple[Fault, ...]:
-        """Returns the faults in the order of their discovery."""
-        return tuple(self._faults)
+# Tried in this order in place of a faulty value.
+_STAND_INS: tuple[Any, ...] = (
+    True,
+    1,
+    60,
+    "x",
+    "0.0.0.0:1",
+    "http://0.0.0.0:1",
+    [],
+    {},
+)
 
 
 def read_text(path: Path, *, faults: FaultList) -> str | None:
@@ -140,76 +87,84 @@
       faults: receives every difference from the type.
 
     Returns:
-      The typed data, or None if there was any fault.
+      The typed data. Where there was a fault, a stand-in takes the faulty
+      part's place, so that the checks across keys can still run and the
+      operator sees all faults in one go; so look at `faults` first. None if
+      no stand-in fits.
     """
-    found = len(faults.faults())
-    _refuse_arrays(document, annotation=to, location=(), faults=faults)
-    if len(faults.faults()) > found:
-        return None
-    # The JSON form lets pydantic be strict about numbers and text, and still
-    # take an array for a tuple and a string for an enum member.
-    encoded = json.dumps(document, default=str)
+    repaired = copy.deepcopy(document)
+    for location, annotation in _arrays_for_tables(document, annotation=to):
+        faults.add(
+            key=key_of(location),
+            problem="this is an array",
+            remedy="write a table with the keys "
+            + ", ".join(field_names(annotation)),
+        )
+        _replace(repaired, location=location, value=stand_in(annotation))
     try:
-        return pydantic.TypeAdapter(to).validate_json(encoded, strict=True)
+        return _validate(repaired, to=to)
     except pydantic.ValidationError as error:
-        for detail in error.errors(include_url=False):
-            _add_detail(detail, root=to, faults=faults)
-    return None
+        details = error.errors(include_url=False)
+    for detail in details:
+        _add_detail(detail, root=to, faults=faults)
+        _repair(repaired, detail=detail, root=to)
+    try:
+        return _validate(repaired, to=to)
+    except pydantic.ValidationError:
+        return None
 
 
-def key_of(location: Location) -> str:
-    """Returns a location as a dotted key, such as `links[2].region`."""
-    key = ""
-    for part in location:
-        if isinstance(part, int):
-            key += f"[{part}]"
+def _validate(document: Any, *, to: Any) -> Any:
+    # The JSON form lets pydantic be strict about numbers and text, and still
+    # take an array for a tuple and a string for an enum member.
+    encoded = json.dumps(document, default=_encode_date)
+    return pydantic.TypeAdapter(to).validate_json(encoded, strict=True)
+
+
+def _encode_date(value: Any) -> dict[str, str]:
+    """Encodes a TOML date so that it cannot pass for a string."""
+    return {"date": str(value)}
+
+
+def stand_in(annotation: Any) -> Any:
+    """Returns a value that a type accepts, None if none is known."""
+    if field_names(annotation):
+        table: dict[str, Any] = {}
+        hints = get_type_hints(annotation, include_extras=True)
+        for field in field_names(annotation):
+            if field in annotation._field_defaults:
+                continue
+            table[field] = stand_in(hints[field])
+        return table
+    candidates = list(_STAND_INS)
+    if isinstance(annotation, enum.EnumType):
+        candidates.extend(annotation)
+    for candidate in candidates:
+        try:
+            _validate(candidate, to=annotation)
+        except pydantic.ValidationError:
             continue
-        key += f".{part}" if key else part
-    return key
+        return candidate
+    return None
 
 
-def suggestion(word: str, known: tuple[str, ...]) -> str | None:
-    """Returns the known word that was most likely meant, None if unclear.
+def _repair(document: Any, *, detail: ErrorDetails, root: Any) -> None:
+    location = detail["loc"]
+    if detail["type"] in _UNKNOWN_KEYS:
+        del _parent(document, location=location)[location[-1]]
+        return
+    value = stand_in(type_at(root, location))
+    _replace(document, location=location, value=value)
 
-    A word that lacks only its unit suffix finds the whole key.
-    """
-    for candidate in known:
-        if candidate.startswith(f"{word}_"):
-            return candidate
-    close = difflib.get_close_matches(word, known, n=1)
-    if close:
-        return close[0]
-    stem = word.rsplit("_", 1)[0]
-    for candidate in known:
-        if candidate.startswith(f"{stem}_"):
-            return candidate
-    return None
 
+def _replace(document: Any, *, location: Location, value: Any) -> None:
+    _parent(document, location=location)[location[-1]] = value
 
-def known_words(word: str, known: tuple[str, ...]) -> str:
-    """Returns the remedy for a word that is not one of the known ones."""
-    meant = suggestion(word, known)
-    if meant is not None:
-        return f"write {meant}"
-    if not known:
-        return "define it first"
-    return f"use one of: {', '.join(known)}"
 
-
-def address_problem(address: str) -> str | None:
-    """Returns what is wrong with an `ip:port` address, None if nothing."""
-    host, separator, port_text = address.rpartition(":")
-    if not separator:
-        return "has no port"
-    try:
-        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    except ValueError:
-        return "does not begin with an IP number"
-    if not port_text.isascii() or not port_text.isdigit():
-        return "has a port that is not a number"
-    if not 0 < int(port_text) <= _MAX_PORT:
-        return f"has a port outside 1 to {_MAX_PORT}"
-    return None
+def _parent(document: Any, *, location: Location) -> Any:
+    for part in location[:-1]:
+        document = document[part]
+    return document
 
 
 def _add_detail(detail: ErrorDetails, *, root: Any, faults: FaultList) -> None:
@@ -227,15 +182,26 @@
     if detail["type"] in _MISSING_KEYS:
         faults.add(key=key, problem="missing", remedy="add this key")
         return
-    message = detail["msg"]
-    remedy = f"{message[0].lower()}{message[1:]}"
+    message = detail["msg"].removeprefix("Value error, ")
+    remedy = message.replace("Input should", "the value must", 1)
     faults.add(
         key=key,
-        problem=f"{json.dumps(detail['input'], default=str)} is not allowed",
-        remedy=remedy.removeprefix("input "),
+        problem=f"{_shown(detail['input'])} is not allowed",
+        remedy=f"{remedy[0].lower()}{remedy[1:]}",
     )
 
 
+def _shown(value: Any) -> str:
+    """Returns a faulty value for a message, without the bulk of a table."""
+    if isinstance(value, dict) and "date" in value:
+        return f"the date {value['date']}"
+    if isinstance(value, dict):
+        return "a table"
+    if isinstance(value, list):
+        return "an array"
+    return json.dumps(value)
+
+
 def field_names(annotation: Any) -> tuple[str, ...]:
     """Returns the keys of a NamedTuple type, none for any other type."""
     return tuple(getattr(annotation, "_fields", ()))
@@ -259,32 +225,26 @@
     return get_type_hints(annotation, include_extras=True).get(str(part))
 
 
-def _refuse_arrays(
-    value: Any, *, annotation: Any, location: Location, faults: FaultList
-) -> None:
-    """Adds a fault for each array that stands where a table belongs.
+def _arrays_for_tables(
+    value: Any, *, annotation: Any, location: Location = ()
+) -> list[tuple[Location, Any]]:
+    """Returns where an array stands for a table, with the table's type.
 
     pydantic would take the array's items for the fields in their order, and a
     later field put between them would shift the rest without a word.
     """
     if isinstance(value, list) and field_names(annotation):
-        faults.add(
-            key=key_of(location),
-            problem="this is an array",
-            remedy="write a table with the keys "
-            + ", ".join(field_names(annotation)),
-        )
-        return
+        return [(location, annotation)]
     items: list[tuple[int | str, Any]] = []
     if isinstance(value, dict):
         items.extend(value.items())
     if isinstance(value, list):
         items.extend(enumerate(value))
+    found: list[tuple[Location, Any]] = []
     for part, item in items:
-        member = _member_type(annotation, part)
-        _refuse_arrays(
+        found += _arrays_for_tables(
             item,
-            annotation=member,
+            annotation=_member_type(annotation, part),
             location=(*location, part),
-            faults=faults,
         )
+    return found
