Add the path of a call: admission, claim, dispatch, forwarding, retries

Cause: the whole path. Change: one runner beside the slots (slot, claim, dispatch, outcome) and one steering loop at the entry that the caller asked; only that one retries. Not yet wired into a process.

--- a/almondstair/answers.py
+++ b/almondstair/answers.py
@@ -82,7 +82,13 @@
 
     async def data(self, chunk: bytes) -> None:
         """Holds or passes on a chunk of the body."""
-        await self.pace(len(chunk))
+        rest = memoryview(chunk)
+        while rest:
+            size_bytes = await self.pace(len(rest))
+            await self._take(bytes(rest[:size_bytes]))
+            rest = rest[size_bytes:]
+
+    async def _take(self, chunk: bytes) -> None:
         if self.caller_gone and self._held_bytes >= HOLD_LIMIT_BYTES:
             return
         if self.state is AnswerState.STARTED:
--- a/almondstair/body.py
+++ b/almondstair/body.py
@@ -8,7 +8,7 @@
 BUFFER_LIMIT_BYTES = 64 * 1024
 
 
-class BodyAborted(Exception):
+class BodyAbortedError(Exception):
     """The sender of the body went away before its end."""
 
 
@@ -80,11 +80,11 @@
         """Takes the next chunk of a streaming body; empty at its end.
 
         Raises:
-          BodyAborted: the sender went away.
+          BodyAbortedError: the sender went away.
         """
         while not self._chunks:
             if self._aborted:
-                raise BodyAborted
+                raise BodyAbortedError
             if self.whole:
                 return b""
             self._readable = asyncio.get_running_loop().create_future()
--- a/almondstair/dispatch.py
+++ b/almondstair/dispatch.py
@@ -4,7 +4,7 @@
 it forwards to makes one attempt and says whether the request ran.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 import time
 from typing import NamedTuple
 
@@ -22,6 +22,7 @@
 from almondstair.http_client import RECEIVE_BUFFER_BYTES
 from almondstair.http_client import Exchange
 from almondstair.http_client import HttpClient
+from almondstair.http_client import Pace
 from almondstair.http_client import Sent
 from almondstair.http_messages import ANSWER_HEADER
 from almondstair.http_messages import CALLER_ZONE_HEADER
@@ -36,7 +37,7 @@
 CONNECT_TIMEOUT_S = 1.0
 
 
-class Outcome(NamedTuple):
+class Attempt(NamedTuple):
     """What became of one attempt.
 
     Attributes:
@@ -73,8 +74,8 @@
         name: str,
         upstream: Upstream,
         may_write: Callable[[], bool],
-        pace: Callable[[int], Awaitable[None]],
-    ) -> Outcome:
+        pace: Pace,
+    ) -> Attempt:
         """Runs a call at an upstream.
 
         Args:
@@ -103,15 +104,15 @@
                 pace=pace,
             )
             span.set_attribute("sent", exchange.sent.value)
-        return Outcome(exchange, _upstream_error(exchange, name))
+        return Attempt(exchange, _upstream_error(exchange, name))
 
     async def to_entry(
         self,
         *,
         call: Call,
         entry: EntryRow,
-        pace: Callable[[int], Awaitable[None]],
-    ) -> Outcome:
+        pace: Pace,
+    ) -> Attempt:
         """Forwards a call to another entry."""
         with self._tracing.span(
             "forward",
@@ -132,7 +133,7 @@
                 to_entry=True,
             )
             span.set_attribute("sent", exchange.sent.value)
-        return Outcome(exchange, _entry_error(exchange, entry.name))
+        return Attempt(exchange, _entry_error(exchange, entry.name))
 
     async def _exchange(
         self,
@@ -143,7 +144,7 @@
         path: str,
         trace_header: str,
         may_write: Callable[[], bool],
-        pace: Callable[[int], Awaitable[None]],
+        pace: Pace,
         to_entry: bool = False,
     ) -> Exchange:
         fresh = not call.head.request_class.idempotent
@@ -224,6 +225,8 @@
             kind=ErrorKind.NO_SLOT,
             detail=f"upstream {name} refused: {exchange.refused}",
         )
+    if exchange.sent is Sent.WITHDRAWN:
+        return AlmondstairError(kind=ErrorKind.UPSTREAM_TIMEOUT)
     return AlmondstairError(kind=ErrorKind.UPSTREAM_LOST)
 
 
--- a/almondstair/http_client.py
+++ b/almondstair/http_client.py
@@ -17,7 +17,7 @@
 from tornado import httputil
 from tornado import iostream
 
-from almondstair.body import BodyAborted
+from almondstair.body import BodyAbortedError
 from almondstair.body import RequestBody
 from almondstair.http_messages import REFUSED_HEADER
 from almondstair.http_messages import ResponseHead
@@ -33,12 +33,26 @@
 # paces the link too.
 RECEIVE_BUFFER_BYTES = 128 * 1024
 CONTINUE = 100
+# Start line and headers of a small message, counted against a link with it.
+HEAD_BYTES = 512
+_NO_LENGTH_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 
-Pace = Callable[[int], Awaitable[None]]
+# Given a size in bytes, waits and returns how many of them may move now.
+Pace = Callable[[int], Awaitable[int]]
 
 
 class Sent(enum.Enum):
-    """How an exchange ended."""
+    """How an exchange ended.
+
+    Attributes:
+      WHOLE: with a whole answer.
+      NOT_SENT: no byte was written.
+      REFUSED: the other side refused it without running it.
+      LOST: the connection was lost before the head of an answer.
+      CUT: the answer has no end that can be told from a cut, or was cut.
+      CALLER_GONE: the sender of its body went away.
+      WITHDRAWN: written too late, and cancelled at once for that.
+    """
 
     WHOLE = "whole"
     NOT_SENT = "not_sent"
@@ -46,6 +60,7 @@
     LOST = "lost"
     CUT = "cut"
     CALLER_GONE = "caller_gone"
+    WITHDRAWN = "withdrawn"
 
 
 class Exchange(NamedTuple):
@@ -78,8 +93,15 @@
         """Takes a chunk of the body; awaited before more is read."""
 
 
-async def no_pace(size_bytes: int) -> None:
+async def no_pace(size_bytes: int) -> int:
     """Lets bytes move at once."""
+    return size_bytes
+
+
+async def pace_whole(pace: Pace, size_bytes: int) -> None:
+    """Waits until all of a piece may move."""
+    while size_bytes > 0:
+        size_bytes -= await pace(size_bytes)
 
 
 class _AnswerDelegate(httputil.HTTPMessageDelegate):
@@ -336,9 +358,8 @@
         if self.body.replayable:
             whole_body = self.body.replay()
             headers["Content-Length"] = str(len(whole_body))
-            if whole_body:
-                await pace(len(whole_body))
-            elif start_line.method in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            await pace_whole(pace, len(whole_body) + HEAD_BYTES)
+            if not whole_body and start_line.method in _NO_LENGTH_METHODS:
                 del headers["Content-Length"]
         elif wait_for_continue:
             headers["Expect"] = "100-continue"
@@ -349,7 +370,7 @@
         write.add_done_callback(_consume)
         if not after_write():
             self.close()
-            return Exchange(sent=Sent.LOST)
+            return Exchange(sent=Sent.WITHDRAWN)
         if whole_body is not None:
             self.request_bytes = len(whole_body)
             self.request_written = True
@@ -365,17 +386,22 @@
             if wait_for_continue:
                 await self.delegate.go_ahead.wait()
             while chunk := await self.body.read():
-                await pace(len(chunk))
-                await self.connection.write(chunk)
-                self.request_bytes += len(chunk)
+                await self._write_paced(pace, memoryview(chunk))
             self.request_written = True
             self.connection.finish()
-        except BodyAborted:
+        except BodyAbortedError:
             self.caller_gone = True
             self.connection.close()
         except (iostream.StreamClosedError, httputil.HTTPOutputError):
             self.connection.close()
 
+    async def _write_paced(self, pace: Pace, rest: memoryview) -> None:
+        while rest:
+            size_bytes = await pace(len(rest))
+            await self.connection.write(bytes(rest[:size_bytes]))
+            self.request_bytes += size_bytes
+            rest = rest[size_bytes:]
+
     async def _read(self, headers: httputil.HTTPHeaders) -> Exchange:
         open_after = False
         try:
--- /dev/null
+++ b/almondstair/running.py
@@ -0,0 +1,362 @@
+"""Runs a call at an upstream of this entry: slot, claim, dispatch, outcome."""
+
+from collections.abc import Callable
+import time
+from typing import NamedTuple
+
+from tornado import httputil
+
+from almondstair import log
+from almondstair.admitting import SlotKeeper
+from almondstair.claims import Claims
+from almondstair.core import ledger
+from almondstair.core.admission import Admission
+from almondstair.core.admission import Outcome
+from almondstair.core.admission import UpstreamReport
+from almondstair.core.health import HealthTable
+from almondstair.core.model import Configuration
+from almondstair.core.quarantine import Quarantine
+from almondstair.core.quarantine import Verdict
+from almondstair.dispatch import Attempt
+from almondstair.dispatch import Sender
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+from almondstair.errors import Ran
+from almondstair.frontend import Call
+from almondstair.http_client import Pace
+from almondstair.http_client import Sent
+from almondstair.http_messages import LOAD_HEADER
+from almondstair.http_messages import ResponseHead
+from almondstair.metrics import Metric
+from almondstair.metrics import Metrics
+
+# Upstreams that one call is offered to at one entry. Each further one follows
+# a certain refusal, and a refusal costs the upstream next to nothing.
+UPSTREAMS_PER_CALL = 2
+SERVER_ERROR = 500
+
+
+class Core(NamedTuple):
+    """The parts of the core that a dispatch reads and tells.
+
+    Attributes:
+      configuration: returns the configuration in force.
+      quarantine: requests that crashed upstreams.
+      health: what answers tell of each upstream.
+    """
+
+    configuration: Callable[[], Configuration]
+    quarantine: Quarantine
+    health: HealthTable
+
+
+class Runner:
+    """Runs calls at the upstreams that this entry is home of."""
+
+    def __init__(
+        self,
+        *,
+        core: Core,
+        keeper: SlotKeeper,
+        claims: Claims,
+        sender: Sender,
+        metrics: Metrics,
+    ) -> None:
+        """Makes a runner out of its parts."""
+        self._core = core
+        self._keeper = keeper
+        self._claims = claims
+        self._sender = sender
+        self._metrics = metrics
+        self.last_new_work_s: dict[str, float] = {}
+
+    async def run(
+        self, *, call: Call, fingerprint: int, verdict: Verdict, pace: Pace
+    ) -> AlmondstairError | None:
+        """Runs a call here.
+
+        Args:
+          call: the call.
+          fingerprint: of the request, for the quarantine.
+          verdict: what the quarantine says of it.
+          pace: awaited before bytes of its body move.
+
+        Returns:
+          None when its whole answer was passed on, else what to answer.
+
+        Raises:
+          AlmondstairError: it was refused before any dispatch.
+        """
+        admission = await self._take(call, verdict, frozenset())
+        claim = None
+        try:
+            if call.head.key:
+                found = await self._claim(call)
+                if isinstance(found, ledger.RecordedAnswer):
+                    await self._replay(call, found)
+                    return None
+                claim = found
+        finally:
+            if call.head.key and claim is None:
+                self._give_back(call, admission, Outcome.CANCELLED)
+        call.answer.admitted.set()
+        if claim is None:
+            return await self._dispatch(
+                call, admission, fingerprint, verdict, pace, None
+            )
+        try:
+            return await self._dispatch(
+                call, admission, fingerprint, verdict, pace, claim
+            )
+        finally:
+            await self._settle(call, claim)
+
+    async def _take(
+        self, call: Call, verdict: Verdict, avoid: frozenset[str]
+    ) -> Admission:
+        if verdict is Verdict.ALONE:
+            avoid = avoid | self._not_idle()
+        return await self._keeper.take(
+            service=call.head.service,
+            request_class=call.head.request_class,
+            deadline_s=call.head.deadline_s,
+            avoid=avoid,
+        )
+
+    def _not_idle(self) -> frozenset[str]:
+        """Returns the upstreams with work that a crash would take along."""
+        names = []
+        for row in self._keeper.slots.status(now_s=time.monotonic()):
+            if row.in_flight or row.busy_elsewhere:
+                names.append(row.name)
+        return frozenset(names)
+
+    async def _claim(self, call: Call) -> ledger.Claim | ledger.RecordedAnswer:
+        fingerprint = ledger.request_fingerprint(
+            method=call.head.method,
+            path=call.head.path,
+            body_digest=call.body.digest().encode(),
+        )
+        try:
+            found = await self._claims.claim(
+                service=call.head.service,
+                key=call.head.key,
+                fingerprint=fingerprint,
+                deadline_s=call.head.deadline_s,
+            )
+        except AlmondstairError as error:
+            self._metrics.count(Metric.CLAIMS, str(error.kind))
+            raise
+        self._metrics.count(Metric.CLAIMS, "claimed")
+        return found
+
+    async def _replay(self, call: Call, found: ledger.RecordedAnswer) -> None:
+        headers = httputil.HTTPHeaders()
+        for name, value in found.headers:
+            headers.add(name, value)
+        body = found.body or b""
+        headers["Content-Length"] = str(len(body))
+        reason = httputil.responses.get(found.status, "Unknown")
+        call.answer.head(ResponseHead(found.status, reason, headers))
+        if body:
+            await call.answer.data(body)
+        call.progress.answer()
+        await call.answer.complete()
+
+    async def _settle(self, call: Call, claim: ledger.Claim) -> None:
+        """Brings the outcome of a claim in, however its call ended."""
+        if claim.phase is ledger.ClaimPhase.HELD:
+            await self._claims.release(claim)
+            return
+        if claim.phase is not ledger.ClaimPhase.DISPATCHED:
+            return
+        if not call.progress.may_have_run:
+            await self._claims.release(claim)
+            return
+        await self._claims.record_unknown(claim)
+
+    async def _dispatch(
+        self,
+        call: Call,
+        admission: Admission,
+        fingerprint: int,
+        verdict: Verdict,
+        pace: Pace,
+        claim: ledger.Claim | None,
+    ) -> AlmondstairError | None:
+        avoid: frozenset[str] = frozenset()
+        for _ in range(UPSTREAMS_PER_CALL):
+            attempt = await self._attempt(call, admission, pace, claim)
+            error = attempt.error
+            if error is None:
+                await self._pass_on(call, attempt, claim)
+                return None
+            self._note_failure(call, admission.upstream, attempt, fingerprint)
+            if attempt.exchange.sent not in (Sent.NOT_SENT, Sent.REFUSED):
+                return error
+            if not call.answer.untouched or not call.body.replayable:
+                return error
+            avoid = avoid | {admission.upstream}
+            call.answer.reset()
+            try:
+                admission = await self._take(call, verdict, avoid)
+            except AlmondstairError as refusal:
+                return refusal
+        # The last admission was taken for a try that is not made.
+        self._give_back(call, admission, Outcome.CANCELLED)
+        return error
+
+    async def _attempt(
+        self,
+        call: Call,
+        admission: Admission,
+        pace: Pace,
+        claim: ledger.Claim | None,
+    ) -> Attempt:
+        name = admission.upstream
+        upstream = self._core.configuration().upstreams[name]
+        outcome = Outcome.CANCELLED
+
+        def may_write() -> bool:
+            now_s = time.monotonic()
+            if not self._keeper.slots.still_mine(
+                admission=admission, now_s=now_s
+            ):
+                return False
+            if claim is None:
+                return True
+            if now_s >= claim.deadline_s:
+                return False
+            claim.dispatch(now_s=now_s)
+            return True
+
+        self.last_new_work_s[name] = time.monotonic()
+        try:
+            attempt = await self._sender.to_upstream(
+                call=call,
+                name=name,
+                upstream=upstream,
+                may_write=may_write,
+                pace=pace,
+            )
+            outcome = _OUTCOMES[attempt.exchange.sent]
+        finally:
+            self._give_back(call, admission, outcome)
+        self._note_report(name, attempt)
+        return attempt
+
+    def _give_back(
+        self, call: Call, admission: Admission, outcome: Outcome
+    ) -> None:
+        self._keeper.give_back(
+            admission=admission,
+            outcome=outcome,
+            # The exchange closes its connection unless it ended whole, which
+            # is the upstream's word to stop.
+            over=True,
+            work=call.head.request_class.name,
+        )
+
+    async def _pass_on(
+        self, call: Call, attempt: Attempt, claim: ledger.Claim | None
+    ) -> None:
+        if claim is not None:
+            await self._record(call, attempt, claim)
+        if call.progress.answer():
+            await call.answer.complete()
+
+    async def _record(
+        self, call: Call, attempt: Attempt, claim: ledger.Claim
+    ) -> None:
+        held = call.answer.held_answer()
+        head = attempt.exchange.head
+        assert head is not None
+        body = None
+        if held is not None:
+            head, body = held
+        answer = ledger.keep_answer(
+            status=head.status,
+            headers=list(head.headers.get_all()),
+            body=body,
+        )
+        await self._claims.record(claim, answer)
+
+    def _note_report(self, name: str, attempt: Attempt) -> None:
+        now_s = time.monotonic()
+        head = attempt.exchange.head
+        if head is None:
+            return
+        report = read_load(head.headers.get(LOAD_HEADER, ""))
+        if report is not None:
+            self._keeper.slots.heard_upstream(
+                upstream=name, report=report, now_s=now_s
+            )
+        if attempt.error is None and head.status >= SERVER_ERROR:
+            self._core.health.failed(name=name, now_s=now_s)
+
+    def _note_failure(
+        self, call: Call, name: str, attempt: Attempt, fingerprint: int
+    ) -> None:
+        now_s = time.monotonic()
+        sent = attempt.exchange.sent
+        if sent is Sent.NOT_SENT:
+            log.event(log.Event.UPSTREAM_UNREACHABLE, upstream=name)
+            self._core.health.failed(name=name, now_s=now_s)
+            return
+        if sent is Sent.REFUSED:
+            self._core.health.refused(name=name, now_s=now_s)
+            return
+        if sent in (Sent.CALLER_GONE, Sent.WITHDRAWN):
+            return
+        self._core.health.failed(name=name, now_s=now_s)
+        log.event(
+            log.Event.UPSTREAM_LOST,
+            upstream=name,
+            service=call.head.service,
+            request_class=call.head.request_class.name,
+        )
+        if sent is Sent.LOST:
+            self._core.quarantine.strike(
+                fingerprint=fingerprint, upstream=name, now_s=now_s
+            )
+
+
+_OUTCOMES = {
+    Sent.WHOLE: Outcome.ANSWERED,
+    Sent.NOT_SENT: Outcome.FAILED,
+    Sent.REFUSED: Outcome.REFUSED,
+    Sent.LOST: Outcome.FAILED,
+    Sent.CUT: Outcome.FAILED,
+    Sent.CALLER_GONE: Outcome.CANCELLED,
+    Sent.WITHDRAWN: Outcome.CANCELLED,
+}
+
+
+def read_load(value: str) -> UpstreamReport | None:
+    """Reads an upstream's in-band report, `slots=4;busy=1;draining=0`.
+
+    Returns:
+      The report, None when it is absent or unreadable: no report is not a
+      report of calm.
+    """
+    numbers = {}
+    for part in value.split(";"):
+        name, _, number = part.strip().partition("=")
+        if number.isascii() and number.isdigit():
+            numbers[name] = int(number)
+    if "slots" not in numbers or "busy" not in numbers:
+        return None
+    return UpstreamReport(
+        slots=numbers["slots"],
+        busy=numbers["busy"],
+        draining=bool(numbers.get("draining", 0)),
+    )
+
+
+def unknown_if_run(error: AlmondstairError, *, call: Call) -> AlmondstairError:
+    """Returns the error with the word that fits how far the call came."""
+    if error.ran is not Ran.NO or not call.progress.may_have_run:
+        return error
+    return AlmondstairError(
+        kind=ErrorKind.OUTCOME_UNKNOWN, detail=error.detail
+    )
--- /dev/null
+++ b/almondstair/serving.py
@@ -0,0 +1,366 @@
+"""Answers calls: steers each to a region, an entry and an upstream."""
+
+import asyncio
+import random
+import time
+from typing import NamedTuple
+
+from opentelemetry import trace
+
+from almondstair import log
+from almondstair.core.entry_table import EntryRow
+from almondstair.core.hops import HopTable
+from almondstair.core.membership import Membership
+from almondstair.core.model import Configuration
+from almondstair.core.quarantine import Quarantine
+from almondstair.core.quarantine import Verdict
+from almondstair.core.quarantine import request_fingerprint
+from almondstair.core.retries import RetryBudget
+from almondstair.core.retries import retry_after_ms
+from almondstair.core.steering import Steering
+from almondstair.dispatch import Sender
+from almondstair.dispatch import timeout_error
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+from almondstair.errors import Ran
+from almondstair.frontend import Call
+from almondstair.http_client import Pace
+from almondstair.http_client import no_pace
+from almondstair.metrics import Metric
+from almondstair.metrics import Metrics
+from almondstair.pacing import LinkPacers
+from almondstair.running import Runner
+from almondstair.running import unknown_if_run
+from almondstair.tracing import Tracing
+
+MAX_TRIES = 3
+# Certain refusals that another entry may not give.
+_ELSEWHERE = frozenset(
+    (
+        ErrorKind.NO_SLOT,
+        ErrorKind.NO_UPSTREAM,
+        ErrorKind.ENTRY_LEAVING,
+        ErrorKind.ENTRY_LOST,
+    )
+)
+_FAILURES = frozenset(
+    (
+        ErrorKind.ENTRY_LOST,
+        ErrorKind.UPSTREAM_LOST,
+        ErrorKind.UPSTREAM_TIMEOUT,
+        ErrorKind.NO_UPSTREAM,
+    )
+)
+
+
+class Parts(NamedTuple):
+    """What serving is made of.
+
+    Attributes:
+      own: this entry's row.
+      membership: who is an entry and who is heard.
+      steering: weights over regions.
+      hops: free slots by entry.
+      quarantine: requests that crashed upstreams.
+      pacers: links from this availability zone.
+      runner: runs calls at upstreams of this entry.
+      sender: forwards calls to other entries.
+      tracing: makes spans.
+      metrics: counts.
+    """
+
+    own: EntryRow
+    membership: Membership
+    steering: Steering
+    hops: HopTable
+    quarantine: Quarantine
+    pacers: LinkPacers
+    runner: Runner
+    sender: Sender
+    tracing: Tracing
+    metrics: Metrics
+
+
+class _Hop(NamedTuple):
+    """Where a try goes: a region, and an entry of it."""
+
+    region: str
+    row: EntryRow
+
+
+class Serving:
+    """Answers the calls of one entry."""
+
+    def __init__(self, *, parts: Parts) -> None:
+        """Makes it out of its parts."""
+        self._parts = parts
+        self._budgets: dict[str, RetryBudget] = {}
+        self._configuration: Configuration | None = None
+
+    def configure(self, *, configuration: Configuration) -> None:
+        """Takes the configuration in force."""
+        self._configuration = configuration
+        for service in configuration.services:
+            profile = configuration.services[service].profile
+            fraction = configuration.profiles[profile].retry_fraction
+            budget = self._budgets.get(service)
+            if budget is None or budget.fraction != fraction:
+                self._budgets[service] = RetryBudget(fraction=fraction)
+
+    async def handle(self, call: Call) -> None:
+        """Answers a call, whole or with an error of the closed list."""
+        started_s = time.monotonic()
+        name = "entry"
+        if call.from_entry:
+            name = "admit"
+        with self._parts.tracing.span(
+            name, traceparent=call.traceparent, kind=trace.SpanKind.SERVER
+        ) as span:
+            span.set_attribute("service", call.head.service)
+            span.set_attribute("request_class", call.head.request_class.name)
+            call = call._replace(
+                traceparent=self._parts.tracing.header(
+                    span, otherwise=call.traceparent
+                )
+            )
+            error = await self._answer_in_time(call)
+            if error is not None:
+                span.set_attribute("error", str(error.kind))
+        self._count(call, error, started_s)
+
+    async def _answer_in_time(self, call: Call) -> AlmondstairError | None:
+        error: AlmondstairError | None = None
+        try:
+            async with asyncio.timeout_at(call.head.deadline_s):
+                error = await self._answer(call)
+        except TimeoutError:
+            error = timeout_error(call.progress)
+        except AlmondstairError as raised:
+            error = raised
+        if error is None:
+            return None
+        error = unknown_if_run(error, call=call)
+        # Closed before the answer is written: nothing dispatches it after.
+        call.progress.answer()
+        call.answer.problem(error)
+        return error
+
+    async def _answer(self, call: Call) -> AlmondstairError | None:
+        fingerprint = request_fingerprint(
+            method=call.head.method,
+            path=f"/{call.head.service}{call.head.path}",
+            body_digest=call.body.digest().encode(),
+        )
+        verdict = self._verdict(fingerprint)
+        if call.from_entry:
+            return await self._parts.runner.run(
+                call=call,
+                fingerprint=fingerprint,
+                verdict=verdict,
+                pace=no_pace,
+            )
+        return await self._steer(call, fingerprint, verdict)
+
+    def _verdict(self, fingerprint: int) -> Verdict:
+        now_s = time.monotonic()
+        quarantine = self._parts.quarantine
+        verdict = quarantine.verdict(fingerprint=fingerprint, now_s=now_s)
+        if verdict is Verdict.QUARANTINED:
+            left_s = quarantine.remaining_s(
+                fingerprint=fingerprint, now_s=now_s
+            )
+            log.event(log.Event.REQUEST_QUARANTINED, left_s=round(left_s, 1))
+            raise AlmondstairError(
+                kind=ErrorKind.QUARANTINED, retry_after_ms=int(left_s * 1000)
+            )
+        return verdict
+
+    async def _steer(
+        self, call: Call, fingerprint: int, verdict: Verdict
+    ) -> AlmondstairError | None:
+        budget = self._budgets[call.head.service]
+        budget.first_try(now_s=time.monotonic())
+        tried: frozenset[str] = frozenset()
+        error = AlmondstairError(kind=ErrorKind.NO_UPSTREAM)
+        for _ in range(MAX_TRIES):
+            hop = self._next_hop(call, tried)
+            if hop is None:
+                break
+            tried = tried | {hop.row.name}
+            failed = await self._try(call, hop, fingerprint, verdict)
+            if failed is None:
+                return None
+            error = failed
+            if not self._may_go_on(call, error, budget):
+                break
+            self._parts.metrics.count(Metric.RETRIES)
+            call.answer.reset()
+            verdict = self._verdict(fingerprint)
+        return _spread(error)
+
+    def _next_hop(self, call: Call, tried: frozenset[str]) -> _Hop | None:
+        """Returns the best entry of the best region not tried yet."""
+        now_s = time.monotonic()
+        regions = self._parts.steering.choose(
+            service=call.head.service,
+            priority=call.head.request_class.priority,
+            availability_zone=self._parts.own.availability_zone,
+            now_s=now_s,
+            draw=random.random(),
+        )
+        live = self._parts.membership.live(now_s=now_s)
+        fallback: _Hop | None = None
+        for region in regions:
+            rows = []
+            for row in live:
+                if row.region == region:
+                    rows.append(row)
+            ranked = self._parts.hops.order(
+                rows=tuple(rows),
+                service=call.head.service,
+                tried=tried,
+                now_s=now_s,
+                draw=random.random(),
+            )
+            for entry in ranked:
+                if entry.free_slots > 0:
+                    return _Hop(region, entry.row)
+                if fallback is None:
+                    fallback = _Hop(region, entry.row)
+        return fallback
+
+    async def _try(
+        self, call: Call, hop: _Hop, fingerprint: int, verdict: Verdict
+    ) -> AlmondstairError | None:
+        service = call.head.service
+        started_s = time.monotonic()
+        priority = call.head.request_class.priority
+        pacers = self._parts.pacers
+        pacers.check(
+            region=hop.region, deadline_s=call.head.deadline_s, now_s=started_s
+        )
+        call.answer.pace = pacers.inward(region=hop.region, priority=priority)
+        pace = pacers.outward(region=hop.region, priority=priority)
+        self._parts.hops.sent(entry=hop.row.name, service=service)
+        self._parts.steering.sent(region=hop.region, service=service)
+        error: AlmondstairError | None = AlmondstairError(
+            kind=ErrorKind.UPSTREAM_TIMEOUT
+        )
+        try:
+            if hop.row.name == self._parts.own.name:
+                error = await self._run_here(call, fingerprint, verdict, pace)
+            else:
+                self._parts.metrics.count(Metric.FORWARDS, hop.region)
+                error = await self._forward(call, hop, pace)
+        finally:
+            self._parts.hops.returned(entry=hop.row.name, service=service)
+            self._tell_steering(call, hop, error, started_s)
+        return error
+
+    async def _run_here(
+        self, call: Call, fingerprint: int, verdict: Verdict, pace: Pace
+    ) -> AlmondstairError | None:
+        try:
+            return await self._parts.runner.run(
+                call=call,
+                fingerprint=fingerprint,
+                verdict=verdict,
+                pace=pace,
+            )
+        except AlmondstairError as error:
+            return error
+
+    async def _forward(
+        self, call: Call, hop: _Hop, pace: Pace
+    ) -> AlmondstairError | None:
+        attempt = await self._parts.sender.to_entry(
+            call=call,
+            entry=hop.row,
+            pace=pace,
+        )
+        if attempt.error is not None:
+            return attempt.error
+        if call.progress.answer():
+            await call.answer.complete()
+        return None
+
+    def _tell_steering(
+        self,
+        call: Call,
+        hop: _Hop,
+        error: AlmondstairError | None,
+        started_s: float,
+    ) -> None:
+        now_s = time.monotonic()
+        service = call.head.service
+        if error is None:
+            self._parts.steering.answered(
+                region=hop.region,
+                service=service,
+                request_class=call.head.request_class.name,
+                latency_ms=(now_s - started_s) * 1000,
+                now_s=now_s,
+            )
+            return
+        if error.kind is ErrorKind.NO_SLOT:
+            self._parts.hops.refused(
+                entry=hop.row.name, service=service, now_s=now_s
+            )
+        if error.kind in _FAILURES:
+            self._parts.steering.failed(
+                region=hop.region, service=service, now_s=now_s
+            )
+            return
+        self._parts.steering.refused(
+            region=hop.region, service=service, now_s=now_s
+        )
+
+    def _may_go_on(
+        self, call: Call, error: AlmondstairError, budget: RetryBudget
+    ) -> bool:
+        """Says whether a call may be tried once more.
+
+        Only what certainly did not run, or does no harm when it runs twice,
+        is tried again, and only within the budget: under overload every try
+        is refused, and without a budget each request would be sent on until
+        the system is busy with refusals.
+        """
+        if not call.answer.untouched or call.answer.caller_gone:
+            return False
+        if not call.body.replayable and call.body.consumed:
+            return False
+        not_run = error.ran is Ran.NO and error.kind in _ELSEWHERE
+        harmless = call.head.request_class.idempotent and (
+            error.kind in _FAILURES
+        )
+        if not not_run and not harmless:
+            return False
+        if error.kind is ErrorKind.UPSTREAM_TIMEOUT:
+            return False
+        return budget.may_retry(now_s=time.monotonic())
+
+    def _count(
+        self, call: Call, error: AlmondstairError | None, started_s: float
+    ) -> None:
+        metrics = self._parts.metrics
+        label = f"{call.head.service}.{call.head.request_class.name}"
+        if error is not None:
+            metrics.count(Metric.REFUSALS, str(error.kind))
+            return
+        metrics.count(Metric.REQUESTS, label)
+        latency_ms = (time.monotonic() - started_s) * 1000
+        metrics.timing(Metric.LATENCY_MS, label, latency_ms)
+
+
+def _spread(error: AlmondstairError) -> AlmondstairError:
+    """Spreads the times at which refused callers come back."""
+    if error.retry_after_ms is None:
+        return error
+    return AlmondstairError(
+        kind=error.kind,
+        detail=error.detail,
+        ran=error.ran,
+        retry_after_ms=retry_after_ms(
+            base_ms=error.retry_after_ms, draw=random.random()
+        ),
+    )
