--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocol, checked state by state."""
