--- a/almondstair/core/model.py
+++ b/almondstair/core/model.py
@@ -72,6 +72,7 @@
       availability_zone: where it runs.
       slots: requests that it runs at once.
       connections: connections that it accepts.
+      load_path: path of its load report as JSON; empty for none.
     """
 
     services: tuple[str, ...]
@@ -79,6 +80,7 @@
     availability_zone: str
     slots: Positive
     connections: Positive
+    load_path: str = ""
 
 
 class Region(NamedTuple):
--- /dev/null
+++ b/almondstair/link_shares.py
@@ -0,0 +1,180 @@
+"""This entry's shares of its links: epochs, acknowledgements, loans."""
+
+from collections.abc import Callable
+import time
+from typing import NamedTuple
+
+from almondstair.core.entry_table import EntryRow
+from almondstair.core.entry_table import EntryTable
+from almondstair.core.links import LinkShare
+from almondstair.core.loans import Loan
+from almondstair.core.loans import LoanRequest
+from almondstair.core.model import Configuration
+from almondstair.core.model import Link
+from almondstair.pacing import LinkPacer
+from almondstair.pacing import LinkPacers
+
+OUTWARD = ">"
+INWARD = "<"
+
+
+class LinkEpoch(NamedTuple):
+    """Acknowledges an epoch of the entry table for every link of the sender.
+
+    Attributes:
+      epoch: the sender uses no share of an older epoch any more.
+    """
+
+    epoch: int
+
+
+class LinkShares:
+    """Keeps one `LinkShare` for each direction of each link."""
+
+    def __init__(
+        self,
+        *,
+        own: EntryRow,
+        incarnation: int,
+        pacers: LinkPacers,
+        send: Callable[[str, NamedTuple], object],
+    ) -> None:
+        """Starts without a link.
+
+        Args:
+          own: this entry's row.
+          incarnation: number of this process.
+          pacers: gets a pacer for each link.
+          send: sends a message to an entry by its name.
+        """
+        self._own = own
+        self._incarnation = incarnation
+        self._pacers = pacers
+        self._send = send
+        self._shares: dict[str, LinkShare] = {}
+        self._links: dict[str, Link] = {}
+        self._table = EntryTable()
+        self._table_is_fresh = False
+        self._heard_epochs: dict[str, int] = {}
+
+    def configure(self, *, configuration: Configuration) -> None:
+        """Takes the links of this availability zone."""
+        links = {}
+        for link in configuration.links:
+            if link.availability_zone == self._own.availability_zone:
+                links[link.region] = link
+        for region in self._pacers.regions():
+            if region not in links:
+                self._remove(region)
+        for region, link in links.items():
+            if region in self._links:
+                self._set_cap(link)
+                continue
+            self._add(link)
+        self._links = links
+
+    def update_table(self, *, table: EntryTable, from_platform: bool) -> None:
+        """Takes an entry table.
+
+        Args:
+          table: the table.
+          from_platform: whether this process read it from the platform.
+        """
+        self._table = table
+        self._table_is_fresh = self._table_is_fresh or from_platform
+        for share in self._shares.values():
+            self._tell_table(share, from_platform)
+
+    def heard_epoch(self, *, entry: str, epoch: int) -> None:
+        """Takes another entry's acknowledgement."""
+        self._heard_epochs[entry] = epoch
+        now_s = time.monotonic()
+        for share in self._shares.values():
+            share.on_acknowledged(entry=entry, epoch=epoch, now_s=now_s)
+
+    def acknowledgement(self) -> LinkEpoch | None:
+        """Returns what to tell the entries of this zone, None if nothing."""
+        now_s = time.monotonic()
+        lowest: int | None = None
+        for share in self._shares.values():
+            epoch = share.acknowledged_epoch(now_s=now_s)
+            if lowest is None or epoch < lowest:
+                lowest = epoch
+        if lowest is None:
+            return LinkEpoch(self._table.epoch)
+        return LinkEpoch(lowest)
+
+    def ask(self) -> None:
+        """Asks peers for loans where a share is short."""
+        now_s = time.monotonic()
+        for share in self._shares.values():
+            for request in share.ask(now_s=now_s):
+                self._send(request.lender, request)
+
+    def lend(self, request: LoanRequest) -> None:
+        """Answers a peer's request."""
+        share = self._shares.get(request.link)
+        if share is None:
+            return
+        loan = share.lend(request=request, now_s=time.monotonic())
+        if loan is not None:
+            self._send(request.borrower, loan)
+
+    def accept(self, loan: Loan) -> None:
+        """Takes a peer's loan."""
+        share = self._shares.get(loan.link)
+        if share is not None:
+            share.accept(loan=loan, now_s=time.monotonic())
+
+    def release(self) -> None:
+        """Gives every share up for good."""
+        now_s = time.monotonic()
+        for share in self._shares.values():
+            share.release(now_s=now_s)
+
+    def _add(self, link: Link) -> None:
+        self._pacers.add(
+            region=link.region,
+            outward=LinkPacer(share=self._make_share(link, OUTWARD)),
+            inward=LinkPacer(share=self._make_share(link, INWARD)),
+        )
+
+    def _make_share(self, link: Link, direction: str) -> LinkShare:
+        name = f"{link.availability_zone}{direction}{link.region}"
+        now_s = time.monotonic()
+        share = LinkShare(
+            link=name,
+            entry_name=self._own.name,
+            incarnation=self._incarnation,
+            cap_bytes_per_s=link.cap_bytes_per_s,
+            now_s=now_s,
+        )
+        self._shares[name] = share
+        self._tell_table(share, self._table_is_fresh)
+        for entry, epoch in self._heard_epochs.items():
+            share.on_acknowledged(entry=entry, epoch=epoch, now_s=now_s)
+        return share
+
+    def _tell_table(self, share: LinkShare, from_platform: bool) -> None:
+        names = []
+        for row in self._table.entries:
+            if row.availability_zone == self._own.availability_zone:
+                names.append(row.name)
+        share.on_epoch(
+            epoch=self._table.epoch,
+            entries=tuple(names),
+            from_platform=from_platform,
+            now_s=time.monotonic(),
+        )
+
+    def _set_cap(self, link: Link) -> None:
+        for pacer in self._pacers.pacers(region=link.region):
+            pacer.share.on_cap(
+                cap_bytes_per_s=link.cap_bytes_per_s, now_s=time.monotonic()
+            )
+
+    def _remove(self, region: str) -> None:
+        for pacer in self._pacers.pacers(region=region):
+            pacer.share.release(now_s=time.monotonic())
+            self._shares.pop(pacer.share.link, None)
+        self._pacers.remove(region=region)
--- /dev/null
+++ b/almondstair/probing.py
@@ -0,0 +1,126 @@
+"""Probes of upstreams that had no work of late.
+
+An answer tells more than a probe and costs nothing extra, so an upstream with
+traffic is never probed. What a probe brings can only lower what is used.
+"""
+
+import asyncio
+import time
+
+import msgspec
+from tornado import httputil
+
+from almondstair.body import RequestBody
+from almondstair.core.admission import SlotTable
+from almondstair.core.admission import UpstreamReport
+from almondstair.core.model import Configuration
+from almondstair.http_client import AnswerSink
+from almondstair.http_client import HttpClient
+from almondstair.http_client import Sent
+from almondstair.http_messages import ResponseHead
+
+PROBE_TIMEOUT_S = 2.0
+ANSWER_LIMIT_BYTES = 4096
+
+
+class _Held(AnswerSink):
+    """Keeps a short answer."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+
+    def head(self, head: ResponseHead) -> None:
+        self.status = head.status
+
+    async def data(self, chunk: bytes) -> None:
+        if len(self.body) + len(chunk) <= ANSWER_LIMIT_BYTES:
+            self.body += chunk
+
+
+class Prober:
+    """Probes the upstreams that this entry has a duty at."""
+
+    def __init__(
+        self, *, slots: SlotTable, client: HttpClient, interval_s: float
+    ) -> None:
+        """Makes a prober.
+
+        Args:
+          slots: gets what the probes bring.
+          client: client for upstreams.
+          interval_s: an upstream whose last report is older is probed.
+        """
+        self._slots = slots
+        self._client = client
+        self._interval_s = interval_s
+        self._under_way: dict[str, asyncio.Task[None]] = {}
+
+    def start_due(self, *, configuration: Configuration) -> None:
+        """Starts the probes that are due."""
+        for row in self._slots.status(now_s=time.monotonic()):
+            age_s = row.report_age_s
+            if age_s is not None and age_s < self._interval_s:
+                continue
+            upstream = configuration.upstreams.get(row.name)
+            if upstream is None or not upstream.load_path:
+                continue
+            if row.name in self._under_way:
+                continue
+            self._under_way[row.name] = asyncio.ensure_future(
+                self._probe(row.name, upstream.address, upstream.load_path)
+            )
+
+    def stop(self) -> None:
+        """Cancels what is under way."""
+        for task in self._under_way.values():
+            task.cancel()
+
+    async def _probe(self, name: str, address: str, path: str) -> None:
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                report = await self._ask(address, path)
+        except (OSError, TimeoutError):
+            # No report: its age goes on growing, which is what counts.
+            return
+        finally:
+            del self._under_way[name]
+        if report is not None:
+            self._slots.heard_upstream(
+                upstream=name, report=report, now_s=time.monotonic()
+            )
+
+    async def _ask(self, address: str, path: str) -> UpstreamReport | None:
+        stream = await self._client.connect(address, fresh=False)
+        body = RequestBody()
+        body.end()
+        sink = _Held()
+        exchange = await self._client.exchange(
+            address=address,
+            stream=stream,
+            start_line=httputil.RequestStartLine("GET", path, "HTTP/1.1"),
+            headers=httputil.HTTPHeaders({"Host": address}),
+            body=body,
+            sink=sink,
+        )
+        if exchange.sent is not Sent.WHOLE or sink.status != 200:
+            return None
+        try:
+            return _read_report(sink.body)
+        except msgspec.MsgspecError:
+            return None
+
+
+class _Report(msgspec.Struct):
+    """Body of an upstream's load endpoint."""
+
+    slots: int
+    busy: int
+    draining: bool = False
+
+
+def _read_report(body: bytes) -> UpstreamReport:
+    report = msgspec.json.decode(body, type=_Report)
+    return UpstreamReport(
+        slots=report.slots, busy=report.busy, draining=report.draining
+    )
