Add the entry membership and the control messages between entries

The table changes only from the VM list or an entry's own release, never from silence. Against a lagging list a row is dropped only after two newer listings that describe a moment after the row was first seen, lack it, hold their reader, and no heartbeat came since.

Messages are NamedTuples under a closed list of tags; a dead peer holds at most a small queue.

--- /dev/null
+++ b/almondstair/core/membership.py
@@ -0,0 +1,353 @@
+"""Who is an entry, who is heard, and when the entry table changes.
+
+Two questions are kept apart on purpose:
+
+* Which entries *exist* is the entry table. It changes only because the
+  platform's VM list shows that a VM is gone, or because the entry itself
+  finished leaving. Silence never changes it: a frozen process wakes up and
+  still believes in the duties that it had.
+* Which entries are *heard* changes with every heartbeat. It decides whom
+  look-ups name and where work goes, never who owns what.
+
+While the platform is out the table stands still and everything built on it
+goes on.
+"""
+
+from typing import NamedTuple
+
+import xxhash
+
+from almondstair.core.entry_table import EntryRow
+from almondstair.core.entry_table import EntryTable
+
+# An age that the VM list states may be rounded; absence counts only from a
+# listing that is newer than the row by this much.
+LISTING_MARGIN_S = 1.0
+# Listings in a row, each newer than the last, that must lack a VM.
+LISTINGS_LACKING = 2
+
+
+class VmObservation(NamedTuple):
+    """What one answer of the platform's VM list says.
+
+    Attributes:
+      listed: names of the VMs in the list.
+      leaving: those of them that the list has as leaving.
+      described_s: moment that the answer describes, on the reader's monotonic
+        clock: when it was read less the age that the list states.
+    """
+
+    listed: frozenset[str]
+    leaving: frozenset[str]
+    described_s: float
+
+
+class Heard(NamedTuple):
+    """What an entry said of itself, as its latest heartbeat told it.
+
+    Attributes:
+      name: name of the entry.
+      incarnation: random number of its process; another one means a restart.
+      sequence: number of the heartbeat within the incarnation.
+      epoch: epoch of the entry table that it acts on.
+      configuration_version: version that it has in force.
+      leaving: whether it takes no new work.
+      finished: whether it has given up every duty for good.
+      heard_s: when it was heard, less any time spent on relays.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    epoch: int
+    configuration_version: int
+    leaving: bool
+    finished: bool
+    heard_s: float
+
+
+class Membership:
+    """One entry's view of the entry table and of who is heard.
+
+    Attributes:
+      own: this entry's row.
+      table: the entry table in force here; its epoch never falls.
+      leaving: whether this entry takes no new work.
+    """
+
+    def __init__(self, *, own: EntryRow, silence_limit_s: float) -> None:
+        """Starts with the empty table.
+
+        Args:
+          own: this entry's row.
+          silence_limit_s: age past which an entry counts as unheard.
+        """
+        self.own = own
+        self.table = EntryTable()
+        self.leaving = False
+        self._silence_limit_s = silence_limit_s
+        self._heard: dict[str, Heard] = {}
+        self._row_first_seen_s: dict[str, float] = {}
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._marked_leaving: frozenset[str] = frozenset()
+        self._lacking_count: dict[str, int] = {}
+        self._newest_listing_s = float("-inf")
+
+    # The entry table.
+
+    def replace_table(self, *, table: EntryTable, now_s: float) -> bool:
+        """Takes a newer table over.
+
+        A platform that was rolled back, or a peer that slept, serves an older
+        table. Following it would give duties back to entries that handed them
+        over, so a table that is not newer is ignored.
+
+        Returns:
+          Whether the table was newer and is now in force.
+        """
+        if table.epoch <= self.table.epoch:
+            return False
+        self.table = table
+        names = set(table.names())
+        for name in names:
+            self._row_first_seen_s.setdefault(name, now_s)
+        for name in tuple(self._row_first_seen_s):
+            if name not in names:
+                self._forget(name)
+        return True
+
+    def _forget(self, name: str) -> None:
+        self._row_first_seen_s.pop(name, None)
+        self._lacking_count.pop(name, None)
+        self._heard.pop(name, None)
+        self._listed_leaving -= {name}
+
+    @property
+    def registered(self) -> bool:
+        """Whether this entry is in the table, without which it has no duty."""
+        return self.table.row(name=self.own.name) is not None
+
+    def plan_registration(self, *, table: EntryTable) -> EntryTable | None:
+        """Returns the table with this entry added, None if it is in it.
+
+        Args:
+          table: the table as the platform has it now.
+
+        Raises:
+          ValueError: if the name belongs to an entry with other addresses,
+            which may still be alive; both would hold the same duties.
+        """
+        row = table.row(name=self.own.name)
+        if row == self.own:
+            return None
+        if row is not None:
+            raise ValueError(
+                f"entry {row.name} is registered from {row.peer_address}; "
+                "give this one another name, or wait until that VM is gone"
+            )
+        epoch = max(table.epoch, self.table.epoch) + 1
+        return EntryTable(epoch=epoch, entries=table.entries + (self.own,))
+
+    def plan_release(self, *, table: EntryTable) -> EntryTable | None:
+        """Returns the table without this entry, None if it is not in it."""
+        return _without(table, {self.own.name}, self.table.epoch)
+
+    def plan_change(
+        self, *, listing: VmObservation, now_s: float
+    ) -> EntryTable | None:
+        """Returns the table that the VM list calls for, None if no change.
+
+        The list lags: it may still lack a VM that just registered and still
+        hold one that is gone. The second only delays a drop. Against the
+        first, a row is dropped only if all of these hold:
+
+        * the listing describes a moment after this entry first saw the row,
+          and so after the registration, by `LISTING_MARGIN_S`;
+        * `LISTINGS_LACKING` listings in a row, each newer, lacked it;
+        * it has not been heard since; an entry that speaks is not gone;
+        * the listing holds its reader, who is surely alive.
+
+        An entry that said it finished leaving is dropped without the list.
+
+        Args:
+          listing: the latest answer of the VM list.
+          now_s: monotonic time.
+        """
+        gone = self._finished_names()
+        gone.update(self._absent_names(listing, now_s))
+        return _without(self.table, gone, self.table.epoch)
+
+    def plan_finished(self) -> EntryTable | None:
+        """Returns the table without entries that finished leaving."""
+        names = self._finished_names()
+        return _without(self.table, names, self.table.epoch)
+
+    def _finished_names(self) -> set[str]:
+        names = set()
+        for heard in self._heard.values():
+            if heard.finished:
+                names.add(heard.name)
+        return names
+
+    def _absent_names(self, listing: VmObservation, now_s: float) -> set[str]:
+        gone: set[str] = set()
+        if listing.described_s <= self._newest_listing_s:
+            # Another replica of the list, older than one already read: it may
+            # lack a VM that the newer one had.
+            return gone
+        self._newest_listing_s = listing.described_s
+        self._note_leaving(listing)
+        if self.own.name not in listing.listed:
+            return gone
+        for row in self.table.entries:
+            if row.name in listing.listed or row.name == self.own.name:
+                self._lacking_count.pop(row.name, None)
+                continue
+            if not self._absence_counts(row.name, listing, now_s):
+                continue
+            count = self._lacking_count.get(row.name, 0) + 1
+            self._lacking_count[row.name] = count
+            if count >= LISTINGS_LACKING:
+                gone.add(row.name)
+        return gone
+
+    def _absence_counts(
+        self, name: str, listing: VmObservation, now_s: float
+    ) -> bool:
+        first_seen_s = self._row_first_seen_s.get(name, now_s)
+        if listing.described_s < first_seen_s + LISTING_MARGIN_S:
+            return False
+        heard = self._heard.get(name)
+        if heard is None or heard.finished:
+            return True
+        return heard.heard_s < listing.described_s
+
+    def _note_leaving(self, listing: VmObservation) -> None:
+        # Only a newer word of the list takes its mark back. A VM that the
+        # list lacks keeps its mark: that is silence.
+        kept = self._listed_leaving - listing.listed
+        self._listed_leaving = kept | listing.leaving
+
+    def planner_rank(self, *, now_s: float) -> int:
+        """Returns this entry's turn to write a planned change, 0 first.
+
+        Every entry sees the same VM list. Without an order, one lost VM would
+        cost a compare-and-swap by each of 770 entries in the same moment. The
+        order is drawn anew for each epoch, so no entry is special, and goes
+        over those heard, so that a dead one delays nobody.
+        """
+        return _rank(self.own.name, self.live(now_s=now_s), self.table.epoch)
+
+    # Heartbeats.
+
+    def heard(self, heard: Heard) -> bool:
+        """Notes a heartbeat, of the entry itself or relayed.
+
+        Returns:
+          Whether it is newer than what was known; a late one is ignored.
+        """
+        known = self._heard.get(heard.name)
+        if known is not None and not _is_newer(heard, known):
+            return False
+        self._heard[heard.name] = heard
+        return True
+
+    def refresh(self, *, name: str, heard_s: float) -> None:
+        """Notes that a relay heard an entry, without news of its state."""
+        known = self._heard.get(name)
+        if known is None or known.heard_s >= heard_s:
+            return
+        self._heard[name] = known._replace(heard_s=heard_s)
+
+    def last_heard(self, *, name: str) -> Heard | None:
+        """Returns the latest that an entry said of itself, None if nothing."""
+        return self._heard.get(name)
+
+    def age_s(self, *, name: str, now_s: float) -> float:
+        """Returns an entry's silence so far; infinity if never heard."""
+        if name == self.own.name:
+            return 0.0
+        heard = self._heard.get(name)
+        if heard is None:
+            return float("inf")
+        return max(0.0, now_s - heard.heard_s)
+
+    def is_silent(self, *, name: str, now_s: float) -> bool:
+        """Returns whether an entry's last heartbeat is past the limit."""
+        return self.age_s(name=name, now_s=now_s) > self._silence_limit_s
+
+    def set_silence_limit(self, *, silence_limit_s: float) -> None:
+        """Widens or narrows the limit, as the fan-out of heartbeats needs."""
+        self._silence_limit_s = silence_limit_s
+
+    # Leaving.
+
+    def mark_leaving(self, *, names: frozenset[str]) -> None:
+        """Sets the operators' marks, as the configuration in force has them."""
+        self._marked_leaving = names
+
+    def is_leaving(self, *, name: str) -> bool:
+        """Returns whether any source says that an entry leaves.
+
+        The entry's own word, the operators' marks and the VM list count each;
+        silence of one does not undo another.
+        """
+        if name in self._marked_leaving or name in self._listed_leaving:
+            return True
+        if name == self.own.name:
+            return self.leaving
+        heard = self._heard.get(name)
+        return heard is not None and heard.leaving
+
+    def live(self, *, now_s: float) -> tuple[EntryRow, ...]:
+        """Returns the entries that take new work: heard and not leaving."""
+        rows = []
+        for row in self.table.entries:
+            if self.is_leaving(name=row.name):
+                continue
+            if self.is_silent(name=row.name, now_s=now_s):
+                continue
+            rows.append(row)
+        return tuple(rows)
+
+    def silent(self, *, now_s: float) -> tuple[str, ...]:
+        """Returns the names of the entries past the silence limit."""
+        names = []
+        for row in self.table.entries:
+            if self.is_silent(name=row.name, now_s=now_s):
+                names.append(row.name)
+        return tuple(names)
+
+
+def _is_newer(heard: Heard, known: Heard) -> bool:
+    if heard.incarnation == known.incarnation:
+        return heard.sequence > known.sequence
+    # Incarnations have no order. The one heard later is the living one: a
+    # connection delivers in order and dies with its process.
+    return heard.heard_s > known.heard_s
+
+
+def _without(
+    table: EntryTable, names: set[str], lowest_epoch: int
+) -> EntryTable | None:
+    kept = []
+    for row in table.entries:
+        if row.name not in names:
+            kept.append(row)
+    if len(kept) == len(table.entries):
+        return None
+    epoch = max(table.epoch, lowest_epoch) + 1
+    return EntryTable(epoch=epoch, entries=tuple(kept))
+
+
+def _rank(name: str, rows: tuple[EntryRow, ...], epoch: int) -> int:
+    own_weight = _turn_weight(name, epoch)
+    rank = 0
+    for row in rows:
+        if row.name != name and _turn_weight(row.name, epoch) > own_weight:
+            rank += 1
+    return rank
+
+
+def _turn_weight(name: str, epoch: int) -> int:
+    return xxhash.xxh64_intdigest(f"{epoch}/{name}".encode())
--- /dev/null
+++ b/almondstair/peers.py
@@ -0,0 +1,249 @@
+"""Control messages between entries over pyzmq.
+
+Each entry binds one ROUTER socket, on which it only receives, and connects one
+DEALER socket to each peer that it sends to, on which it only sends. A message
+may be lost at any time; nothing here repeats one. What must arrive is asked
+for again by the protocol that needs it.
+
+A peer that is dead, frozen or cut off must cost nothing: IMMEDIATE queues
+nothing without a connection, a small high-water mark bounds what a stalled
+connection holds, sends never block, LINGER 0 drops the rest on close.
+"""
+
+from collections.abc import Callable, Iterable
+import logging
+from typing import Any, NamedTuple
+
+import zmq
+from zmq.eventloop.zmqstream import ZMQStream
+
+from almondstair import messages
+from almondstair.core.entry_table import EntryRow
+from almondstair.errors import AlmondstairError
+
+SEND_QUEUE_MESSAGES = 32
+RECEIVE_QUEUE_MESSAGES = 256
+RECONNECT_FIRST_MS = 100
+RECONNECT_LAST_MS = 2000
+# A connection whose other end vanished without a word (power, a cut link) is
+# noticed only by probes; without them the kernel would hold old messages for
+# minutes and deliver them when the link heals.
+PROBE_INTERVAL_MS = 1000
+PROBE_TIMEOUT_MS = 3000
+_IDENTITY_SEPARATOR = "/"
+
+_log = logging.getLogger(__name__)
+
+MessageHandler = Callable[[str, int, Any], None]
+
+
+class PeerCounts(NamedTuple):
+    """Traffic of the socket since start, message bytes without TCP and IP.
+
+    Attributes:
+      sent_bytes: bytes handed to connections.
+      sent_messages: messages handed to connections.
+      received_bytes: bytes received.
+      received_messages: messages received.
+      dropped_messages: messages not sent, for want of a connection or room.
+      unreadable_messages: received messages that could not be decoded.
+    """
+
+    sent_bytes: int = 0
+    sent_messages: int = 0
+    received_bytes: int = 0
+    received_messages: int = 0
+    dropped_messages: int = 0
+    unreadable_messages: int = 0
+
+
+class _Link(NamedTuple):
+    """A connected DEALER socket and the address that it goes to."""
+
+    socket: zmq.Socket[bytes]
+    address: str
+
+
+class Peers:
+    """Sends and receives control messages; one for each process."""
+
+    def __init__(
+        self,
+        *,
+        context: zmq.Context[Any],
+        name: str,
+        incarnation: int,
+        peer_address: str,
+        on_message: MessageHandler,
+    ) -> None:
+        """Prepares the sockets; nothing is bound before `start`.
+
+        Args:
+          context: shared pyzmq context.
+          name: name of this entry.
+          incarnation: random number of this process. It is part of the
+            identity, so that a restarted entry is never mistaken by a ROUTER
+            for the old connection of its name.
+          peer_address: `ip:port` to bind.
+          on_message: called with the sender's name, its incarnation and the
+            message, on the loop.
+        """
+        self._context = context
+        self._identity = f"{name}{_IDENTITY_SEPARATOR}{incarnation}".encode()
+        self._peer_address = peer_address
+        self._on_message = on_message
+        self._stream: ZMQStream | None = None
+        self._addresses: dict[str, str] = {}
+        self._links: dict[str, _Link] = {}
+        self._counts = PeerCounts()
+
+    @property
+    def counts(self) -> PeerCounts:
+        """Traffic since start."""
+        return self._counts
+
+    @property
+    def connected_names(self) -> tuple[str, ...]:
+        """Names of the peers with an open socket."""
+        return tuple(self._links)
+
+    def start(self) -> None:
+        """Binds the socket and receives on the current loop."""
+        socket = self._context.socket(zmq.ROUTER)
+        _set_options(socket)
+        socket.set(zmq.RCVHWM, RECEIVE_QUEUE_MESSAGES)
+        socket.set(zmq.MAXMSGSIZE, messages.FRAME_LIMIT_BYTES)
+        socket.bind(f"tcp://{self._peer_address}")
+        self._stream = ZMQStream(socket)
+        self._stream.on_recv(self._receive)
+
+    def stop(self) -> None:
+        """Closes every socket at once; unsent messages are dropped."""
+        if self._stream is not None:
+            self._stream.on_recv(None)
+            self._stream.close(linger=0)
+            self._stream = None
+        for name in tuple(self._links):
+            self.disconnect(name)
+
+    def set_rows(self, rows: Iterable[EntryRow]) -> None:
+        """Takes the addresses of the entry table; the rest is disconnected."""
+        addresses = {}
+        for row in rows:
+            addresses[row.name] = row.peer_address
+        self._addresses = addresses
+        for name, link in tuple(self._links.items()):
+            if self._addresses.get(name) != link.address:
+                self.disconnect(name)
+
+    def send(self, name: str, message: NamedTuple) -> bool:
+        """Sends to an entry of the table.
+
+        Args:
+          name: name of the receiver.
+          message: a message of a registered type.
+
+        Returns:
+          Whether a connection took it; it may still be lost on the way.
+        """
+        address = self._addresses.get(name)
+        if address is None:
+            return False
+        return self._send_frame(name, address, messages.encode(message))
+
+    def send_to_address(self, address: str, message: NamedTuple) -> bool:
+        """Sends to an `ip:port` that may not be in the entry table."""
+        return self._send_frame(address, address, messages.encode(message))
+
+    def broadcast(self, message: NamedTuple) -> int:
+        """Sends to every entry of the table and returns how many took it."""
+        frame = messages.encode(message)
+        taken = 0
+        for name, address in self._addresses.items():
+            if self._send_frame(name, address, frame):
+                taken += 1
+        return taken
+
+    def connect(self, name: str) -> None:
+        """Opens the connection to an entry of the table ahead of need."""
+        address = self._addresses.get(name)
+        if address is not None:
+            self._link(name, address)
+
+    def connect_address(self, address: str) -> None:
+        """Opens the connection to an address ahead of need."""
+        self._link(address, address)
+
+    def disconnect(self, name: str) -> None:
+        """Closes the connection to a peer, by the name or address used."""
+        link = self._links.pop(name, None)
+        if link is not None:
+            link.socket.close(linger=0)
+
+    def _link(self, name: str, address: str) -> _Link:
+        link = self._links.get(name)
+        if link is not None:
+            return link
+        socket = self._context.socket(zmq.DEALER)
+        _set_options(socket)
+        socket.set(zmq.IDENTITY, self._identity)
+        socket.set(zmq.IMMEDIATE, 1)
+        socket.set(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        socket.set(zmq.RECONNECT_IVL, RECONNECT_FIRST_MS)
+        socket.set(zmq.RECONNECT_IVL_MAX, RECONNECT_LAST_MS)
+        socket.connect(f"tcp://{address}")
+        link = _Link(socket, address)
+        self._links[name] = link
+        return link
+
+    def _send_frame(self, name: str, address: str, frame: bytes) -> bool:
+        link = self._link(name, address)
+        counts = self._counts
+        try:
+            link.socket.send(frame, zmq.NOBLOCK)
+        except zmq.Again:
+            # No connection yet, or its queue is full: the peer is dead, slow
+            # or cut off. Waiting would stall every other peer.
+            self._counts = counts._replace(
+                dropped_messages=counts.dropped_messages + 1
+            )
+            return False
+        self._counts = counts._replace(
+            sent_bytes=counts.sent_bytes + len(frame),
+            sent_messages=counts.sent_messages + 1,
+        )
+        return True
+
+    def _receive(self, frames: list[bytes]) -> None:
+        counts = self._counts
+        self._counts = counts._replace(
+            received_bytes=counts.received_bytes + len(frames[-1]),
+            received_messages=counts.received_messages + 1,
+        )
+        try:
+            name, incarnation = _sender(frames)
+            message = messages.decode(frames[-1])
+        except (AlmondstairError, ValueError) as error:
+            self._count_unreadable(error)
+            return
+        self._on_message(name, incarnation, message)
+
+    def _count_unreadable(self, error: Exception) -> None:
+        counts = self._counts
+        self._counts = counts._replace(
+            unreadable_messages=counts.unreadable_messages + 1
+        )
+        _log.debug("unreadable message of a peer: %s", error)
+
+
+def _sender(frames: list[bytes]) -> tuple[str, int]:
+    if len(frames) != 2:
+        raise ValueError(f"{len(frames)} frames in place of 2")
+    name, _, incarnation = frames[0].decode().rpartition(_IDENTITY_SEPARATOR)
+    return name, int(incarnation)
+
+
+def _set_options(socket: zmq.Socket[bytes]) -> None:
+    socket.set(zmq.LINGER, 0)
+    socket.set(zmq.HEARTBEAT_IVL, PROBE_INTERVAL_MS)
+    socket.set(zmq.HEARTBEAT_TIMEOUT, PROBE_TIMEOUT_MS)
