--- a/almondstair/core/membership.py
+++ b/almondstair/core/membership.py
@@ -17,6 +17,7 @@
 
 import xxhash
 
+from almondstair.core.configuration import VersionReport
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
 
@@ -25,6 +26,8 @@
 LISTING_MARGIN_S = 1.0
 # Listings in a row, each newer than the last, that must lack a VM.
 LISTINGS_LACKING = 2
+# Incarnation of an entry known only from relays.
+NO_INCARNATION = 0
 
 
 class VmObservation(NamedTuple):
@@ -85,8 +88,12 @@
         self.own = own
         self.table = EntryTable()
         self.leaving = False
-        self._silence_limit_s = silence_limit_s
+        self._near_names: frozenset[str] = frozenset()
+        self._near_limit_s = silence_limit_s
+        self._far_limit_s = silence_limit_s
         self._heard: dict[str, Heard] = {}
+        self._replaced: dict[str, int] = {}
+        self._relayed_down: set[str] = set()
         self._row_first_seen_s: dict[str, float] = {}
         self._listed_leaving: frozenset[str] = frozenset()
         self._marked_leaving: frozenset[str] = frozenset()
@@ -120,6 +127,8 @@
         self._row_first_seen_s.pop(name, None)
         self._lacking_count.pop(name, None)
         self._heard.pop(name, None)
+        self._replaced.pop(name, None)
+        self._relayed_down.discard(name)
         self._listed_leaving -= {name}
 
     @property
@@ -152,64 +161,78 @@
         """Returns the table without this entry, None if it is not in it."""
         return _without(table, {self.own.name}, self.table.epoch)
 
-    def plan_change(
-        self, *, listing: VmObservation, now_s: float
-    ) -> EntryTable | None:
-        """Returns the table that the VM list calls for, None if no change.
+    def plan_change(self, *, table: EntryTable) -> EntryTable | None:
+        """Returns the table without the entries that are gone, None if all are.
 
-        The list lags: it may still lack a VM that just registered and still
-        hold one that is gone. The second only delays a drop. Against the
-        first, a row is dropped only if all of these hold:
+        Gone are the entries that `observe` found and those that said that
+        they finished leaving.
 
-        * the listing describes a moment after this entry first saw the row,
-          and so after the registration, by `LISTING_MARGIN_S`;
-        * `LISTINGS_LACKING` listings in a row, each newer, lacked it;
-        * it has not been heard since; an entry that speaks is not gone;
-        * the listing holds its reader, who is surely alive.
+        Args:
+          table: the table as the platform has it now.
+        """
+        return _without(table, self.gone_names(), self.table.epoch)
+
+    def plan_restore(self, *, table: EntryTable) -> EntryTable | None:
+        """Returns what repairs a platform that lost the table, for operators.
 
-        An entry that said it finished leaving is dropped without the list.
+        A platform that was wiped or rolled back serves an older epoch. Nothing
+        is written to it by itself: this entry may hold an older table than a
+        silent one, and two tables under one epoch would let two entries hold
+        one duty. Only when this entry's epoch is the highest heard, and every
+        entry of its table is heard, is its table surely the latest.
 
         Args:
-          listing: the latest answer of the VM list.
-          now_s: monotonic time.
+          table: the table as the platform has it now.
         """
-        gone = self._finished_names()
-        gone.update(self._absent_names(listing, now_s))
-        return _without(self.table, gone, self.table.epoch)
-
-    def plan_finished(self) -> EntryTable | None:
-        """Returns the table without entries that finished leaving."""
-        names = self._finished_names()
-        return _without(self.table, names, self.table.epoch)
+        if table.epoch >= self.table.epoch or self.is_behind:
+            return None
+        return EntryTable(
+            epoch=self.table.epoch + 1, entries=self.table.entries
+        )
 
-    def _finished_names(self) -> set[str]:
+    def gone_names(self) -> set[str]:
+        """Returns the entries of the table that are surely gone."""
         names = set()
         for heard in self._heard.values():
             if heard.finished:
                 names.add(heard.name)
+        for name, count in self._lacking_count.items():
+            if count >= LISTINGS_LACKING:
+                names.add(name)
         return names
 
-    def _absent_names(self, listing: VmObservation, now_s: float) -> set[str]:
-        gone: set[str] = set()
+    def observe(self, *, listing: VmObservation, now_s: float) -> None:
+        """Notes an answer of the VM list.
+
+        The list lags: it may still lack a VM that just registered and still
+        hold one that is gone. The second only delays a drop. Against the
+        first, a row counts as gone only if all of these hold:
+
+        * the listing describes a moment after this entry first saw the row,
+          and so after the registration, by `LISTING_MARGIN_S`;
+        * `LISTINGS_LACKING` listings in a row, each newer, lacked it;
+        * it has not been heard since; an entry that speaks is not gone;
+        * the listing holds its reader, who is surely alive.
+
+        Args:
+          listing: the answer.
+          now_s: monotonic time.
+        """
         if listing.described_s <= self._newest_listing_s:
             # Another replica of the list, older than one already read: it may
             # lack a VM that the newer one had.
-            return gone
+            return
         self._newest_listing_s = listing.described_s
         self._note_leaving(listing)
         if self.own.name not in listing.listed:
-            return gone
+            return
         for row in self.table.entries:
-            if row.name in listing.listed or row.name == self.own.name:
+            if row.name in listing.listed:
                 self._lacking_count.pop(row.name, None)
                 continue
-            if not self._absence_counts(row.name, listing, now_s):
-                continue
-            count = self._lacking_count.get(row.name, 0) + 1
-            self._lacking_count[row.name] = count
-            if count >= LISTINGS_LACKING:
-                gone.add(row.name)
-        return gone
+            if self._absence_counts(row.name, listing, now_s):
+                count = self._lacking_count.get(row.name, 0) + 1
+                self._lacking_count[row.name] = count
 
     def _absence_counts(
         self, name: str, listing: VmObservation, now_s: float
@@ -218,9 +241,7 @@
         if listing.described_s < first_seen_s + LISTING_MARGIN_S:
             return False
         heard = self._heard.get(name)
-        if heard is None or heard.finished:
-            return True
-        return heard.heard_s < listing.described_s
+        return heard is None or heard.heard_s < listing.described_s
 
     def _note_leaving(self, listing: VmObservation) -> None:
         # Only a newer word of the list takes its mark back. A VM that the
@@ -241,23 +262,67 @@
     # Heartbeats.
 
     def heard(self, heard: Heard) -> bool:
-        """Notes a heartbeat, of the entry itself or relayed.
+        """Notes a heartbeat that came from the entry itself.
 
         Returns:
           Whether it is newer than what was known; a late one is ignored.
         """
         known = self._heard.get(heard.name)
-        if known is not None and not _is_newer(heard, known):
-            return False
+        if known is not None:
+            if heard.incarnation == self._replaced.get(heard.name):
+                # The last frames of the old process, read after the first of
+                # the new one. They would bring back its `finished`.
+                return False
+            if heard.incarnation != known.incarnation:
+                self._replaced[heard.name] = known.incarnation
+            elif heard.sequence <= known.sequence:
+                return False
         self._heard[heard.name] = heard
+        self._relayed_down.discard(heard.name)
+        self._lacking_count.pop(heard.name, None)
         return True
 
-    def refresh(self, *, name: str, heard_s: float) -> None:
-        """Notes that a relay heard an entry, without news of its state."""
+    def heard_of(
+        self, *, name: str, heard_s: float, configuration_version: int
+    ) -> None:
+        """Notes that a relay heard an entry and which version it had.
+
+        A relay's word shows that an entry runs. It acknowledges nothing and
+        does not undo what the entry said of itself.
+
+        Args:
+          name: the entry.
+          heard_s: when it was last heard, on this entry's clock.
+          configuration_version: version that it had in force then.
+        """
+        if name == self.own.name or self.table.row(name=name) is None:
+            return
         known = self._heard.get(name)
-        if known is None or known.heard_s >= heard_s:
+        if known is None:
+            known = Heard(
+                name=name,
+                incarnation=NO_INCARNATION,
+                sequence=0,
+                epoch=0,
+                configuration_version=0,
+                leaving=False,
+                finished=False,
+                heard_s=float("-inf"),
+            )
+        if known.heard_s >= heard_s:
             return
-        self._heard[name] = known._replace(heard_s=heard_s)
+        self._relayed_down.discard(name)
+        self._heard[name] = known._replace(
+            heard_s=heard_s, configuration_version=configuration_version
+        )
+
+    def not_live(self, *, name: str) -> None:
+        """Notes that a relay says that an entry is unheard or leaving.
+
+        It holds until the entry or a relay says otherwise, and only keeps new
+        work away.
+        """
+        self._relayed_down.add(name)
 
     def last_heard(self, *, name: str) -> Heard | None:
         """Returns the latest that an entry said of itself, None if nothing."""
@@ -272,13 +337,70 @@
             return float("inf")
         return max(0.0, now_s - heard.heard_s)
 
+    def version_reports(
+        self, *, own_version: int, now_s: float
+    ) -> tuple[VersionReport, ...]:
+        """Returns one report of the version in force for each entry.
+
+        Args:
+          own_version: version that this entry has in force.
+          now_s: monotonic time.
+        """
+        reports = []
+        for row in self.table.entries:
+            age_s = self.age_s(name=row.name, now_s=now_s)
+            version = self._version_of(row.name, own_version)
+            reports.append(VersionReport(row.name, version, age_s))
+        return tuple(reports)
+
+    def _version_of(self, name: str, own_version: int) -> int:
+        if name == self.own.name:
+            return own_version
+        heard = self._heard.get(name)
+        if heard is None:
+            return 0
+        return heard.configuration_version
+
+    def highest_version(self, *, own_version: int) -> int:
+        """Returns the highest configuration version known of, own included."""
+        highest = own_version
+        for heard in self._heard.values():
+            highest = max(highest, heard.configuration_version)
+        return highest
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether an entry was heard that acts on a higher epoch.
+
+        An entry that is behind must take no new duty before it has read the
+        newer table, from the platform or from that peer: a rolled-back
+        platform could have given it a table that the others never had.
+        """
+        for heard in self._heard.values():
+            if heard.epoch > self.table.epoch:
+                return True
+        return False
+
     def is_silent(self, *, name: str, now_s: float) -> bool:
         """Returns whether an entry's last heartbeat is past the limit."""
-        return self.age_s(name=name, now_s=now_s) > self._silence_limit_s
+        limit_s = self._far_limit_s
+        if name in self._near_names:
+            limit_s = self._near_limit_s
+        return self.age_s(name=name, now_s=now_s) > limit_s
 
-    def set_silence_limit(self, *, silence_limit_s: float) -> None:
-        """Widens or narrows the limit, as the fan-out of heartbeats needs."""
-        self._silence_limit_s = silence_limit_s
+    def set_silence_limits(
+        self, *, near_names: frozenset[str], near_s: float, far_s: float
+    ) -> None:
+        """Fits the limits to how often heartbeats come.
+
+        Args:
+          near_names: entries that send their own heartbeats to this one.
+          near_s: limit for them.
+          far_s: limit for the rest, known from relayed digests.
+        """
+        self._near_names = near_names
+        self._near_limit_s = near_s
+        self._far_limit_s = far_s
 
     # Leaving.
 
@@ -305,6 +427,8 @@
         for row in self.table.entries:
             if self.is_leaving(name=row.name):
                 continue
+            if row.name in self._relayed_down:
+                continue
             if self.is_silent(name=row.name, now_s=now_s):
                 continue
             rows.append(row)
@@ -319,14 +443,6 @@
         return tuple(names)
 
 
-def _is_newer(heard: Heard, known: Heard) -> bool:
-    if heard.incarnation == known.incarnation:
-        return heard.sequence > known.sequence
-    # Incarnations have no order. The one heard later is the living one: a
-    # connection delivers in order and dies with its process.
-    return heard.heard_s > known.heard_s
-
-
 def _without(
     table: EntryTable, names: set[str], lowest_epoch: int
 ) -> EntryTable | None:
--- /dev/null
+++ b/almondstair/document_exchange.py
@@ -0,0 +1,139 @@
+"""Entry tables and configurations pulled from peers.
+
+An entry learns from a heartbeat that a peer has something newer and asks that
+peer for it. So a change reaches entries that hold no watch, and all of them
+while the platform is out. At start an entry asks the peers of its settings.
+"""
+
+from collections.abc import Callable, Iterable
+
+from almondstair import messages
+from almondstair.core.configuration import ConfigurationState
+from almondstair.core.configuration import StoredConfiguration
+from almondstair.core.entry_table import EntryTable
+from almondstair.core.membership import Membership
+from almondstair.messages import ConfigurationDocument
+from almondstair.messages import ConfigurationRequest
+from almondstair.messages import Heartbeat
+from almondstair.messages import TableDocument
+from almondstair.messages import TableRequest
+from almondstair.peers import Peers
+from almondstair.store import decode_configuration
+from almondstair.store import encode_configuration
+
+# Heartbeats of many peers show the same news; one question in this time is
+# enough, and the next one goes to another peer if the first is lost.
+ASK_AGAIN_S = 0.5
+
+
+class DocumentExchange:
+    """Asks peers for newer documents and answers such questions."""
+
+    def __init__(
+        self,
+        *,
+        peer_address: str,
+        peers: Peers,
+        membership: Membership,
+        configuration: ConfigurationState,
+        on_table: Callable[[EntryTable], None],
+        on_configuration: Callable[[StoredConfiguration], None],
+        clock: Callable[[], float],
+    ) -> None:
+        """Prepares.
+
+        Args:
+          peer_address: `ip:port` at which this entry takes answers.
+          peers: the sockets.
+          membership: has the entry table in force.
+          configuration: has the configuration in force.
+          on_table: called with a table that a peer sent.
+          on_configuration: called with a configuration that a peer sent; it
+            validates the text and offers it to the state.
+          clock: returns monotonic seconds.
+        """
+        self._peer_address = peer_address
+        self._peers = peers
+        self._membership = membership
+        self._configuration = configuration
+        self._on_table = on_table
+        self._on_configuration = on_configuration
+        self._clock = clock
+        self._table_asked_s = float("-inf")
+        self._configuration_asked_s = float("-inf")
+        self._packed = b""
+        self._packed_version = 0
+
+    def ask_addresses(self, addresses: Iterable[str]) -> None:
+        """Asks peers by address, as at start; to be repeated until answered.
+
+        A first question to an address is lost while its connection opens.
+        """
+        for address in addresses:
+            if address == self._peer_address:
+                continue
+            self._peers.send_to_address(address, self._table_request())
+            self._peers.send_to_address(address, self._configuration_request())
+
+    def follow_heartbeat(self, *, name: str, heartbeat: Heartbeat) -> None:
+        """Asks a peer for what its heartbeat shows to be newer."""
+        now_s = self._clock()
+        if heartbeat.epoch > self._membership.table.epoch:
+            if now_s - self._table_asked_s >= ASK_AGAIN_S:
+                self._table_asked_s = now_s
+                self._peers.send(name, self._table_request())
+        if heartbeat.configuration_version > self._configuration.version:
+            if now_s - self._configuration_asked_s >= ASK_AGAIN_S:
+                self._configuration_asked_s = now_s
+                self._peers.send(name, self._configuration_request())
+
+    def receive(self, message: object) -> bool:
+        """Handles a message if it is of this exchange.
+
+        Returns:
+          Whether it was.
+        """
+        if isinstance(message, TableRequest):
+            self._answer_table(message)
+        elif isinstance(message, TableDocument):
+            self._on_table(message.table)
+        elif isinstance(message, ConfigurationRequest):
+            self._answer_configuration(message)
+        elif isinstance(message, ConfigurationDocument):
+            value = messages.unpack(message.packed)
+            self._on_configuration(decode_configuration(value))
+        else:
+            return False
+        return True
+
+    def _table_request(self) -> TableRequest:
+        return TableRequest(self._peer_address, self._membership.table.epoch)
+
+    def _configuration_request(self) -> ConfigurationRequest:
+        return ConfigurationRequest(
+            self._peer_address, self._configuration.version
+        )
+
+    def _answer_table(self, request: TableRequest) -> None:
+        table = self._membership.table
+        if table.epoch <= request.epoch:
+            return
+        self._answer(request.peer_address, TableDocument(table))
+
+    def _answer_configuration(self, request: ConfigurationRequest) -> None:
+        stored = self._configuration.in_force
+        if stored is None or stored.version <= request.version:
+            return
+        if self._packed_version != stored.version:
+            self._packed = messages.pack(encode_configuration(stored))
+            self._packed_version = stored.version
+        self._answer(request.peer_address, ConfigurationDocument(self._packed))
+
+    def _answer(
+        self, peer_address: str, document: TableDocument | ConfigurationDocument
+    ) -> None:
+        for row in self._membership.table.entries:
+            if row.peer_address == peer_address:
+                self._peers.send(row.name, document)
+                return
+        self._peers.send_to_address(peer_address, document)
--- /dev/null
+++ b/almondstair/heartbeats.py
@@ -0,0 +1,330 @@
+"""Sends and reads heartbeats: the timer round `core.heartbeats`."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from tornado.ioloop import PeriodicCallback
+
+from almondstair.core.configuration import ConfigurationState
+from almondstair.core.entry_table import EntryRow
+from almondstair.core.heartbeats import DIGESTS_TO_FAR
+from almondstair.core.heartbeats import DIGESTS_TO_NEAR
+from almondstair.core.heartbeats import FAR_SILENCE_S
+from almondstair.core.heartbeats import Acknowledgement
+from almondstair.core.heartbeats import Acknowledgements
+from almondstair.core.heartbeats import DigestStore
+from almondstair.core.heartbeats import FanOut
+from almondstair.core.heartbeats import GroupView
+from almondstair.core.heartbeats import MemberWord
+from almondstair.core.heartbeats import ServiceLoad
+from almondstair.core.heartbeats import StatusDetail
+from almondstair.core.heartbeats import ZoneDigest
+from almondstair.core.heartbeats import make_digest
+from almondstair.core.heartbeats import make_view
+from almondstair.core.heartbeats import read_digest
+from almondstair.core.heartbeats import read_view
+from almondstair.core.heartbeats import zone_names
+from almondstair.core.membership import Heard
+from almondstair.core.membership import Membership
+from almondstair.messages import Heartbeat
+from almondstair.peers import Peers
+
+
+class HeardDetail(NamedTuple):
+    """An entry's word on its upstreams and when it was heard."""
+
+    detail: StatusDetail
+    heard_s: float
+
+
+class Heartbeats:
+    """Sends this entry's heartbeats and keeps what the others say.
+
+    Attributes:
+      details: latest word of each entry that sends this one heartbeats, on its
+        upstreams.
+      digests: the availability zones beyond.
+      acknowledgements: peers' acknowledgements, dated by this entry's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: EntryRow,
+        incarnation: int,
+        membership: Membership,
+        configuration: ConfigurationState,
+        peers: Peers,
+        clock: Callable[[], float],
+        own_detail: Callable[[], StatusDetail],
+        interval_ms: int,
+        silence_limit_ms: int,
+    ) -> None:
+        """Prepares; nothing is sent before `start`.
+
+        Args:
+          own: this entry.
+          incarnation: random number of this process, not 0.
+          membership: who is heard.
+          configuration: what is in force here.
+          peers: the sockets.
+          clock: returns monotonic seconds.
+          own_detail: returns this entry's word on its upstreams.
+          interval_ms: time between two rounds of sending.
+          silence_limit_ms: shortest age at which an entry counts as silent.
+        """
+        self._own = own
+        self._membership = membership
+        self._configuration = configuration
+        self._peers = peers
+        self._clock = clock
+        self._own_detail = own_detail
+        self._silence_limit_s = silence_limit_ms / 1000
+        self._fan_out = FanOut(own=own, interval_s=interval_ms / 1000)
+        self._timer = PeriodicCallback(self._tick, interval_ms)
+        self._sequence = 0
+        self._finished = False
+        self._zone_names: list[str] = []
+        self.details: dict[str, HeardDetail] = {}
+        self.digests = DigestStore()
+        self.acknowledgements = Acknowledgements(incarnation=incarnation)
+
+    def start(self) -> None:
+        """Starts to send on the current loop."""
+        self._timer.start()
+
+    def stop(self) -> None:
+        """Sends nothing more."""
+        self._timer.stop()
+
+    def refresh_table(self, *, partners: Iterable[str] = ()) -> None:
+        """Works the receivers out anew; to be called with each new table.
+
+        Args:
+          partners: entries that share a duty with this one.
+        """
+        membership = self._membership
+        self._peers.set_rows(membership.table.entries)
+        self._fan_out.set_table(table=membership.table, partners=partners)
+        self._zone_names = zone_names(
+            table=membership.table,
+            availability_zone=self._own.availability_zone,
+        )
+        membership.set_silence_limits(
+            near_names=self._fan_out.near_names,
+            near_s=self._fan_out.silence_limit_s(
+                shortest_s=self._silence_limit_s
+            ),
+            far_s=FAR_SILENCE_S,
+        )
+        for name in tuple(self.details):
+            if membership.table.row(name=name) is None:
+                del self.details[name]
+
+    def announce(self, *, finished: bool = False) -> None:
+        """Sends to every receiver at once, as when this entry starts to leave.
+
+        Args:
+          finished: says that every duty is given up for good, from now on.
+        """
+        self._finished = self._finished or finished
+        now_s = self._clock()
+        self._begin_round(now_s)
+        detail = self._own_detail()
+        for name in sorted(self._fan_out.near_names):
+            self._send(name, detail, None, ())
+
+    def _tick(self) -> None:
+        now_s = self._clock()
+        self._begin_round(now_s)
+        sending = self._fan_out.tick()
+        detail = self._own_detail()
+        view = None
+        if sending.with_view:
+            view = self._view(now_s)
+        for name in sending.near:
+            digests: tuple[ZoneDigest, ...] = ()
+            if sending.with_view:
+                digests = self.digests.next(count=DIGESTS_TO_NEAR, now_s=now_s)
+            self._send(name, detail, view, digests)
+        for name in sending.partners:
+            self._send(name, detail, None, ())
+        for name in sending.far:
+            self._send(name, None, None, self._far_digests(now_s))
+
+    def _begin_round(self, now_s: float) -> None:
+        self._sequence += 1
+        self.acknowledgements.sent(sequence=self._sequence, now_s=now_s)
+
+    def _send(
+        self,
+        name: str,
+        detail: StatusDetail | None,
+        view: GroupView | None,
+        digests: tuple[ZoneDigest, ...],
+    ) -> None:
+        echo_incarnation = 0
+        echo_sequence = 0
+        known = self._membership.last_heard(name=name)
+        if known is not None:
+            echo_incarnation = known.incarnation
+            echo_sequence = known.sequence
+        heartbeat = Heartbeat(
+            sequence=self._sequence,
+            epoch=self._membership.table.epoch,
+            configuration_version=self._configuration.version,
+            leaving=self._membership.leaving,
+            finished=self._finished,
+            echo_incarnation=echo_incarnation,
+            echo_sequence=echo_sequence,
+            detail=detail,
+            view=view,
+            digests=digests,
+        )
+        self._peers.send(name, heartbeat)
+
+    def _zone_words(self, now_s: float) -> list[MemberWord]:
+        membership = self._membership
+        words = []
+        for name in self._zone_names:
+            version = self._configuration.version
+            known = membership.last_heard(name=name)
+            if name != self._own.name:
+                version = known.configuration_version if known else 0
+            live = not membership.is_leaving(name=name)
+            live = live and not membership.is_silent(name=name, now_s=now_s)
+            age_s = membership.age_s(name=name, now_s=now_s)
+            words.append(MemberWord(name, live, age_s, version))
+        return words
+
+    def _view(self, now_s: float) -> GroupView:
+        return make_view(
+            epoch=self._membership.table.epoch,
+            words=self._zone_words(now_s),
+            configuration_version=self._highest_version(),
+        )
+
+    def _highest_version(self) -> int:
+        return self._membership.highest_version(
+            own_version=self._configuration.version
+        )
+
+    def _far_digests(self, now_s: float) -> tuple[ZoneDigest, ...]:
+        own = make_digest(
+            availability_zone=self._own.availability_zone,
+            epoch=self._membership.table.epoch,
+            words=self._zone_words(now_s),
+            version=self._highest_version(),
+            loads=self.zone_loads(now_s=now_s),
+        )
+        others = self.digests.next(count=DIGESTS_TO_FAR - 1, now_s=now_s)
+        return (own,) + others
+
+    def zone_loads(self, *, now_s: float) -> tuple[ServiceLoad, ...]:
+        """Returns the load by service over this zone's live entries."""
+        loads: dict[str, ServiceLoad] = {}
+        _add_loads(loads, self._own_detail().loads, 0)
+        for name in self._zone_names:
+            heard = self.details.get(name)
+            if heard is None:
+                continue
+            if self._membership.is_silent(name=name, now_s=now_s):
+                continue
+            age_ms = int((now_s - heard.heard_s) * 1000)
+            _add_loads(loads, heard.detail.loads, age_ms)
+        return tuple(loads.values())
+
+    def receive(
+        self, *, name: str, incarnation: int, heartbeat: Heartbeat
+    ) -> Acknowledgement | None:
+        """Takes a heartbeat in.
+
+        Args:
+          name: the sender.
+          incarnation: its process.
+          heartbeat: the heartbeat.
+
+        Returns:
+          The sender's latest acknowledgement, None if it has none of this
+          process yet or the heartbeat is late or of an entry not in the table.
+        """
+        now_s = self._clock()
+        if self._membership.table.row(name=name) is None:
+            return None
+        if not self._membership.heard(
+            _heard(name, incarnation, heartbeat, now_s)
+        ):
+            return None
+        if heartbeat.detail is not None:
+            self.details[name] = HeardDetail(heartbeat.detail, now_s)
+        if heartbeat.view is not None:
+            self._take_view(heartbeat.view, now_s)
+        for digest in heartbeat.digests:
+            self._take_digest(digest, now_s)
+        return self.acknowledgements.echoed(
+            name=name,
+            epoch=heartbeat.epoch,
+            incarnation=heartbeat.echo_incarnation,
+            sequence=heartbeat.echo_sequence,
+        )
+
+    def _take_view(self, view: GroupView, now_s: float) -> None:
+        if view.epoch != self._membership.table.epoch:
+            # Another table, another order of names: the bytes would be read
+            # as the word of the wrong entries.
+            return
+        for word in read_view(view=view, names=self._zone_names):
+            self._membership.heard_of(
+                name=word.name,
+                heard_s=now_s - word.age_s,
+                configuration_version=word.version,
+            )
+
+    def _take_digest(self, digest: ZoneDigest, now_s: float) -> None:
+        if digest.availability_zone == self._own.availability_zone:
+            return
+        if not self.digests.offer(digest=digest, now_s=now_s):
+            return
+        table = self._membership.table
+        if digest.epoch != table.epoch:
+            return
+        names = zone_names(
+            table=table, availability_zone=digest.availability_zone
+        )
+        for word in read_digest(digest=digest, names=names):
+            if not word.live:
+                self._membership.not_live(name=word.name)
+                continue
+            self._membership.heard_of(
+                name=word.name,
+                heard_s=now_s - word.age_s,
+                configuration_version=word.version,
+            )
+
+
+def _heard(
+    name: str, incarnation: int, heartbeat: Heartbeat, now_s: float
+) -> Heard:
+    return Heard(
+        name=name,
+        incarnation=incarnation,
+        sequence=heartbeat.sequence,
+        epoch=heartbeat.epoch,
+        configuration_version=heartbeat.configuration_version,
+        leaving=heartbeat.leaving,
+        finished=heartbeat.finished,
+        heard_s=now_s,
+    )
+
+
+def _add_loads(
+    sums: dict[str, ServiceLoad], loads: Iterable[ServiceLoad], age_ms: int
+) -> None:
+    for load in loads:
+        known = sums.get(load.service, ServiceLoad(load.service, 0, 0, 0))
+        sums[load.service] = ServiceLoad(
+            service=load.service,
+            slots=known.slots + load.slots,
+            free_slots=known.free_slots + load.free_slots,
+            age_ms=max(known.age_ms, load.age_ms + age_ms),
+        )
--- a/almondstair/messages.py
+++ b/almondstair/messages.py
@@ -10,12 +10,15 @@
 """
 
 import enum
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, NamedTuple
 import zlib
 
 import msgspec
 
 from almondstair.core.entry_table import EntryTable
+from almondstair.core.heartbeats import GroupView
+from almondstair.core.heartbeats import StatusDetail
+from almondstair.core.heartbeats import ZoneDigest
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 
@@ -26,20 +29,15 @@
 # frame could unpack to more memory than the VM has.
 TEXT_LIMIT_BYTES = 16_000_000
 
-MessageType = TypeVar("MessageType", bound=type)
-
 
 class Tag(enum.IntEnum):
     """Every kind of message between entries; numbers are never reused."""
 
     HEARTBEAT = 1
-    GROUP_VIEW = 2
-    ZONE_DIGESTS = 3
-    TABLE_REQUEST = 4
-    TABLE_DOCUMENT = 5
-    CONFIGURATION_REQUEST = 6
-    CONFIGURATION_DOCUMENT = 7
-    STATUS_DETAIL = 8
+    TABLE_REQUEST = 2
+    TABLE_DOCUMENT = 3
+    CONFIGURATION_REQUEST = 4
+    CONFIGURATION_DOCUMENT = 5
     LOAN_REQUEST = 16
     LOAN = 17
     EPOCH_ACKNOWLEDGED = 18
@@ -49,9 +47,11 @@
 class Heartbeat(NamedTuple):
     """What an entry says of itself, made for one receiver.
 
+    The parts that are not always sent ride along rather than in messages of
+    their own, because a packet's headers cost as much as a heartbeat.
+
     Attributes:
-      incarnation: random number of the sender's process.
-      sequence: number of this heartbeat within the incarnation.
+      sequence: number of this heartbeat within the sender's incarnation.
       epoch: epoch of the entry table that the sender acts on and so
         acknowledges.
       configuration_version: version that the sender has in force.
@@ -61,9 +61,11 @@
       echo_sequence: latest heartbeat of the receiver that the sender had. It
         dates the acknowledgement: one that was delayed on its way echoes an
         old sequence, so it cannot pass for a fresh one.
+      detail: the sender's upstreams.
+      view: whom the sender heard in its group, when the group is large.
+      digests: availability zones beyond the group.
     """
 
-    incarnation: int
     sequence: int
     epoch: int
     configuration_version: int
@@ -71,94 +73,9 @@
     finished: bool = False
     echo_incarnation: int = 0
     echo_sequence: int = 0
-
-
-class ServiceLoad(NamedTuple):
-    """Load of one service on the upstreams of one home or zone.
-
-    Attributes:
-      service: name of the service.
-      slots: usable slots.
-      free_slots: those of them that are free.
-      age_ms: age of the figures when they were sent.
-    """
-
-    service: str
-    slots: int
-    free_slots: int
-    age_ms: int
-
-
-class QuarantinePrint(NamedTuple):
-    """One struck or quarantined request.
-
-    Attributes:
-      fingerprint: digest of the request.
-      strikes: names of the upstreams that it struck.
-      left_ms: time until it is forgotten.
-    """
-
-    fingerprint: int
-    strikes: tuple[str, ...]
-    left_ms: int
-
-
-class StatusDetail(NamedTuple):
-    """What an entry says of its upstreams, to the entries near it.
-
-    Attributes:
-      loads: load by service over the upstreams that it is home of.
-      leaving_upstreams: upstreams that it knows to be leaving.
-      prints: requests that crashed upstreams.
-    """
-
-    loads: tuple[ServiceLoad, ...] = ()
-    leaving_upstreams: tuple[str, ...] = ()
-    prints: tuple[QuarantinePrint, ...] = ()
-
-
-class GroupView(NamedTuple):
-    """How lately the sender heard each entry of its group, itself or relayed.
-
-    Attributes:
-      epoch: entry table whose order of names the bytes follow.
-      ages: one byte an entry, its age in `AGE_UNIT_S`; 255 for unheard.
-      versions_behind: one byte an entry, configuration versions that it lacks
-        against `configuration_version`; 255 for 255 or more or unknown.
-      configuration_version: highest version that the sender knows of.
-    """
-
-    epoch: int
-    ages: bytes
-    versions_behind: bytes
-    configuration_version: int
-
-
-class ZoneDigest(NamedTuple):
-    """One availability zone in few bytes, relayed to far entries.
-
-    Attributes:
-      availability_zone: the zone.
-      epoch: entry table whose order of names the bits follow.
-      live_bits: one bit an entry, set if it is heard and not leaving.
-      lowest_version: lowest configuration version in force over all of the
-        zone's entries; 0 if one is unheard.
-      age_ms: age when sent, grown on each relay.
-      loads: load by service over the zone's upstreams.
-    """
-
-    availability_zone: str
-    epoch: int
-    live_bits: bytes
-    lowest_version: int
-    age_ms: int
-    loads: tuple[ServiceLoad, ...] = ()
-
-
-class ZoneDigests(NamedTuple):
-    """Some zones' digests."""
-
-    digests: tuple[ZoneDigest, ...]
+    detail: StatusDetail | None = None
+    view: GroupView | None = None
+    digests: tuple[ZoneDigest, ...] = ()
 
 
 class TableRequest(NamedTuple):
@@ -274,10 +191,7 @@
 
 
 register(tag=Tag.HEARTBEAT, message_type=Heartbeat)
-register(tag=Tag.GROUP_VIEW, message_type=GroupView)
-register(tag=Tag.ZONE_DIGESTS, message_type=ZoneDigests)
 register(tag=Tag.TABLE_REQUEST, message_type=TableRequest)
 register(tag=Tag.TABLE_DOCUMENT, message_type=TableDocument)
 register(tag=Tag.CONFIGURATION_REQUEST, message_type=ConfigurationRequest)
 register(tag=Tag.CONFIGURATION_DOCUMENT, message_type=ConfigurationDocument)
-register(tag=Tag.STATUS_DETAIL, message_type=StatusDetail)
--- a/almondstair/peers.py
+++ b/almondstair/peers.py
@@ -226,7 +226,11 @@
         except (AlmondstairError, ValueError) as error:
             self._count_unreadable(error)
             return
-        self._on_message(name, incarnation, message)
+        try:
+            self._on_message(name, incarnation, message)
+        except AlmondstairError as error:
+            # The document inside is damaged or of another release.
+            self._count_unreadable(error)
 
     def _count_unreadable(self, error: Exception) -> None:
         counts = self._counts
