--- a/almondstair/body.py
+++ b/almondstair/body.py
@@ -24,6 +24,7 @@
         self.size_bytes = 0
         self.whole = False
         self.streaming = False
+        self.consumed = False
         self._aborted = False
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
@@ -89,6 +90,7 @@
                 return b""
             self._readable = asyncio.get_running_loop().create_future()
             await self._readable
+        self.consumed = True
         chunk = self._chunks.popleft()
         self._buffered_bytes -= len(chunk)
         if self._buffered_bytes <= BUFFER_LIMIT_BYTES:
--- /dev/null
+++ b/almondstair/configuration_keeper.py
@@ -0,0 +1,337 @@
+"""Keeps the configuration in force: follows it, seeds it, edits it."""
+
+import asyncio
+from collections.abc import Callable
+import datetime
+import time
+import uuid
+
+from almondstair import documents
+from almondstair import log
+from almondstair.core.configuration import ConfigurationState
+from almondstair.core.configuration import Edit
+from almondstair.core.configuration import EditFate
+from almondstair.core.configuration import EditResult
+from almondstair.core.configuration import Offer
+from almondstair.core.configuration import StoredConfiguration
+from almondstair.core.configuration import applied_result
+from almondstair.core.heartbeats import holds_watch
+from almondstair.core.membership import Membership
+from almondstair.core.model import Configuration
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+from almondstair.operators import EditAnswer
+from almondstair.operators import EditRequest
+from almondstair.settings import read_configuration
+from almondstair.store import ConfigurationStore
+from almondstair.store import Follower
+
+# How long an edit is waited for before its operator is told `edit_pending`.
+ACCEPT_WAIT_S = 5.0
+ACCEPT_POLL_S = 0.05
+SEED_AUTHOR = "deployment file"
+
+_FATE_KINDS = {
+    EditFate.PENDING: ErrorKind.EDIT_PENDING,
+    EditFate.CONFLICT: ErrorKind.EDIT_CONFLICT,
+    EditFate.UNKNOWN: ErrorKind.EDIT_UNKNOWN,
+    EditFate.NOT_FOUND: ErrorKind.NOT_FOUND,
+}
+
+
+class ConfigurationKeeper:
+    """Brings this entry's configuration and the platform's together."""
+
+    def __init__(
+        self,
+        *,
+        state: ConfigurationState,
+        membership: Membership,
+        store: ConfigurationStore,
+        fresh_limit_s: float,
+        on_configuration: Callable[[Configuration], None],
+    ) -> None:
+        """Prepares.
+
+        Args:
+          state: what is in force here.
+          membership: who else reports a version.
+          store: the configuration in the platform.
+          fresh_limit_s: age past which a report of a version is silence.
+          on_configuration: called with each configuration put in force.
+        """
+        self._state = state
+        self._membership = membership
+        self._store = store
+        self._fresh_limit_s = fresh_limit_s
+        self._on_configuration = on_configuration
+        self._follower: Follower | None = None
+        self._bad_version = 0
+        self.configuration: Configuration | None = None
+
+    @property
+    def version(self) -> int:
+        """Version in force here, 0 before the first."""
+        return self._state.version
+
+    @property
+    def in_force(self) -> StoredConfiguration | None:
+        """What is in force here."""
+        return self._state.in_force
+
+    def take(self, stored: StoredConfiguration) -> None:
+        """Takes a configuration from the platform or a peer, if newer."""
+        judgement = self._state.judge(stored)
+        if judgement in (Offer.OLDER, Offer.DIVERGED):
+            log.event(
+                log.Event.CONFIGURATION_OLDER,
+                offered_version=stored.version,
+                in_force_version=self._state.version,
+            )
+        if judgement is not Offer.APPLIED:
+            return
+        if stored.version == self._bad_version:
+            return
+        try:
+            configuration = read_configuration(
+                stored.text, f"configuration version {stored.version}"
+            )
+        except AlmondstairError as error:
+            self._bad_version = stored.version
+            log.event(
+                log.Event.CONFIGURATION_BAD,
+                version=stored.version,
+                detail=error.detail,
+            )
+            return
+        # Put in force first: what a heartbeat calls in force must already act.
+        self.configuration = configuration
+        self._on_configuration(configuration)
+        self._state.offer(stored)
+        log.event(
+            log.Event.CONFIGURATION_IN_FORCE,
+            version=stored.version,
+            edit_id=stored.edit_id,
+        )
+
+    def follow(self) -> None:
+        """Holds a watch while it is this entry's turn to."""
+        live = self._membership.live(now_s=time.monotonic())
+        wanted = holds_watch(own=self._membership.own, live=live)
+        if wanted and self._follower is None:
+            self._follower = self._store.follower(on_configuration=self.take)
+            self._follower.start()
+        if not wanted and self._follower is not None:
+            self._follower.stop()
+            self._follower = None
+
+    def stop(self) -> None:
+        """Follows nothing more."""
+        if self._follower is not None:
+            self._follower.stop()
+            self._follower = None
+
+    async def read(self) -> bool:
+        """Reads the platform's configuration; returns whether there is one.
+
+        Raises:
+          AlmondstairError: `platform_unavailable`.
+        """
+        stored = await self._store.read()
+        if stored is not None:
+            self.take(stored)
+        return stored is not None
+
+    async def seed(self, text: str) -> None:
+        """Writes the first configuration if the platform has none.
+
+        Only while no configuration is in force here or on any peer heard: a
+        platform that was wiped looks the same as one never used.
+
+        Raises:
+          AlmondstairError: `platform_unavailable`.
+        """
+        highest = self._membership.highest_version(
+            own_version=self._state.version
+        )
+        if highest > 0:
+            return
+        edit = Edit(
+            base_version=0,
+            edit_id=uuid.uuid4().hex,
+            author=SEED_AUTHOR,
+            edited_at=_now_text(),
+            text=text,
+        )
+        self.take(await self._store.seed(edit=edit))
+
+    async def edit(self, request: EditRequest) -> EditAnswer:
+        """Applies an operator's edit and waits until it is in force.
+
+        Raises:
+          AlmondstairError: `configuration_invalid` or `platform_unavailable`;
+            the edit was surely not applied.
+        """
+        read_configuration(request.text, "the edited configuration")
+        before = self._state.in_force
+        edit = Edit(
+            base_version=request.base_version,
+            edit_id=request.edit_id,
+            author=request.author,
+            edited_at=_now_text(),
+            text=request.text,
+        )
+        result = await self._store.edit(
+            edit=edit,
+            highest_version=self._membership.highest_version(
+                own_version=self._state.version
+            ),
+            all_heard=not self._membership.silent(now_s=time.monotonic()),
+        )
+        log.event(
+            log.Event.EDIT,
+            edit_id=edit.edit_id,
+            author=edit.author,
+            fate=str(result.fate),
+            version=result.version,
+        )
+        if result.fate is EditFate.PENDING:
+            return await self._until_accepted(result)
+        return await self._answer(result, request.base_version, before)
+
+    async def fate(self, edit_id: str) -> EditAnswer:
+        """Returns what is known of an edit.
+
+        Raises:
+          AlmondstairError: `platform_unavailable`, `not_found`.
+        """
+        stored = await self._store.read()
+        note = None
+        if stored is not None:
+            self.take(stored)
+            note = stored.find(edit_id=edit_id)
+        if note is None:
+            raise AlmondstairError(
+                kind=ErrorKind.NOT_FOUND,
+                detail=f"no edit {edit_id} among the latest; it was not "
+                "applied, or is older than those remembered",
+            )
+        result = EditResult(EditFate.PENDING, edit_id, note.version)
+        return await self._answer(self._judged(result), 0, None)
+
+    async def history(self) -> list[dict[str, object]]:
+        """Returns the latest edits, newest first."""
+        stored = await self._store.read()
+        versions: list[dict[str, object]] = []
+        if stored is None:
+            return versions
+        for note in stored.recent:
+            versions.append(dict(note._asdict()))
+        return versions
+
+    def marked(self, *, name: str, leaving: bool) -> tuple[int, str]:
+        """Returns the version in force and its text with a mark set.
+
+        Raises:
+          AlmondstairError: `platform_unavailable` while nothing is in force;
+            `not_found` if there is neither an upstream nor an entry.
+        """
+        stored = self._state.in_force
+        if stored is None or self.configuration is None:
+            raise AlmondstairError(kind=ErrorKind.PLATFORM_UNAVAILABLE)
+        known = name in self.configuration.upstreams
+        known = known or self._membership.table.row(name=name) is not None
+        known = known or name in self.configuration.marks.leaving
+        if not known:
+            raise AlmondstairError(
+                kind=ErrorKind.NOT_FOUND,
+                detail=f"there is neither an upstream nor an entry {name!r}",
+            )
+        text = documents.set_leaving(stored.text, name, leaving)
+        return stored.version, text
+
+    async def _until_accepted(self, result: EditResult) -> EditAnswer:
+        stored = await self._read_quietly()
+        if stored is not None:
+            self.take(stored)
+        until_s = time.monotonic() + ACCEPT_WAIT_S
+        judged = self._judged(result)
+        while judged.fate is EditFate.PENDING and time.monotonic() < until_s:
+            await asyncio.sleep(ACCEPT_POLL_S)
+            judged = self._judged(result)
+        return await self._answer(judged, 0, None)
+
+    async def _read_quietly(self) -> StoredConfiguration | None:
+        try:
+            return await self._store.read()
+        except AlmondstairError:
+            return None
+
+    def _judged(self, result: EditResult) -> EditResult:
+        """Returns `accepted` or `pending` for an edit that the platform has."""
+        stored = self._state.in_force
+        note = None
+        if stored is not None:
+            note = stored.find(edit_id=result.edit_id)
+        if note is None:
+            return result
+        return applied_result(
+            note=note,
+            reports=self._membership.version_reports(
+                own_version=self._state.version, now_s=time.monotonic()
+            ),
+            fresh_limit_s=self._fresh_limit_s,
+        )
+
+    async def _answer(
+        self,
+        result: EditResult,
+        base_version: int,
+        before: StoredConfiguration | None,
+    ) -> EditAnswer:
+        kind = _FATE_KINDS.get(result.fate)
+        if kind is None:
+            return EditAnswer(
+                result.edit_id, str(result.fate), result.version, result.lacking
+            )
+        changed: tuple[str, ...] = ()
+        detail = ""
+        if result.fate is EditFate.CONFLICT:
+            changed = await self._changed(base_version, before)
+            detail = _conflict_detail(result)
+        if result.lacking:
+            detail = "not known to be in force on: " + ", ".join(result.lacking)
+        return EditAnswer(
+            result.edit_id,
+            str(result.fate),
+            result.version,
+            result.lacking,
+            changed,
+            AlmondstairError(kind=kind, detail=detail),
+        )
+
+    async def _changed(
+        self, base_version: int, before: StoredConfiguration | None
+    ) -> tuple[str, ...]:
+        stored = await self._read_quietly()
+        if stored is None:
+            return ()
+        self.take(stored)
+        if before is None or before.version != base_version:
+            return ()
+        return tuple(documents.describe_changes(before.text, stored.text))
+
+
+def _conflict_detail(result: EditResult) -> str:
+    winner = result.winner
+    if winner is None:
+        return "the version edited is not the one in force; read it again"
+    return (
+        f"{winner.author} made version {winner.version} at {winner.edited_at}; "
+        "read it and edit again"
+    )
+
+
+def _now_text() -> str:
+    now = datetime.datetime.now(datetime.UTC)
+    return now.isoformat(timespec="seconds")
--- /dev/null
+++ b/almondstair/control.py
@@ -0,0 +1,412 @@
+"""The control side of an entry: messages of peers, timers, the keepers."""
+
+import asyncio
+from collections.abc import Coroutine, Sequence
+import time
+from typing import Any, NamedTuple
+
+from almondstair import log
+from almondstair.admitting import SlotKeeper
+from almondstair.configuration_keeper import ConfigurationKeeper
+from almondstair.core.entry_table import EntryRow
+from almondstair.core.entry_table import EntryTable
+from almondstair.core.heartbeats import ServiceLoad
+from almondstair.core.heartbeats import StatusDetail
+from almondstair.core.homes import Homes
+from almondstair.core.homes import HomesReport
+from almondstair.core.hops import HopTable
+from almondstair.core.loans import Loan
+from almondstair.core.loans import LoanRequest
+from almondstair.core.membership import Membership
+from almondstair.core.membership import incarnation_text
+from almondstair.core.model import Configuration
+from almondstair.core.quarantine import Quarantine
+from almondstair.core.steering import Steering
+from almondstair.document_exchange import DocumentExchange
+from almondstair.errors import AlmondstairError
+from almondstair.heartbeats import Heartbeats
+from almondstair.link_shares import LinkShares
+from almondstair.messages import Heartbeat
+from almondstair.messages import LinkEpoch
+from almondstair.metrics import Metric
+from almondstair.metrics import Metrics
+from almondstair.pacing import LinkPacers
+from almondstair.probing import Prober
+from almondstair.table_keeper import TableKeeper
+
+
+class ControlParts(NamedTuple):
+    """What the control side drives."""
+
+    own: EntryRow
+    membership: Membership
+    homes: Homes
+    keeper: SlotKeeper
+    steering: Steering
+    hops: HopTable
+    quarantine: Quarantine
+    shares: LinkShares
+    pacers: LinkPacers
+    prober: Prober
+    metrics: Metrics
+
+
+class Control:
+    """Feeds the core with what peers and the platform say."""
+
+    def __init__(
+        self, *, parts: ControlParts, tick_s: float, refresh_s: float
+    ) -> None:
+        """Prepares; `bind` gives it what was made after it.
+
+        Args:
+          parts: what it drives.
+          tick_s: time between two looks at what has fallen due.
+          refresh_s: time between two looks at the VM list.
+        """
+        self._parts = parts
+        self._tick_s = tick_s
+        self._refresh_s = refresh_s
+        self._tasks: list[asyncio.Task[None]] = []
+        self._silent: frozenset[str] = frozenset()
+        self._lost_regions: frozenset[str] = frozenset()
+        self._homes_seen: dict[str, str | None] = {}
+        self._leaving_upstreams: frozenset[str] = frozenset()
+        self._heartbeats: Heartbeats
+        self._exchange: DocumentExchange
+        self._table: TableKeeper
+        self._configuration: ConfigurationKeeper
+
+    def bind(
+        self,
+        *,
+        heartbeats: Heartbeats,
+        exchange: DocumentExchange,
+        table: TableKeeper,
+        configuration: ConfigurationKeeper,
+    ) -> None:
+        """Takes the parts that call back into this one."""
+        self._heartbeats = heartbeats
+        self._exchange = exchange
+        self._table = table
+        self._configuration = configuration
+
+    def start(self) -> None:
+        """Starts the timers on the running loop."""
+        self._spawn(self._every(self._tick_s, self._tick))
+        self._spawn(self._every(self._refresh_s, self._refresh))
+
+    def stop(self) -> None:
+        """Stops the timers."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.ensure_future(work))
+
+    async def _every(self, interval_s: float, work: Any) -> None:
+        while True:
+            try:
+                await work()
+            except AlmondstairError as error:
+                log.event(log.Event.PLATFORM_DOWN, detail=error.detail)
+            except Exception as error:
+                # A fault in one round must not end all later ones: the entry
+                # would go on serving while its view of the others ages.
+                log.event(log.Event.REQUEST_BROKEN, error=error)
+            await asyncio.sleep(interval_s)
+
+    async def _tick(self) -> None:
+        now_s = time.monotonic()
+        self._observe_own(now_s)
+        self._observe_zones(now_s)
+        self._note_silence(now_s)
+        self._note_regions(now_s)
+        self._note_links(now_s)
+        self._parts.shares.ask()
+        self._parts.quarantine.expire(now_s=now_s)
+        self._parts.keeper.advance_all()
+        configuration = self._configuration.configuration
+        if configuration is not None:
+            self._parts.prober.start_due(configuration=configuration)
+        self.set_leaving()
+
+    async def _refresh(self) -> None:
+        await self._table.observe_vms()
+        self._table.follow()
+        self._configuration.follow()
+        await self._table.plan()
+
+    # What peers say.
+
+    def on_message(self, name: str, incarnation: int, message: object) -> None:
+        """Takes one message of a peer."""
+        if isinstance(message, Heartbeat):
+            self._on_heartbeat(name, incarnation, message)
+        elif isinstance(message, HomesReport):
+            self._on_homes_report(name, incarnation, message)
+        elif isinstance(message, LinkEpoch):
+            self._on_link_epoch(name, incarnation, message)
+        elif isinstance(message, LoanRequest):
+            self._parts.shares.lend(message)
+        elif isinstance(message, Loan):
+            self._parts.shares.accept(message)
+        else:
+            self._exchange.receive(message)
+
+    def _on_heartbeat(
+        self, name: str, incarnation: int, heartbeat: Heartbeat
+    ) -> None:
+        self._exchange.follow_heartbeat(name=name, heartbeat=heartbeat)
+        counts = self._heartbeats.receive(
+            name=name, incarnation=incarnation, heartbeat=heartbeat
+        )
+        if not counts or heartbeat.detail is None:
+            return
+        now_s = time.monotonic()
+        row = self._parts.membership.table.row(name=name)
+        assert row is not None
+        self._parts.quarantine.merge(marks=heartbeat.detail.marks, now_s=now_s)
+        for load in heartbeat.detail.loads:
+            self._observe(row, load, now_s)
+
+    def _observe(self, row: EntryRow, load: ServiceLoad, now_s: float) -> None:
+        self._parts.steering.observe(
+            region=row.region,
+            service=load.service,
+            source=row.name,
+            slots=load.slots,
+            free_slots=load.free_slots,
+            age_s=load.age_ms / 1000,
+            now_s=now_s,
+        )
+        self._parts.hops.heard(
+            entry=row.name,
+            service=load.service,
+            free_slots=load.free_slots,
+            now_s=now_s,
+        )
+
+    def _on_homes_report(
+        self, name: str, incarnation: int, report: HomesReport
+    ) -> None:
+        if report.entry != name:
+            return
+        if report.incarnation != incarnation_text(incarnation):
+            return
+        self._parts.homes.heard(report=report, now_s=time.monotonic())
+        self._parts.keeper.advance_all()
+
+    def _on_link_epoch(
+        self, name: str, incarnation: int, message: LinkEpoch
+    ) -> None:
+        row = self._parts.membership.table.row(name=name)
+        if row is None or row.incarnation != incarnation_text(incarnation):
+            # The word of an earlier process of that VM: its successor has not
+            # acknowledged anything.
+            return
+        self._parts.shares.heard_epoch(entry=name, epoch=message.epoch)
+
+    # What this entry says.
+
+    def companions(self, name: str) -> Sequence[NamedTuple]:
+        """Returns what goes to an entry together with a heartbeat."""
+        row = self._parts.membership.table.row(name=name)
+        if row is None:
+            return ()
+        messages: list[NamedTuple] = []
+        if row.region == self._parts.own.region:
+            report = self._parts.homes.report_to(
+                peer=name, now_s=time.monotonic()
+            )
+            messages.append(report)
+        if row.availability_zone == self._parts.own.availability_zone:
+            acknowledgement = self._parts.shares.acknowledgement()
+            if acknowledgement is not None:
+                messages.append(acknowledgement)
+        return messages
+
+    def own_detail(self) -> StatusDetail:
+        """Returns this entry's word on its upstreams."""
+        now_s = time.monotonic()
+        return StatusDetail(
+            loads=self._own_loads(now_s),
+            leaving_upstreams=tuple(sorted(self._own_leaving(now_s))),
+            marks=self._parts.quarantine.digest(now_s=now_s),
+        )
+
+    def _own_loads(self, now_s: float) -> tuple[ServiceLoad, ...]:
+        configuration = self._configuration.configuration
+        if configuration is None:
+            return ()
+        loads = []
+        slots = self._parts.keeper.slots
+        for service in configuration.services:
+            usable = slots.usable_slots(service=service, now_s=now_s)
+            if not usable:
+                continue
+            free = slots.free_slots(service=service, now_s=now_s)
+            loads.append(ServiceLoad(service, usable, free, 0))
+        return tuple(loads)
+
+    def _own_leaving(self, now_s: float) -> set[str]:
+        names = set()
+        for row in self._parts.keeper.slots.status(now_s=now_s):
+            if row.leaving:
+                names.add(row.name)
+        return names
+
+    # What follows from it.
+
+    def on_table(self, table: EntryTable, from_platform: bool) -> None:
+        """Puts a newer entry table in force."""
+        now_s = time.monotonic()
+        known = set(table.names())
+        self._parts.homes.update_table(table=table, now_s=now_s)
+        self._parts.shares.update_table(
+            table=table, from_platform=from_platform
+        )
+        for name in tuple(self._heartbeats.details):
+            if name not in known:
+                self._parts.hops.forget(entry=name)
+                self._parts.steering.forget_source(source=name)
+        self._heartbeats.refresh_table(partners=self._partners(table))
+        self._parts.keeper.advance_all()
+        self._log_homes()
+
+    def _partners(self, table: EntryTable) -> list[str]:
+        """Returns the entries that share a duty with this one."""
+        names = set()
+        configuration = self._configuration.configuration
+        if configuration is None:
+            return []
+        for upstream in configuration.upstreams:
+            home = self._parts.homes.home_of(upstream=upstream)
+            successor = self._parts.homes.successor_of(upstream=upstream)
+            pair = {home, successor}
+            if self._parts.own.name not in pair:
+                continue
+            for name in pair:
+                if name is not None and table.row(name=name) is not None:
+                    names.add(name)
+        return sorted(names)
+
+    def _log_homes(self) -> None:
+        configuration = self._configuration.configuration
+        if configuration is None:
+            return
+        for upstream in configuration.upstreams:
+            home = self._parts.homes.home_of(upstream=upstream)
+            if self._homes_seen.get(upstream) == home:
+                continue
+            self._homes_seen[upstream] = home
+            if self._parts.own.name == home:
+                log.event(log.Event.HOME_CHANGED, upstream=upstream, home=home)
+
+    def on_configuration(self, configuration: Configuration) -> None:
+        """Tells the heartbeats of duties that a new configuration brings."""
+        self._parts.membership.mark_leaving(
+            names=frozenset(configuration.marks.leaving)
+        )
+        self._heartbeats.refresh_table(
+            partners=self._partners(self._parts.membership.table)
+        )
+        self._log_homes()
+
+    def set_leaving(self) -> None:
+        """Puts together which upstreams leave, over all sources.
+
+        Each source keeps its mark until it takes it back itself; what another
+        one does not say undoes nothing.
+        """
+        names = set(self._table.vms_leaving)
+        configuration = self._configuration.configuration
+        if configuration is not None:
+            names.update(configuration.marks.leaving)
+        leaving = frozenset(names)
+        self._parts.keeper.slots.set_leaving(names=leaving)
+        for name in leaving - self._leaving_upstreams:
+            log.event(log.Event.UPSTREAM_LEAVING, upstream=name)
+        for name in self._leaving_upstreams - leaving:
+            log.event(log.Event.UPSTREAM_RETURNED, upstream=name)
+        self._leaving_upstreams = leaving
+
+    def _observe_own(self, now_s: float) -> None:
+        configuration = self._configuration.configuration
+        if configuration is None:
+            return
+        slots = self._parts.keeper.slots
+        for service in configuration.services:
+            usable = slots.usable_slots(service=service, now_s=now_s)
+            free = slots.free_slots(service=service, now_s=now_s)
+            load = ServiceLoad(service, usable, free, 0)
+            self._observe(self._parts.own, load, now_s)
+
+    def _observe_zones(self, now_s: float) -> None:
+        """Takes the load of far zones from their digests."""
+        membership = self._parts.membership
+        by_zone: dict[str, list[EntryRow]] = {}
+        for row in membership.live(now_s=now_s):
+            if row.name in self._heartbeats.details:
+                continue
+            if row.name == self._parts.own.name:
+                continue
+            by_zone.setdefault(row.availability_zone, []).append(row)
+        for zone, rows in by_zone.items():
+            digest = self._heartbeats.digests.get(
+                availability_zone=zone, now_s=now_s
+            )
+            if digest is None:
+                continue
+            for load in digest.loads:
+                # The digest sums over the zone; each entry gets its part.
+                part = load._replace(
+                    slots=-(-load.slots // len(rows)),
+                    free_slots=load.free_slots // len(rows),
+                    age_ms=load.age_ms + digest.age_ms,
+                )
+                for row in rows:
+                    self._observe(row, part, now_s)
+
+    def _note_silence(self, now_s: float) -> None:
+        silent = frozenset(self._parts.membership.silent(now_s=now_s))
+        for name in silent - self._silent:
+            log.event(log.Event.ENTRY_SILENT, entry=name)
+        for name in self._silent - silent:
+            log.event(log.Event.ENTRY_HEARD, entry=name)
+        self._silent = silent
+
+    def _note_regions(self, now_s: float) -> None:
+        configuration = self._configuration.configuration
+        if configuration is None:
+            return
+        alive = set()
+        for row in self._parts.membership.live(now_s=now_s):
+            alive.add(row.region)
+        lost = frozenset(configuration.regions) - alive
+        for region in lost - self._lost_regions:
+            self._parts.steering.region_lost(region=region)
+        for region in self._lost_regions - lost:
+            self._parts.steering.region_back(region=region)
+        self._lost_regions = lost
+
+    def _note_links(self, now_s: float) -> None:
+        for region in self._parts.pacers.regions():
+            self._parts.steering.observe_link(
+                availability_zone=self._parts.own.availability_zone,
+                region=region,
+                headroom=self._parts.pacers.headroom(
+                    region=region, now_s=now_s
+                ),
+            )
+
+    def flush_metrics(self) -> None:
+        """Sends the metrics that have gathered."""
+        metrics = self._parts.metrics
+        version = self._configuration.version
+        metrics.gauge(Metric.CONFIGURATION_VERSION, version)
+        busy = 0
+        for row in self._parts.keeper.slots.status(now_s=time.monotonic()):
+            busy += row.in_flight
+        metrics.gauge(Metric.SLOTS_BUSY, busy)
+        metrics.flush()
--- /dev/null
+++ b/almondstair/core/membership.py
@@ -0,0 +1,507 @@
+"""Who is an entry, who is heard, and when the entry table changes.
+
+Two questions are kept apart on purpose:
+
+* Which entries *exist* is the entry table. It changes only because the
+  platform's VM list shows that a VM is gone, or because the entry itself
+  finished leaving. Silence never changes it: a frozen process wakes up and
+  still believes in the duties that it had.
+* Which entries are *heard* changes with every heartbeat. It decides whom
+  look-ups name and where work goes, never who owns what.
+
+While the platform is out the table stands still and everything built on it
+goes on.
+"""
+
+from typing import NamedTuple
+
+import xxhash
+
+from almondstair.core.configuration import VersionReport
+from almondstair.core.entry_table import EntryRow
+from almondstair.core.entry_table import EntryTable
+
+# An age that the VM list states may be rounded; absence counts only from a
+# listing that is newer than the row by this much.
+LISTING_MARGIN_S = 1.0
+# Listings in a row, each newer than the last, that must lack a VM.
+LISTINGS_LACKING = 2
+# Incarnation of an entry known only from relays.
+NO_INCARNATION = 0
+
+
+class VmObservation(NamedTuple):
+    """What one answer of the platform's VM list says.
+
+    Attributes:
+      listed: names of the VMs in the list.
+      leaving: those of them that the list has as leaving.
+      described_s: moment that the answer describes, on the reader's monotonic
+        clock: when it was read less the age that the list states.
+    """
+
+    listed: frozenset[str]
+    leaving: frozenset[str]
+    described_s: float
+
+
+class Heard(NamedTuple):
+    """What an entry said of itself, as its latest heartbeat told it.
+
+    Attributes:
+      name: name of the entry.
+      incarnation: random number of its process; another one means a restart.
+      sequence: number of the heartbeat within the incarnation.
+      epoch: epoch of the entry table that it acts on.
+      configuration_version: version that it has in force.
+      leaving: whether it takes no new work.
+      finished: whether it has given up every duty for good.
+      heard_s: when it was heard, less any time spent on relays.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    epoch: int
+    configuration_version: int
+    leaving: bool
+    finished: bool
+    heard_s: float
+
+
+class Membership:
+    """One entry's view of the entry table and of who is heard.
+
+    Attributes:
+      own: this entry's row.
+      table: the entry table in force here; its epoch never falls.
+      leaving: whether this entry takes no new work.
+    """
+
+    def __init__(self, *, own: EntryRow, silence_limit_s: float) -> None:
+        """Starts with the empty table.
+
+        Args:
+          own: this entry's row.
+          silence_limit_s: age past which an entry counts as unheard.
+        """
+        self.own = own
+        self.table = EntryTable()
+        self.leaving = False
+        self._near_names: frozenset[str] = frozenset()
+        self._near_limit_s = silence_limit_s
+        self._far_limit_s = silence_limit_s
+        self._heard: dict[str, Heard] = {}
+        self._replaced: dict[str, int] = {}
+        self._relayed_down: set[str] = set()
+        self._row_first_seen_s: dict[str, float] = {}
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._marked_leaving: frozenset[str] = frozenset()
+        self._lacking_count: dict[str, int] = {}
+        self._newest_listing_s = float("-inf")
+
+    # The entry table.
+
+    def replace_table(self, *, table: EntryTable, now_s: float) -> bool:
+        """Takes a newer table over.
+
+        A platform that was rolled back, or a peer that slept, serves an older
+        table. Following it would give duties back to entries that handed them
+        over, so a table that is not newer is ignored.
+
+        Returns:
+          Whether the table was newer and is now in force.
+        """
+        if table.epoch <= self.table.epoch:
+            return False
+        self.table = table
+        names = set(table.names())
+        for name in names:
+            self._row_first_seen_s.setdefault(name, now_s)
+        for name in tuple(self._row_first_seen_s):
+            if name not in names:
+                self._forget(name)
+        return True
+
+    def _forget(self, name: str) -> None:
+        self._row_first_seen_s.pop(name, None)
+        self._lacking_count.pop(name, None)
+        self._heard.pop(name, None)
+        self._replaced.pop(name, None)
+        self._relayed_down.discard(name)
+        self._listed_leaving -= {name}
+
+    @property
+    def registered(self) -> bool:
+        """Whether this process is in the table, without which it has no duty.
+
+        A row of an earlier process of this VM does not count: what that one
+        left running is known to nobody, so its row must be replaced first.
+        """
+        row = self.table.row(name=self.own.name)
+        return row is not None and row.incarnation == self.own.incarnation
+
+    def plan_registration(self, *, table: EntryTable) -> EntryTable | None:
+        """Returns the table with this process in it, None if it is in it.
+
+        Args:
+          table: the table as the platform has it now.
+
+        Raises:
+          ValueError: if the name belongs to an entry with other addresses,
+            which may still be alive; both would hold the same duties. With
+            the same addresses it is an earlier process of this VM, and dead:
+            this one has bound them.
+        """
+        row = table.row(name=self.own.name)
+        if row is not None and row.incarnation == self.own.incarnation:
+            return None
+        if row is not None and row.peer_address != self.own.peer_address:
+            raise ValueError(
+                f"entry {row.name} is registered from {row.peer_address}; "
+                "give this one another name, or wait until that VM is gone"
+            )
+        return self._after_own(table).with_entry(row=self.own)
+
+    def plan_leaving(self, *, table: EntryTable) -> EntryTable | None:
+        """Returns the table with this entry marked as leaving, None if it is.
+
+        Its duties go to others from that epoch on, while it still answers for
+        what it has in flight.
+        """
+        row = table.row(name=self.own.name)
+        if row is None or row.leaving:
+            return None
+        return self._after_own(table).with_leaving(name=self.own.name)
+
+    def plan_release(self, *, table: EntryTable) -> EntryTable | None:
+        """Returns the table without this entry, None if it is not in it.
+
+        Only for an entry that has nothing left in flight: the others take its
+        word for it.
+        """
+        row = table.row(name=self.own.name)
+        if row is None or row.incarnation != self.own.incarnation:
+            return None
+        return self._after_own(table).without(name=row.name, released=True)
+
+    def plan_change(self, *, table: EntryTable) -> EntryTable | None:
+        """Returns the table without the entries that are gone, None if none is.
+
+        Gone are the entries that `observe` found and those that said that
+        they finished leaving.
+
+        Args:
+          table: the table as the platform has it now.
+        """
+        planned = None
+        released = self.released_names()
+        for name in sorted(self.gone_names()):
+            if table.row(name=name) is None:
+                continue
+            start = planned or self._after_own(table)
+            planned = start.without(name=name, released=name in released)
+        return planned
+
+    def _after_own(self, table: EntryTable) -> EntryTable:
+        """Returns a table whose successor has an epoch never seen here."""
+        return table._replace(epoch=max(table.epoch, self.table.epoch))
+
+    def plan_restore(self, *, table: EntryTable) -> EntryTable | None:
+        """Returns what repairs a platform that lost the table, for operators.
+
+        A platform that was wiped or rolled back serves an older epoch. Nothing
+        is written to it by itself: this entry may hold an older table than a
+        silent one, and two tables under one epoch would let two entries hold
+        one duty. Only when this entry's epoch is the highest heard, and every
+        entry of its table is heard, is its table surely the latest.
+
+        Args:
+          table: the table as the platform has it now.
+        """
+        if table.epoch >= self.table.epoch or self.is_behind:
+            return None
+        return self.table._replace(epoch=self.table.epoch + 1)
+
+    def released_names(self) -> set[str]:
+        """Returns the entries that said that they gave up every duty."""
+        names = set()
+        for heard in self._heard.values():
+            if heard.finished and not self._is_replaced(heard):
+                names.add(heard.name)
+        return names
+
+    def _is_replaced(self, heard: Heard) -> bool:
+        # The word of a process that has left says nothing of its successor on
+        # the same VM.
+        row = self.table.row(name=heard.name)
+        if row is None:
+            return True
+        return row.incarnation != incarnation_text(heard.incarnation)
+
+    def gone_names(self) -> set[str]:
+        """Returns the entries of the table that are surely gone."""
+        names = self.released_names()
+        for name, count in self._lacking_count.items():
+            if count >= LISTINGS_LACKING:
+                names.add(name)
+        return names
+
+    def observe(self, *, listing: VmObservation, now_s: float) -> None:
+        """Notes an answer of the VM list.
+
+        The list lags: it may still lack a VM that just registered and still
+        hold one that is gone. The second only delays a drop. Against the
+        first, a row counts as gone only if all of these hold:
+
+        * the listing describes a moment after this entry first saw the row,
+          and so after the registration, by `LISTING_MARGIN_S`;
+        * `LISTINGS_LACKING` listings in a row, each newer, lacked it;
+        * it has not been heard since; an entry that speaks is not gone;
+        * the listing holds its reader, who is surely alive.
+
+        Args:
+          listing: the answer.
+          now_s: monotonic time.
+        """
+        if listing.described_s <= self._newest_listing_s:
+            # Another replica of the list, older than one already read: it may
+            # lack a VM that the newer one had.
+            return
+        self._newest_listing_s = listing.described_s
+        self._note_leaving(listing)
+        if self.own.name not in listing.listed:
+            return
+        for row in self.table.entries:
+            if row.name in listing.listed:
+                self._lacking_count.pop(row.name, None)
+                continue
+            if self._absence_counts(row.name, listing, now_s):
+                count = self._lacking_count.get(row.name, 0) + 1
+                self._lacking_count[row.name] = count
+
+    def _absence_counts(
+        self, name: str, listing: VmObservation, now_s: float
+    ) -> bool:
+        first_seen_s = self._row_first_seen_s.get(name, now_s)
+        if listing.described_s < first_seen_s + LISTING_MARGIN_S:
+            return False
+        heard = self._heard.get(name)
+        return heard is None or heard.heard_s < listing.described_s
+
+    def _note_leaving(self, listing: VmObservation) -> None:
+        # Only a newer word of the list takes its mark back. A VM that the
+        # list lacks keeps its mark: that is silence.
+        kept = self._listed_leaving - listing.listed
+        self._listed_leaving = kept | listing.leaving
+
+    def planner_rank(self, *, now_s: float) -> int:
+        """Returns this entry's turn to write a planned change, 0 first.
+
+        Every entry sees the same VM list. Without an order, one lost VM would
+        cost a compare-and-swap by each of 770 entries in the same moment. The
+        order is drawn anew for each epoch, so no entry is special, and goes
+        over those heard, so that a dead one delays nobody.
+        """
+        return _rank(self.own.name, self.live(now_s=now_s), self.table.epoch)
+
+    # Heartbeats.
+
+    def heard(self, heard: Heard) -> bool:
+        """Notes a heartbeat that came from the entry itself.
+
+        Returns:
+          Whether it is newer than what was known; a late one is ignored.
+        """
+        known = self._heard.get(heard.name)
+        if known is not None:
+            if heard.incarnation == self._replaced.get(heard.name):
+                # The last frames of the old process, read after the first of
+                # the new one. They would bring back its `finished`.
+                return False
+            if heard.incarnation != known.incarnation:
+                self._replaced[heard.name] = known.incarnation
+            elif heard.sequence <= known.sequence:
+                return False
+        self._heard[heard.name] = heard
+        self._relayed_down.discard(heard.name)
+        self._lacking_count.pop(heard.name, None)
+        return True
+
+    def heard_of(
+        self, *, name: str, heard_s: float, configuration_version: int
+    ) -> None:
+        """Notes that a relay heard an entry and which version it had.
+
+        A relay's word shows that an entry runs. It acknowledges nothing and
+        does not undo what the entry said of itself.
+
+        Args:
+          name: the entry.
+          heard_s: when it was last heard, on this entry's clock.
+          configuration_version: version that it had in force then.
+        """
+        if name == self.own.name or self.table.row(name=name) is None:
+            return
+        known = self._heard.get(name)
+        if known is None:
+            known = Heard(
+                name=name,
+                incarnation=NO_INCARNATION,
+                sequence=0,
+                epoch=0,
+                configuration_version=0,
+                leaving=False,
+                finished=False,
+                heard_s=float("-inf"),
+            )
+        if known.heard_s >= heard_s:
+            return
+        self._relayed_down.discard(name)
+        self._heard[name] = known._replace(
+            heard_s=heard_s, configuration_version=configuration_version
+        )
+
+    def not_live(self, *, name: str) -> None:
+        """Notes that a relay says that an entry is unheard or leaving.
+
+        It holds until the entry or a relay says otherwise, and only keeps new
+        work away.
+        """
+        self._relayed_down.add(name)
+
+    def last_heard(self, *, name: str) -> Heard | None:
+        """Returns the latest that an entry said of itself, None if nothing."""
+        return self._heard.get(name)
+
+    def age_s(self, *, name: str, now_s: float) -> float:
+        """Returns an entry's silence so far; infinity if never heard."""
+        if name == self.own.name:
+            return 0.0
+        heard = self._heard.get(name)
+        if heard is None:
+            return float("inf")
+        return max(0.0, now_s - heard.heard_s)
+
+    def version_reports(
+        self, *, own_version: int, now_s: float
+    ) -> tuple[VersionReport, ...]:
+        """Returns one report of the version in force for each entry.
+
+        Args:
+          own_version: version that this entry has in force.
+          now_s: monotonic time.
+        """
+        reports = []
+        for row in self.table.entries:
+            age_s = self.age_s(name=row.name, now_s=now_s)
+            version = self._version_of(row.name, own_version)
+            reports.append(VersionReport(row.name, version, age_s))
+        return tuple(reports)
+
+    def _version_of(self, name: str, own_version: int) -> int:
+        if name == self.own.name:
+            return own_version
+        heard = self._heard.get(name)
+        if heard is None:
+            return 0
+        return heard.configuration_version
+
+    def highest_version(self, *, own_version: int) -> int:
+        """Returns the highest configuration version known of, own included."""
+        highest = own_version
+        for heard in self._heard.values():
+            highest = max(highest, heard.configuration_version)
+        return highest
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether an entry was heard that acts on a higher epoch.
+
+        An entry that is behind must take no new duty before it has read the
+        newer table, from the platform or from that peer: a rolled-back
+        platform could have given it a table that the others never had.
+        """
+        for heard in self._heard.values():
+            if heard.epoch > self.table.epoch:
+                return True
+        return False
+
+    def is_silent(self, *, name: str, now_s: float) -> bool:
+        """Returns whether an entry's last heartbeat is past the limit."""
+        limit_s = self._far_limit_s
+        if name in self._near_names:
+            limit_s = self._near_limit_s
+        return self.age_s(name=name, now_s=now_s) > limit_s
+
+    def set_silence_limits(
+        self, *, near_names: frozenset[str], near_s: float, far_s: float
+    ) -> None:
+        """Fits the limits to how often heartbeats come.
+
+        Args:
+          near_names: entries that send their own heartbeats to this one.
+          near_s: limit for them.
+          far_s: limit for the rest, known from relayed digests.
+        """
+        self._near_names = near_names
+        self._near_limit_s = near_s
+        self._far_limit_s = far_s
+
+    # Leaving.
+
+    def mark_leaving(self, *, names: frozenset[str]) -> None:
+        """Sets the operators' marks, as the configuration in force has them."""
+        self._marked_leaving = names
+
+    def is_leaving(self, *, name: str) -> bool:
+        """Returns whether any source says that an entry leaves.
+
+        The entry's own word, the operators' marks and the VM list count each;
+        silence of one does not undo another.
+        """
+        if name in self._marked_leaving or name in self._listed_leaving:
+            return True
+        if name == self.own.name:
+            return self.leaving
+        heard = self._heard.get(name)
+        return heard is not None and heard.leaving
+
+    def live(self, *, now_s: float) -> tuple[EntryRow, ...]:
+        """Returns the entries that take new work: heard and not leaving."""
+        rows = []
+        for row in self.table.entries:
+            if self.is_leaving(name=row.name):
+                continue
+            if row.name in self._relayed_down:
+                continue
+            if self.is_silent(name=row.name, now_s=now_s):
+                continue
+            rows.append(row)
+        return tuple(rows)
+
+    def silent(self, *, now_s: float) -> tuple[str, ...]:
+        """Returns the names of the entries past the silence limit."""
+        names = []
+        for row in self.table.entries:
+            if self.is_silent(name=row.name, now_s=now_s):
+                names.append(row.name)
+        return tuple(names)
+
+
+def incarnation_text(incarnation: int) -> str:
+    """Returns the incarnation of a process as the entry table has it."""
+    return f"{incarnation:016x}"
+
+
+def _rank(name: str, rows: tuple[EntryRow, ...], epoch: int) -> int:
+    own_weight = _turn_weight(name, epoch)
+    rank = 0
+    for row in rows:
+        if row.name != name and _turn_weight(row.name, epoch) > own_weight:
+            rank += 1
+    return rank
+
+
+def _turn_weight(name: str, epoch: int) -> int:
+    return xxhash.xxh64_intdigest(f"{epoch}/{name}".encode())
--- /dev/null
+++ b/almondstair/entry.py
@@ -0,0 +1,514 @@
+"""One entry put together: the core, the sockets round it, start and stop."""
+
+import asyncio
+import secrets
+import time
+
+import zmq
+
+from almondstair import log
+from almondstair.admitting import SlotKeeper
+from almondstair.claims import Claims
+from almondstair.configuration_keeper import ConfigurationKeeper
+from almondstair.control import Control
+from almondstair.control import ControlParts
+from almondstair.core.admission import SlotTable
+from almondstair.core.configuration import ConfigurationState
+from almondstair.core.entry_table import EntryRow
+from almondstair.core.entry_table import EntryTable
+from almondstair.core.health import HealthTable
+from almondstair.core.homes import HomedUpstream
+from almondstair.core.homes import Homes
+from almondstair.core.hops import HopTable
+from almondstair.core.membership import Membership
+from almondstair.core.membership import incarnation_text
+from almondstair.core.model import Configuration
+from almondstair.core.model import Upstream
+from almondstair.core.quarantine import Quarantine
+from almondstair.core.slot_book import SlotBook
+from almondstair.core.steering import Steering
+from almondstair.core.steering import SteeringLimits
+from almondstair.dispatch import Sender
+from almondstair.document_exchange import DocumentExchange
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+from almondstair.frontend import Call
+from almondstair.frontend import CallHandler
+from almondstair.frontend import FrontDoor
+from almondstair.heartbeats import Heartbeats
+from almondstair.link_shares import LinkShares
+from almondstair.lookups import LookupBody
+from almondstair.lookups import Lookups
+from almondstair.metrics import Metric
+from almondstair.metrics import Metrics
+from almondstair.operator_views import OperatorViews
+from almondstair.operator_views import ViewParts
+from almondstair.operators import OperatorServer
+from almondstair.pacing import LinkPacers
+from almondstair.peers import Peers
+from almondstair.platform.etcd import EtcdService
+from almondstair.platform.etcd import HttpVmList
+from almondstair.probing import Prober
+from almondstair.running import Core
+from almondstair.running import Runner
+from almondstair.serving import Parts
+from almondstair.serving import Serving
+from almondstair.settings import Loaded
+from almondstair.settings import Settings
+from almondstair.store import ConfigurationStore
+from almondstair.store import EntryTableStore
+from almondstair.table_keeper import TableKeeper
+from almondstair.tracing import Tracing
+
+# How long the home's use of a reserve slot outlasts its successor's word, and
+# the longest work that may use one; see core/homes.py.
+RESERVE_T1_S = 1.0
+RESERVE_DEADLINE_S = 2.0
+# Clock drift, and the time an upstream takes to notice a closed connection.
+SLOT_MARGIN_S = 0.25
+START_POLL_S = 0.1
+START_ASK_S = 2.0
+METRICS_INTERVAL_S = 1.0
+STOP_POLL_S = 0.05
+RELEASE_LIMIT_S = 3.0
+
+
+# Before the first configuration is in force.
+NO_CONFIGURATION = Configuration(
+    regions={}, services={}, upstreams={}, profiles={}
+)
+
+
+class Entry(CallHandler):
+    """One entry."""
+
+    def __init__(self, *, loaded: Loaded) -> None:
+        """Puts the parts together; nothing listens yet.
+
+        Args:
+          loaded: checked settings and the seed of the configuration.
+        """
+        settings = loaded.settings
+        self._settings = settings
+        self._seed_text = loaded.configuration_text
+        self._incarnation = secrets.randbits(63)
+        self.own = _own_row(settings, self._incarnation)
+        self._refusing = False
+        self._timers: list[asyncio.Task[None]] = []
+        self.metrics = Metrics(
+            statsd_address=settings.metrics.statsd_address,
+            prefix=settings.metrics.prefix,
+        )
+        self._tracing = Tracing(
+            exporter=settings.tracing.exporter,
+            file=settings.tracing.file,
+            sample_fraction=settings.tracing.sample_fraction,
+            entry_name=self.own.name,
+        )
+        self._make_core()
+        self._make_platform()
+        self._make_control()
+        self._make_serving()
+        self._make_listeners()
+
+    def _make_core(self) -> None:
+        timing = self._settings.timing
+        self.membership = Membership(
+            own=self.own, silence_limit_s=timing.silence_limit_ms / 1000
+        )
+        self._state = ConfigurationState()
+        book = SlotBook(margin_s=SLOT_MARGIN_S)
+        self.homes = Homes(
+            entry_name=self.own.name,
+            incarnation=self.own.incarnation,
+            t1_s=RESERVE_T1_S,
+            reserve_deadline_s=RESERVE_DEADLINE_S,
+            margin_s=SLOT_MARGIN_S,
+            book=book,
+        )
+        self.slots = SlotTable(homes=self.homes, book=book)
+        self._keeper = SlotKeeper(slots=self.slots)
+        report_limit_s = timing.load_report_limit_ms / 1000
+        self._hops = HopTable(report_limit_s=report_limit_s)
+        self.steering = Steering(
+            configuration=NO_CONFIGURATION,
+            limits=SteeringLimits(report_limit_s=report_limit_s),
+        )
+        self._quarantine = Quarantine()
+        self._health = HealthTable()
+        self.pacers = LinkPacers()
+
+    def _make_platform(self) -> None:
+        platform = self._settings.platform
+        timeout_s = platform.timeout_ms / 1000
+        self._service = EtcdService(url=platform.url, timeout_s=timeout_s)
+        self._vm_list = HttpVmList(
+            url=platform.vm_list_url, timeout_s=timeout_s
+        )
+        self._claims = Claims(
+            service=self._service,
+            entry_name=self.own.name,
+            incarnation=self.own.incarnation,
+            is_live=self._is_live,
+            retention_s=platform.claim_retention_s,
+        )
+
+    def _is_live(self, entry: str, incarnation: str) -> bool:
+        row = self.membership.table.row(name=entry)
+        if row is None or row.incarnation != incarnation:
+            return False
+        return not self.membership.is_silent(name=entry, now_s=time.monotonic())
+
+    def _make_control(self) -> None:
+        settings = self._settings
+        self._sender = Sender(
+            tracing=self._tracing, own_zone=self.own.availability_zone
+        )
+        self._peers = Peers(
+            context=zmq.Context.instance(),
+            name=self.own.name,
+            incarnation=self._incarnation,
+            peer_address=self.own.peer_address,
+            on_message=self._on_message,
+        )
+        self._shares = LinkShares(
+            own=self.own,
+            incarnation=self._incarnation,
+            pacers=self.pacers,
+            send=self._peers.send,
+        )
+        prober = Prober(
+            slots=self.slots,
+            client=self._sender.upstreams,
+            interval_s=settings.timing.probe_interval_ms / 1000,
+        )
+        self._prober = prober
+        self.table_keeper = TableKeeper(
+            membership=self.membership,
+            store=EntryTableStore(service=self._service),
+            vm_list=self._vm_list,
+            on_table=self._on_table,
+        )
+        self.configuration_keeper = ConfigurationKeeper(
+            state=self._state,
+            membership=self.membership,
+            store=ConfigurationStore(service=self._service),
+            fresh_limit_s=settings.timing.silence_limit_ms / 1000,
+            on_configuration=self._on_configuration,
+        )
+        parts = ControlParts(
+            own=self.own,
+            membership=self.membership,
+            homes=self.homes,
+            keeper=self._keeper,
+            steering=self.steering,
+            hops=self._hops,
+            quarantine=self._quarantine,
+            shares=self._shares,
+            pacers=self.pacers,
+            prober=self._prober,
+            metrics=self.metrics,
+        )
+        self._control = Control(
+            parts=parts,
+            tick_s=settings.timing.heartbeat_interval_ms / 1000,
+            refresh_s=settings.platform.refresh_interval_ms / 1000,
+        )
+        self.heartbeats = Heartbeats(
+            own=self.own,
+            membership=self.membership,
+            configuration=self._state,
+            peers=self._peers,
+            clock=time.monotonic,
+            own_detail=self._control.own_detail,
+            companions=self._control.companions,
+            interval_ms=settings.timing.heartbeat_interval_ms,
+            silence_limit_ms=settings.timing.silence_limit_ms,
+        )
+        self._exchange = DocumentExchange(
+            peer_address=self.own.peer_address,
+            peers=self._peers,
+            membership=self.membership,
+            configuration=self._state,
+            on_table=lambda table: self.table_keeper.take(
+                table, from_platform=False
+            ),
+            on_configuration=self.configuration_keeper.take,
+            clock=time.monotonic,
+        )
+        self._control.bind(
+            heartbeats=self.heartbeats,
+            exchange=self._exchange,
+            table=self.table_keeper,
+            configuration=self.configuration_keeper,
+        )
+
+    def _on_message(self, name: str, incarnation: int, message: object) -> None:
+        self._control.on_message(name, incarnation, message)
+
+    def _on_table(self, table: EntryTable, from_platform: bool) -> None:
+        self._control.on_table(table, from_platform)
+
+    def _make_serving(self) -> None:
+        core = Core(
+            configuration=self.configuration,
+            quarantine=self._quarantine,
+            health=self._health,
+        )
+        self.runner = Runner(
+            core=core,
+            keeper=self._keeper,
+            claims=self._claims,
+            sender=self._sender,
+            metrics=self.metrics,
+        )
+        self._serving = Serving(
+            parts=Parts(
+                own=self.own,
+                membership=self.membership,
+                steering=self.steering,
+                hops=self._hops,
+                quarantine=self._quarantine,
+                pacers=self.pacers,
+                runner=self.runner,
+                sender=self._sender,
+                tracing=self._tracing,
+                metrics=self.metrics,
+            )
+        )
+        self._lookups = Lookups(
+            membership=self.membership,
+            own=self.own,
+            ttl_s=self._settings.timing.lookup_ttl_ms / 1000,
+        )
+
+    def _make_listeners(self) -> None:
+        zone = self.own.availability_zone
+        self._caller_door = FrontDoor(
+            handler=self, own_zone=zone, for_entries=False
+        )
+        self._forward_door = FrontDoor(
+            handler=self, own_zone=zone, for_entries=True
+        )
+        views = OperatorViews(
+            parts=ViewParts(
+                own=self.own,
+                membership=self.membership,
+                homes=self.homes,
+                slots=self.slots,
+                steering=self.steering,
+                pacers=self.pacers,
+                runner=self.runner,
+                heartbeats=self.heartbeats,
+                configuration=self.configuration_keeper,
+                table=self.table_keeper,
+            )
+        )
+        self._operators = OperatorServer(handler=views)
+
+    # What the front doors ask.
+
+    def configuration(self) -> Configuration:
+        """Returns the configuration in force.
+
+        Raises:
+          AlmondstairError: `platform_unavailable` before the first.
+        """
+        configuration = self.configuration_keeper.configuration
+        if configuration is None:
+            raise AlmondstairError(
+                kind=ErrorKind.PLATFORM_UNAVAILABLE,
+                detail="no configuration is in force here yet",
+            )
+        return configuration
+
+    async def handle(self, call: Call) -> None:
+        """Answers a call."""
+        await self._serving.handle(call)
+
+    def lookup(self, *, service: str, caller_ip: str) -> LookupBody:
+        """Returns the entries that a caller may use."""
+        self.metrics.count(Metric.LOOKUPS)
+        return self._lookups.answer(
+            configuration=self.configuration(),
+            service=service,
+            caller_ip=caller_ip,
+        )
+
+    def leaving(self) -> bool:
+        """Whether connections are closed after their answer."""
+        return self.membership.leaving
+
+    def refusing(self) -> bool:
+        """Whether new requests are refused."""
+        return self._refusing
+
+    # Start.
+
+    async def start(self) -> None:
+        """Listens, finds its peers and the configuration, registers.
+
+        Raises:
+          OSError: an address cannot be bound.
+        """
+        self._peers.start()
+        self._operators.listen(self.own.operator_address)
+        self._forward_door.listen(self.own.forward_address)
+        self._caller_door.listen(self.own.caller_address)
+        self.heartbeats.start()
+        self._control.start()
+        self._timers.append(asyncio.ensure_future(self._join()))
+        self._timers.append(asyncio.ensure_future(self._flush_metrics()))
+
+    async def _join(self) -> None:
+        await self._ask_peers()
+        while self.configuration_keeper.configuration is None:
+            try:
+                await self.configuration_keeper.seed(self._seed_text)
+            except AlmondstairError as error:
+                log.event(log.Event.PLATFORM_DOWN, detail=error.detail)
+            self._exchange.ask_addresses(self._settings.entry.peer_addresses)
+            await asyncio.sleep(START_POLL_S)
+        await self.table_keeper.register()
+        log.event(log.Event.STARTED, entry=self.own.name)
+
+    async def _ask_peers(self) -> None:
+        """Asks the peers of the settings before anything is seeded.
+
+        A platform that was wiped looks like one never used; a peer that runs
+        knows better.
+        """
+        addresses = self._settings.entry.peer_addresses
+        until_s = time.monotonic() + START_ASK_S
+        while addresses and time.monotonic() < until_s:
+            if self.configuration_keeper.configuration is not None:
+                return
+            self._exchange.ask_addresses(addresses)
+            await asyncio.sleep(START_POLL_S)
+            if await self._platform_has_one():
+                return
+
+    async def _platform_has_one(self) -> bool:
+        try:
+            return await self.configuration_keeper.read()
+        except AlmondstairError:
+            return False
+
+    async def _flush_metrics(self) -> None:
+        while True:
+            await asyncio.sleep(METRICS_INTERVAL_S)
+            self._control.flush_metrics()
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        homed = []
+        for name, upstream in configuration.upstreams.items():
+            homed.append(_homed(configuration, name, upstream))
+        self.homes.set_upstreams(upstreams=tuple(homed))
+        self.slots.set_configuration(configuration=configuration)
+        self.steering.configure(configuration=configuration)
+        self._shares.configure(configuration=configuration)
+        self._serving.configure(configuration=configuration)
+        self._lookups.configure(configuration=configuration)
+        self._control.on_configuration(configuration)
+
+    # Stop.
+
+    async def stop(self) -> None:
+        """Leaves without cutting off a request.
+
+        Callers hold the answers of look-ups for a while, so this entry serves
+        on for that long after it has dropped out of them; its duties go to
+        others meanwhile.
+        """
+        log.event(log.Event.STOPPING, entry=self.own.name)
+        self.membership.leaving = True
+        self.heartbeats.announce()
+        timing = self._settings.timing
+        until_s = time.monotonic()
+        until_s += (timing.lookup_ttl_ms + timing.drain_margin_ms) / 1000
+        await self.table_keeper.change(
+            lambda table: self.membership.plan_leaving(table=table)
+        )
+        await asyncio.sleep(max(0.0, until_s - time.monotonic()))
+        self._refusing = True
+        self._caller_door.stop_listening()
+        await self._finish_running()
+        await self._release()
+        await self._close()
+        log.event(log.Event.STOPPED, entry=self.own.name)
+
+    async def _finish_running(self) -> None:
+        limit_s = self._settings.timing.stop_limit_ms / 1000
+        until_s = time.monotonic() + limit_s
+        while self._running() and time.monotonic() < until_s:
+            await asyncio.sleep(STOP_POLL_S)
+        if self._running():
+            log.event(log.Event.STOP_CUT, running=self._running())
+        await self._claims.drain(timeout_s=RELEASE_LIMIT_S)
+
+    def _running(self) -> int:
+        return len(self._caller_door.running) + len(self._forward_door.running)
+
+    async def _release(self) -> None:
+        """Gives up links and homes, and has the row dropped."""
+        until_s = time.monotonic() + RELEASE_LIMIT_S
+        self._shares.release()
+        while not self.homes.idle(now_s=time.monotonic()):
+            if time.monotonic() > until_s:
+                return
+            await asyncio.sleep(STOP_POLL_S)
+        self._forward_door.stop_listening()
+        await self.table_keeper.change(
+            lambda table: self.membership.plan_release(table=table)
+        )
+        self.heartbeats.announce(finished=True)
+
+    async def _close(self) -> None:
+        self._control.stop()
+        self._prober.stop()
+        self.heartbeats.stop()
+        self.table_keeper.stop()
+        self.configuration_keeper.stop()
+        for timer in self._timers:
+            timer.cancel()
+        await self._operators.close()
+        await self._caller_door.close()
+        await self._forward_door.close()
+        self._claims.close()
+        self._sender.close()
+        self._service.close()
+        self._vm_list.close()
+        self._peers.stop()
+        self._tracing.close()
+
+
+def _own_row(settings: Settings, incarnation: int) -> EntryRow:
+    entry = settings.entry
+    return EntryRow(
+        name=entry.name,
+        availability_zone=entry.availability_zone,
+        region=entry.region,
+        caller_address=entry.caller_address,
+        forward_address=entry.forward_address,
+        peer_address=entry.peer_address,
+        operator_address=entry.operator_address,
+        incarnation=incarnation_text(incarnation),
+    )
+
+
+def _homed(
+    configuration: Configuration, name: str, upstream: Upstream
+) -> HomedUpstream:
+    longest_ms = 0
+    for service in upstream.services:
+        for request_class in configuration.services[service].classes:
+            longest_ms = max(longest_ms, request_class.deadline_ms)
+    region = configuration.region_of(
+        availability_zone=upstream.availability_zone
+    )
+    return HomedUpstream(
+        name=name,
+        region=region or "",
+        slots=upstream.slots,
+        longest_deadline_s=longest_ms / 1000,
+    )
--- a/almondstair/frontend.py
+++ b/almondstair/frontend.py
@@ -34,6 +34,7 @@
 from almondstair.http_messages import TRACE_HEADER
 from almondstair.http_messages import check_request_framing
 from almondstair.http_messages import end_to_end_headers
+from almondstair.lookups import LookupBody
 
 LOOKUP_PATH = "/v1/entries"
 # Past its own limit a header block still gets an answer; past this one the
@@ -84,7 +85,7 @@
         """Answers a call; raises only for faults inside."""
 
     @abc.abstractmethod
-    def lookup(self, *, service: str, caller_ip: str) -> dict[str, object]:
+    def lookup(self, *, service: str, caller_ip: str) -> LookupBody:
         """Returns the body of a look-up; raises `unknown_service`."""
 
     @abc.abstractmethod
--- a/almondstair/link_shares.py
+++ b/almondstair/link_shares.py
@@ -11,6 +11,7 @@
 from almondstair.core.loans import LoanRequest
 from almondstair.core.model import Configuration
 from almondstair.core.model import Link
+from almondstair.messages import LinkEpoch
 from almondstair.pacing import LinkPacer
 from almondstair.pacing import LinkPacers
 
@@ -18,16 +19,6 @@
 INWARD = "<"
 
 
-class LinkEpoch(NamedTuple):
-    """Acknowledges an epoch of the entry table for every link of the sender.
-
-    Attributes:
-      epoch: the sender uses no share of an older epoch any more.
-    """
-
-    epoch: int
-
-
 class LinkShares:
     """Keeps one `LinkShare` for each direction of each link."""
 
--- /dev/null
+++ b/almondstair/lookups.py
@@ -0,0 +1,114 @@
+"""Answers the callers' question which entries to use."""
+
+import time
+from typing import TypedDict
+
+from almondstair.core.entry_table import EntryRow
+from almondstair.core.lookup import LookupEntry
+from almondstair.core.lookup import LookupTable
+from almondstair.core.lookup import caller_block
+from almondstair.core.lookup import zone_distances_ms
+from almondstair.core.membership import Membership
+from almondstair.core.model import Configuration
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+
+# Who is live is looked at anew this often, not for each of many look-ups.
+LIVE_LIMIT_S = 0.1
+
+
+class EntryBody(TypedDict):
+    """One entry of an answer."""
+
+    address: str
+    availability_zone: str
+
+
+class LookupBody(TypedDict):
+    """Answer to a look-up.
+
+    Attributes:
+      service: the service asked for.
+      entries: the entries to use, best first.
+      ttl_s: how long the caller may keep the answer, in seconds.
+    """
+
+    service: str
+    entries: list[EntryBody]
+    ttl_s: int
+
+
+class Lookups:
+    """Orders the live entries for callers."""
+
+    def __init__(
+        self, *, membership: Membership, own: EntryRow, ttl_s: float
+    ) -> None:
+        """Answers from what `membership` hears.
+
+        Args:
+          membership: who is an entry and who is heard.
+          own: this entry's row.
+          ttl_s: how long a caller may keep an answer.
+        """
+        self._membership = membership
+        self._own = own
+        self._ttl_s = max(1, int(ttl_s))
+        self._distances_ms: dict[str, float] = {}
+        self._live: tuple[EntryRow, ...] = ()
+        self._looked_s = float("-inf")
+        self._table: LookupTable | None = None
+
+    def configure(self, *, configuration: Configuration) -> None:
+        """Takes the distances of a configuration."""
+        self._distances_ms = zone_distances_ms(
+            configuration=configuration,
+            availability_zone=self._own.availability_zone,
+        )
+        self._table = None
+
+    def answer(
+        self, *, configuration: Configuration, service: str, caller_ip: str
+    ) -> LookupBody:
+        """Returns the entries for a caller.
+
+        Raises:
+          AlmondstairError: `unknown_service`.
+        """
+        if service not in configuration.services:
+            names = ", ".join(sorted(configuration.services))
+            raise AlmondstairError(
+                kind=ErrorKind.UNKNOWN_SERVICE,
+                detail=f"there is no service {service!r}; there are: {names}",
+            )
+        entries: list[EntryBody] = []
+        block = caller_block(address=caller_ip)
+        for entry in self._current_table().order(block=block):
+            entries.append(
+                EntryBody(
+                    address=entry.address,
+                    availability_zone=entry.availability_zone,
+                )
+            )
+        return LookupBody(service=service, entries=entries, ttl_s=self._ttl_s)
+
+    def _current_table(self) -> LookupTable:
+        now_s = time.monotonic()
+        if self._table is not None and now_s - self._looked_s < LIVE_LIMIT_S:
+            return self._table
+        live = self._membership.live(now_s=now_s)
+        self._looked_s = now_s
+        if self._table is None or live != self._live:
+            self._live = live
+            self._table = self._make_table()
+        return self._table
+
+    def _make_table(self) -> LookupTable:
+        entries = []
+        for row in self._live:
+            entries.append(
+                LookupEntry(row.name, row.availability_zone, row.caller_address)
+            )
+        return LookupTable(
+            entries=tuple(entries), distances_ms=self._distances_ms
+        )
--- a/almondstair/running.py
+++ b/almondstair/running.py
@@ -50,6 +50,22 @@
     health: HealthTable
 
 
+class Work(NamedTuple):
+    """A call as the runner takes it.
+
+    Attributes:
+      call: the call.
+      fingerprint: of the request, for the quarantine.
+      verdict: what the quarantine says of it.
+      pace: awaited before bytes of its body move.
+    """
+
+    call: Call
+    fingerprint: int
+    verdict: Verdict
+    pace: Pace
+
+
 class Runner:
     """Runs calls at the upstreams that this entry is home of."""
 
@@ -70,56 +86,44 @@
         self._metrics = metrics
         self.last_new_work_s: dict[str, float] = {}
 
-    async def run(
-        self, *, call: Call, fingerprint: int, verdict: Verdict, pace: Pace
-    ) -> AlmondstairError | None:
+    async def run(self, work: Work) -> AlmondstairError | None:
         """Runs a call here.
 
-        Args:
-          call: the call.
-          fingerprint: of the request, for the quarantine.
-          verdict: what the quarantine says of it.
-          pace: awaited before bytes of its body move.
-
         Returns:
           None when its whole answer was passed on, else what to answer.
 
         Raises:
           AlmondstairError: it was refused before any dispatch.
         """
-        admission = await self._take(call, verdict, frozenset())
+        call = work.call
+        admission = await self._take(work, frozenset())
+        if not call.head.key:
+            call.answer.admitted.set()
+            return await self._dispatch(work, admission, None)
         claim = None
         try:
-            if call.head.key:
-                found = await self._claim(call)
-                if isinstance(found, ledger.RecordedAnswer):
-                    await self._replay(call, found)
-                    return None
-                claim = found
+            found = await self._claim(call)
+            if isinstance(found, ledger.RecordedAnswer):
+                await self._replay(call, found)
+                return None
+            claim = found
         finally:
-            if call.head.key and claim is None:
+            if claim is None:
                 self._give_back(call, admission, Outcome.CANCELLED)
         call.answer.admitted.set()
-        if claim is None:
-            return await self._dispatch(
-                call, admission, fingerprint, verdict, pace, None
-            )
         try:
-            return await self._dispatch(
-                call, admission, fingerprint, verdict, pace, claim
-            )
+            return await self._dispatch(work, admission, claim)
         finally:
             await self._settle(call, claim)
 
-    async def _take(
-        self, call: Call, verdict: Verdict, avoid: frozenset[str]
-    ) -> Admission:
-        if verdict is Verdict.ALONE:
+    async def _take(self, work: Work, avoid: frozenset[str]) -> Admission:
+        head = work.call.head
+        if work.verdict is Verdict.ALONE:
             avoid = avoid | self._not_idle()
         return await self._keeper.take(
-            service=call.head.service,
-            request_class=call.head.request_class,
-            deadline_s=call.head.deadline_s,
+            service=head.service,
+            request_class=head.request_class,
+            deadline_s=head.deadline_s,
             avoid=avoid,
         )
 
@@ -176,43 +180,35 @@
         await self._claims.record_unknown(claim)
 
     async def _dispatch(
-        self,
-        call: Call,
-        admission: Admission,
-        fingerprint: int,
-        verdict: Verdict,
-        pace: Pace,
-        claim: ledger.Claim | None,
+        self, work: Work, admission: Admission, claim: ledger.Claim | None
     ) -> AlmondstairError | None:
+        call = work.call
         avoid: frozenset[str] = frozenset()
-        for _ in range(UPSTREAMS_PER_CALL):
-            attempt = await self._attempt(call, admission, pace, claim)
+        for tries_left in reversed(range(UPSTREAMS_PER_CALL)):
+            attempt = await self._attempt(work, admission, claim)
             error = attempt.error
             if error is None:
                 await self._pass_on(call, attempt, claim)
                 return None
-            self._note_failure(call, admission.upstream, attempt, fingerprint)
+            self._note_failure(work, admission.upstream, attempt)
             if attempt.exchange.sent not in (Sent.NOT_SENT, Sent.REFUSED):
                 return error
             if not call.answer.untouched or not call.body.replayable:
                 return error
+            if not tries_left:
+                return error
             avoid = avoid | {admission.upstream}
             call.answer.reset()
             try:
-                admission = await self._take(call, verdict, avoid)
+                admission = await self._take(work, avoid)
             except AlmondstairError as refusal:
                 return refusal
-        # The last admission was taken for a try that is not made.
-        self._give_back(call, admission, Outcome.CANCELLED)
-        return error
+        return None
 
     async def _attempt(
-        self,
-        call: Call,
-        admission: Admission,
-        pace: Pace,
-        claim: ledger.Claim | None,
+        self, work: Work, admission: Admission, claim: ledger.Claim | None
     ) -> Attempt:
+        call = work.call
         name = admission.upstream
         upstream = self._core.configuration().upstreams[name]
         outcome = Outcome.CANCELLED
@@ -237,7 +233,7 @@
                 name=name,
                 upstream=upstream,
                 may_write=may_write,
-                pace=pace,
+                pace=work.pace,
             )
             outcome = _OUTCOMES[attempt.exchange.sent]
         finally:
@@ -294,9 +290,8 @@
         if attempt.error is None and head.status >= SERVER_ERROR:
             self._core.health.failed(name=name, now_s=now_s)
 
-    def _note_failure(
-        self, call: Call, name: str, attempt: Attempt, fingerprint: int
-    ) -> None:
+    def _note_failure(self, work: Work, name: str, attempt: Attempt) -> None:
+        call = work.call
         now_s = time.monotonic()
         sent = attempt.exchange.sent
         if sent is Sent.NOT_SENT:
@@ -317,7 +312,7 @@
         )
         if sent is Sent.LOST:
             self._core.quarantine.strike(
-                fingerprint=fingerprint, upstream=name, now_s=now_s
+                fingerprint=work.fingerprint, upstream=name, now_s=now_s
             )
 
 
@@ -357,6 +352,4 @@
     """Returns the error with the word that fits how far the call came."""
     if error.ran is not Ran.NO or not call.progress.may_have_run:
         return error
-    return AlmondstairError(
-        kind=ErrorKind.OUTCOME_UNKNOWN, detail=error.detail
-    )
+    return AlmondstairError(kind=ErrorKind.OUTCOME_UNKNOWN, detail=error.detail)
--- a/almondstair/serving.py
+++ b/almondstair/serving.py
@@ -30,6 +30,7 @@
 from almondstair.metrics import Metrics
 from almondstair.pacing import LinkPacers
 from almondstair.running import Runner
+from almondstair.running import Work
 from almondstair.running import unknown_if_run
 from almondstair.tracing import Tracing
 
@@ -153,12 +154,8 @@
         )
         verdict = self._verdict(fingerprint)
         if call.from_entry:
-            return await self._parts.runner.run(
-                call=call,
-                fingerprint=fingerprint,
-                verdict=verdict,
-                pace=no_pace,
-            )
+            work = Work(call, fingerprint, verdict, no_pace)
+            return await self._parts.runner.run(work)
         return await self._steer(call, fingerprint, verdict)
 
     def _verdict(self, fingerprint: int) -> Verdict:
@@ -248,7 +245,8 @@
         )
         try:
             if hop.row.name == self._parts.own.name:
-                error = await self._run_here(call, fingerprint, verdict, pace)
+                work = Work(call, fingerprint, verdict, pace)
+                error = await self._run_here(work)
             else:
                 self._parts.metrics.count(Metric.FORWARDS, hop.region)
                 error = await self._forward(call, hop, pace)
@@ -257,16 +255,9 @@
             self._tell_steering(call, hop, error, started_s)
         return error
 
-    async def _run_here(
-        self, call: Call, fingerprint: int, verdict: Verdict, pace: Pace
-    ) -> AlmondstairError | None:
+    async def _run_here(self, work: Work) -> AlmondstairError | None:
         try:
-            return await self._parts.runner.run(
-                call=call,
-                fingerprint=fingerprint,
-                verdict=verdict,
-                pace=pace,
-            )
+            return await self._parts.runner.run(work)
         except AlmondstairError as error:
             return error
 
--- a/almondstair/settings.py
+++ b/almondstair/settings.py
@@ -87,6 +87,8 @@
       forward_address: HTTP listener for requests from other entries.
       peer_address: listener for control messages between entries.
       operator_address: HTTP listener for operators.
+      peer_addresses: `peer_address` of some other entries, asked at a start
+        while the platform does not answer.
     """
 
     name: Name
@@ -96,6 +98,7 @@
     forward_address: Address
     peer_address: Address
     operator_address: Address
+    peer_addresses: tuple[Address, ...] = ()
 
 
 class PlatformSettings(NamedTuple):
@@ -129,6 +132,8 @@
         traffic.
       drain_margin_ms: how long a leaving entry serves on after every cached
         look-up has lapsed.
+      stop_limit_ms: how long a leaving entry waits for requests in flight;
+        longer than the longest deadline, or some may be cut off.
     """
 
     heartbeat_interval_ms: IntervalMs = 250
@@ -137,6 +142,7 @@
     load_report_limit_ms: LimitMs = 3000
     probe_interval_ms: IntervalMs = 1000
     drain_margin_ms: Annotated[int, Ge(0), Le(60_000)] = 500
+    stop_limit_ms: LimitMs = 65_000
 
 
 class LogSettings(NamedTuple):
@@ -170,10 +176,13 @@
       exporter: kind of exporter.
       file: path of the spans, one JSON object a line; needed by the exporter
         `file`.
+      sample_fraction: part of the traces begun here that is kept; a caller
+        that samples its own trace is always followed.
     """
 
     exporter: TraceExporter = TraceExporter.NONE
     file: str = ""
+    sample_fraction: model.Fraction = 1.0
 
 
 class Settings(NamedTuple):
