--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,14 @@
+"""Hooks of behave: no process outlives the scenario that started it."""
+
+from features.support.harness import Processes
+
+
+def before_scenario(context, scenario):
+    del scenario
+    context.processes = Processes()
+
+
+def after_scenario(context, scenario):
+    if scenario.status.is_failure():
+        print(context.processes.log_tails())
+    context.processes.end()
--- /dev/null
+++ b/features/standins.feature
@@ -0,0 +1,138 @@
+Feature: The stand-ins behave as the things they stand for
+
+  Every proof under failure rests on what the stand-ins do and record, so the
+  behaviour that those proofs rely on is shown here by itself.
+
+  Scenario: Of two creations of one key only the first holds
+    Given a platform
+    When "first" is created at "claims/k1"
+    And "second" is created at "claims/k1"
+    Then the creations held: yes, no
+    And "claims/k1" holds "first" at version 1
+
+  Scenario: One transaction settles several claims by themselves
+    Given a platform
+    And "old" is created at "claims/k2"
+    When one transaction creates "new" at each of "claims/k1,claims/k2,claims/k3"
+    Then the creations held: yes, no, yes
+    And "claims/k2" holds "old" at version 1
+    And "claims/k1" and "claims/k3" were written at one revision
+
+  Scenario: One transaction may not put a key twice
+    Given a platform
+    When one transaction creates "new" at each of "claims/k1,claims/k1"
+    Then the platform refused with "duplicate key given in txn request"
+    And "claims/k1" is absent
+
+  Scenario: A write takes effect while its answer is lost
+    # Symptom: the writer sees its connection closed and cannot tell.
+    # Sequence: the write is applied, then the connection closes unanswered.
+    # Cause: the platform, or the path to it, fails between the two.
+    Given a platform
+    And the platform's fault "lose_answers" is 1
+    When "mine" is created at "claims/k1"
+    Then the call got no answer
+    And "claims/k1" holds "mine" at version 1
+
+  Scenario: A write is lost before it takes effect
+    # Symptom: the same closed connection as above; this time nothing holds.
+    # Sequence: the connection closes before the write is applied.
+    # Cause: the writer cannot tell this from a lost answer, so it must ask.
+    Given a platform
+    And the platform's fault "lose_calls" is 1
+    When "mine" is created at "claims/k1"
+    Then the call got no answer
+    And "claims/k1" is absent
+
+  Scenario: A lease lapses and a watch tells of it
+    # Symptom: a holder finds its key gone.
+    # Sequence: it is granted one second, and does not keep the lease alive.
+    # Cause: a pause longer than the lease.
+    Given a platform
+    And a watch on "members/" from the first revision
+    When "a" is put at "members/a" under a lease of 1 s
+    Then the watch tells of a put of "members/a"
+    And the watch tells of a deletion of "members/a"
+    And the platform counts 1 waiting watch
+
+  Scenario: An outage closes calls and waiting watches
+    # Symptom: nothing of the platform answers.
+    # Sequence: a watch waits; the platform goes down; it comes back.
+    # Cause: an outage of the service.
+    Given a platform
+    And a watch on "members/" from the first revision
+    When the platform's fault "down" is true
+    Then the watch ends
+    And a read of "members/a" gets no answer
+    When the platform's fault "down" is false
+    Then "members/a" is absent
+
+  Scenario: The VM list lags
+    Given a platform
+    And the platform's fault "vm_list_lag_ms" is 600
+    When the VM list is set to "a,b"
+    Then the VM list shows ""
+    And the VM list shows "a,b" within 3 s
+
+  Scenario: An upstream refuses work over its slots without running it
+    Given an upstream with 2 slots
+    When 3 requests of 400 ms are sent at once
+    Then 2 were answered 200 and 1 was refused as "not-run"
+    And the upstream's journal has 2 runs, 2 at most at once
+    And no refused request is in the journal
+
+  Scenario: A draining upstream finishes what runs and takes nothing new
+    Given an upstream with 2 slots
+    When a request of 500 ms is running
+    And the upstream's control "draining" is true
+    Then a new request is refused as "draining"
+    And the running request is answered 200
+
+  Scenario: A caller that leaves frees the slot
+    # Symptom: slots stay taken though nobody waits for the work.
+    # Sequence: a caller closes its connection 200 ms into 5 s of work.
+    # Cause: an upstream that does not notice the closed connection.
+    Given an upstream with 1 slots
+    When a caller leaves after 200 ms of 5000 ms
+    Then the journal's last run is "cancelled" after at most 1 s
+    And a new request is answered 200
+
+  Scenario: Work past its deadline is given up
+    Given an upstream with 1 slots
+    When a request of 5000 ms has a deadline of 200 ms
+    Then it is answered 504 within 2 s
+    And the journal's last run is "deadline" after at most 1 s
+
+  Scenario: A marked request stops the upstream
+    # Symptom: the upstream is gone and the connection closed unanswered.
+    # Sequence: one request, well formed, is run.
+    # Cause: that request's own content.
+    Given an upstream with 1 slots
+    When a request marked as crashing is sent
+    Then the call got no answer
+    And the upstream has ended
+    And the journal file tells of 1 run
+
+  Scenario: An answer is cut short
+    Given an upstream with 1 slots
+    When the next answer is cut after 1000 bytes
+    Then an answer of 5000 bytes breaks off at 1000
+    And an answer of 5000 bytes is whole
+
+  Scenario: A load report lies
+    Given an upstream with 2 slots
+    When the upstream's control "load" is "lie"
+    And a request of 300 ms is running
+    Then its load report says 0 busy
+
+  Scenario: Large bodies pass both ways in little memory
+    Given an upstream with 1 slots
+    Then 64 MiB up and 64 MiB down pass whole while it grows by at most 16 MiB
+
+  Scenario: A caller records whole answers, and does not resend a cut one
+    Given an upstream with 20 slots
+    When a caller sends 20 requests straight to it
+    Then the caller recorded 20 whole answers to its own requests
+    When the next answer is cut after 0 bytes
+    And a caller sends 1 request straight to it
+    Then the caller recorded 1 answer of unknown outcome after 1 attempt
--- /dev/null
+++ b/features/support/harness.py
@@ -0,0 +1,320 @@
+"""Starts, freezes and ends processes for a scenario, and talks HTTP to them.
+
+Every wait is bounded; every process is ended by the handle it was started with.
+"""
+
+import atexit
+from collections.abc import Callable
+import http.client
+import json
+import os
+from pathlib import Path
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any, NamedTuple
+
+ROOT = Path(__file__).resolve().parents[2]
+SUPPORT = ROOT / "features" / "support"
+# Below the kernel's usual range for outgoing connections, so that none of
+# those sits on a port between the moment it is chosen and its listener.
+FIRST_PORT = 21_000
+LAST_PORT = 29_999
+PORT_STRIDE = 37
+POLL_INTERVAL_S = 0.02
+LOG_TAIL_BYTES = 2000
+
+
+class Answer(NamedTuple):
+    """One HTTP answer, read whole."""
+
+    status: int
+    headers: http.client.HTTPMessage
+    body: bytes
+
+    def json(self) -> Any:
+        """Returns the body read as JSON."""
+        return json.loads(self.body)
+
+
+class PortRange:
+    """Gives out ports that nobody listens on, each once a run."""
+
+    def __init__(self) -> None:
+        """Starts where the process id says, so that parallel runs differ."""
+        span = LAST_PORT - FIRST_PORT + 1
+        self._next = FIRST_PORT + os.getpid() * PORT_STRIDE % span
+
+    def take(self) -> int:
+        """Returns a free port."""
+        for _ in range(LAST_PORT - FIRST_PORT + 1):
+            port = self._next
+            self._next = FIRST_PORT if port == LAST_PORT else port + 1
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(("127.0.0.1", port))
+                except OSError:
+                    continue
+            return port
+        raise RuntimeError("no free port")
+
+
+PORTS = PortRange()
+
+
+def free_address() -> str:
+    """Returns an `ip:port` that nobody listens on."""
+    return f"127.0.0.1:{PORTS.take()}"
+
+
+def wait_until(
+    check: Callable[[], Any], *, limit_s: float = 10.0, what: str = "it"
+) -> Any:
+    """Polls until `check` returns something true, and returns that.
+
+    Raises:
+      AssertionError: `limit_s` passed first.
+    """
+    end_s = time.monotonic() + limit_s
+    while True:
+        found = check()
+        if found:
+            return found
+        if time.monotonic() >= end_s:
+            raise AssertionError(f"waited {limit_s} s for {what}")
+        time.sleep(POLL_INTERVAL_S)
+
+
+def answers(address: str) -> bool:
+    """Says whether a connection to an address is accepted."""
+    ip, port = address.split(":")
+    try:
+        with socket.create_connection((ip, int(port)), timeout=1):
+            return True
+    except OSError:
+        return False
+
+
+def connect(address: str, *, timeout_s: float = 10.0):
+    """Returns an HTTP connection, not yet opened."""
+    ip, port = address.split(":")
+    return http.client.HTTPConnection(ip, int(port), timeout=timeout_s)
+
+
+def send(
+    method: str,
+    address: str,
+    path: str,
+    *,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> Answer:
+    """Sends one request on a connection of its own; reads the whole answer.
+
+    Args:
+      method: HTTP method.
+      address: `ip:port`.
+      path: path and query.
+      body: bytes as they are; a dict or list goes as JSON.
+      headers: request headers.
+      timeout_s: longest silence of the other end.
+
+    Raises:
+      OSError: no connection, or it was closed before an answer.
+      http.client.IncompleteRead: the answer was cut short.
+    """
+    if isinstance(body, dict | list):
+        body = json.dumps(body)
+    connection = connect(address, timeout_s=timeout_s)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        answer = connection.getresponse()
+        return Answer(answer.status, answer.headers, answer.read())
+    finally:
+        connection.close()
+
+
+def get(address: str, path: str, **options: Any) -> Answer:
+    """Sends a GET."""
+    return send("GET", address, path, **options)
+
+
+def post(address: str, path: str, body: Any = None, **options: Any) -> Answer:
+    """Sends a POST."""
+    return send("POST", address, path, body=body, **options)
+
+
+class Child:
+    """One process that a scenario started."""
+
+    def __init__(self, *, name: str, command: list[str], log: Path) -> None:
+        """Starts the process, its output going to the log."""
+        self.name = name
+        self.log = log
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        with log.open("ab") as output:
+            self.process = subprocess.Popen(
+                command,
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self.process.pid
+
+    def is_running(self) -> bool:
+        """Says whether the process has not ended."""
+        return self.process.poll() is None
+
+    def freeze(self) -> None:
+        """Stops the process where it is, as a paused VM would."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Lets a frozen process go on."""
+        self.process.send_signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """Ends the process at once, frozen or not."""
+        self.process.kill()
+        self.process.wait(timeout=10)
+
+    def terminate(self, *, limit_s: float = 30.0) -> int:
+        """Asks the process to stop and returns its exit code."""
+        self.process.terminate()
+        return self.process.wait(timeout=limit_s)
+
+    def wait(self, *, limit_s: float = 30.0) -> int:
+        """Waits for the end of the process and returns its exit code."""
+        return self.process.wait(timeout=limit_s)
+
+    def resident_bytes(self, *, field: str = "VmRSS") -> int:
+        """Returns resident memory now, or the peak for `VmHWM`."""
+        status = Path(f"/proc/{self.pid}/status").read_text(encoding="utf-8")
+        for line in status.splitlines():
+            if line.startswith(field + ":"):
+                return int(line.split()[1]) * 1024
+        raise ProcessLookupError(self.name)
+
+    def log_text(self) -> str:
+        """Returns what the process has written."""
+        return self.log.read_text(encoding="utf-8", errors="replace")
+
+
+class Processes:
+    """The processes and files of one scenario."""
+
+    def __init__(self) -> None:
+        """Starts with none; the directory is made when it is first needed."""
+        self.children: dict[str, Child] = {}
+        self._directory: Path | None = None
+        atexit.register(self.end)
+
+    @property
+    def directory(self) -> Path:
+        """A directory that goes away with the scenario."""
+        if self._directory is None:
+            self._directory = Path(tempfile.mkdtemp(prefix="almondstair-"))
+        return self._directory
+
+    def start(
+        self, name: str, *command: str, address: str = "", limit_s: float = 10
+    ) -> Child:
+        """Starts a Python program, and waits until its address answers.
+
+        Args:
+          name: name in this scenario; a name may be started again once ended.
+          *command: arguments of the interpreter: a script, or `-m` a module.
+          address: `ip:port` to wait for; empty to return at once.
+          limit_s: longest wait.
+
+        Raises:
+          AssertionError: it did not answer in time, or ended.
+        """
+        old = self.children.get(name)
+        if old and old.is_running():
+            raise ValueError(f"{name} is running already")
+        child = Child(
+            name=name,
+            command=[sys.executable, *command],
+            log=self.directory / f"{name}.log",
+        )
+        self.children[name] = child
+        if not address:
+            return child
+
+        def is_ready() -> bool:
+            assert child.is_running(), f"{name} ended: {child.log_text()}"
+            return answers(address)
+
+        wait_until(is_ready, limit_s=limit_s, what=f"{name} at {address}")
+        return child
+
+    def start_platform(self, *, name: str = "platform") -> str:
+        """Starts a platform stand-in and returns its address."""
+        address = free_address()
+        script = str(SUPPORT / "platform_standin.py")
+        self.start(name, script, "--address", address, address=address)
+        return address
+
+    def start_upstream(
+        self, *options: str, name: str = "upstream", address: str = ""
+    ) -> str:
+        """Starts an upstream stand-in and returns its address."""
+        address = address or free_address()
+        script = str(SUPPORT / "upstream_standin.py")
+        arguments = ["--address", address, "--name", name, *options]
+        self.start(name, script, *arguments, address=address)
+        return address
+
+    def start_caller(
+        self,
+        *options: str,
+        entries: list[str],
+        service: str,
+        classes: list[dict[str, Any]],
+        name: str = "caller",
+    ) -> Child:
+        """Starts a caller stand-in; `answers_of` gives what it recorded."""
+        script = str(SUPPORT / "caller_standin.py")
+        out = str(self.directory / f"{name}.jsonl")
+        arguments = ["--entries", ",".join(entries), "--service", service]
+        arguments += ["--classes", json.dumps(classes), "--out", out]
+        return self.start(name, script, *arguments, *options)
+
+    def answers_of(self, name: str = "caller") -> list[dict[str, Any]]:
+        """Returns the answers that a caller has recorded."""
+        path = self.directory / f"{name}.jsonl"
+        records = []
+        for line in path.read_text(encoding="utf-8").splitlines():
+            records.append(json.loads(line))
+        return records
+
+    def log_tails(self) -> str:
+        """Returns the end of each log, for the report of a failure."""
+        tails = []
+        for name, child in self.children.items():
+            tails.append(f"--- {name}\n{child.log_text()[-LOG_TAIL_BYTES:]}")
+        return "\n".join(tails)
+
+    def end(self) -> None:
+        """Kills what still runs and removes the directory."""
+        atexit.unregister(self.end)
+        for child in self.children.values():
+            if child.is_running():
+                child.kill()
+        self.children.clear()
+        if self._directory is not None:
+            shutil.rmtree(self._directory, ignore_errors=True)
+            self._directory = None
