--- a/features/standins.feature
+++ b/features/standins.feature
@@ -70,8 +70,9 @@
   Scenario: The VM list lags
     Given a platform
     And the platform's fault "vm_list_lag_ms" is 600
-    When the VM list is set to "a,b"
-    Then the VM list shows ""
+    When the VM list is set to "a"
+    And the VM list is set to "a,b"
+    Then the VM list shows "a"
     And the VM list shows "a,b" within 3 s
 
   Scenario: An upstream refuses work over its slots without running it
@@ -136,3 +137,13 @@
     When the next answer is cut after 0 bytes
     And a caller sends 1 request straight to it
     Then the caller recorded 1 answer of unknown outcome after 1 attempt
+
+  Scenario: A caller goes on to the next entry when one refuses connections
+    # Symptom: an entry in the caller's cached look-up takes no connection.
+    # Sequence: the entry's process ends; the caller sends its next request.
+    # Cause: a cached look-up outlives the entry that it names.
+    Given an upstream with 20 slots
+    And an entry that takes no connections comes first
+    When a caller sends 10 requests straight to it
+    Then the caller recorded 10 whole answers to its own requests
+    And each took 2 attempts
