Prove claims under faults and measure claims per platform call

Cause: scenarios over a service in memory with faults (answer lost, call lost, late arrival, lease gone, down, slow); one found a fault: the first claim of an hour waited for its lease without a limit, 1.0 s against a limit of 0.3 s. The wait is now part of the claim's limit.

Conclusion: batch, two calls under way, outcomes collected for 0.1 s.

--- a/almondstair/claims.py
+++ b/almondstair/claims.py
@@ -61,6 +61,7 @@
         claim_timeout_s: float = 1.0,
         max_batch: int = base.MAX_BATCH,
         max_under_way: int = 2,
+        settle_delay_s: float = 0.1,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         """Makes an empty set of claims.
@@ -75,6 +76,8 @@
           claim_timeout_s: longest time that one claim may take.
           max_batch: most writes in one call to the service.
           max_under_way: most such calls at once.
+          settle_delay_s: how long outcomes are collected, so that several go
+            in one call; 0 for not at all.
           now: monotonic clock of the loop.
         """
         self._service = service
@@ -82,6 +85,7 @@
         self._incarnation = incarnation
         self._is_live = is_live
         self._claim_timeout_s = claim_timeout_s
+        self._settle_delay_s = settle_delay_s
         self._now = now
         self._batcher = batching.WriteBatcher(
             service=service, max_batch=max_batch, max_under_way=max_under_way
@@ -274,7 +278,7 @@
     async def _write(
         self, write: base.ConditionalWrite, urgent: bool, until_s: float
     ) -> base.CasResult:
-        lease_id = await self._lease.current()
+        lease_id = await self._current_lease(until_s)
         try:
             return await self._batcher.write(
                 write=write._replace(lease_id=lease_id),
@@ -287,6 +291,16 @@
                 self._lease.forget(lease_id)
             raise
 
+    async def _current_lease(self, until_s: float) -> int:
+        try:
+            async with asyncio.timeout_at(until_s):
+                return await self._lease.current()
+        except TimeoutError as error:
+            raise base.PlatformError(
+                failure=base.PlatformFailure.UNAVAILABLE,
+                detail="no lease in time",
+            ) from error
+
     def _give_up(self, claiming: ledger.Claiming, place: str) -> None:
         """Sees to it that a claim which nobody holds is claimable again."""
         mod_revision = claiming.mod_revision
@@ -350,6 +364,8 @@
         delay_s = RETRY_FIRST_S
         try:
             while self._unsettled:
+                if len(self._unsettled) < MAX_SETTLED_AT_ONCE:
+                    await asyncio.sleep(self._settle_delay_s)
                 if await self._settle_some():
                     delay_s = RETRY_FIRST_S
                     continue
--- a/almondstair/platform/batching.py
+++ b/almondstair/platform/batching.py
@@ -197,6 +197,12 @@
         )
 
 
+def _note_error(task: asyncio.Task[int]) -> None:
+    """Reads the error of a task whose waiters may all have gone."""
+    if not task.cancelled():
+        task.exception()
+
+
 class SharedLease:
     """One lease for all keys of a period.
 
@@ -240,6 +246,7 @@
             return self._lease_id
         if self._grant is None:
             self._grant = asyncio.get_running_loop().create_task(self._get())
+            self._grant.add_done_callback(_note_error)
         grant = self._grant
         try:
             return await asyncio.shield(grant)
--- /dev/null
+++ b/benchmarks/claims.py
@@ -0,0 +1,175 @@
+"""Measures claims: platform calls a request, latency, processor time.
+
+One request is a claim, some work, and its recorded outcome. Loads are open:
+requests start at their times whether or not earlier ones are done. The platform
+is the stand-in of the tests, in a process of its own, with a fixed delay.
+
+Ways: (a) each write a call of its own; (b') the writes that queue while calls
+are under way share the next one; (b'+) so, and outcomes are collected for a
+tenth of a second. For (b), forwarding each request to the owner of its key, the
+owner of N entries' keys sees N times the load of one entry: compare the rows of
+(b') at those two loads, and add the forwarding hop.
+
+    python -m benchmarks.claims
+"""
+
+import asyncio
+import json
+import os
+from pathlib import Path
+import subprocess
+import sys
+import time
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+from rich.console import Console
+from rich.table import Table
+from tornado.httpclient import AsyncHTTPClient
+
+from almondstair.claims import Claims
+from almondstair.core import ledger
+from almondstair.errors import AlmondstairError
+from almondstair.platform.etcd import EtcdService
+
+ADDRESS = "127.0.0.1:29117"
+STANDIN = "features/support/platform_standin.py"
+PLATFORM_DELAY_MS = 4
+LOADS_PER_S = (30, 100, 300, 600)
+DURATION_S = 4.0
+WORK_S = 0.02
+ANSWER = ledger.keep_answer(status=201, headers=[], body=b"x" * 200)
+
+
+class Way(NamedTuple):
+    """How writes go to the platform."""
+
+    name: str
+    max_batch: int
+    max_under_way: int
+    settle_delay_s: float
+
+
+WAYS = (
+    Way("(a) a call a write", 1, 32, 0.0),
+    Way("(b') 1 under way", 64, 1, 0.0),
+    Way("(b') 2 under way", 64, 2, 0.0),
+    Way("(b'+) 2, outcomes 0.1 s", 64, 2, 0.1),
+)
+
+
+class Row(NamedTuple):
+    """Figures of one way at one load."""
+
+    done_per_s: float
+    refused: int
+    calls_per_request: float
+    p50_ms: float
+    p99_ms: float
+    cpu_ms: float
+
+
+async def write_count() -> int:
+    answer = await AsyncHTTPClient().fetch(f"http://{ADDRESS}/counts")
+    return json.loads(answer.body)["writes"]
+
+
+async def measure(*, way: Way, load_per_s: int) -> Row:
+    """Runs one way at one load."""
+    service = EtcdService(url=f"http://{ADDRESS}", timeout_s=0.5)
+    claims = Claims(
+        service=service,
+        entry_name="entry",
+        incarnation="bench",
+        is_live=lambda entry, incarnation: True,
+        retention_s=3600,
+        max_batch=way.max_batch,
+        max_under_way=way.max_under_way,
+        settle_delay_s=way.settle_delay_s,
+    )
+    latencies_us = HdrHistogram(1, 60_000_000, 3)
+    refused = 0
+
+    async def request(number: int) -> None:
+        nonlocal refused
+        start_s = time.monotonic()
+        try:
+            claim = await claims.claim(
+                service="approvals",
+                key=f"{way.name}/{load_per_s}/{number}",
+                fingerprint=b"",
+                deadline_s=start_s + 10,
+            )
+        except AlmondstairError:
+            refused += 1
+            return
+        latencies_us.record_value(int((time.monotonic() - start_s) * 1e6))
+        if not isinstance(claim, ledger.Claim):
+            raise TypeError("a key was used twice")
+        claim.dispatch(now_s=time.monotonic())
+        await asyncio.sleep(WORK_S)
+        await claims.record(claim, ANSWER)
+
+    await request(-1)
+    await claims.drain(timeout_s=10)
+    latencies_us.reset()
+    calls_before = await write_count()
+    cpu_before_s = time.process_time()
+    start_s = time.monotonic()
+    count = int(load_per_s * DURATION_S)
+    async with asyncio.TaskGroup() as group:
+        for number in range(count):
+            due_s = start_s + number / load_per_s
+            await asyncio.sleep(max(due_s - time.monotonic(), 0))
+            group.create_task(request(number))
+    took_s = time.monotonic() - start_s
+    await claims.drain(timeout_s=10)
+    cpu_s = time.process_time() - cpu_before_s
+    calls = await write_count() - calls_before
+    service.close()
+    return Row(
+        done_per_s=(count - refused) / took_s,
+        refused=refused,
+        calls_per_request=calls / count,
+        p50_ms=latencies_us.get_value_at_percentile(50) / 1000,
+        p99_ms=latencies_us.get_value_at_percentile(99) / 1000,
+        cpu_ms=cpu_s * 1000 / count,
+    )
+
+
+async def run() -> None:
+    """Runs every way at every load and prints the table."""
+    await AsyncHTTPClient().fetch(
+        f"http://{ADDRESS}/faults",
+        method="POST",
+        body=json.dumps({"delay_ms": PLATFORM_DELAY_MS}),
+    )
+    table = Table(title=f"claims, platform delay {PLATFORM_DELAY_MS} ms")
+    for heading in ("way", "load/s", *Row._fields):
+        table.add_column(heading, justify="right")
+    for load_per_s in LOADS_PER_S:
+        for way in WAYS:
+            row = await measure(way=way, load_per_s=load_per_s)
+            cells = [f"{value:.2f}" for value in row]
+            table.add_row(way.name, str(load_per_s), *cells)
+    Console(width=120).print(table)
+
+
+def main() -> None:
+    root = Path(__file__).resolve().parents[1]
+    platform = subprocess.Popen(
+        [sys.executable, str(root / STANDIN), "--address", ADDRESS],
+        env={**os.environ, "PYTHONPATH": str(root)},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        time.sleep(1.0)
+        asyncio.run(run())
+    finally:
+        platform.kill()
+        platform.wait()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/features/ledger.feature
@@ -0,0 +1,240 @@
+Feature: A request that must not repeat runs at most once
+  A key is claimed in the platform's service before its request is dispatched.
+
+  Background:
+    Given entries A, B and C over one service in memory
+
+  Scenario: A repeat of a done request gets its recorded answer
+    When entry A claims the key
+    Then entry A holds the claim
+    When entry A dispatches
+    And entry A records the answer 201 "paid"
+    And the outcomes reach the service
+    And entry B claims the key
+    Then entry B gets the answer 201 "paid"
+
+  Scenario: A repeat of a running request is told so
+    When entry A claims the key
+    And entry B claims the key
+    Then entry B is refused with claim_in_flight and ran unknown
+    When entry A claims the key
+    Then entry A is refused with claim_in_flight and ran unknown
+
+  Scenario: A key with another request behind it
+    When entry A claims the key
+    And entry B claims the key for another body
+    Then entry B is refused with key_reused and ran no
+
+  Scenario: Two keys whose short hashes are equal
+    # Symptom: a caller gets the answer of another caller's request.
+    # Sequence: two keys hash to one place in the service; their requests are
+    # equal to the byte.
+    # Cause: only the request was compared, not the key.
+    When entry A claims the key
+    And the record is moved to the place of the key "other"
+    And entry B claims the key "other"
+    Then entry B is refused with key_reused and ran no
+
+  Scenario: The same key at three entries at once
+    When entries A, B and C claim the key at once
+    Then just one of them holds the claim
+    And the others are refused with claim_in_flight
+
+  Scenario: An answer too large to keep
+    When entry A claims the key
+    And entry A dispatches
+    And entry A records an answer of 70000 bytes
+    And the outcomes reach the service
+    And entry B claims the key
+    Then entry B is refused with outcome_unknown and ran yes
+
+  Scenario: The claim takes effect and its answer is lost
+    # Symptom: the key is claimed for good and the request never runs.
+    # Sequence: the service applies the claim; its answer is lost.
+    # Cause: a lost answer taken for a failed write.
+    Given the service's next write is answer lost
+    When entry A claims the key
+    Then entry A holds the claim
+    And the service was written to 1 times
+
+  Scenario: The claim is lost before it takes effect
+    Given the service's next write is call lost
+    When entry A claims the key
+    Then entry A holds the claim
+    And the service was written to 2 times
+
+  Scenario: A claim given up arrives after all
+    # Symptom: a key nobody holds, answered outcome_unknown to every repeat,
+    # though its request never ran.
+    # Sequence: the claim is delayed; the service goes down before the read
+    # back; the caller is told "not run"; the service comes back; the claim
+    # arrives.
+    # Cause: the release found nothing to delete, and the claim came later.
+    Given the service's next write is late
+    And the service goes down after the next write
+    When entry A claims the key
+    Then entry A is refused with claim_unavailable and ran no
+    When the service comes back
+    And the outcomes reach the service
+    And the late write arrives
+    And entry B claims the key
+    Then entry B holds the claim
+
+  Scenario: A claim given up is still there when its own entry is asked again
+    # Sequence: the claim takes effect, its answer is lost, the service goes
+    # down; the same entry gets the repeat before its release is through.
+    Given the service's next write is answer lost
+    And the service goes down after the next write
+    When entry A claims the key
+    Then entry A is refused with claim_unavailable and ran no
+    When the service comes back
+    And entry A claims the key
+    Then entry A holds the claim
+    When the outcomes reach the service
+    And entry B claims the key
+    Then entry B is refused with claim_in_flight and ran unknown
+
+  Scenario: The service is out before the claim
+    Given the service is down
+    When entry A claims the key
+    Then entry A is refused with claim_unavailable and ran no
+    When the service comes back
+    And entry B claims the key
+    Then entry B holds the claim
+
+  Scenario: The service is out when the answer is there
+    # Symptom: the caller waits for its answer until the service is back, or a
+    # repeat runs a second time.
+    # Sequence: claim, dispatch, service out, answer, repeat at the same entry,
+    # service back, repeat at another entry.
+    When entry A claims the key
+    And entry A dispatches
+    And the service goes down
+    And entry A records the answer 201 "paid"
+    And entry A claims the key
+    Then entry A gets the answer 201 "paid"
+    When the service comes back
+    And the outcomes reach the service
+    And entry B claims the key
+    Then entry B gets the answer 201 "paid"
+
+  Scenario: The recording takes effect and its answer is lost
+    When entry A claims the key
+    And entry A dispatches
+    Given the service's next write is answer lost
+    When entry A records the answer 201 "paid"
+    And the outcomes reach the service
+    And entry B claims the key
+    Then entry B gets the answer 201 "paid"
+
+  Scenario: A service too slow to grant a lease
+    # Symptom: the first claim of an hour waits for as long as the service
+    # takes. Cause: only the write had a time limit.
+    Given the service takes 1.0 s
+    When entry A claims the key
+    Then entry A is refused with claim_unavailable and ran no
+    And the refusal took less than 0.5 s
+
+  Scenario: A slow service
+    # Symptom: a caller waits for as long as the service takes.
+    # Sequence: the service takes a second for a write; an entry gives a claim
+    # up after 0.3 s; the claim takes effect after that.
+    When entry A claims the key "first"
+    Given the service takes 1.0 s
+    When entry A claims the key
+    Then entry A is refused with claim_unavailable and ran no
+    And the refusal took less than 0.5 s
+    Given the service takes 0.0 s
+    When the outcomes reach the service
+    And entry B claims the key
+    Then entry B holds the claim
+
+  Scenario Outline: The entry dies after the claim
+    # Sequence: claim, perhaps dispatch, death. Which of the two is known to
+    # nobody, so no other entry may run it.
+    When entry A claims the key
+    And entry A <step>
+    And entry A dies
+    And entry B claims the key
+    Then entry B is refused with outcome_unknown and ran unknown
+
+    Examples:
+      | step            |
+      | does no more    |
+      | dispatches      |
+
+  Scenario: The holder lives but the deadline is past
+    When entry A claims the key with 100 ms left
+    And entry B claims the key
+    Then entry B is refused with claim_in_flight and ran unknown
+    When 200 ms pass
+    And entry B claims the key
+    Then entry B is refused with outcome_unknown and ran unknown
+
+  Scenario: The entry freezes between claim and dispatch
+    # Symptom: a request runs long after its caller was told that it timed out.
+    # Cause: nobody looks at the clock after the claim.
+    When entry A claims the key with 100 ms left
+    And 200 ms pass
+    And entry A dispatches
+    Then entry A is refused with deadline_passed and ran no
+    When entry A releases
+    And the outcomes reach the service
+    And entry B claims the key
+    Then entry B holds the claim
+
+  Scenario: Released, then claimed again
+    When entry A claims the key
+    And entry A releases
+    And entry A dispatches
+    Then entry A is refused with internal and ran no
+    When the outcomes reach the service
+    And entry B claims the key
+    Then entry B holds the claim
+
+  Scenario: A connection to the upstream is lost without an answer
+    When entry A claims the key
+    And entry A dispatches
+    And entry A loses the answer
+    And entry A claims the key
+    Then entry A is refused with outcome_unknown and ran unknown
+    When the outcomes reach the service
+    And entry B claims the key
+    Then entry B is refused with outcome_unknown and ran unknown
+
+  Scenario: The lease is gone
+    When entry A claims the key "first"
+    Given the service's next write is lease gone
+    When entry A claims the key
+    Then entry A holds the claim
+    And the service granted 2 leases
+
+  Scenario: Claims that queue share one write
+    Given the service takes 0.05 s
+    When entry A claims 100 keys at once
+    Then all 100 claims are held
+    And the service was written to at most 6 times
+
+  Scenario: One batch refused as a whole
+    # Symptom: one bad write fails every claim of its batch.
+    Given the service takes 0.02 s
+    And the service's writes from the third on are lease gone for 1 call
+    When entry A claims 40 keys at once
+    Then all 40 claims are held
+    And the service was written to 41 times
+
+  Scenario: A batch whose answer is lost
+    Given the service takes 0.02 s
+    And the service's writes from the third on are answer lost for 1 call
+    When entry A claims 40 keys at once
+    Then all 40 claims are held
+
+  Scenario: A long outage does not take all memory
+    # Sequence: 20 answers of 60 KB while the service is out, and room for 10.
+    Given room for 600000 bytes of outcomes
+    When entry A claims 20 keys at once
+    And the service goes down
+    And entry A answers all 20 claims with 60000 bytes
+    And the service comes back
+    And the outcomes reach the service
+    Then repeats at entry B get 10 answers and 10 times ran yes
