Test steering, retries, quarantine, look-up order and the block table

Thirty-one scenarios on the pure core under a clock of the test's own. What they found on the way: a region with a small weight was handed all low-priority work of a full neighbour past the ramp (now the region is drawn first and refused if full); a usual latency with a half-life of 60 s took slowness for usual within seconds (now 600 s upwards); a failing region regained work by its claim (now held at the floor).

--- /dev/null
+++ b/almondstair/core/blocks.py
@@ -0,0 +1,279 @@
+"""The table from blocks of client addresses to sites.
+
+A block is a /24 network of IPv4 (24 bits) or a /48 network of IPv6 (48 bits).
+Flat sorted arrays hold a million blocks in a few bytes each, where a dict of
+the same would take more than a hundred. The platform's values hold at most a
+megabyte, so the table is written as shards.
+"""
+
+from array import array
+from bisect import bisect_left
+from collections.abc import Iterable
+import sys
+from typing import NamedTuple
+
+import msgspec
+
+from almondstair.core.lookup import IPV4_BLOCK_BYTES
+from almondstair.core.lookup import IPV6_BLOCK_BYTES
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+
+# Below a megabyte with room for the key and the framing of a write.
+SHARD_LIMIT_BYTES = 900_000
+NO_SITE = None
+_SHARD_OVERHEAD_BYTES = 200
+_SITE_CODE = "H"
+_SITE_BITS = 16
+_HIGHEST_SITE = 0xFFFF
+
+
+class BlockSite(NamedTuple):
+    """One block and the number of its site.
+
+    Attributes:
+      block: 3 bytes for an IPv4 /24, 6 bytes for an IPv6 /48.
+      site: number of the site, 0 to 65535.
+    """
+
+    block: bytes
+    site: int
+
+
+class BlockShard(NamedTuple):
+    """A part of the table as the platform keeps it.
+
+    Attributes:
+      version: version of the whole table.
+      number: position of this shard, from 0; a later one holds higher blocks.
+      shard_count: shards of the table.
+      block_bytes: 3 or 6, the same for the whole shard.
+      blocks: rising block numbers, as little-endian words of 4 bytes (IPv4)
+        or 8 bytes (IPv6).
+      sites: their sites, as little-endian words of 2 bytes.
+    """
+
+    version: int
+    number: int
+    shard_count: int
+    block_bytes: int
+    blocks: bytes
+    sites: bytes
+
+
+class _Family:
+    """Sorted blocks of one address family in two flat arrays."""
+
+    __slots__ = ("block_bytes", "blocks", "sites")
+
+    def __init__(self, *, block_bytes: int) -> None:
+        self.block_bytes = block_bytes
+        self.blocks = _block_array(block_bytes=block_bytes)
+        self.sites = array(_SITE_CODE)
+
+    def site(self, *, number: int) -> int | None:
+        position = bisect_left(self.blocks, number)
+        if position == len(self.blocks):
+            return NO_SITE
+        if self.blocks[position] != number:
+            return NO_SITE
+        return self.sites[position]
+
+
+class BlockTable:
+    """Sites of client blocks; immutable once built."""
+
+    def __init__(self, *, version: int = 0) -> None:
+        """Makes an empty table.
+
+        Args:
+          version: version of the table.
+        """
+        self.version = version
+        self._ipv4 = _Family(block_bytes=IPV4_BLOCK_BYTES)
+        self._ipv6 = _Family(block_bytes=IPV6_BLOCK_BYTES)
+
+    def site(self, *, block: bytes) -> int | None:
+        """Returns the site of a block, None if it is not in the table."""
+        number = int.from_bytes(block)
+        if len(block) == IPV4_BLOCK_BYTES:
+            return self._ipv4.site(number=number)
+        return self._ipv6.site(number=number)
+
+    def __len__(self) -> int:
+        """Returns the number of blocks."""
+        return len(self._ipv4.blocks) + len(self._ipv6.blocks)
+
+    @property
+    def size_bytes(self) -> int:
+        """Memory of the arrays in bytes."""
+        size_bytes = 0
+        for family in (self._ipv4, self._ipv6):
+            size_bytes += sys.getsizeof(family.blocks)
+            size_bytes += sys.getsizeof(family.sites)
+        return size_bytes
+
+    def shards(self) -> tuple[bytes, ...]:
+        """Returns the table as values for the platform's service."""
+        parts: list[BlockShard] = []
+        for family in (self._ipv4, self._ipv6):
+            parts.extend(_split(family=family))
+        values: list[bytes] = []
+        for number, part in enumerate(parts):
+            shard = part._replace(
+                version=self.version, number=number, shard_count=len(parts)
+            )
+            values.append(msgspec.msgpack.encode(shard))
+        return tuple(values)
+
+    def _family(self, *, block_bytes: int) -> _Family:
+        """Returns the family whose blocks have so many bytes.
+
+        Raises:
+          AlmondstairError: CONFIGURATION_INVALID if there is none.
+        """
+        for family in (self._ipv4, self._ipv6):
+            if family.block_bytes == block_bytes:
+                return family
+        raise _invalid(f"a block of {block_bytes} bytes")
+
+
+def table_from_rows(
+    *, rows: Iterable[BlockSite], version: int = 0
+) -> BlockTable:
+    """Returns the table of rows in any order.
+
+    Raises:
+      AlmondstairError: CONFIGURATION_INVALID if a block is neither 3 nor 6
+        bytes, is listed with two sites, or a site is out of range.
+    """
+    words: dict[int, list[int]] = {IPV4_BLOCK_BYTES: [], IPV6_BLOCK_BYTES: []}
+    for row in rows:
+        if len(row.block) not in words:
+            raise _invalid(f"a block of {len(row.block)} bytes")
+        if not 0 <= row.site <= _HIGHEST_SITE:
+            raise _invalid(f"site number {row.site}")
+        # Block and site share a word, so that one sort orders both.
+        word = int.from_bytes(row.block) << _SITE_BITS | row.site
+        words[len(row.block)].append(word)
+    table = BlockTable(version=version)
+    for block_bytes, unordered in words.items():
+        family = table._family(block_bytes=block_bytes)
+        previous = -1
+        for word in sorted(set(unordered)):
+            block = word >> _SITE_BITS
+            if block == previous:
+                raise _invalid(f"block {block:x} with two sites")
+            previous = block
+            family.blocks.append(block)
+            family.sites.append(word & _HIGHEST_SITE)
+    return table
+
+
+def table_from_shards(*, values: Iterable[bytes]) -> BlockTable:
+    """Returns the table that shards make up.
+
+    Shards are taken in as whole arrays. Building row by row would hold up the
+    loop of an entry for seconds at a million blocks.
+
+    Args:
+      values: all shards of one version, in any order.
+
+    Raises:
+      AlmondstairError: CONFIGURATION_INVALID if shards are missing, belong to
+        different versions, are out of order or cannot be read. A table with
+        a gap would leave the callers of the gap without a site.
+    """
+    shards: dict[int, BlockShard] = {}
+    versions: set[int] = set()
+    counts: set[int] = set()
+    for value in values:
+        shard = _decode(value=value)
+        shards[shard.number] = shard
+        versions.add(shard.version)
+        counts.add(shard.shard_count)
+    if len(versions) != 1 or counts != {len(shards)}:
+        raise _invalid("shards that do not make up one table")
+    table = BlockTable(version=versions.pop())
+    for number in sorted(shards):
+        shard = shards[number]
+        family = table._family(block_bytes=shard.block_bytes)
+        _append(family=family, shard=shard)
+    return table
+
+
+def _decode(*, value: bytes) -> BlockShard:
+    try:
+        return msgspec.msgpack.decode(value, type=BlockShard)
+    except msgspec.MsgspecError as error:
+        raise _invalid(f"an unreadable shard ({error})") from error
+
+
+def _append(*, family: _Family, shard: BlockShard) -> None:
+    """Adds a shard's rows, which must be higher than those before.
+
+    Raises:
+      AlmondstairError: CONFIGURATION_INVALID if they are not in order, or
+        blocks and sites differ in number. Bisection over rows out of order
+        would miss blocks that are there.
+    """
+    blocks = _block_array(block_bytes=shard.block_bytes)
+    sites = array(_SITE_CODE)
+    try:
+        blocks.frombytes(shard.blocks)
+        sites.frombytes(shard.sites)
+    except ValueError as error:
+        raise _invalid("a shard with half a row") from error
+    _to_little_endian(words=blocks)
+    _to_little_endian(words=sites)
+    if len(blocks) != len(sites):
+        raise _invalid("a shard with more blocks than sites, or fewer")
+    ordered = sorted(set(blocks))
+    if ordered != blocks.tolist():
+        raise _invalid("a shard out of order")
+    if family.blocks and blocks and family.blocks[-1] >= blocks[0]:
+        raise _invalid("shards out of order")
+    family.blocks.extend(blocks)
+    family.sites.extend(sites)
+
+
+def _split(*, family: _Family) -> list[BlockShard]:
+    """Returns the shards of a family, numbered later."""
+    row_bytes = family.blocks.itemsize + family.sites.itemsize
+    room = (SHARD_LIMIT_BYTES - _SHARD_OVERHEAD_BYTES) // row_bytes
+    parts: list[BlockShard] = []
+    for start in range(0, len(family.blocks), room):
+        blocks = family.blocks[start : start + room]
+        sites = family.sites[start : start + room]
+        _to_little_endian(words=blocks)
+        _to_little_endian(words=sites)
+        part = BlockShard(
+            version=0,
+            number=0,
+            shard_count=0,
+            block_bytes=family.block_bytes,
+            blocks=blocks.tobytes(),
+            sites=sites.tobytes(),
+        )
+        parts.append(part)
+    return parts
+
+
+def _block_array(*, block_bytes: int) -> "array[int]":
+    # Type codes hold 4 and 8 bytes on every machine that CPython runs on.
+    if block_bytes == IPV4_BLOCK_BYTES:
+        return array("I")
+    return array("Q")
+
+
+def _to_little_endian(*, words: "array[int]") -> None:
+    """Turns words from the machine's order to little-endian, or back."""
+    if sys.byteorder != "little":
+        words.byteswap()
+
+
+def _invalid(found: str) -> AlmondstairError:
+    return AlmondstairError(
+        kind=ErrorKind.CONFIGURATION_INVALID,
+        detail=f"The table of client blocks holds {found}; load it again",
+    )
--- a/almondstair/core/health.py
+++ b/almondstair/core/health.py
@@ -12,7 +12,7 @@
 # The usual latency follows downwards faster than upwards: one learned on cold
 # caches would otherwise hide later slowness, and slowness that lasts would
 # soon pass for usual.
-BASELINE_UP_HALF_LIFE_S = 60.0
+BASELINE_UP_HALF_LIFE_S = 600.0
 BASELINE_DOWN_HALF_LIFE_S = 20.0
 BASELINE_LEARNING_SAMPLES = 20
 MIN_BASELINE_MS = 0.001
@@ -25,6 +25,11 @@
 STRETCH_TOLERATED = 2.0
 # Something must be sent for a recovery to be seen.
 MIN_FACTOR = 0.02
+# A name that nothing was sent to for so long is as good as never seen. It
+# would otherwise be shunned for ever on the ground of its last answers, since
+# only new ones could clear it.
+FORGOTTEN_AFTER_S = 60.0
+NEVER_S = float("-inf")
 
 
 class HealthView(NamedTuple):
@@ -49,43 +54,41 @@
 class _Average:
     """An average over time that forgets by half each half-life."""
 
-    __slots__ = ("_half_life_s", "_updated_s", "value")
+    __slots__ = ("_half_life_s", "updated_s", "value")
 
     def __init__(self, *, value: float, half_life_s: float) -> None:
         self.value = value
         self._half_life_s = half_life_s
-        self._updated_s: float | None = None
+        self.updated_s = NEVER_S
 
     def add(self, *, sample: float, now_s: float) -> None:
-        elapsed_s = 0.0
-        if self._updated_s is not None:
-            elapsed_s = now_s - self._updated_s
+        elapsed_s = now_s - self.updated_s
         step = 1.0 - 0.5 ** (elapsed_s / self._half_life_s)
         step = min(MAX_STEP, max(MIN_STEP, step))
         self.value += step * (sample - self.value)
-        self._updated_s = now_s
+        self.updated_s = now_s
 
 
 class _Baseline:
     """The usual latency of one request class at one name."""
 
-    __slots__ = ("_samples", "_updated_s", "value_ms")
+    __slots__ = ("_samples", "updated_s", "value_ms")
 
     def __init__(self) -> None:
         self.value_ms = 0.0
         self._samples = 0
-        self._updated_s = 0.0
+        self.updated_s = 0.0
 
     def add(self, *, latency_ms: float, now_s: float) -> None:
         half_life_s = BASELINE_UP_HALF_LIFE_S
         if latency_ms < self.value_ms:
             half_life_s = BASELINE_DOWN_HALF_LIFE_S
-        step = 1.0 - 0.5 ** ((now_s - self._updated_s) / half_life_s)
+        step = 1.0 - 0.5 ** ((now_s - self.updated_s) / half_life_s)
         self._samples += 1
         if self._samples <= BASELINE_LEARNING_SAMPLES:
             step = 1.0 / self._samples
         self.value_ms += min(1.0, step) * (latency_ms - self.value_ms)
-        self._updated_s = now_s
+        self.updated_s = now_s
 
     @property
     def learning(self) -> bool:
@@ -104,12 +107,15 @@
         self.stretch = _Average(value=1.0, half_life_s=half_life_s)
         self.baselines: dict[str, _Baseline] = {}
 
+    def last_sample_s(self) -> float:
+        return max(self.refused.updated_s, self.failed.updated_s)
+
 
 class HealthTable:
     """In-band evidence by name of region or upstream.
 
-    The averages move only with new samples. A name that is sent nothing keeps
-    the verdict of its last answers: time without evidence is not recovery.
+    The averages move only with new samples: a name that is sent little keeps
+    the verdict of its last answers, since silence is not recovery.
     """
 
     def __init__(self, *, half_life_s: float = DEFAULT_HALF_LIFE_S) -> None:
@@ -138,6 +144,10 @@
             return
         record.stretch.add(sample=latency_ms / usual_ms, now_s=now_s)
 
+    def accepted(self, *, name: str, now_s: float) -> None:
+        """Counts a request that was not refused, however it went on."""
+        self._record(name).refused.add(sample=0.0, now_s=now_s)
+
     def refused(self, *, name: str, now_s: float) -> None:
         """Counts a refusal: certainly not run."""
         record = self._record(name)
@@ -148,11 +158,14 @@
         record = self._record(name)
         record.failed.add(sample=1.0, now_s=now_s)
 
-    def view(self, *, name: str) -> HealthView:
+    def view(self, *, name: str, now_s: float) -> HealthView:
         """Returns the averages of a name; one never seen is healthy."""
         record = self._records.get(name)
         if record is None:
             return UNSEEN
+        if now_s - record.last_sample_s() > FORGOTTEN_AFTER_S:
+            del self._records[name]
+            return UNSEEN
         refused = record.refused.value
         failed = record.failed.value
         stretch = record.stretch.value
@@ -166,9 +179,9 @@
             factor=max(MIN_FACTOR, factor),
         )
 
-    def usable_slots(self, *, name: str, slots: int) -> int:
+    def usable_slots(self, *, name: str, slots: int, now_s: float) -> int:
         """Returns how many slots of an upstream deserve work, at least one."""
-        usable = round(slots * self.view(name=name).factor)
+        usable = round(slots * self.view(name=name, now_s=now_s).factor)
         return max(1, min(slots, usable))
 
     def forget(self, *, name: str) -> None:
--- a/almondstair/core/policies.py
+++ b/almondstair/core/policies.py
@@ -20,7 +20,9 @@
       region: name.
       latency_ms: one way from the caller's availability zone; 0 for the own.
       slots: slots of the service in the region.
-      free_slots: free ones, as claimed and then reduced by in-band evidence.
+      free_slots: free ones, as claimed.
+      health: 0 to 1, from the sender's own requests; work is reduced by it
+        whatever is claimed.
       link_headroom: unused part of the link's cap, 0 to 1.
     """
 
@@ -28,6 +30,7 @@
     latency_ms: float
     slots: float
     free_slots: float
+    health: float
     link_headroom: float
 
 
@@ -104,13 +107,14 @@
         for view in _within_bound(request=request):
             kept = view.slots * request.headroom_fraction
             spare = max(0.0, view.free_slots - kept)
-            spare *= _link_part(view=view)
+            spare *= view.health * _link_part(view=view)
             shares.append(RegionWeight(view.region, spare))
         if _total(shares) > 0.0:
             return _normalized(shares)
         shares = []
         for view in _within_bound(request=request):
-            shares.append(RegionWeight(view.region, view.free_slots))
+            free = view.free_slots * view.health
+            shares.append(RegionWeight(view.region, free))
         if _total(shares) > 0.0:
             return _normalized(shares)
         return _by_slots(views=_within_bound(request=request))
@@ -152,10 +156,11 @@
     """Returns the part of its work that the nearest region keeps."""
     if view.free_slots <= 0.0 or view.slots <= 0.0:
         return 0.0
+    part = view.health * _link_part(view=view)
     if request.headroom_fraction == 0.0:
-        return _link_part(view=view)
+        return part
     free = view.free_slots / view.slots
-    return min(1.0, free / request.headroom_fraction) * _link_part(view=view)
+    return min(1.0, free / request.headroom_fraction) * part
 
 
 def _part_of_spill(*, view: RegionView, request: SteeringInput) -> float:
@@ -164,7 +169,8 @@
     spare = view.free_slots - kept
     if spare <= 0.0:
         return 0.0
-    return min(1.0, spare / max(1.0, kept)) * _link_part(view=view)
+    part = view.health * _link_part(view=view)
+    return min(1.0, spare / max(1.0, kept)) * part
 
 
 def _link_part(*, view: RegionView) -> float:
--- a/almondstair/core/ramps.py
+++ b/almondstair/core/ramps.py
@@ -96,29 +96,23 @@
     return moved
 
 
-def drawn_order(*, weights: list[RegionWeight], draw: float) -> tuple[str, ...]:
-    """Returns the regions, one drawn by weight first, the rest as given.
+def drawn(*, weights: list[RegionWeight], draw: float) -> str:
+    """Returns the region drawn by weight.
 
     Args:
-      weights: regions in the order in which they are fallbacks.
+      weights: regions, at least one; the first is drawn if all weigh nothing.
       draw: uniform in [0, 1).
     """
     total = 0.0
     for weight in weights:
         total += weight.weight
     mark = draw * total
-    chosen = 0
-    for position, weight in enumerate(weights):
+    chosen = weights[0]
+    for weight in weights:
         if weight.weight <= 0.0:
             continue
-        chosen = position
+        chosen = weight
         mark -= weight.weight
         if mark < 0.0:
             break
-    order: list[str] = []
-    for weight in weights[chosen : chosen + 1]:
-        order.append(weight.region)
-    for position, weight in enumerate(weights):
-        if position != chosen:
-            order.append(weight.region)
-    return tuple(order)
+    return chosen.region
--- a/almondstair/core/steering.py
+++ b/almondstair/core/steering.py
@@ -209,29 +209,39 @@
         *,
         region: str,
         service: str,
+        priority: Priority,
         request_class: str,
         latency_ms: float,
         now_s: float,
     ) -> None:
         """Counts a whole answer of a region."""
         self._returned(region=region, service=service)
+        self._health.accepted(
+            name=_refusals_name(region, service, priority), now_s=now_s
+        )
         self._health.answered(
-            name=_health_name(region=region, service=service),
+            name=_health_name(region, service),
             request_class=request_class,
             latency_ms=latency_ms,
             now_s=now_s,
         )
 
-    def refused(self, *, region: str, service: str, now_s: float) -> None:
-        """Counts a refusal by a region: certainly not run."""
+    def refused(
+        self, *, region: str, service: str, priority: Priority, now_s: float
+    ) -> None:
+        """Counts a refusal by a region: certainly not run.
+
+        Refusals count by priority, since low priority is refused first and
+        that says nothing about the room for higher ones.
+        """
         self._returned(region=region, service=service)
-        name = _health_name(region=region, service=service)
+        name = _refusals_name(region, service, priority)
         self._health.refused(name=name, now_s=now_s)
 
     def failed(self, *, region: str, service: str, now_s: float) -> None:
         """Counts a failed, lost or late answer of a region."""
         self._returned(region=region, service=service)
-        name = _health_name(region=region, service=service)
+        name = _health_name(region, service)
         self._health.failed(name=name, now_s=now_s)
 
     def choose(
@@ -253,8 +263,9 @@
           draw: uniform in [0, 1).
 
         Returns:
-          Regions with room for work of this priority; empty when none that
-          the work may go to has any: the request is refused at once.
+          The chosen region, then those with room for work of this priority.
+          Empty when no region is live, or when the chosen one has no room for
+          work that is not always tried: the request is refused at once.
         """
         weights = self.weights(
             service=service,
@@ -262,35 +273,24 @@
             now_s=now_s,
             priority=priority,
         )
-        bound_ms = self._profile(service=service).latency_bound_ms
-        open_regions: list[RegionWeight] = []
-        may_start = False
-        for weight in weights:
-            flows = weight.weight > ramps.NEGLIGIBLE
-            if (
-                not flows
-                and self._distance_ms(
-                    availability_zone=availability_zone, region=weight.region
-                )
-                > bound_ms
-            ):
-                continue
-            if not self._has_room(
-                region=weight.region,
-                service=service,
-                priority=priority,
-                now_s=now_s,
-            ):
-                continue
-            may_start = may_start or flows
-            open_regions.append(weight)
-        if may_start:
-            return ramps.drawn_order(weights=open_regions, draw=draw)
-        # Regions of no weight are fallbacks only. Were all the work to start
-        # there, it would land on cold caches at once, past the ramp.
-        if priority not in ALWAYS_TRIED:
+        if not weights:
+            return ()
+        # Drawn from all regions and not only from those with room. Were the
+        # weight of a full region handed to the others here, all the work
+        # would land on their cold caches at once, past the ramp.
+        chosen = ramps.drawn(weights=list(weights), draw=draw)
+        order = [chosen]
+        room = self._with_room(
+            flow=_Flow(service, availability_zone, priority),
+            weights=weights,
+            now_s=now_s,
+        )
+        if chosen not in room and priority not in ALWAYS_TRIED:
             return ()
-        return ramps.drawn_order(weights=list(weights), draw=draw)
+        for region in room:
+            if region != chosen:
+                order.append(region)
+        return tuple(order)
 
     def weights(
         self,
@@ -323,7 +323,7 @@
         for region in self._configuration.regions:
             load = self._loads[(region, service)]
             totals = load.totals(now_s=now_s)
-            name = _health_name(region=region, service=service)
+            name = _health_name(region, service)
             row = RegionStatus(
                 region=region,
                 live=self._is_live(region=region, service=service, now_s=now_s),
@@ -331,7 +331,7 @@
                 age_s=load.youngest_age_s(now_s=now_s),
                 slots=totals.slots,
                 free_slots=totals.free_slots,
-                health=self._health.view(name=name),
+                health=self._health.view(name=name, now_s=now_s),
             )
             rows.append(row)
         return tuple(rows)
@@ -349,15 +349,32 @@
             return False
         return load.totals(now_s=now_s).slots > 0
 
-    def _has_room(
-        self, *, region: str, service: str, priority: Priority, now_s: float
-    ) -> bool:
-        policy = POLICIES[self._profile(service=service).policy]
-        totals = self._loads[(region, service)].totals(now_s=now_s)
-        if not totals.known or not policy.follows_load:
-            return True
-        left_free = totals.slots * SLOTS_LEFT_FREE[priority]
-        return totals.free_slots > left_free
+    def _with_room(
+        self, *, flow: _Flow, weights: tuple[RegionWeight, ...], now_s: float
+    ) -> list[str]:
+        """Returns the regions with room for the flow's work, heaviest first.
+
+        A region that nothing is known of counts as having room; one without
+        weight and beyond the latency bound does not.
+        """
+        profile = self._profile(service=flow.service)
+        follows_load = POLICIES[profile.policy].follows_load
+        room: list[str] = []
+        for weight in weights:
+            distance_ms = self._distance_ms(
+                availability_zone=flow.availability_zone, region=weight.region
+            )
+            if weight.weight <= ramps.NEGLIGIBLE:
+                if distance_ms > profile.latency_bound_ms:
+                    continue
+            load = self._loads[(weight.region, flow.service)]
+            totals = load.totals(now_s=now_s)
+            left_free = totals.slots * SLOTS_LEFT_FREE[flow.priority]
+            if follows_load and totals.known:
+                if totals.free_slots <= left_free:
+                    continue
+            room.append(weight.region)
+        return room
 
     def _profile(self, *, service: str) -> Profile:
         name = self._configuration.services[service].profile
@@ -399,11 +416,22 @@
         return regions
 
     def _view(
-        self, *, region: str, flow: _Flow, slots: float, free_slots: float
+        self,
+        *,
+        region: str,
+        flow: _Flow,
+        slots: float,
+        free_slots: float,
+        now_s: float,
     ) -> RegionView:
         """Returns a region as work of this priority sees it."""
-        name = _health_name(region=region, service=flow.service)
-        health = self._health.view(name=name)
+        answers = self._health.view(
+            name=_health_name(region, flow.service), now_s=now_s
+        )
+        refusals = self._health.view(
+            name=_refusals_name(region, flow.service, flow.priority),
+            now_s=now_s,
+        )
         left_free = slots * SLOTS_LEFT_FREE[flow.priority]
         link_key = (flow.availability_zone, region)
         return RegionView(
@@ -412,7 +440,8 @@
                 availability_zone=flow.availability_zone, region=region
             ),
             slots=slots - left_free,
-            free_slots=max(0.0, free_slots * health.factor - left_free),
+            free_slots=max(0.0, free_slots - left_free),
+            health=answers.factor * refusals.factor,
             link_headroom=self._link_headroom.get(link_key, 1.0),
         )
 
@@ -442,7 +471,11 @@
         for region in self._live_regions(flow=flow, now_s=now_s):
             slots = self._loads[(region, flow.service)].configured_slots
             view = self._view(
-                region=region, flow=flow, slots=slots, free_slots=slots
+                region=region,
+                flow=flow,
+                slots=slots,
+                free_slots=slots,
+                now_s=now_s,
             )
             views.append(view)
         return self._policy_weights(flow=flow, views=views)
@@ -470,11 +503,11 @@
         if not POLICIES[profile.policy].follows_load:
             in_force.weights = self._initial(flow=flow, now_s=now_s)
             return
-        known = self._known_regions(flow=flow, live=live, now_s=now_s)
+        trusted = self._trusted_regions(flow=flow, live=live, now_s=now_s)
         target = self._target(
             flow=flow,
             live=live,
-            known=known,
+            trusted=trusted,
             current=in_force.weights,
             elapsed_s=elapsed_s,
             now_s=now_s,
@@ -482,43 +515,49 @@
         start = self._left_at_once(
             flow=flow,
             live=live,
-            known=known,
+            trusted=trusted,
             current=in_force.weights,
             target=target,
+            now_s=now_s,
         )
         growth = profile.ramp_fraction_per_s * elapsed_s
         in_force.weights = ramps.ramped(
             start=start, target=target, growth=growth
         )
 
-    def _known_regions(
+    def _trusted_regions(
         self, *, flow: _Flow, live: list[str], now_s: float
     ) -> list[str]:
-        known: list[str] = []
+        """Returns the live regions that are neither silent nor failing."""
+        trusted: list[str] = []
         for region in live:
+            if self._is_failing(
+                region=region, service=flow.service, now_s=now_s
+            ):
+                continue
             load = self._loads[(region, flow.service)]
             if load.totals(now_s=now_s).known:
-                known.append(region)
-        return known
+                trusted.append(region)
+        return trusted
 
     def _target(
         self,
         *,
         flow: _Flow,
         live: list[str],
-        known: list[str],
+        trusted: list[str],
         current: ramps.Weights,
         elapsed_s: float,
         now_s: float,
     ) -> ramps.Weights:
         """Returns where the weights should go, summing to one."""
-        if not known:
+        if not trusted:
             return ramps.kept(current=current, regions=live)
         target: ramps.Weights = {}
         left = 1.0
         views: list[RegionView] = []
         for region in live:
-            if region in known:
+            if region in trusted:
                 load = self._loads[(region, flow.service)]
                 totals = load.totals(now_s=now_s)
                 view = self._view(
@@ -526,6 +565,7 @@
                     flow=flow,
                     slots=totals.slots,
                     free_slots=totals.free_slots,
+                    now_s=now_s,
                 )
                 views.append(view)
                 continue
@@ -546,41 +586,42 @@
         *,
         flow: _Flow,
         live: list[str],
-        known: list[str],
+        trusted: list[str],
         current: ramps.Weights,
         target: ramps.Weights,
+        now_s: float,
     ) -> ramps.Weights:
         """Returns the weights after lost and failing regions were left.
 
         A failing region keeps the floor, so that its recovery is noticed.
+        While no region is trusted there is nowhere better to go.
         """
         cut = dict(current)
-        heirs: list[str] = []
-        for region in live:
-            if self._is_failing(region=region, service=flow.service):
-                continue
-            if region in known:
-                heirs.append(region)
-        if not heirs:
-            return ramps.abandoned(
-                current=cut, live=live, heirs=known, target=target
-            )
         for region in live:
-            if self._is_failing(region=region, service=flow.service):
+            if not trusted:
+                break
+            if self._is_failing(
+                region=region, service=flow.service, now_s=now_s
+            ):
                 held = cut.get(region, 0.0)
                 cut[region] = min(held, self._limits.floor_weight)
         return ramps.abandoned(
-            current=cut, live=live, heirs=heirs, target=target
+            current=cut, live=live, heirs=trusted, target=target
         )
 
-    def _is_failing(self, *, region: str, service: str) -> bool:
-        name = _health_name(region=region, service=service)
-        return self._health.view(name=name).failed >= FAILED_AS_LOST
+    def _is_failing(self, *, region: str, service: str, now_s: float) -> bool:
+        name = _health_name(region, service)
+        view = self._health.view(name=name, now_s=now_s)
+        return view.failed >= FAILED_AS_LOST
 
 
-def _health_name(*, region: str, service: str) -> str:
+def _health_name(region: str, service: str) -> str:
     return f"{region}/{service}"
 
 
+def _refusals_name(region: str, service: str, priority: Priority) -> str:
+    return f"{region}/{service}/{priority}"
+
+
 def _by_weight(weight: RegionWeight) -> float:
     return weight.weight
--- /dev/null
+++ b/features/steering.feature
@@ -0,0 +1,225 @@
+Feature: Steering keeps work where it can be done
+  The pure core is driven here with a clock of the test's own. Three regions
+  (home, near, far) have 20 slots each; the caller is in zone home-a.
+
+  Background:
+    Given steering over home, near and far by the profile "local"
+
+  Scenario: Local work stays in its own region while there is headroom
+    When all regions report 15 free slots for 5 s
+    Then the weight of "home" is 1.00
+
+  Scenario: Local work spills to the nearest region in proportion
+    When for 60 s the free slots are home 1, near 15, far 15
+    Then the weight of "home" is 0.50
+    And the weight of "near" is 0.50
+    And the weight of "far" is 0.00
+
+  Scenario: Spread follows free slots within the latency bound
+    Given steering over home, near and far by the profile "spread"
+    When for 60 s the free slots are home 12, near 7, far 20
+    Then the weight of "home" is 0.67
+    And the weight of "near" is 0.33
+    And the weight of "far" is 0.00
+
+  Scenario: Round robin, the baseline, does not see load
+    Given steering over home, near and far by the profile "round_robin"
+    When for 60 s the free slots are home 0, near 20, far 20
+    Then the weight of "home" is 0.33
+
+  Scenario: A shift lands on cold caches
+    # Symptom: after a large shift the receiving region slows down just when
+    # its capacity is needed.
+    # Events: the own region fills up, all work moves at once.
+    # Cause: nothing bounded how fast a weight may grow.
+    When all regions report 15 free slots for 5 s
+    And for 20 s the free slots are home 0, near 20, far 20
+    Then no weight grew by more than 0.1 in any second
+    And the weight of "near" is 1.00
+
+  Scenario: Low priority moves before high priority
+    When for 60 s the free slots are home 5, near 20, far 20
+    Then the weight of "home" is 1.00
+    And the weight of "home" for batch work is 0.00
+    And batch work goes to "near" first
+
+  Scenario: Low priority does not jump to a cold region
+    # Symptom: one report of a full region, and all overnight work starts in
+    # the next region within the same moment.
+    # Events: the own region has no slot for batch work; the others have no
+    # weight yet.
+    # Cause: a fallback was used as a place to start.
+    When all regions report 15 free slots for 5 s
+    And one report gives the free slots home 5, near 20, far 20
+    Then at most 0.03 of batch work goes to "near", the rest is refused
+    And interactive work goes to "home" first
+
+  Scenario: Load reports stop
+    # Symptom: a region that says nothing is sent as much as before, or more.
+    # Events: reports from "home" stop while its last one said it was idle.
+    # Cause: an old report was read as a fresh one.
+    When all regions report 20 free slots for 5 s
+    And only near and far report 20 free slots for 60 s
+    Then the weight of "home" never grew after the limit
+    And the weight of "home" is 0.02
+
+  Scenario: A silent region with little weight gets no more
+    # Events: "near" has a small weight, falls silent, then "home" fills up.
+    When for 60 s the free slots are home 1.9, near 15, far 15
+    And only home and far report 0 free slots for 30 s
+    Then the weight of "near" never grew after the limit
+
+  Scenario: All reports stop
+    # With nothing known, nothing may move: every region looks as idle as the
+    # others, and none of it is true.
+    When for 60 s the free slots are home 1, near 15, far 15
+    And nobody reports for 60 s
+    Then the weight of "home" is 0.50
+    And the weight of "near" is 0.50
+
+  Scenario: Reports frozen at idle while answers fail
+    # Symptom: the load endpoint says idle, the health endpoint says well, and
+    # every request sent there fails.
+    # Cause: the claim was believed before the answers.
+    When all regions report 20 free slots for 5 s
+    And all regions report 20 free slots for 10 s while "home" fails requests
+    Then the weight of "home" never grew
+    And the weight of "home" is at most 0.02
+
+  Scenario: Reports frozen at idle while work is refused
+    When all regions report 20 free slots for 5 s
+    And all regions report 20 free slots for 30 s while "home" refuses requests
+    Then the weight of "home" is at most 0.03
+    And the weight of "home" for batch work is 1.00
+
+  Scenario: Reports frozen at idle while answers get slow
+    Given steering over home, near and far by the profile "spread"
+    When all regions report 20 free slots for 5 s
+    And all regions report 20 free slots for 10 s while "home" answers in 10 ms
+    And all regions report 20 free slots for 20 s while "home" answers in 100 ms
+    Then the weight of "home" is at most 0.35
+
+  Scenario: Work for a failing region does not cross the ramp of its health
+    # Symptom: a region that fails everything is left and taken back by turns.
+    When all regions report 20 free slots for 5 s
+    And all regions report 20 free slots for 120 s while "home" fails requests
+    Then the weight of "home" never grew
+    And the weight of "near" is 0.98
+
+  Scenario: A region that recovers is noticed and grows by the ramp
+    When all regions report 20 free slots for 5 s
+    And all regions report 20 free slots for 10 s while "home" fails requests
+    And all regions report 20 free slots for 60 s while "home" answers in 10 ms
+    Then no weight grew by more than 0.1 in any second since "home" answered
+    And the weight of "home" is 1.00
+
+  Scenario: A region is lost
+    # Symptom: work goes on to a region where nobody lives, or all of it falls
+    # on a neighbour that has no room.
+    # Events: every entry of "home" falls silent; "near" has few slots left.
+    When all regions report 15 free slots for 5 s
+    And one report gives the free slots home 15, near 4, far 20
+    And the region "home" is lost
+    Then the weight of "home" is 0.00
+    And batch work is never sent to "near" first
+    And interactive work goes to "near" first
+
+  Scenario: A lost region comes back cold
+    When all regions report 15 free slots for 5 s
+    And the region "home" is lost
+    And all regions report 15 free slots for 5 s
+    And the region "home" is back
+    And all regions report 15 free slots for 20 s
+    Then no weight grew by more than 0.1 in any second since "home" was back
+    And the weight of "home" is 1.00
+
+  Scenario: A link without headroom takes no spilled work
+    When the link to "near" has a headroom of 0.0
+    And for 60 s the free slots are home 0, near 20, far 20
+    Then the weight of "near" is 0.00
+
+  Scenario: Every request between two reports does not see the same slot
+    # Symptom: bursts past the slots of a region each time it reports.
+    # Cause: requests sent since the last report were not counted.
+    When one report gives the free slots home 3, near 0, far 0
+    And 3 requests are sent to "home"
+    Then upload work is refused at once
+
+  Scenario: Retries at twice the capacity
+    # Symptom: overload outlasts its cause; retries outnumber first tries.
+    # Events: half of the first tries are refused, and so are retries.
+    # Cause: each refusal was answered with a retry.
+    Given a retry budget of 0.1
+    When for 60 s 200 first tries a second come and each refused one is retried
+    Then retries are at most 0.1 of first tries
+    And retries are at least 0.09 of first tries
+
+  Scenario: Calm saves up no storm
+    Given a retry budget of 0.1
+    When for 120 s 200 first tries a second come and none is refused
+    And for 10 s 200 first tries a second come and each refused one is retried
+    Then retries of the last 10 s are at most 0.11 of its first tries
+
+  Scenario: A service with little load may still retry
+    Given a retry budget of 0.1
+    When for 60 s 1 first tries a second come and each refused one is retried
+    Then retries are at least 0.4 of first tries
+
+  Scenario: Refused callers do not come back together
+    Then times to come back from a base of 1000 ms spread over 1000 to 2000 ms
+    And at twice the capacity they spread over 2000 to 4000 ms
+
+  Scenario: A request that crashes upstreams is stopped after two
+    # Symptom: upstreams die one after another.
+    # Events: the request runs, its upstream dies, the caller sends it again
+    # through the next entry, 20 times over three entries.
+    # Cause: no entry knew what the others had seen.
+    Given quarantines of 3 entries that exchange heartbeats
+    When a crashing request is sent 20 times, each time to the next entry
+    Then 2 upstreams were crashed
+    And the request is quarantined on every entry
+    And another request is clear on every entry
+
+  Scenario: Marks are taken in twice
+    Given quarantines of 3 entries that exchange heartbeats
+    When entry 0 has one strike and its marks are taken in 5 times by entry 1
+    Then entry 1 tells the request to run alone
+
+  Scenario: Marks end although entries repeat them to each other
+    # Symptom: a request stays quarantined for ever.
+    # Events: each entry forgets a mark and learns it again from a peer whose
+    # copy runs a little longer, by the time the message took.
+    Given quarantines of 3 entries that exchange heartbeats
+    When a crashing request is sent 20 times, each time to the next entry
+    And 330 s pass with heartbeats that take 1 s
+    Then the request is clear on every entry
+
+  Scenario: Marks in heartbeats are bounded and each gets its turn
+    Given quarantines of 3 entries that exchange heartbeats
+    When entry 0 has strikes against 100 requests
+    Then each digest of entry 0 has at most 16 marks
+    And 7 heartbeats carry all 100 to entry 1
+
+  Scenario: Look-ups name the nearest first and one of another zone last
+    Given 10 entries in each of the zones home-a, home-b and near-a
+    Then a look-up for a block names 2 entries of home-a and 1 of home-b
+    And 1000 blocks spread over all entries of home-a
+    And without one entry only the blocks that used it change
+
+  Scenario: A look-up with two live entries names both
+    Given 1 entries in each of the zones home-a and near-a
+    Then a look-up for a block names 1 entries of home-a and 1 of near-a
+
+  Scenario: Callers are grouped by network
+    Then the block of "192.0.2.7" is that of "192.0.2.200"
+    And the block of "192.0.2.7" is not that of "192.0.3.7"
+    And the block of "::ffff:192.0.2.7" is that of "192.0.2.200"
+    And the block of "2001:db8:1:2::1" is that of "2001:db8:1:ffff::9"
+    And the block of "2001:db8:1::1" is not that of "2001:db8:2::1"
+
+  Scenario: The table of client blocks finds sites and survives its shards
+    Given a table of 200000 client blocks
+    Then each block is found with its site
+    And blocks that are not in it have no site
+    And its shards are below 1000000 bytes and give the same table
+    And a table with a shard missing is refused
