Let the end of a request say nothing of its region

Steering.returned() closes a request without evidence, for callers that left, short deadlines of their own and claims without an answer. RetryBudget.fraction is readable.

--- a/almondstair/core/retries.py
+++ b/almondstair/core/retries.py
@@ -78,6 +78,11 @@
         self._retries += 1
         return True
 
+    @property
+    def fraction(self) -> float:
+        """Tokens that a first try earns."""
+        return self._fraction
+
     @property
     def counts(self) -> RetryCounts:
         """Tries and retries since the budget was made."""
--- a/almondstair/core/steering.py
+++ b/almondstair/core/steering.py
@@ -204,6 +204,16 @@
         if load is not None:
             load.sent()
 
+    def returned(self, *, region: str, service: str) -> None:
+        """Counts the end of a request that tells nothing of the region.
+
+        A caller that left, or whose own deadline was too short, or a claim
+        that the platform did not answer, is no fault of the region.
+        """
+        load = self._loads.get((region, service))
+        if load is not None:
+            load.returned()
+
     def answered(
         self,
         *,
@@ -215,7 +225,7 @@
         now_s: float,
     ) -> None:
         """Counts a whole answer of a region."""
-        self._returned(region=region, service=service)
+        self.returned(region=region, service=service)
         self._health.accepted(
             name=_refusals_name(region, service, priority), now_s=now_s
         )
@@ -234,13 +244,13 @@
         Refusals count by priority, since low priority is refused first and
         that says nothing about the room for higher ones.
         """
-        self._returned(region=region, service=service)
+        self.returned(region=region, service=service)
         name = _refusals_name(region, service, priority)
         self._health.refused(name=name, now_s=now_s)
 
     def failed(self, *, region: str, service: str, now_s: float) -> None:
         """Counts a failed, lost or late answer of a region."""
-        self._returned(region=region, service=service)
+        self.returned(region=region, service=service)
         name = _health_name(region, service)
         self._health.failed(name=name, now_s=now_s)
 
@@ -336,11 +346,6 @@
             rows.append(row)
         return tuple(rows)
 
-    def _returned(self, *, region: str, service: str) -> None:
-        load = self._loads.get((region, service))
-        if load is not None:
-            load.returned()
-
     def _is_live(self, *, region: str, service: str, now_s: float) -> bool:
         if region in self._lost:
             return False
