Tell steering only what speaks of a region

Every refusal counted against the region, also a claim that the platform did not answer, and every timeout, also that of a caller that allowed a few milliseconds. Enough of these made a region look dead to all other callers. Now only refusals for want of room and timeouts of a fair try count.

--- a/almondstair/running.py
+++ b/almondstair/running.py
@@ -357,6 +357,4 @@
     """Returns the error with the word that fits how far the call came."""
     if error.ran is not Ran.NO or not call.progress.may_have_run:
         return error
-    return AlmondstairError(
-        kind=ErrorKind.OUTCOME_UNKNOWN, detail=error.detail
-    )
+    return AlmondstairError(kind=ErrorKind.OUTCOME_UNKNOWN, detail=error.detail)
--- a/almondstair/serving.py
+++ b/almondstair/serving.py
@@ -51,6 +51,12 @@
         ErrorKind.NO_UPSTREAM,
     )
 )
+# Refusals that tell of the room in a region.
+_REGION_REFUSALS = frozenset((ErrorKind.NO_SLOT, ErrorKind.ENTRY_LEAVING))
+# Part of a class's deadline that a try must have had for its timeout to count
+# against the region. A caller that allows a few milliseconds would otherwise
+# make every region look dead to all other callers.
+_FAIR_TRY_FRACTION = 0.5
 
 
 class Parts(NamedTuple):
@@ -293,11 +299,14 @@
     ) -> None:
         now_s = time.monotonic()
         service = call.head.service
+        request_class = call.head.request_class
+        steering = self._parts.steering
         if error is None:
-            self._parts.steering.answered(
+            steering.answered(
                 region=hop.region,
                 service=service,
-                request_class=call.head.request_class.name,
+                priority=request_class.priority,
+                request_class=request_class.name,
                 latency_ms=(now_s - started_s) * 1000,
                 now_s=now_s,
             )
@@ -306,14 +315,21 @@
             self._parts.hops.refused(
                 entry=hop.row.name, service=service, now_s=now_s
             )
-        if error.kind in _FAILURES:
-            self._parts.steering.failed(
-                region=hop.region, service=service, now_s=now_s
+        if error.kind in _REGION_REFUSALS:
+            steering.refused(
+                region=hop.region,
+                service=service,
+                priority=request_class.priority,
+                now_s=now_s,
             )
             return
-        self._parts.steering.refused(
-            region=hop.region, service=service, now_s=now_s
-        )
+        fair_ms = request_class.deadline_ms * _FAIR_TRY_FRACTION
+        timed_out = error.kind is ErrorKind.UPSTREAM_TIMEOUT
+        too_short = timed_out and (now_s - started_s) * 1000 < fair_ms
+        if error.kind in _FAILURES and not too_short:
+            steering.failed(region=hop.region, service=service, now_s=now_s)
+            return
+        steering.returned(region=hop.region, service=service)
 
     def _may_go_on(
         self, call: Call, error: AlmondstairError, budget: RetryBudget
