Add the operators' command-line tool

A command runs only after its whole line was understood. Tried and left: fire's parse functions for names, which put FIRE_METADATA into each help page; names that fire reads as numbers are refused instead.

Shown by hand: help, usage, an entry that does not answer, file checks.

--- a/almondstair/documents.py
+++ b/almondstair/documents.py
@@ -46,7 +46,7 @@
     profiles[profile][key] = value
 
     document = tomlkit.parse(text)
-    document["profiles"][profile][key] = value  # type: ignore[index]
+    document["profiles"][profile][key] = value
     return _checked(tomlkit.dumps(document), expected=expected)
 
 
@@ -76,7 +76,7 @@
     services[service]["profile"] = profile
 
     document = tomlkit.parse(text)
-    document["services"][service]["profile"] = profile  # type: ignore[index]
+    document["services"][service]["profile"] = profile
     return _checked(tomlkit.dumps(document), expected=expected)
 
 
--- /dev/null
+++ b/almondstair/operator_api.py
@@ -0,0 +1,165 @@
+"""Bodies of the operators' HTTP API, as JSON objects.
+
+Ages are seconds since the report came in; None means that there is no report,
+which is not the same as a good one.
+"""
+
+from typing import TypedDict
+
+ACCEPTED = "accepted"
+PENDING = "pending"
+
+
+class ConfigurationBody(TypedDict):
+    """Answer to `GET /v1/configuration`.
+
+    Attributes:
+      version: version of the document.
+      edit_id: the edit that made it.
+      author: who made that edit.
+      edited_at: when, as an ISO 8601 time.
+      text: the TOML document.
+      in_force: version in force on each entry, None where it is unknown.
+    """
+
+    version: int
+    edit_id: str
+    author: str
+    edited_at: str
+    text: str
+    in_force: dict[str, int | None]
+
+
+class EditBody(TypedDict):
+    """Body of `POST /v1/configuration`."""
+
+    base_version: int
+    edit_id: str
+    author: str
+    text: str
+
+
+class CheckBody(TypedDict):
+    """Body of `POST /v1/configuration/check`."""
+
+    text: str
+
+
+class MarkBody(TypedDict):
+    """Body of `POST /v1/marks`."""
+
+    name: str
+    leaving: bool
+    edit_id: str
+    author: str
+
+
+class EditState(TypedDict):
+    """State of an edit.
+
+    Attributes:
+      edit_id: the edit.
+      state: `accepted` or `pending`.
+      version: version that the edit made.
+      lacking: entries on which it is not known to be in force.
+    """
+
+    edit_id: str
+    state: str
+    version: int
+    lacking: list[str]
+
+
+class HistoryItem(TypedDict):
+    """One version in the history."""
+
+    version: int
+    edit_id: str
+    author: str
+    edited_at: str
+
+
+class HistoryBody(TypedDict):
+    """Answer to `GET /v1/configuration/history`, newest version first."""
+
+    versions: list[HistoryItem]
+
+
+class DrainBody(TypedDict):
+    """Answer to `GET /v1/drains/NAME`.
+
+    Attributes:
+      name: the upstream or entry.
+      leaving: whether it is leaving.
+      in_flight: requests that still run there, None if unknown.
+      last_new_work_age_s: seconds since it was last given a request, None if
+        unknown or never.
+    """
+
+    name: str
+    leaving: bool
+    in_flight: int | None
+    last_new_work_age_s: float | None
+
+
+class EntryStatus(TypedDict):
+    """One entry in the status."""
+
+    name: str
+    region: str
+    availability_zone: str
+    heard_age_s: float | None
+    leaving: bool
+    config_version: int | None
+
+
+class UpstreamStatus(TypedDict):
+    """One upstream in the status; `home` is the entry that feeds it."""
+
+    name: str
+    region: str
+    home: str
+    slots: int
+    busy: int | None
+    state: str
+    report_age_s: float | None
+    in_flight: int | None
+
+
+class RegionStatus(TypedDict):
+    """One region in the status."""
+
+    name: str
+    slots: int
+    free: int | None
+    report_age_s: float | None
+
+
+class LinkStatus(TypedDict):
+    """One link in the status; `share_bytes_per_s` is this entry's part."""
+
+    availability_zone: str
+    region: str
+    cap_bytes_per_s: int
+    used_bytes_per_s: float | None
+    share_bytes_per_s: float
+
+
+class StatusBody(TypedDict):
+    """Answer to `GET /v1/status`: what one entry knows.
+
+    Attributes:
+      entry: name of the entry that answers.
+      epoch: epoch of its entry table.
+      entries: every entry of the table.
+      upstreams: every upstream.
+      regions: every region.
+      links: every link.
+    """
+
+    entry: str
+    epoch: int
+    entries: list[EntryStatus]
+    upstreams: list[UpstreamStatus]
+    regions: list[RegionStatus]
+    links: list[LinkStatus]
--- /dev/null
+++ b/almondstair/tools/almondstairctl.py
@@ -0,0 +1,147 @@
+"""Command-line tool of the operators.
+
+It asks the operators' listener of an entry. Every failure has a kind, and each
+kind has an exit code; `docs/ERRORS.md` lists them.
+"""
+
+import argparse
+import getpass
+import os
+import sys
+
+import fire
+from fire import core as fire_core
+
+from almondstair import errors
+from almondstair.tools import commands
+from almondstair.tools import session as session_module
+from almondstair.tools import tables
+
+ENTRY_VARIABLE = "ALMONDSTAIR_ENTRY"
+_PROGRAM = "almondstairctl"
+_FIRE_USAGE_EXIT_CODE = 2
+_INTERRUPTED_EXIT_CODE = 130
+
+
+class Control:
+    """Operates almondstair through the operators' listener of an entry.
+
+    Examples:
+      almondstairctl status --entry=127.0.0.1:20104
+      almondstairctl config show > deployment.toml
+      almondstairctl profile set local headroom_fraction 0.2
+      almondstairctl vm leave matching-se1-1
+      almondstairctl edit status 5b0c0f6e8d1f4a07 --json
+
+    Options of every command:
+      --entry=IP:PORT[,IP:PORT...]: operators' listeners, asked in this order
+        until one answers; by default from ALMONDSTAIR_ENTRY.
+      --author=NAME: name put on edits; by default the user's.
+      --json: print JSON for scripts.
+    """
+
+    def __init__(self, session: session_module.Session) -> None:
+        """Makes the groups of commands."""
+        self._session = session
+        self.config = commands.ConfigCommands(session)
+        self.profile = commands.ProfileCommands(session)
+        self.vm = commands.VmCommands(session)
+        self.edit = commands.EditCommands(session)
+        self.settings = commands.SettingsCommands(session)
+
+    @commands.command
+    def status(self) -> None:
+        """Shows entries, upstreams, regions and links as one entry knows them.
+
+        Examples:
+          almondstairctl status
+          almondstairctl status --json
+        """
+        body = self._session.client.status()
+        self._session.show(
+            body,
+            f"as {body['entry']} knows it, epoch {body['epoch']}",
+            tables.entries(body["entries"], answering=body["entry"]),
+            tables.upstreams(body["upstreams"]),
+            tables.regions(body["regions"]),
+            tables.links(body["links"]),
+        )
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Runs one command and exits with the code of its error kind.
+
+    Args:
+      arguments: the command line, by default the process's.
+    """
+    if arguments is None:
+        arguments = sys.argv[1:]
+    sys.exit(run(arguments))
+
+
+def run(arguments: list[str]) -> int:
+    """Runs one command.
+
+    Args:
+      arguments: the command line without the program's name.
+
+    Returns:
+      The exit code.
+    """
+    options, rest = _options().parse_known_args(arguments)
+    session = session_module.Session(
+        entry=options.entry, author=options.author, json=options.json
+    )
+    try:
+        exit_code = _run_command(session, arguments=rest)
+    except errors.AlmondstairError as error:
+        session.show_error(error)
+        return error.rule.exit_code
+    except KeyboardInterrupt:
+        session.note("stopped waiting; what was sent stays in force")
+        return _INTERRUPTED_EXIT_CODE
+    session.note_silences()
+    return exit_code
+
+
+def _run_command(
+    session: session_module.Session, *, arguments: list[str]
+) -> int:
+    try:
+        fire.Fire(
+            Control(session),
+            command=arguments,
+            name=_PROGRAM,
+            serialize=commands.run_pending,
+        )
+    except fire_core.FireExit as error:
+        if error.code == _FIRE_USAGE_EXIT_CODE:
+            return errors.ERROR_TABLE[errors.ErrorKind.USAGE].exit_code
+        return int(error.code or 0)
+    return 0
+
+
+def _options() -> argparse.ArgumentParser:
+    """Returns the parser of the options that every command has.
+
+    They are taken out before the rest is understood, so that they may stand
+    anywhere in the line and the help of each group stays about the group.
+    """
+    parser = argparse.ArgumentParser(
+        prog=_PROGRAM, add_help=False, allow_abbrev=False
+    )
+    parser.add_argument("--entry", default=os.environ.get(ENTRY_VARIABLE, ""))
+    parser.add_argument("--author", default=_user())
+    parser.add_argument("--json", action="store_true")
+    return parser
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/almondstair/tools/commands.py
@@ -0,0 +1,411 @@
+"""The groups of commands of the command-line tool.
+
+A command does its work only after the whole command line was understood. If it
+ran at once, `vm leave a b` would mark `a` and then complain about `b`.
+"""
+
+from collections.abc import Callable
+import difflib
+import functools
+import inspect
+from pathlib import Path
+import time
+from typing import Any
+
+from almondstair import documents
+from almondstair import errors
+from almondstair import faults as faults_module
+from almondstair import operator_api
+from almondstair import settings as settings_module
+from almondstair import validation
+from almondstair.tools import session as session_module
+from almondstair.tools import tables
+
+_IN_FORCE_SOURCE = "configuration in force"
+
+
+class Pending:
+    """A command that was understood and has not run yet."""
+
+    def __init__(self, *, action: Callable[[], None]) -> None:
+        """Keeps the action."""
+        self._action = action
+
+    def _run(self) -> None:
+        self._action()
+
+
+def run_pending(result: Any) -> Any:
+    """Runs a command; returns any other result, such as a group, as it is."""
+    if not isinstance(result, Pending):
+        return result
+    result._run()
+    return None
+
+
+def command(method: Callable[..., None]) -> Callable[..., Pending]:
+    """Makes a method return its work instead of doing it."""
+
+    @functools.wraps(method)
+    def prepare(*args: Any, **kwargs: Any) -> Pending:
+        bound = inspect.signature(method).bind(*args, **kwargs)
+        _refuse_numbers_for_text(method, arguments=bound.arguments)
+        return Pending(action=functools.partial(method, *args, **kwargs))
+
+    return prepare
+
+
+def _refuse_numbers_for_text(
+    method: Callable[..., None], *, arguments: dict[str, Any]
+) -> None:
+    """Refuses a name that `fire` took for a number.
+
+    `1_0` is the number 10 to `fire`, and so a command could reach another VM
+    than the one that was typed.
+    """
+    for name, value in arguments.items():
+        if inspect.get_annotations(method).get(name) is not str:
+            continue
+        if isinstance(value, str):
+            continue
+        raise errors.AlmondstairError(
+            kind=errors.ErrorKind.USAGE,
+            detail=f"{name} was read as {value!r}, which is not text; "
+            "put it in double quotes inside single ones, such as '\"1_0\"'",
+        )
+
+
+class ConfigCommands:
+    """Show, check and edit the configuration."""
+
+    def __init__(self, session: session_module.Session) -> None:
+        """Keeps the session."""
+        self._session = session
+
+    @command
+    def show(self) -> None:
+        """Prints the configuration as TOML, its version on standard error.
+
+        Examples:
+          almondstairctl config show > deployment.toml
+          almondstairctl config show --json
+        """
+        body = self._session.client.configuration()
+        if self._session.json:
+            self._session.show(body)
+            return
+        print(body["text"], end="")
+        self._session.note(f"version {body['version']} by {body['author']}")
+        for entry, version in body["in_force"].items():
+            if version == body["version"]:
+                continue
+            known = "unknown" if version is None else str(version)
+            self._session.note(f"in force on {entry}: {known}")
+
+    @command
+    def check(self, file: str, *, remote: bool = False) -> None:
+        """Checks a configuration file and lists every fault.
+
+        Examples:
+          almondstairctl config check deployment.toml
+          almondstairctl config check deployment.toml --remote
+
+        Args:
+          file: the TOML file.
+          remote: have an entry check it too.
+        """
+        text = _read_file(file)
+        settings_module.read_configuration(text, file)
+        if remote:
+            self._session.client.check(text=text)
+        self._session.show({"valid": True}, f"{file} is valid")
+
+    @command
+    def diff(self, file: str) -> None:
+        """Shows how a file differs from the configuration in force.
+
+        Examples:
+          almondstairctl config diff deployment.toml
+          almondstairctl config diff deployment.toml --json
+
+        Args:
+          file: the TOML file.
+        """
+        text = _read_file(file)
+        current = self._session.client.configuration()
+        changed = documents.describe_changes(current["text"], text)
+        body = {"base_version": current["version"], "changed": changed}
+        if self._session.json:
+            self._session.show(body)
+            return
+        for line in difflib.unified_diff(
+            current["text"].splitlines(keepends=True),
+            text.splitlines(keepends=True),
+            fromfile=f"version {current['version']}",
+            tofile=file,
+        ):
+            print(line, end="")
+        if not changed:
+            self._session.note("no setting differs")
+
+    @command
+    def edit(
+        self, file: str, *, base_version: int, wait_s: float = 10.0
+    ) -> None:
+        """Puts a file in the place of the configuration.
+
+        Take the version and the text from `config show`. If somebody else
+        edited it since, nothing is stored and the changed keys are named.
+
+        Examples:
+          almondstairctl config show > deployment.toml
+          almondstairctl config edit deployment.toml --base_version=7
+
+        Args:
+          file: the TOML file.
+          base_version: the version that the file was made from.
+          wait_s: how long to wait for every entry, in seconds.
+        """
+        text = _read_file(file)
+        settings_module.read_configuration(text, file)
+        self._session.edit(base_version=base_version, text=text, wait_s=wait_s)
+
+    @command
+    def history(self) -> None:
+        """Lists the versions of the configuration, newest first.
+
+        Examples:
+          almondstairctl config history
+        """
+        body = self._session.client.history()
+        self._session.show(body, tables.history(body["versions"]))
+
+
+class ProfileCommands:
+    """List, change and assign steering profiles."""
+
+    def __init__(self, session: session_module.Session) -> None:
+        """Keeps the session."""
+        self._session = session
+
+    @command
+    def list(self) -> None:
+        """Lists the profiles and the services that run under them.
+
+        Examples:
+          almondstairctl profile list
+        """
+        body = self._session.client.configuration()
+        configuration = settings_module.read_configuration(
+            body["text"], _IN_FORCE_SOURCE
+        )
+        rows: list[dict[str, str]] = []
+        for name, profile in configuration.profiles.items():
+            row = {"profile": name}
+            for field in profile._fields:
+                row[field] = str(getattr(profile, field))
+            services: list[str] = []
+            for service_name, service in configuration.services.items():
+                if service.profile == name:
+                    services.append(service_name)
+            row["services"] = ", ".join(services)
+            rows.append(row)
+        self._session.show({"profiles": rows}, tables.profiles(rows))
+
+    @command
+    def set(
+        self,
+        profile: str,
+        key: str,
+        value: documents.Scalar,
+        *,
+        wait_s: float = 10.0,
+    ) -> None:
+        """Sets one field of a profile; setting `policy` makes a new profile.
+
+        Examples:
+          almondstairctl profile set local headroom_fraction 0.2
+          almondstairctl profile set night policy spread
+
+        Args:
+          profile: name of the profile.
+          key: the field, with its unit suffix.
+          value: the new value.
+          wait_s: how long to wait for every entry, in seconds.
+        """
+        current = self._session.client.configuration()
+        text = documents.set_profile_field(current["text"], profile, key, value)
+        self._session.edit(
+            base_version=current["version"], text=text, wait_s=wait_s
+        )
+
+    @command
+    def assign(
+        self, service: str, profile: str, *, wait_s: float = 10.0
+    ) -> None:
+        """Puts a service under a profile.
+
+        Examples:
+          almondstairctl profile assign matching spread
+
+        Args:
+          service: name of the service.
+          profile: name of the profile.
+          wait_s: how long to wait for every entry, in seconds.
+        """
+        current = self._session.client.configuration()
+        text = documents.assign_profile(current["text"], service, profile)
+        self._session.edit(
+            base_version=current["version"], text=text, wait_s=wait_s
+        )
+
+
+class VmCommands:
+    """Mark VMs as leaving, and back."""
+
+    def __init__(self, session: session_module.Session) -> None:
+        """Keeps the session."""
+        self._session = session
+
+    @command
+    def leave(self, name: str, *, wait_s: float = 120.0) -> None:
+        """Marks a VM as leaving and waits until no work is left on it.
+
+        Examples:
+          almondstairctl vm leave matching-se1-1
+          almondstairctl vm leave scot-east-1a --wait_s=30
+
+        Args:
+          name: the upstream or entry.
+          wait_s: how long to wait for the work to end, in seconds.
+        """
+        until_s = time.monotonic() + wait_s
+        self._mark(name, leaving=True, wait_s=wait_s)
+        started_s = time.monotonic()
+        while True:
+            drain = self._session.client.drain(name=name)
+            elapsed_s = time.monotonic() - started_s
+            done = drain["leaving"] and drain["in_flight"] == 0
+            if done or time.monotonic() >= until_s:
+                break
+            self._note_drain(drain, elapsed_s=elapsed_s)
+            time.sleep(session_module.POLL_INTERVAL_S)
+        if not done:
+            left = _count(drain["in_flight"])
+            raise errors.AlmondstairError(
+                kind=errors.ErrorKind.EDIT_PENDING,
+                detail=f"{name} is marked as leaving; work left there after "
+                f"{elapsed_s:.1f} s: {left}",
+            )
+        self._session.show(
+            {**drain, "elapsed_s": round(elapsed_s, 3)},
+            f"{name} has no work left after {elapsed_s:.1f} s",
+        )
+
+    @command
+    def _take_back(self, name: str, *, wait_s: float = 10.0) -> None:
+        """Takes the mark off a VM, so that it gets work again.
+
+        Examples:
+          almondstairctl vm return matching-se1-1
+
+        Args:
+          name: the upstream or entry.
+          wait_s: how long to wait for every entry, in seconds.
+        """
+        self._mark(name, leaving=False, wait_s=wait_s)
+        drain = self._session.client.drain(name=name)
+        line = f"{name} takes work again"
+        if drain["leaving"]:
+            line = f"{name} is unmarked, but leaves by its own or the "
+            line += "platform's word"
+        self._session.show(drain, line)
+
+    def _mark(self, name: str, *, leaving: bool, wait_s: float) -> None:
+        edit_id = session_module.new_edit_id()
+        self._session.note(f"edit {edit_id}")
+        state = self._session.client.mark(
+            operator_api.MarkBody(
+                name=name,
+                leaving=leaving,
+                edit_id=edit_id,
+                author=self._session.author,
+            )
+        )
+        state = self._session.wait_accepted(state, wait_s=wait_s)
+        if state["state"] != operator_api.ACCEPTED:
+            self._session.show_edit(state)
+        self._session.note(f"the mark is in force everywhere: {name}")
+
+    def _note_drain(
+        self, drain: operator_api.DrainBody, *, elapsed_s: float
+    ) -> None:
+        age_s = drain["last_new_work_age_s"]
+        age = "unknown" if age_s is None else f"{age_s:.1f} s ago"
+        self._session.note(
+            f"{elapsed_s:.1f} s: work left {_count(drain['in_flight'])}, "
+            f"last new work {age}"
+        )
+
+
+# `return` is a word of the language, so no method can be defined under it.
+setattr(VmCommands, "return", VmCommands._take_back)
+
+
+class EditCommands:
+    """Ask for the fate of an edit."""
+
+    def __init__(self, session: session_module.Session) -> None:
+        """Keeps the session."""
+        self._session = session
+
+    @command
+    def status(self, edit_id: str) -> None:
+        """Says whether an edit is in force everywhere.
+
+        Examples:
+          almondstairctl edit status 5b0c0f6e8d1f4a07
+
+        Args:
+          edit_id: the id printed when the edit was sent.
+        """
+        self._session.show_edit(
+            self._session.client.edit_state(edit_id=edit_id)
+        )
+
+
+class SettingsCommands:
+    """Check the settings of an entry."""
+
+    def __init__(self, session: session_module.Session) -> None:
+        """Keeps the session."""
+        self._session = session
+
+    @command
+    def check(self, file: str) -> None:
+        """Checks a settings file and the deployment file that it names.
+
+        Examples:
+          almondstairctl settings check entry.toml
+
+        Args:
+          file: the settings file.
+        """
+        settings_module.load(file)
+        self._session.show({"valid": True}, f"{file} is valid")
+
+
+def _read_file(file: str) -> str:
+    faults = faults_module.FaultList(file=file)
+    text = validation.read_text(Path(file), faults=faults)
+    if text is None:
+        raise faults_module.InvalidDocumentError(
+            kind=errors.ErrorKind.CONFIGURATION_INVALID, faults=faults.faults()
+        )
+    return text
+
+
+def _count(value: int | None) -> str:
+    if value is None:
+        return "unknown"
+    return str(value)
--- /dev/null
+++ b/almondstair/tools/operator_client.py
@@ -0,0 +1,250 @@
+"""Client of the operators' HTTP listeners."""
+
+import http
+import json
+from typing import Any, NamedTuple
+from urllib import parse as urlparse
+
+from tornado import httpclient
+
+from almondstair import addresses
+from almondstair import errors
+from almondstair import operator_api
+
+_CONNECT_TIMEOUT_S = 2.0
+_REQUEST_TIMEOUT_S = 10.0
+
+
+class Silence(NamedTuple):
+    """An entry that gave no answer.
+
+    Attributes:
+      address: its operators' listener.
+      reason: what was seen.
+    """
+
+    address: str
+    reason: str
+
+
+class RemoteError(errors.AlmondstairError):
+    """An error that an entry answered.
+
+    Attributes:
+      body: the whole answer, with members beyond those of every problem.
+    """
+
+    def __init__(self, *, kind: errors.ErrorKind, body: dict[str, Any]) -> None:
+        """Makes the error from an answer's body."""
+        super().__init__(kind=kind, detail=str(body.get("detail", "")))
+        self.body = body
+
+
+class OperatorClient:
+    """Asks entries, in the order given, until one answers.
+
+    Attributes:
+      silences: entries that gave no answer so far, and why.
+    """
+
+    def __init__(self, *, addresses_text: str) -> None:
+        """Makes a client.
+
+        Args:
+          addresses_text: operators' listeners, `ip:port`, parted by commas.
+
+        Raises:
+          AlmondstairError: USAGE if there is none or one is malformed.
+        """
+        self.silences: list[Silence] = []
+        self._addresses = _parse_addresses(addresses_text)
+        self._http = httpclient.HTTPClient()
+
+    def configuration(self) -> operator_api.ConfigurationBody:
+        """Returns the configuration."""
+        return self._get("/v1/configuration")
+
+    def history(self) -> operator_api.HistoryBody:
+        """Returns the versions of the configuration."""
+        return self._get("/v1/configuration/history")
+
+    def check(self, *, text: str) -> None:
+        """Has an entry check a configuration; raises if it is not valid."""
+        body = operator_api.CheckBody(text=text)
+        self._ask("POST", "/v1/configuration/check", body=body)
+
+    def edit(self, edit: operator_api.EditBody) -> operator_api.EditState:
+        """Sends an edit and returns its state, pending or accepted."""
+        return self._write("/v1/configuration", body=edit)
+
+    def mark(self, mark: operator_api.MarkBody) -> operator_api.EditState:
+        """Sends a mark and returns its state, pending or accepted."""
+        return self._write("/v1/marks", body=mark)
+
+    def edit_state(self, *, edit_id: str) -> operator_api.EditState:
+        """Returns the state of an edit, pending or accepted."""
+        path = f"/v1/edits/{urlparse.quote(edit_id, safe='')}"
+        try:
+            return _edit_state(self._get(path), edit_id=edit_id)
+        except RemoteError as error:
+            return _pending_state(error, edit_id=edit_id)
+
+    def drain(self, *, name: str) -> operator_api.DrainBody:
+        """Returns what is still running on a VM."""
+        return self._get(f"/v1/drains/{urlparse.quote(name, safe='')}")
+
+    def status(self) -> operator_api.StatusBody:
+        """Returns what one entry knows."""
+        return self._get("/v1/status")
+
+    def _get(self, path: str) -> Any:
+        return self._ask("GET", path, body=None)
+
+    def _ask(self, method: str, path: str, *, body: Any) -> Any:
+        """Asks each entry in turn; only for requests that change nothing."""
+        for address in tuple(self._addresses):
+            try:
+                return self._exchange(address, method, path, body=body)
+            except OSError as error:
+                self._note_silence(address, error=error)
+        raise self._unreachable()
+
+    def _write(
+        self,
+        path: str,
+        *,
+        body: operator_api.EditBody | operator_api.MarkBody,
+    ) -> operator_api.EditState:
+        """Sends a write to the first entry that takes a connection.
+
+        When the connection breaks after that, the write may have taken effect
+        though its answer is lost. Sending it again elsewhere could undo what
+        another operator did since, so the fate of the edit is asked instead.
+        """
+        edit_id = body["edit_id"]
+        for address in tuple(self._addresses):
+            try:
+                answer = self._exchange(address, "POST", path, body=body)
+                return _edit_state(answer, edit_id=edit_id)
+            except RemoteError as error:
+                return _pending_state(error, edit_id=edit_id)
+            except ConnectionRefusedError as error:
+                self._note_silence(address, error=error)
+            except OSError as error:
+                self._note_silence(address, error=error)
+                return self._state_after_loss(edit_id=edit_id)
+        raise self._unreachable()
+
+    def _state_after_loss(self, *, edit_id: str) -> operator_api.EditState:
+        try:
+            return self.edit_state(edit_id=edit_id)
+        except errors.AlmondstairError as error:
+            # "Not found" may be said before the lost write has taken effect.
+            raise errors.AlmondstairError(
+                kind=errors.ErrorKind.EDIT_UNKNOWN,
+                detail="the answer to the edit was lost; ask later with: "
+                f"almondstairctl edit status {edit_id}",
+            ) from error
+
+    def _exchange(
+        self, address: str, method: str, path: str, *, body: Any
+    ) -> Any:
+        request = httpclient.HTTPRequest(
+            f"http://{address}{path}",
+            method=method,
+            body=None if body is None else json.dumps(body),
+            headers={"Content-Type": "application/json"},
+            connect_timeout=_CONNECT_TIMEOUT_S,
+            request_timeout=_REQUEST_TIMEOUT_S,
+            follow_redirects=False,
+        )
+        try:
+            response = self._http.fetch(request, raise_error=False)
+        except httpclient.HTTPClientError as error:
+            raise OSError(str(error)) from error
+        return _decode(response, address=address)
+
+    def _note_silence(self, address: str, *, error: OSError) -> None:
+        reason = error.strerror or str(error) or type(error).__name__
+        self.silences.append(Silence(address=address, reason=reason))
+        self._addresses.remove(address)
+
+    def _unreachable(self) -> errors.AlmondstairError:
+        lines: list[str] = []
+        for silence in self.silences:
+            lines.append(f"{silence.address} does not answer: {silence.reason}")
+        return errors.AlmondstairError(
+            kind=errors.ErrorKind.ENTRY_UNREACHABLE, detail="\n".join(lines)
+        )
+
+
+def _parse_addresses(text: str) -> list[str]:
+    found: list[str] = []
+    for part in text.split(","):
+        address = part.strip()
+        if not address:
+            continue
+        problem = addresses.address_problem(address)
+        if problem is not None:
+            raise errors.AlmondstairError(
+                kind=errors.ErrorKind.USAGE,
+                detail=f"{address!r} {problem}; {addresses.REMEDY}",
+            )
+        found.append(address)
+    if not found:
+        raise errors.AlmondstairError(
+            kind=errors.ErrorKind.USAGE,
+            detail="no entry is named; give --entry IP:PORT, the operators' "
+            "listener of an entry, or set ALMONDSTAIR_ENTRY",
+        )
+    return found
+
+
+def _decode(response: httpclient.HTTPResponse, *, address: str) -> Any:
+    """Returns an answer's JSON body; raises if it is a problem."""
+    try:
+        body = json.loads(response.body)
+    except ValueError:
+        body = None
+    if not isinstance(body, dict):
+        raise _not_operators(address)
+    if "kind" not in body and response.code == http.HTTPStatus.OK:
+        return body
+    try:
+        kind = errors.ErrorKind(str(body.get("kind")))
+    except ValueError as error:
+        raise _not_operators(address) from error
+    raise RemoteError(kind=kind, body=body)
+
+
+def _not_operators(address: str) -> errors.AlmondstairError:
+    return errors.AlmondstairError(
+        kind=errors.ErrorKind.ENTRY_UNREACHABLE,
+        detail=f"{address} answers, but not as an operators' listener; "
+        "check the port",
+    )
+
+
+def _edit_state(
+    body: dict[str, Any], *, edit_id: str
+) -> operator_api.EditState:
+    return operator_api.EditState(
+        edit_id=edit_id,
+        state=body["state"],
+        version=body["version"],
+        lacking=body.get("lacking", []),
+    )
+
+
+def _pending_state(
+    error: RemoteError, *, edit_id: str
+) -> operator_api.EditState:
+    """Returns the state in a pending answer; raises any other error again."""
+    if error.kind is not errors.ErrorKind.EDIT_PENDING:
+        raise error
+    return operator_api.EditState(
+        edit_id=edit_id,
+        state=operator_api.PENDING,
+        version=error.body["version"],
+        lacking=error.body.get("lacking", []),
+    )
--- /dev/null
+++ b/almondstair/tools/session.py
@@ -0,0 +1,152 @@
+"""What the commands of the tool share: the entry asked and the printing."""
+
+import json as json_module
+import time
+from typing import Any
+import uuid
+
+import rich.console
+
+from almondstair import errors
+from almondstair import operator_api
+from almondstair import settings as settings_module
+from almondstair.tools import operator_client
+
+POLL_INTERVAL_S = 0.5
+
+_HINTS = {
+    errors.ErrorKind.PLATFORM_UNAVAILABLE: (
+        "The entries go on with the configuration in force; edits and marks "
+        "have to wait until the platform's service is back."
+    ),
+    errors.ErrorKind.EDIT_CONFLICT: (
+        "Nothing of this edit was stored. Read the configuration again "
+        "(config show) and repeat the edit on it."
+    ),
+    errors.ErrorKind.EDIT_PENDING: (
+        "The edit is stored and spreads by itself; do not send it again."
+    ),
+    errors.ErrorKind.ENTRY_UNREACHABLE: (
+        "What this entry does is not known. Ask another one with --entry."
+    ),
+}
+
+
+class Session:
+    """What the commands share: the entry that is asked and how to print.
+
+    Attributes:
+      author: name put on edits.
+      json: whether to print JSON.
+    """
+
+    def __init__(self, *, entry: str, author: str, json: bool) -> None:
+        """Keeps the options; nothing is asked yet."""
+        self.author = author
+        self.json = json
+        self._entry = entry
+        self._client: operator_client.OperatorClient | None = None
+        self._output = rich.console.Console(highlight=False)
+        self._notes = rich.console.Console(stderr=True, highlight=False)
+
+    @property
+    def client(self) -> operator_client.OperatorClient:
+        """The client of the operators' listeners."""
+        if self._client is None:
+            self._client = operator_client.OperatorClient(
+                addresses_text=self._entry
+            )
+        return self._client
+
+    def show(self, body: Any, *parts: Any) -> None:
+        """Prints an answer: its JSON, or the parts made for people."""
+        if self.json:
+            print(json_module.dumps(body, indent=2))
+            return
+        for part in parts:
+            self._output.print(part)
+
+    def note(self, text: str) -> None:
+        """Prints a line about progress on the standard error stream."""
+        self._notes.print(text, markup=False, soft_wrap=True)
+
+    def show_error(self, error: errors.AlmondstairError) -> None:
+        """Prints an error; with JSON, its problem object."""
+        if self.json:
+            print(json_module.dumps(_problem(error), indent=2))
+            return
+        self.note(f"{error.kind}: {error.rule.title}")
+        if error.detail != error.rule.title:
+            self.note(error.detail)
+        if error.kind is not errors.ErrorKind.ENTRY_UNREACHABLE:
+            self.note_silences()
+        hint = _HINTS.get(error.kind)
+        if hint is not None:
+            self.note(hint)
+
+    def note_silences(self) -> None:
+        """Says which entries were asked and gave no answer."""
+        if self._client is None:
+            return
+        for silence in self._client.silences:
+            self.note(f"{silence.address} does not answer: {silence.reason}")
+
+    def edit(self, *, base_version: int, text: str, wait_s: float) -> None:
+        """Sends an edit and waits until it is in force everywhere."""
+        settings_module.read_configuration(text, "the edited configuration")
+        edit_id = new_edit_id()
+        self.note(f"edit {edit_id}")
+        state = self.client.edit(
+            operator_api.EditBody(
+                base_version=base_version,
+                edit_id=edit_id,
+                author=self.author,
+                text=text,
+            )
+        )
+        self.show_edit(self.wait_accepted(state, wait_s=wait_s))
+
+    def wait_accepted(
+        self, state: operator_api.EditState, *, wait_s: float
+    ) -> operator_api.EditState:
+        """Asks for an edit's state until it is accepted or time is up."""
+        until_s = time.monotonic() + wait_s
+        lacking: list[str] = []
+        while state["state"] == operator_api.PENDING:
+            if state["lacking"] != lacking:
+                lacking = state["lacking"]
+                self.note(f"not yet known in force on: {', '.join(lacking)}")
+            if time.monotonic() >= until_s:
+                break
+            time.sleep(POLL_INTERVAL_S)
+            state = self.client.edit_state(edit_id=state["edit_id"])
+        return state
+
+    def show_edit(self, state: operator_api.EditState) -> None:
+        """Prints the state of an edit; raises if it is not accepted."""
+        if state["state"] == operator_api.ACCEPTED:
+            self.show(
+                state,
+                f"accepted: version {state['version']} is in force everywhere",
+            )
+            return
+        body: dict[str, Any] = {**state}
+        body["detail"] = (
+            f"edit {state['edit_id']}, version {state['version']}, is not "
+            f"known in force on: {', '.join(state['lacking'])}"
+        )
+        raise operator_client.RemoteError(
+            kind=errors.ErrorKind.EDIT_PENDING, body=body
+        )
+
+
+def new_edit_id() -> str:
+    """Returns an id that no other edit has."""
+    return uuid.uuid4().hex
+
+
+def _problem(error: errors.AlmondstairError) -> dict[str, Any]:
+    problem: dict[str, Any] = {**error.problem()}
+    if isinstance(error, operator_client.RemoteError):
+        problem.update(error.body)
+    return problem
