Prove the settings checks, the text edits and the command-line tool

Found by the scenarios and mended: - A single entry that lost its answer to an edit was never asked for the fate of the edit, since a silent entry was left out from then on. It is now asked last. - A stale report still showed its upstream as ready and idle; past the limit it reads as unknown. - A new name next to two equally close ones was given only one of them.

--- a/almondstair/faults.py
+++ b/almondstair/faults.py
@@ -7,6 +7,9 @@
 
 Location = tuple[int | str, ...]
 
+UNKNOWN_KEY = "unknown key"
+_NEARLY_SAME = 0.85
+
 
 class Fault(NamedTuple):
     """One thing wrong with a document.
@@ -79,9 +82,17 @@
                 continue
             self._faults.append(fault)
 
-    def has_below(self, key: str) -> bool:
-        """Returns whether a fault is on a key or below it."""
-        return any(_is_below(fault.key, key) for fault in self._faults)
+    def has_replaced(self, key: str) -> bool:
+        """Returns whether a part on or below a key lacks its true value.
+
+        A key that is merely unknown takes nothing away from the rest.
+        """
+        for fault in self._faults:
+            if fault.problem == UNKNOWN_KEY:
+                continue
+            if _is_below(fault.key, key):
+                return True
+        return False
 
     def faults(self) -> tuple[Fault, ...]:
         """Returns the faults in the order of their discovery."""
@@ -110,29 +121,33 @@
     return key
 
 
-def suggestion(word: str, known: tuple[str, ...]) -> str | None:
-    """Returns the known word that was most likely meant, None if unclear.
+def suggestions(word: str, known: tuple[str, ...]) -> tuple[str, ...]:
+    """Returns the known words that were most likely meant.
 
-    A word that lacks only its unit suffix finds the whole key.
+    A word that lacks only its unit suffix, or has another unit, finds the
+    whole key.
     """
     for candidate in known:
         if candidate.startswith(f"{word}_"):
-            return candidate
-    close = difflib.get_close_matches(word, known, n=1)
-    if close:
-        return close[0]
+            return (candidate,)
+    # Names such as east-1 and west-1 may be equally close: both are named.
+    nearest = difflib.get_close_matches(word, known, n=2, cutoff=_NEARLY_SAME)
+    if not nearest:
+        nearest = difflib.get_close_matches(word, known, n=1)
+    if nearest:
+        return tuple(nearest)
     stem = word.rsplit("_", 1)[0]
     for candidate in known:
         if candidate.startswith(f"{stem}_"):
-            return candidate
-    return None
+            return (candidate,)
+    return ()
 
 
 def known_words(word: str, known: tuple[str, ...]) -> str:
     """Returns the remedy for a word that is not one of the known ones."""
-    meant = suggestion(word, known)
-    if meant is not None:
-        return f"write {meant}"
+    meant = suggestions(word, known)
+    if meant:
+        return f"write {' or '.join(meant)}"
     if not known:
         return "define it first"
     return f"use one of: {', '.join(known)}"
--- a/almondstair/settings.py
+++ b/almondstair/settings.py
@@ -313,7 +313,7 @@
     _check_timing(settings.timing, faults=across)
     _check_tracing(settings.tracing, faults=across)
     faults.add_unless_covered(across)
-    if faults.has_below("deployment_file"):
+    if faults.has_replaced("deployment_file"):
         return None, faults.faults()
     deployment_path = path.parent / settings.deployment_file
     settings = settings._replace(deployment_file=str(deployment_path))
@@ -325,7 +325,7 @@
 ) -> tuple[model.Configuration | None, tuple[faults_module.Fault, ...]]:
     faults = faults_module.FaultList(file=source)
     configuration = _convert(text, to=model.Configuration, faults=faults)
-    if configuration is None or faults.has_below("regions"):
+    if configuration is None or faults.has_replaced("regions"):
         # Without its regions, nearly every other name would seem unknown.
         return None, faults.faults()
     across = faults_module.FaultList(file=source)
--- a/almondstair/tools/almondstairctl.py
+++ b/almondstair/tools/almondstairctl.py
@@ -31,7 +31,7 @@
       almondstairctl config show > deployment.toml
       almondstairctl profile set local headroom_fraction 0.2
       almondstairctl vm leave matching-se1-1
-      almondstairctl edit status 5b0c0f6e8d1f4a07 --json
+      almondstairctl edit status edit-5b0c0f6e --json
 
     Options of every command:
       --entry=IP:PORT[,IP:PORT...]: operators' listeners, asked in this order
--- a/almondstair/tools/commands.py
+++ b/almondstair/tools/commands.py
@@ -233,6 +233,11 @@
           value: the new value.
           wait_s: how long to wait for every entry, in seconds.
         """
+        if not isinstance(value, str | int | float):
+            raise errors.AlmondstairError(
+                kind=errors.ErrorKind.USAGE,
+                detail=f"{value!r} is not a number, a string or a boolean",
+            )
         current = self._session.client.configuration()
         text = documents.set_profile_field(current["text"], profile, key, value)
         self._session.edit(
@@ -364,7 +369,7 @@
         """Says whether an edit is in force everywhere.
 
         Examples:
-          almondstairctl edit status 5b0c0f6e8d1f4a07
+          almondstairctl edit status edit-5b0c0f6e
 
         Args:
           edit_id: the id printed when the edit was sent.
--- a/almondstair/tools/operator_client.py
+++ b/almondstair/tools/operator_client.py
@@ -165,9 +165,14 @@
         return _decode(response, address=address)
 
     def _note_silence(self, address: str, *, error: OSError) -> None:
+        """Notes a silent entry once and asks it last from now on."""
+        self._addresses.remove(address)
+        self._addresses.append(address)
+        for silence in self.silences:
+            if silence.address == address:
+                return
         reason = error.strerror or str(error) or type(error).__name__
         self.silences.append(Silence(address=address, reason=reason))
-        self._addresses.remove(address)
 
     def _unreachable(self) -> errors.AlmondstairError:
         lines: list[str] = []
--- a/almondstair/tools/session.py
+++ b/almondstair/tools/session.py
@@ -13,6 +13,8 @@
 from almondstair.tools import operator_client
 
 POLL_INTERVAL_S = 0.5
+# Tables for a file or a pipe; a terminal has a width of its own.
+_PIPE_WIDTH_COLUMNS = 160
 
 _HINTS = {
     errors.ErrorKind.PLATFORM_UNAVAILABLE: (
@@ -47,6 +49,8 @@
         self._entry = entry
         self._client: operator_client.OperatorClient | None = None
         self._output = rich.console.Console(highlight=False)
+        if not self._output.is_terminal:
+            self._output.width = _PIPE_WIDTH_COLUMNS
         self._notes = rich.console.Console(stderr=True, highlight=False)
 
     @property
@@ -141,8 +145,8 @@
 
 
 def new_edit_id() -> str:
-    """Returns an id that no other edit has."""
-    return uuid.uuid4().hex
+    """Returns an id that no other edit has and that reads as text."""
+    return f"edit-{uuid.uuid4().hex}"
 
 
 def _problem(error: errors.AlmondstairError) -> dict[str, Any]:
--- a/almondstair/tools/tables.py
+++ b/almondstair/tools/tables.py
@@ -44,7 +44,7 @@
     for row in rows:
         state = row["state"]
         busy = number(row["busy"])
-        if row["report_age_s"] is None:
+        if _is_stale(row["report_age_s"]):
             # The last state before the silence would read as today's.
             state = UNKNOWN
             busy = UNKNOWN
@@ -66,7 +66,7 @@
     table = _table("Regions", ("region", "slots", "free", "headroom", "report"))
     for row in rows:
         free = row["free"]
-        if row["report_age_s"] is None:
+        if _is_stale(row["report_age_s"]):
             free = None
         table.add_row(
             row["name"],
@@ -135,11 +135,16 @@
 
 def report_age(age_s: float | None) -> str:
     """Returns the age of a report; one past its limit is called stale."""
-    if age_s is not None and age_s > _REPORT_LIMIT_S:
+    if age_s is not None and _is_stale(age_s):
         return f"[yellow]stale, {age_s:.1f} s[/yellow]"
     return seconds(age_s)
 
 
+def _is_stale(age_s: float | None) -> bool:
+    """Returns whether a report is missing or past its limit."""
+    return age_s is None or age_s > _REPORT_LIMIT_S
+
+
 def _heard(age_s: float | None) -> str:
     if age_s is None:
         return _SILENT
--- a/almondstair/validation.py
+++ b/almondstair/validation.py
@@ -21,6 +21,7 @@
 import pydantic
 from pydantic_core import ErrorDetails
 
+from almondstair.faults import UNKNOWN_KEY
 from almondstair.faults import FaultList
 from almondstair.faults import Location
 from almondstair.faults import key_of
@@ -175,7 +176,7 @@
         fields = field_names(type_at(root, location[:-1]))
         faults.add(
             key=key,
-            problem="unknown key",
+            problem=UNKNOWN_KEY,
             remedy=known_words(str(location[-1]), fields),
         )
         return
