--- a/almondstair/configuration_checks.py
+++ b/almondstair/configuration_checks.py
@@ -4,10 +4,16 @@
 document must not say two things.
 """
 
+import re
+
 from almondstair import addresses
 from almondstair import faults as faults_module
 from almondstair.core import model
 
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]*$"
+_NAME_REMEDY = "use letters, digits, '.', '_' and '-', a letter or digit first"
+# The first part of the entries' own paths, such as /v1/entries.
+_RESERVED_SERVICE = "v1"
 _HTTP_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 
 
@@ -15,6 +21,7 @@
     configuration: model.Configuration, *, faults: faults_module.FaultList
 ) -> None:
     """Adds every fault of a configuration."""
+    _check_names(configuration, faults=faults)
     _check_regions(configuration, faults=faults)
     _check_services(configuration, faults=faults)
     _check_upstreams(configuration, faults=faults)
@@ -41,6 +48,32 @@
     return tuple(zones)
 
 
+def _check_names(
+    configuration: model.Configuration, *, faults: faults_module.FaultList
+) -> None:
+    named: dict[str, str] = {}
+    for table in ("regions", "services", "upstreams", "profiles"):
+        for name in getattr(configuration, table):
+            named[f"{table}.{name}"] = name
+    for region_name, region in configuration.regions.items():
+        for index, zone in enumerate(region.availability_zones):
+            key = f"regions.{region_name}.availability_zones[{index}]"
+            named[key] = zone
+    for key, name in named.items():
+        if re.match(NAME_PATTERN, name):
+            continue
+        faults.add(
+            key=key, problem=f"{name!r} is not a name", remedy=_NAME_REMEDY
+        )
+    if _RESERVED_SERVICE in configuration.services:
+        # Its requests could not be told from those to the entry itself.
+        faults.add(
+            key=f"services.{_RESERVED_SERVICE}",
+            problem="the name is taken by the entries' own paths",
+            remedy="give the service another name",
+        )
+
+
 def _check_regions(
     configuration: model.Configuration, *, faults: faults_module.FaultList
 ) -> None:
--- a/almondstair/settings.py
+++ b/almondstair/settings.py
@@ -49,7 +49,7 @@
     return url
 
 
-Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+Name = Annotated[str, pydantic.Field(pattern=configuration_checks.NAME_PATTERN)]
 Address = Annotated[str, pydantic.AfterValidator(_check_address)]
 OptionalAddress = Annotated[
     str, pydantic.AfterValidator(_check_optional_address)
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -78,6 +78,9 @@
       | methods = ["POST"]           | methods = ["PSOT"]           | services.matching.classes[1].methods[0] | write POST              |
       | "scot-west-1", "scot-west-2" | "scot-west-1", "scot-east-2" | regions.scot-west.availability_zones[1] | in one region           |
       | leaving = []                 | leaving = ["a", "a"]         | marks.leaving[1]                        | name each VM once       |
+      | "eng-north-2"                | "eng north"                  | regions.eng-north.availability_zones[1] | a letter or digit first |
+      | [profiles.spread]            | [profiles."a/b"]             | profiles.a/b                            | a letter or digit first |
+      | [marks]                      | [services.v1]~profile = "local"~classes = []~[marks] | services.v1     | another name            |
       | [regions.scot-east]          | [region.scot-east]           | region                                  | write regions           |
 
   # Symptom: an upstream has its connections as slots. Sequence: a table is
--- /dev/null
+++ b/features/steps/pages_steps.py
@@ -0,0 +1,43 @@
+"""Steps that compare pages with the code."""
+
+from pathlib import Path
+
+from behave import then
+
+from features.support import documented
+
+_DOCS = Path(__file__).parents[2] / "docs"
+_ROOT_TYPES = {
+    "settings": documented.SETTINGS_TYPE,
+    "configuration": documented.CONFIGURATION_TYPE,
+}
+
+
+def _compare(*, page, code):
+    """Compares all columns but the page's last, the words for people."""
+    seen = [row[:-1] for row in page]
+    for row in code:
+        assert row in seen, f"not on the page: {row}"
+    for row in seen:
+        assert row in code, f"not in the code: {row}"
+    assert len(seen) == len(code), "a row stands twice"
+    for row in page:
+        assert row[-1], f"no words for {row[0]}"
+
+
+@then('the table "{heading}" of SETTINGS.md has just the keys of the {part}')
+def step_settings(context, heading, part):
+    text = (_DOCS / "SETTINGS.md").read_text(encoding="utf-8")
+    page = documented.page_rows(text, heading=heading)
+    for index, row in enumerate(page):
+        page[index] = (row[0].strip("`"), *row[1:])
+    _compare(page=page, code=documented.setting_rows(_ROOT_TYPES[part]))
+
+
+@then("the table of ERRORS.md has just the rows of the error table")
+def step_errors(context):
+    text = (_DOCS / "ERRORS.md").read_text(encoding="utf-8")
+    page = documented.page_rows(text, heading="## The table")
+    for index, row in enumerate(page):
+        page[index] = (row[0].strip("`"), *row[1:])
+    _compare(page=page, code=documented.error_rows())
