--- a/almondstair/settings.py
+++ b/almondstair/settings.py
@@ -424,4 +424,11 @@
             problem=f"not longer than the longest deadline, {longest_ms} ms",
             remedy="write a time longer than any deadline and any resend",
         )
+    if settings.timing.stop_limit_ms <= longest_ms:
+        # A stop that ends sooner cuts off the requests that still run.
+        faults.add(
+            key="timing.stop_limit_ms",
+            problem=f"not longer than the longest deadline, {longest_ms} ms",
+            remedy=f"write more than {longest_ms}",
+        )
     return faults.faults()
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -35,6 +35,7 @@
       | [platform]                         | [platform]~timeout_ms = true                 | platform.timeout_ms        | a valid integer          |
       | [platform]                         | [platform]~timeout_ms = 0                    | platform.timeout_ms        | greater than 0           |
       | [platform]                         | [platform]~claim_retention_s = 60            | platform.claim_retention_s | longer than any deadline |
+      | [platform]                         | [timing]~stop_limit_ms = 60000~[platform]    | timing.stop_limit_ms       | more than 60000          |
       | [entry]                            | [timings]~[entry]                            | timings                    | write timing             |
       | [platform]                         | [timing]~silence_limit_ms = 300~[platform]   | timing.silence_limit_ms    | at least 750             |
       | [platform]                         | [tracing]~exporter = "file"~[platform]       | tracing.file               | add the path             |
--- a/features/support/documented.py
+++ b/features/support/documented.py
@@ -135,6 +135,8 @@
 
 def _range(annotation: Any) -> str:
     plain = _plain(annotation)
+    if get_origin(plain) is tuple:
+        return _range(get_args(plain)[0])
     if isinstance(plain, enum.EnumType):
         return ", ".join(f"`{member}`" for member in plain)
     for shape, words in _SHAPES:
