--- a/almondstair/settings.py
+++ b/almondstair/settings.py
@@ -49,7 +49,7 @@
     return url
 
 
-Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+Name = Annotated[str, pydantic.Field(pattern=configuration_checks.NAME_PATTERN)]
 Address = Annotated[str, pydantic.AfterValidator(_check_address)]
 OptionalAddress = Annotated[
     str, pydantic.AfterValidator(_check_optional_address)
@@ -424,4 +424,11 @@
             problem=f"not longer than the longest deadline, {longest_ms} ms",
             remedy="write a time longer than any deadline and any resend",
         )
+    if settings.timing.stop_limit_ms <= longest_ms:
+        # A stop that ends sooner cuts off the requests that still run.
+        faults.add(
+            key="timing.stop_limit_ms",
+            problem=f"not longer than the longest deadline, {longest_ms} ms",
+            remedy=f"write more than {longest_ms}",
+        )
     return faults.faults()
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -35,6 +35,7 @@
       | [platform]                         | [platform]~timeout_ms = true                 | platform.timeout_ms        | a valid integer          |
       | [platform]                         | [platform]~timeout_ms = 0                    | platform.timeout_ms        | greater than 0           |
       | [platform]                         | [platform]~claim_retention_s = 60            | platform.claim_retention_s | longer than any deadline |
+      | [platform]                         | [timing]~stop_limit_ms = 60000~[platform]    | timing.stop_limit_ms       | more than 60000          |
       | [entry]                            | [timings]~[entry]                            | timings                    | write timing             |
       | [platform]                         | [timing]~silence_limit_ms = 300~[platform]   | timing.silence_limit_ms    | at least 750             |
       | [platform]                         | [tracing]~exporter = "file"~[platform]       | tracing.file               | add the path             |
@@ -78,6 +79,9 @@
       | methods = ["POST"]           | methods = ["PSOT"]           | services.matching.classes[1].methods[0] | write POST              |
       | "scot-west-1", "scot-west-2" | "scot-west-1", "scot-east-2" | regions.scot-west.availability_zones[1] | in one region           |
       | leaving = []                 | leaving = ["a", "a"]         | marks.leaving[1]                        | name each VM once       |
+      | "eng-north-2"                | "eng north"                  | regions.eng-north.availability_zones[1] | a letter or digit first |
+      | [profiles.spread]            | [profiles."a/b"]             | profiles.a/b                            | a letter or digit first |
+      | [marks]                      | [services.v1]~profile = "local"~classes = []~[marks] | services.v1     | another name            |
       | [regions.scot-east]          | [region.scot-east]           | region                                  | write regions           |
 
   # Symptom: an upstream has its connections as slots. Sequence: a table is
