Take new work only once a process has its link shares

Cause: in a rolling restart under 100 requests/s (trial), 52 of 3000 requests were refused with link_full: a new process was named in look-ups before it had a share of its links, and told callers to come back after a minute. Ruled out: cut connections and full slots; none in the caller's records. Change: a process says that it takes work once its links have a share; a missing share asks callers back after a second.

--- a/almondstair/core/membership.py
+++ b/almondstair/core/membership.py
@@ -75,7 +75,8 @@
     Attributes:
       own: this entry's row.
       table: the entry table in force here; its epoch never falls.
-      leaving: whether this entry takes no new work.
+      joining: whether this entry does not take new work yet.
+      leaving: whether this entry takes no new work any more.
     """
 
     def __init__(self, *, own: EntryRow, silence_limit_s: float) -> None:
@@ -87,6 +88,7 @@
         """
         self.own = own
         self.table = EntryTable()
+        self.joining = True
         self.leaving = False
         self._near_names: frozenset[str] = frozenset()
         self._near_limit_s = silence_limit_s
@@ -454,6 +456,11 @@
         """Sets the operators' marks, as the configuration in force has them."""
         self._marked_leaving = names
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether this entry tells others to send it new work."""
+        return not self.joining and not self.leaving
+
     def is_leaving(self, *, name: str) -> bool:
         """Returns whether any source says that an entry leaves.
 
@@ -463,7 +470,7 @@
         if name in self._marked_leaving or name in self._listed_leaving:
             return True
         if name == self.own.name:
-            return self.leaving
+            return not self.takes_work
         heard = self._heard.get(name)
         return heard is not None and heard.leaving
 
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -68,6 +68,7 @@
 SLOT_MARGIN_S = 0.25
 START_POLL_S = 0.1
 START_ASK_S = 2.0
+READY_LIMIT_S = 5.0
 METRICS_INTERVAL_S = 1.0
 STOP_POLL_S = 0.05
 RELEASE_LIMIT_S = 3.0
@@ -370,8 +371,22 @@
             self._exchange.ask_addresses(self._settings.entry.peer_addresses)
             await asyncio.sleep(START_POLL_S)
         await self.table_keeper.register()
+        await self._until_ready()
+        self.membership.joining = False
+        self.heartbeats.announce()
         log.event(log.Event.STARTED, entry=self.own.name)
 
+    async def _until_ready(self) -> None:
+        """Waits until a request of a caller would not be refused here.
+
+        A new process has no share of its links for a while. Named in look-ups
+        at once, it would refuse callers that other entries would serve. The
+        wait is bounded: a frozen entry of the zone holds shares back.
+        """
+        until_s = time.monotonic() + READY_LIMIT_S
+        while not self._shares.ready() and time.monotonic() < until_s:
+            await asyncio.sleep(START_POLL_S)
+
     async def _ask_peers(self) -> None:
         """Asks the peers of the settings before anything is seeded.
 
--- a/almondstair/heartbeats.py
+++ b/almondstair/heartbeats.py
@@ -164,7 +164,7 @@
             sequence=self._sequence,
             epoch=self._membership.table.epoch,
             configuration_version=self._configuration.version,
-            leaving=self._membership.leaving,
+            leaving=not self._membership.takes_work,
             finished=self._finished,
             detail=detail,
             view=view,
--- a/almondstair/link_shares.py
+++ b/almondstair/link_shares.py
@@ -117,6 +117,14 @@
         if share is not None:
             share.accept(loan=loan, now_s=time.monotonic())
 
+    def ready(self) -> bool:
+        """Whether every link has a share that bytes can move by."""
+        now_s = time.monotonic()
+        for share in self._shares.values():
+            if not share.status(now_s=now_s).allowance_bytes_per_s:
+                return False
+        return True
+
     def release(self) -> None:
         """Gives every share up for good."""
         now_s = time.monotonic()
--- a/almondstair/pacing.py
+++ b/almondstair/pacing.py
@@ -14,6 +14,7 @@
 
 # A request that would wait longer for its link is refused at once.
 LONGEST_QUEUE_S = 1.0
+LONGEST_RETRY_S = 60.0
 FIRST_WAIT_S = 0.001
 
 
@@ -164,13 +165,16 @@
         limit_s = min(LONGEST_QUEUE_S, deadline_s - now_s)
         for pacer in self.pacers(region=region):
             queue_s = pacer.queue_s(now_s=now_s)
-            if queue_s > limit_s:
-                raise AlmondstairError(
-                    kind=ErrorKind.LINK_FULL,
-                    detail=f"the link to {region} has work for "
-                    f"{min(queue_s, 3600.0):.1f} s",
-                    retry_after_ms=int(min(queue_s, 60.0) * 1000),
-                )
+            if queue_s <= limit_s:
+                continue
+            if queue_s > LONGEST_RETRY_S:
+                # No share at all yet, or any more: a loan takes a moment.
+                queue_s = LONGEST_QUEUE_S
+            raise AlmondstairError(
+                kind=ErrorKind.LINK_FULL,
+                detail=f"the link to {region} has work for {queue_s:.1f} s",
+                retry_after_ms=int(queue_s * 1000),
+            )
 
     def outward(self, *, region: str, priority: Priority) -> Pace:
         """Returns what paces a request's bytes to a region."""
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -247,7 +247,8 @@
             if status is None:
                 return False
             for row in status["entries"]:
-                count += row["heard_age_s"] is not None
+                heard = row["heard_age_s"] is not None
+                count += heard and not row["leaving"]
             for row in status["upstreams"]:
                 held += row["state"] == "in use"
         every = len(self.entries)
