--- a/almondstair/platform/etcd.py
+++ b/almondstair/platform/etcd.py
@@ -418,6 +418,12 @@
         )
 
 
+def _note_error(future: asyncio.Future[HTTPResponse]) -> None:
+    """Reads the error of a future that nobody awaits any more."""
+    if not future.cancelled():
+        future.exception()
+
+
 class _EtcdWatch(base.Watch):
     """A watch that reconnects until it is cancelled.
 
@@ -488,7 +494,9 @@
                 fetch.result()
         finally:
             ended.set()
-            fetch.cancel()
+            # Tornado logs an error for a call that ends after its future was
+            # cancelled, so the future is left to end by itself.
+            fetch.add_done_callback(_note_error)
             end.cancel()
             client.close()
 
