Refuse claims at once while the platform hangs

Cause: each claim found out for itself that nothing answers and took its whole limit, holding a slot: 0.30 s a request in the scenario (1 s with the daemon's settings).

Change: after three failures in a row one claim in half a second is let through and the others are refused at once, until anything is answered.

--- a/almondstair/claims.py
+++ b/almondstair/claims.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from almondstair.core import ledger
+from almondstair.core.outage import OutageGate
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.platform import base
@@ -96,6 +97,7 @@
             period_s=LEASE_PERIOD_S,
             now=now,
         )
+        self._gate = OutageGate()
         self._open: dict[str, ledger.ClaimRecord] = {}
         self._unsettled: dict[bytes, ledger.Settlement] = {}
         self._outcomes: dict[str, ledger.ClaimRecord] = {}
@@ -150,6 +152,11 @@
         answer = self._look_here(place, wanted)
         if answer is not None:
             return answer
+        if not self._gate.lets_through(now_s=self._now()):
+            raise AlmondstairError(
+                kind=ErrorKind.CLAIM_UNAVAILABLE,
+                detail="the platform did not answer the last claims",
+            )
         claiming = ledger.Claiming(wanted=wanted, look=self._look_beside)
         self._open[place] = wanted
         held = False
@@ -269,18 +276,21 @@
     async def _read(self, place: str, until_s: float) -> base.Record | None:
         try:
             async with asyncio.timeout_at(until_s):
-                return await self._service.get(key=place)
+                record = await self._service.get(key=place)
         except TimeoutError as error:
             raise base.PlatformError(
                 failure=base.PlatformFailure.UNAVAILABLE, detail="timeout"
             ) from error
+        self._gate.answered()
+        return record
 
     async def _write(
         self, write: base.ConditionalWrite, urgent: bool, until_s: float
     ) -> base.CasResult:
-        lease_id = await self._current_lease(until_s)
+        lease_id = 0
         try:
-            return await self._batcher.write(
+            lease_id = await self._current_lease(until_s)
+            result = await self._batcher.write(
                 write=write._replace(lease_id=lease_id),
                 urgent=urgent,
                 until_s=until_s,
@@ -289,7 +299,11 @@
             if error.failure is base.PlatformFailure.REFUSED:
                 # A lease that the service lost would fail every later claim.
                 self._lease.forget(lease_id)
+            else:
+                self._gate.failed(now_s=self._now())
             raise
+        self._gate.answered()
+        return result
 
     async def _current_lease(self, until_s: float) -> int:
         try:
--- a/almondstair/platform/base.py
+++ b/almondstair/platform/base.py
@@ -151,8 +151,8 @@
 class KeyValueService(abc.ABC):
     """The platform's key-value service: compare-and-swap, leases, watches.
 
-    Every coroutine may raise `PlatformError`; a read never raises one with
-    failure `unknown`.
+    Every coroutine ends within a time limit of the adapter's own, and may raise
+    `PlatformError`; a read never raises one with failure `unknown`.
     """
 
     @abc.abstractmethod
--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -149,6 +149,24 @@
     And entry B claims the key
     Then entry B holds the claim
 
+  Scenario: A service that hangs
+    # Symptom: slots are taken and nothing runs at the upstreams.
+    # Sequence: the service hangs; each request waits for its claim, holding a
+    # slot, and is refused late.
+    # Cause: each claim found out for itself that nothing answers.
+    When entry A claims the key "first"
+    Given the service takes 0.5 s
+    When entry A claims 5 keys at once
+    And entry A claims the key
+    Then entry A is refused with claim_unavailable and ran no
+    And the refusal took less than 0.05 s
+    Given the service takes 0.0 s
+    When 600 ms pass
+    And entry A claims the key
+    Then entry A holds the claim
+    When entry A claims 5 keys at once
+    Then all 5 claims are held
+
   Scenario Outline: The entry dies after the claim
     # Sequence: claim, perhaps dispatch, death. Which of the two is known to
     # nobody, so no other entry may run it.
