Keep one socket for each peer address, and let a reconnect take over

At start a peer is asked by address and later sent heartbeats by name, over two sockets of one identity; a ROUTER drops all that comes over the second without a word. Ruled out: rejected heartbeats (none arrived), the fan-out (sends were taken). Change: sockets are kept by address; ROUTER_HANDOVER for a peer that connects again before its old connection has timed out.

--- a/almondstair/peers.py
+++ b/almondstair/peers.py
@@ -57,13 +57,6 @@
     unreadable_messages: int = 0
 
 
-class _Link(NamedTuple):
-    """A connected DEALER socket and the address that it goes to."""
-
-    socket: zmq.Socket[bytes]
-    address: str
-
-
 class Peers:
     """Sends and receives control messages; one for each process."""
 
@@ -94,7 +87,9 @@
         self._on_message = on_message
         self._stream: ZMQStream | None = None
         self._addresses: dict[str, str] = {}
-        self._links: dict[str, _Link] = {}
+        # By address: two sockets to one peer would share an identity, and its
+        # ROUTER drops all that comes over the second without a word.
+        self._links: dict[str, zmq.Socket[bytes]] = {}
         self._counts = PeerCounts()
 
     @property
@@ -103,8 +98,8 @@
         return self._counts
 
     @property
-    def connected_names(self) -> tuple[str, ...]:
-        """Names of the peers with an open socket."""
+    def connected_addresses(self) -> tuple[str, ...]:
+        """Addresses of the peers with an open socket."""
         return tuple(self._links)
 
     def start(self) -> None:
@@ -112,6 +107,10 @@
         socket = self._context.socket(zmq.ROUTER)
         _set_options(socket)
         socket.set(zmq.RCVHWM, RECEIVE_QUEUE_MESSAGES)
+        # A peer that was cut off connects again under its identity before the
+        # old connection has timed out; without this it would stay unheard
+        # until then.
+        socket.set(zmq.ROUTER_HANDOVER, 1)
         socket.set(zmq.MAXMSGSIZE, messages.FRAME_LIMIT_BYTES)
         socket.bind(f"tcp://{self._peer_address}")
         self._stream = ZMQStream(socket)
@@ -123,8 +122,8 @@
             self._stream.on_recv(None)
             self._stream.close(linger=0)
             self._stream = None
-        for name in tuple(self._links):
-            self.disconnect(name)
+        for address in tuple(self._links):
+            self._disconnect(address)
 
     def set_rows(self, rows: Iterable[EntryRow]) -> None:
         """Takes the addresses of the entry table; the rest is disconnected."""
@@ -132,9 +131,10 @@
         for row in rows:
             addresses[row.name] = row.peer_address
         self._addresses = addresses
-        for name, link in tuple(self._links.items()):
-            if self._addresses.get(name) != link.address:
-                self.disconnect(name)
+        kept = set(addresses.values())
+        for address in tuple(self._links):
+            if address not in kept:
+                self._disconnect(address)
 
     def send(self, name: str, message: NamedTuple) -> bool:
         """Sends to an entry of the table.
@@ -149,18 +149,18 @@
         address = self._addresses.get(name)
         if address is None:
             return False
-        return self._send_frame(name, address, messages.encode(message))
+        return self._send_frame(address, messages.encode(message))
 
     def send_to_address(self, address: str, message: NamedTuple) -> bool:
         """Sends to an `ip:port` that may not be in the entry table."""
-        return self._send_frame(address, address, messages.encode(message))
+        return self._send_frame(address, messages.encode(message))
 
     def broadcast(self, message: NamedTuple) -> int:
         """Sends to every entry of the table and returns how many took it."""
         frame = messages.encode(message)
         taken = 0
-        for name, address in self._addresses.items():
-            if self._send_frame(name, address, frame):
+        for address in self._addresses.values():
+            if self._send_frame(address, frame):
                 taken += 1
         return taken
 
@@ -168,20 +168,15 @@
         """Opens the connection to an entry of the table ahead of need."""
         address = self._addresses.get(name)
         if address is not None:
-            self._link(name, address)
-
-    def connect_address(self, address: str) -> None:
-        """Opens the connection to an address ahead of need."""
-        self._link(address, address)
+            self._link(address)
 
-    def disconnect(self, name: str) -> None:
-        """Closes the connection to a peer, by the name or address used."""
-        link = self._links.pop(name, None)
+    def _disconnect(self, address: str) -> None:
+        link = self._links.pop(address, None)
         if link is not None:
-            link.socket.close(linger=0)
+            link.close(linger=0)
 
-    def _link(self, name: str, address: str) -> _Link:
-        link = self._links.get(name)
+    def _link(self, address: str) -> zmq.Socket[bytes]:
+        link = self._links.get(address)
         if link is not None:
             return link
         socket = self._context.socket(zmq.DEALER)
@@ -192,14 +187,13 @@
         socket.set(zmq.RECONNECT_IVL, RECONNECT_FIRST_MS)
         socket.set(zmq.RECONNECT_IVL_MAX, RECONNECT_LAST_MS)
         socket.connect(f"tcp://{address}")
-        link = _Link(socket, address)
-        self._links[name] = link
-        return link
+        self._links[address] = socket
+        return socket
 
-    def _send_frame(self, name: str, address: str, frame: bytes) -> bool:
+    def _send_frame(self, address: str, frame: bytes) -> bool:
         counts = self._counts
         try:
-            self._link(name, address).socket.send(frame, zmq.NOBLOCK)
+            self._link(address).send(frame, zmq.NOBLOCK)
         except zmq.ZMQError:
             # No connection yet, or its queue is full: the peer is dead, slow
             # or cut off. Waiting would stall every other peer. Out of file
