Test membership and configuration, measure heartbeats

ZeroMQ's own probes were tried and taken out: at one a second each way they outweigh the heartbeats. TCP's limit on unacknowledged data ends a dead connection instead.

--- a/almondstair/core/heartbeats.py
+++ b/almondstair/core/heartbeats.py
@@ -54,6 +54,11 @@
 FAR_SILENCE_S = 15.0
 WATCHERS_PER_ZONE = 2
 AGE_UNIT_S = 0.1
+# Added to a relayed age for the way, so that no word grows fresher from relay
+# to relay. A message that was held up for longer makes its words look fresher
+# by the rest; since a relay's word acknowledges nothing, the worst of it is
+# work sent to a dead entry for that much longer.
+RELAY_S = 0.2
 UNKNOWN_BYTE = 255
 
 
@@ -346,13 +351,14 @@
     return tuple(taken), next_place
 
 
-def zone_names(*, table: EntryTable, availability_zone: str) -> list[str]:
-    """Returns a zone's names in the order that views and digests follow."""
-    names = []
+def zone_names(*, table: EntryTable) -> dict[str, list[str]]:
+    """Returns each zone's names in the order that views and digests follow."""
+    zones: dict[str, list[str]] = {}
     for row in table.entries:
-        if row.availability_zone == availability_zone:
-            names.append(row.name)
-    return sorted(names)
+        zones.setdefault(row.availability_zone, []).append(row.name)
+    for names in zones.values():
+        names.sort()
+    return zones
 
 
 def make_view(
@@ -397,7 +403,8 @@
         version = 0
         if lacked != UNKNOWN_BYTE:
             version = view.configuration_version - lacked
-        words.append(MemberWord(name, True, units * AGE_UNIT_S, version))
+        age_s = units * AGE_UNIT_S + RELAY_S
+        words.append(MemberWord(name, True, age_s, version))
     return words
 
 
@@ -446,7 +453,7 @@
       digest: a digest under this entry's own epoch.
       names: the zone in the order of the digest.
     """
-    age_s = digest.age_ms / 1000
+    age_s = digest.age_ms / 1000 + RELAY_S
     words = []
     for place, name in enumerate(names):
         live = _bit(digest.live_bits, place)
@@ -487,7 +494,7 @@
           Whether it was kept.
         """
         zone = digest.availability_zone
-        described_s = now_s - digest.age_ms / 1000
+        described_s = now_s - digest.age_ms / 1000 - RELAY_S
         if described_s <= self._described_s.get(zone, float("-inf")):
             return False
         self._digests[zone] = digest
--- a/almondstair/core/membership.py
+++ b/almondstair/core/membership.py
@@ -131,6 +131,10 @@
         self._relayed_down.discard(name)
         self._listed_leaving -= {name}
 
+    def holds(self, *, name: str) -> bool:
+        """Returns whether an entry is in the table, without a search."""
+        return name in self._row_first_seen_s
+
     @property
     def registered(self) -> bool:
         """Whether this process is in the table, without which it has no duty.
@@ -341,7 +345,7 @@
           heard_s: when it was last heard, on this entry's clock.
           configuration_version: version that it had in force then.
         """
-        if name == self.own.name or self.table.row(name=name) is None:
+        if name == self.own.name or not self.holds(name=name):
             return
         known = self._heard.get(name)
         if known is None:
--- a/almondstair/heartbeats.py
+++ b/almondstair/heartbeats.py
@@ -84,6 +84,7 @@
         self._sequence = 0
         self._finished = False
         self._zone_names: list[str] = []
+        self._names_by_zone: dict[str, list[str]] = {}
         self.details: dict[str, HeardDetail] = {}
         self.digests = DigestStore()
 
@@ -108,10 +109,9 @@
         # next turn would come seconds later.
         for name in self._fan_out.receiver_names:
             self._peers.connect(name)
-        self._zone_names = zone_names(
-            table=membership.table,
-            availability_zone=self._own.availability_zone,
-        )
+        self._names_by_zone = zone_names(table=membership.table)
+        own_zone = self._own.availability_zone
+        self._zone_names = self._names_by_zone.get(own_zone, [])
         membership.set_silence_limits(
             near_names=self._fan_out.near_names,
             near_s=self._fan_out.silence_limit_s(
@@ -120,7 +120,7 @@
             far_s=FAR_SILENCE_S,
         )
         for name in tuple(self.details):
-            if membership.table.row(name=name) is None:
+            if not membership.holds(name=name):
                 del self.details[name]
 
     def announce(self, *, finished: bool = False) -> None:
@@ -240,7 +240,7 @@
           table does not.
         """
         now_s = self._clock()
-        if self._membership.table.row(name=name) is None:
+        if not self._membership.holds(name=name):
             return False
         if not self._membership.heard(
             _heard(name, incarnation, heartbeat, now_s)
@@ -271,12 +271,9 @@
             return
         if not self.digests.offer(digest=digest, now_s=now_s):
             return
-        table = self._membership.table
-        if digest.epoch != table.epoch:
+        if digest.epoch != self._membership.table.epoch:
             return
-        names = zone_names(
-            table=table, availability_zone=digest.availability_zone
-        )
+        names = self._names_by_zone.get(digest.availability_zone, [])
         for word in read_digest(digest=digest, names=names):
             if not word.live:
                 self._membership.not_live(name=word.name)
--- a/almondstair/peers.py
+++ b/almondstair/peers.py
@@ -25,11 +25,17 @@
 RECEIVE_QUEUE_MESSAGES = 256
 RECONNECT_FIRST_MS = 100
 RECONNECT_LAST_MS = 2000
-# A connection whose other end vanished without a word (power, a cut link) is
-# noticed only by probes; without them the kernel would hold old messages for
-# minutes and deliver them when the link heals.
-PROBE_INTERVAL_MS = 1000
-PROBE_TIMEOUT_MS = 3000
+# A connection whose other end vanished without a word (power, a cut link) holds
+# sent messages in the kernel, which would deliver them minutes later when the
+# link heals. Unacknowledged for this long, they end the connection instead.
+# ZeroMQ's own probes would do so too, but with a packet a second each way on
+# each connection they cost more than all heartbeats.
+UNACKNOWLEDGED_LIMIT_MS = 3000
+# The receiving end never sends, so only keep-alive shows it a vanished sender,
+# whose descriptor would otherwise stay open for ever.
+KEEPALIVE_IDLE_S = 60
+KEEPALIVE_INTERVAL_S = 10
+KEEPALIVE_COUNT = 3
 _IDENTITY_SEPARATOR = "/"
 
 _log = logging.getLogger(__name__)
@@ -249,5 +255,8 @@
 
 def _set_options(socket: zmq.Socket[bytes]) -> None:
     socket.set(zmq.LINGER, 0)
-    socket.set(zmq.HEARTBEAT_IVL, PROBE_INTERVAL_MS)
-    socket.set(zmq.HEARTBEAT_TIMEOUT, PROBE_TIMEOUT_MS)
+    socket.set(zmq.TCP_MAXRT, UNACKNOWLEDGED_LIMIT_MS)
+    socket.set(zmq.TCP_KEEPALIVE, 1)
+    socket.set(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
+    socket.set(zmq.TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S)
+    socket.set(zmq.TCP_KEEPALIVE_CNT, KEEPALIVE_COUNT)
--- /dev/null
+++ b/benchmarks/heartbeats.py
@@ -0,0 +1,402 @@
+"""Measures heartbeats: sizes, traffic, processor time, age of what is known.
+
+Run with `python benchmarks/heartbeats.py`; it takes under a minute. Three
+parts:
+
+* sizes: encoded bytes of each message at today's and the target size;
+* sockets: 4 to 64 entries with real sockets on loopback in one process, bytes
+  a second and processor time for each entry;
+* spread: the pure core of one zone and of the target size stepped through
+  simulated seconds without loss; how old the word on each entry gets, how long
+  a new configuration version takes to be known, and how long to be reported.
+"""
+
+import asyncio
+import random
+import statistics
+import subprocess
+import sys
+import time
+from typing import NamedTuple
+
+import msgspec
+import zmq
+
+from almondstair import messages
+from almondstair.core.configuration import ConfigurationState
+from almondstair.core.configuration import StoredConfiguration
+from almondstair.core.configuration import lacking_entries
+from almondstair.core.entry_table import EntryRow
+from almondstair.core.entry_table import EntryTable
+from almondstair.core.heartbeats import PACKET_OVERHEAD_BYTES
+from almondstair.core.heartbeats import MemberWord
+from almondstair.core.heartbeats import ServiceLoad
+from almondstair.core.heartbeats import StatusDetail
+from almondstair.core.heartbeats import make_digest
+from almondstair.core.heartbeats import make_view
+from almondstair.core.membership import Membership
+from almondstair.heartbeats import Heartbeats
+from almondstair.messages import ConfigurationDocument
+from almondstair.messages import Heartbeat
+from almondstair.messages import TableDocument
+from almondstair.peers import Peers
+
+INTERVAL_MS = 250
+SILENCE_LIMIT_MS = 1500
+FIRST_PORT = 27200
+SOCKET_COUNTS = (4, 8, 16, 32, 64)
+SOCKET_WARM_UP_S = 2.0
+SOCKET_RUN_S = 2.0
+SOCKET_LIMIT_S = 20.0
+ENTRIES_PER_PROCESS = 4
+NEVER_HEARD = -1.0
+TODAY = (10, 6)
+TARGET = (770, 14)
+ZONE = (55, 1)
+FRESH_LIMIT_S = 15.0
+
+
+def make_table(count: int, zones: int) -> EntryTable:
+    rows = []
+    for number in range(count):
+        zone = number % zones
+        address = f"127.0.0.1:{FIRST_PORT + number}"
+        rows.append(
+            EntryRow(
+                f"entry-{number:03d}",
+                f"region{zone * 4 // max(zones, 4)}-{zone:02d}",
+                f"region{zone * 4 // max(zones, 4)}",
+                address,
+                address,
+                address,
+                address,
+            )
+        )
+    return EntryTable(1, tuple(rows))
+
+
+def two_services() -> StatusDetail:
+    return StatusDetail(
+        loads=(
+            ServiceLoad("matching", 12, 7, 40),
+            ServiceLoad("statements", 9, 2, 130),
+        )
+    )
+
+
+class Entry:
+    """One entry without the parts that carry callers."""
+
+    def __init__(self, own, table, clock, send=None):
+        self.own = own
+        self.membership = Membership(
+            own=own, silence_limit_s=SILENCE_LIMIT_MS / 1000
+        )
+        self.membership.replace_table(table=table, now_s=clock())
+        self.configuration = ConfigurationState()
+        self.configuration.offer(StoredConfiguration(1, "1", "", "", ""))
+        self.peers = send
+        if send is None:
+            self.peers = Peers(
+                context=zmq.Context.instance(),
+                name=own.name,
+                incarnation=1,
+                peer_address=own.peer_address,
+                on_message=self.receive,
+            )
+        self.heartbeats = Heartbeats(
+            own=own,
+            membership=self.membership,
+            configuration=self.configuration,
+            peers=self.peers,
+            clock=clock,
+            own_detail=two_services,
+            companions=lambda name: (),
+            interval_ms=INTERVAL_MS,
+            silence_limit_ms=SILENCE_LIMIT_MS,
+        )
+        self.heartbeats.refresh_table()
+
+    def receive(self, name, incarnation, message):
+        self.heartbeats.receive(
+            name=name, incarnation=incarnation, heartbeat=message
+        )
+
+
+def print_sizes() -> None:
+    print("sizes, encoded bytes without packet headers")
+    words = []
+    for number in range(ZONE[0]):
+        words.append(MemberWord(f"entry-{number:03d}", True, 1.0, 2300))
+    view = make_view(epoch=900, words=words, configuration_version=2300)
+    loads = two_services().loads
+    digest = make_digest(
+        availability_zone="region0-00",
+        epoch=900,
+        words=words,
+        version=2300,
+        loads=loads,
+    )
+    base = Heartbeat(100_000, 900, 2300)
+    detailed = base._replace(detail=two_services())
+    rows = [
+        ("heartbeat", base),
+        ("heartbeat, load of 2 services", detailed),
+        (
+            "the same, view of 55, one digest",
+            detailed._replace(view=view, digests=(digest,)),
+        ),
+        ("heartbeat, 4 digests", base._replace(digests=(digest,) * 4)),
+        ("entry table of 10", TableDocument(make_table(*TODAY))),
+        ("entry table of 770", TableDocument(make_table(*TARGET))),
+    ]
+    for title, message in rows:
+        print(f"  {title:34} {len(messages.encode(message)):8}")
+    for upstreams in (28, 1000):
+        text = sample_document(upstreams)
+        document = ConfigurationDocument(messages.pack(text))
+        print(
+            f"  {f'configuration, {upstreams} upstreams':34} "
+            f"{len(messages.encode(document)):8} of {len(text)} unpacked"
+        )
+
+
+def sample_document(upstreams: int) -> bytes:
+    generator = random.Random(1)
+    lines = []
+    for number in range(upstreams):
+        host = ".".join(str(generator.randrange(256)) for _ in range(3))
+        lines.append(f"[upstreams.matching-{number}]")
+        lines.append('services = ["matching", "approval"]')
+        lines.append(f'address = "10.{host}:{generator.randrange(8000, 9000)}"')
+        lines.append(f'availability_zone = "zone-{number % 14}"')
+        lines.append("slots = 3\nconnections = 330\n")
+    return "\n".join(lines).encode()
+
+
+class Measured(NamedTuple):
+    """What one process measured over its entries."""
+
+    entries: int
+    sent_messages_per_s: float
+    sent_bytes_per_s: float
+    cpu_s_per_s: float
+    oldest_s: float
+
+
+async def measure(count: int, first: int, last: int) -> Measured:
+    # All in one zone: the largest group that these counts can make.
+    table = make_table(count, 1)
+    entries = []
+    for row in table.entries[first:last]:
+        entries.append(Entry(row, table, time.monotonic))
+    for entry in entries:
+        entry.peers.start()
+        entry.heartbeats.start()
+    await asyncio.sleep(SOCKET_WARM_UP_S)
+    before = [entry.peers.counts for entry in entries]
+    cpu_s, start_s = time.process_time(), time.monotonic()
+    await asyncio.sleep(SOCKET_RUN_S)
+    took_s = time.monotonic() - start_s
+    cpu_s = time.process_time() - cpu_s
+    sent_bytes, sent_messages = 0, 0
+    for entry, counts in zip(entries, before, strict=True):
+        sent_bytes += entry.peers.counts.sent_bytes - counts.sent_bytes
+        sent_messages += entry.peers.counts.sent_messages - counts.sent_messages
+    oldest_s = oldest_age_s(entries, time.monotonic())
+    if oldest_s == float("inf"):
+        oldest_s = NEVER_HEARD
+    for entry in entries:
+        entry.heartbeats.stop()
+        entry.peers.stop()
+    return Measured(
+        len(entries),
+        sent_messages / took_s,
+        sent_bytes / took_s,
+        cpu_s / took_s,
+        oldest_s,
+    )
+
+
+def run_part(count: int, first: int, last: int) -> None:
+    measured = asyncio.run(measure(count, first, last))
+    sys.stdout.buffer.write(msgspec.json.encode(measured))
+
+
+def run_sockets(count: int) -> None:
+    """Runs entries in several processes, few in each for their descriptors."""
+    # An age of -1 stands for an entry that was never heard.
+    parts = []
+    for first in range(0, count, ENTRIES_PER_PROCESS):
+        last = min(count, first + ENTRIES_PER_PROCESS)
+        command = [sys.executable, __file__, str(count), str(first), str(last)]
+        parts.append(subprocess.Popen(command, stdout=subprocess.PIPE))
+    measured = []
+    for part in parts:
+        output, _ = part.communicate(timeout=SOCKET_LIMIT_S)
+        measured.append(msgspec.json.decode(output, type=Measured))
+    sent = sum(part.sent_messages_per_s for part in measured) / count
+    sent_bytes = sum(part.sent_bytes_per_s for part in measured) / count
+    cpu = sum(part.cpu_s_per_s for part in measured) / count
+    ages_s = [part.oldest_s for part in measured]
+    oldest_s = NEVER_HEARD if NEVER_HEARD in ages_s else max(ages_s)
+    print(
+        f"  {count:7} {sent:10.1f} {sent_bytes:10.0f} "
+        f"{sent_bytes + sent * PACKET_OVERHEAD_BYTES:12.0f} "
+        f"{100 * cpu:9.3f}% {oldest_s:8.2f}",
+        flush=True,
+    )
+
+
+def oldest_age_s(entries, now_s: float) -> float:
+    oldest_s = 0.0
+    for entry in entries:
+        for row in entry.membership.table.entries:
+            age_s = entry.membership.age_s(name=row.name, now_s=now_s)
+            oldest_s = max(oldest_s, age_s)
+    return oldest_s
+
+
+class Steps:
+    """Steps the entries of a table through simulated time without sockets.
+
+    Each entry ticks once an interval at a moment of its own; what it sends
+    arrives at once.
+    """
+
+    def __init__(self, count: int, zones: int) -> None:
+        self.now_s = 0.0
+        self.sent_bytes = 0
+        self.pulls = False
+        self.entries: dict[str, Entry] = {}
+        table = make_table(count, zones)
+        for row in table.entries:
+            self.entries[row.name] = Entry(
+                row, table, lambda: self.now_s, SimulatedPeers(self, row.name)
+            )
+        self.order = list(self.entries.values())
+        random.Random(1).shuffle(self.order)
+
+    def run(self, seconds: float) -> None:
+        step_s = INTERVAL_MS / 1000 / len(self.order)
+        for _ in range(int(seconds * 1000 / INTERVAL_MS)):
+            for entry in self.order:
+                self.now_s += step_s
+                entry.heartbeats._tick()
+
+    def deliver(self, sender_name: str, name: str, frame: bytes) -> None:
+        entry = self.entries[name]
+        heartbeat = messages.decode(frame)
+        entry.receive(sender_name, 1, heartbeat)
+        newer = heartbeat.configuration_version > entry.configuration.version
+        if self.pulls and newer:
+            sender = self.entries[sender_name]
+            entry.configuration.offer(sender.configuration.in_force)
+
+
+class SimulatedPeers:
+    """Stands for the sockets of one entry."""
+
+    def __init__(self, steps: Steps, name: str) -> None:
+        self.steps = steps
+        self.name = name
+
+    def set_rows(self, rows) -> None:
+        del rows
+
+    def connect(self, name: str) -> None:
+        del name
+
+    def send(self, name: str, message) -> bool:
+        frame = messages.encode(message)
+        self.steps.sent_bytes += len(frame) + PACKET_OVERHEAD_BYTES
+        self.steps.deliver(self.name, name, frame)
+        return True
+
+
+def report_spread(title: str, count: int, zones: int, warm_s: float) -> None:
+    steps = Steps(count, zones)
+    steps.run(warm_s)
+    steps.sent_bytes = 0
+    near_s, far_s = [], []
+    samples = 3
+    for _ in range(samples):
+        steps.run(1.0)
+        for entry in list(steps.entries.values())[:20]:
+            near = entry.heartbeats._fan_out.near_names
+            for row in entry.membership.table.entries:
+                age_s = entry.membership.age_s(name=row.name, now_s=steps.now_s)
+                if row.name in near:
+                    near_s.append(age_s)
+                elif row.name != entry.own.name:
+                    far_s.append(age_s)
+    sent = steps.sent_bytes / samples / count
+    print(f"  {title}: {sent:.0f} bytes/s sent by each entry")
+    for group, ages_s in (("group", near_s), ("beyond", far_s)):
+        if not ages_s:
+            continue
+        ages_s.sort()
+        print(
+            f"    age of the word, {group}: mean {statistics.mean(ages_s):.2f}"
+            f" s, p99 {ages_s[int(len(ages_s) * 0.99)]:.2f} s,"
+            f" most {ages_s[-1]:.2f} s"
+        )
+    report_edit(steps)
+
+
+def report_edit(steps: Steps) -> None:
+    """Gives a new version to two entries a zone, as watches would."""
+    started_s = steps.now_s
+    per_zone: dict[str, int] = {}
+    for entry in steps.entries.values():
+        zone = entry.own.availability_zone
+        per_zone[zone] = per_zone.get(zone, 0) + 1
+        if per_zone[zone] <= 2:
+            entry.configuration.offer(StoredConfiguration(2, "2", "", "", ""))
+    steps.pulls = True
+    in_force_s = None
+    first = next(iter(steps.entries.values()))
+    while steps.now_s - started_s < 40.0:
+        steps.run(INTERVAL_MS / 1000)
+        versions = []
+        for entry in steps.entries.values():
+            versions.append(entry.configuration.version)
+        if in_force_s is None and min(versions) == 2:
+            in_force_s = steps.now_s - started_s
+        lacking = lacking_entries(
+            version=2,
+            reports=first.membership.version_reports(
+                own_version=first.configuration.version, now_s=steps.now_s
+            ),
+            fresh_limit_s=FRESH_LIMIT_S,
+        )
+        if in_force_s is not None and not lacking:
+            break
+    print(
+        f"    new version in force everywhere after {in_force_s} s, reported "
+        f"by every entry to one after {steps.now_s - started_s:.2f} s"
+        f"{'' if not lacking else f' (still lacking {len(lacking)})'}"
+    )
+
+
+def run_all_sockets() -> None:
+    print("sockets, one zone, loopback; 100% is a core")
+    print("  entries  sent msg/s sent bytes/s +hdrs  CPU/entry oldest_s")
+    for count in SOCKET_COUNTS:
+        run_sockets(count)
+
+
+def main() -> None:
+    print_sizes()
+    run_all_sockets()
+    print("spread, stepped without sockets or loss")
+    report_spread("10 entries, 6 zones", *TODAY, warm_s=10.0)
+    report_spread("55 entries, 1 zone", *ZONE, warm_s=20.0)
+    report_spread("770 entries, 14 zones", *TARGET, warm_s=20.0)
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        run_part(int(sys.argv[1]), int(sys.argv[2]), int(sys.argv[3]))
+    else:
+        main()
--- /dev/null
+++ b/features/membership.feature
@@ -0,0 +1,163 @@
+Feature: The entry table changes only for a cause, and silence is none
+
+  Background:
+    Given entries "a, b, c" in the entry table, all heard
+
+  Scenario: A silent entry takes no new work and keeps its row
+    # Symptom: two entries held one duty, and an upstream got more work than it
+    #   has slots for.
+    # Sequence: an entry was frozen, its row was dropped for silence, another
+    #   entry took its duties over, the frozen one woke up and went on.
+    # Cause: silence was taken for death.
+    When "c" is not heard for 600 seconds
+    Then the live entries are "a, b"
+    And "a" plans no change
+
+  Scenario: A VM that the list shows to be gone is dropped
+    When "c" is not heard for 5 seconds
+    And the VM list holds "a, b", 1 second old
+    And the VM list holds "a, b", 1 second old
+    Then "a" plans the table "a, b" with epoch 2
+
+  Scenario: One answer without the VM is not enough
+    When "c" is not heard for 5 seconds
+    And the VM list holds "a, b", 1 second old
+    Then "a" plans no change
+
+  Scenario: A list that lags behind the registration drops nobody
+    # Symptom: a new entry was dropped seconds after it had registered.
+    # Sequence: it registered; the list, some seconds old, did not hold its VM
+    #   yet.
+    # Cause: absence from an old list was taken for the VM's end.
+    Given entry "d" registers
+    When "d" is not heard for 5 seconds
+    And the VM list holds "a, b, c", 30 seconds old
+    And the VM list holds "a, b, c", 29 seconds old
+    Then "a" plans no change
+
+  Scenario: An older replica of the list does not count
+    # Symptom: a living entry was dropped.
+    # Sequence: a new list held its VM; the next answer came from a replica of
+    #   the list that was further behind, twice.
+    # Cause: answers were taken in the order in which they were read.
+    Given entry "d" registers
+    When "d" is not heard for 60 seconds
+    And the VM list holds "a, b, c, d", 1 second old
+    And the VM list holds "a, b, c", 20 seconds old
+    And the VM list holds "a, b, c", 20 seconds old
+    Then "a" plans no change
+
+  Scenario: An entry that speaks is not gone, whatever the list says
+    When the VM list holds "a, b", 0 seconds old
+    And "c" is heard again
+    And the VM list holds "a, b", 0 seconds old
+    And "c" is heard again
+    And the VM list holds "a, b", 0 seconds old
+    Then "a" plans no change
+
+  Scenario: A list that lacks its own reader is not believed
+    When "b, c" is not heard for 5 seconds
+    And the VM list holds "", 0 seconds old
+    And the VM list holds "", 0 seconds old
+    Then "a" plans no change
+
+  Scenario: The list still holds a VM that is gone
+    When "c" is not heard for 5 seconds
+    And the VM list holds "a, b, c", 1 second old
+    Then "a" plans no change
+    And the live entries are "a, b"
+
+  Scenario: An entry that finished leaving is dropped without the list
+    When "c" says that it finished leaving
+    Then "a" plans the table "a, b" with epoch 2
+
+  Scenario: Late frames of the old process do not drop the restarted one
+    # Symptom: an entry was dropped right after its restart.
+    # Sequence: it finished leaving and started again; the last frame of the old
+    #   process was read after the first of the new one.
+    # Cause: the later read frame was taken for the newer word.
+    When "c" restarts and its last frame is read after the new first
+    Then "a" plans no change
+    And the live entries are "a, b, c"
+
+  Scenario: An entry that leaves takes no new work at once
+    When "b" says that it is leaving
+    Then the live entries are "a, c"
+    And "a" plans no change
+
+  Scenario: A mark of one source is not undone by the silence of another
+    When the operators mark "b" as leaving
+    And "b" is heard again
+    Then the live entries are "a, c"
+    When the VM list has "c" as leaving
+    And the VM list holds "a, b", 0 seconds old
+    Then the live entries are "a"
+
+  Scenario: With the platform out the table stands still
+    Given the platform is out of reach
+    When "b" registers "d" in the platform
+    Then the platform refuses
+    And the entry table has epoch 1 and "a, b, c"
+    And the live entries are "a, b, c"
+
+  Scenario: Two entries register at once
+    When "d" and "e" register in the platform at once
+    Then the platform's table is "a, b, c, d, e" with epoch 3
+
+  Scenario: The answer to a registration is lost
+    Given the platform loses the answer of the next change
+    When "b" registers "d" in the platform
+    Then the platform's table is "a, b, c, d" with epoch 2
+
+  Scenario: A name in use is refused to another VM
+    When another VM registers as "c"
+    Then the registration is refused
+
+  Scenario: A platform rolled back does not bring an older table back
+    # Symptom: duties went back to an entry that had handed them over.
+    # Sequence: the platform was restored from a backup with a lower epoch.
+    # Cause: an entry took whatever table the platform served.
+    Given entry "d" registers
+    When the platform serves the table "a, b, c" with epoch 1
+    Then the entry table has epoch 2 and "a, b, c, d"
+
+  Scenario: An entry on a rolled-back platform knows that it is behind
+    When "b" is heard on epoch 7
+    Then "a" is behind and takes no duty
+
+  Scenario: One entry at a time writes a planned change
+    Given 40 entries in the entry table, all heard
+    Then their turns to write run from 0 to 39
+
+  Scenario: Today's size is heard in full within a second
+    Given 10 entries in 6 availability zones
+    When heartbeats are sent for 1 second
+    Then every entry has sent to all 9 others
+
+  Scenario: The target size stays within its group and its far contacts
+    Given 770 entries in 14 availability zones
+    When heartbeats are sent for 10 seconds
+    Then every entry has sent to all 54 others of its zone
+    And no entry has sent to more than 80 entries
+
+  Scenario: A view carries the age and version of what its sender heard
+    Given 40 entries in the entry table, all heard
+    When "e3" was heard 2 seconds ago and has version 5 of 7
+    Then a reader of the view hears of "e3" 2 seconds ago with version 5
+    And a reader with another epoch learns nothing
+
+  Scenario: A digest says who is live and who has the version
+    Given 40 entries in the entry table, all heard
+    When "e3" was heard 2 seconds ago and has version 5 of 7
+    Then a reader of the digest learns that "e3" lacks version 7
+
+  Scenario: Entries talk over real sockets, and a dead peer costs nothing
+    # Symptom: an entry grew or stalled while a peer was dead.
+    # Sequence: the peer's process was killed; sends to it went on.
+    # Cause: sends waited for, or piled up behind, the dead connection.
+    Given two entries with real sockets
+    When they hear each other within 2 seconds and one stops
+    Then 2000 sends to it take less than 1 second and are counted as dropped
+
+  Scenario: Damaged and foreign messages are refused
+    Then these frames are refused as "bad_request": empty, unknown tag, cut short
