--- a/almondstair/core/heartbeats.py
+++ b/almondstair/core/heartbeats.py
@@ -490,7 +490,7 @@
         """Starts without any."""
         self._digests: dict[str, ZoneDigest] = {}
         self._described_s: dict[str, float] = {}
-        self._place = 0
+        self._relays: dict[str, int] = {}
 
     def offer(self, *, digest: ZoneDigest, now_s: float) -> bool:
         """Keeps a digest if it is fresher than the one known.
@@ -504,6 +504,7 @@
             return False
         self._digests[zone] = digest
         self._described_s[zone] = described_s
+        self._relays[zone] = 0
         return True
 
     def get(self, *, availability_zone: str, now_s: float) -> ZoneDigest | None:
@@ -515,11 +516,19 @@
         return digest._replace(age_ms=math.ceil(age_s * 1000))
 
     def next(self, *, count: int, now_s: float) -> tuple[ZoneDigest, ...]:
-        """Returns the next digests to relay, taking turns over the zones."""
-        zones, self._place = _take(sorted(self._digests), self._place, count)
+        """Returns the next digests to relay.
+
+        Those relayed least since they were renewed go first, the freshest
+        among equals; in plain turns a fresh digest waited for all the others.
+        """
+        zones = sorted(self._digests, key=self._relay_order)[:count]
         digests = []
         for zone in zones:
+            self._relays[zone] += 1
             digest = self.get(availability_zone=zone, now_s=now_s)
             if digest is not None:
                 digests.append(digest)
         return tuple(digests)
+
+    def _relay_order(self, zone: str) -> tuple[int, float]:
+        return self._relays[zone], -self._described_s[zone]
--- a/benchmarks/heartbeats.py
+++ b/benchmarks/heartbeats.py
@@ -88,6 +88,7 @@
     """One entry without the parts that carry callers."""
 
     def __init__(self, own, table, clock, send=None):
+        """Opens no socket when `send` stands for the peers."""
         self.own = own
         self.membership = Membership(
             own=own, silence_limit_s=SILENCE_LIMIT_MS / 1000
@@ -118,6 +119,7 @@
         self.heartbeats.refresh_table()
 
     def receive(self, name, incarnation, message):
+        """Takes a message in."""
         self.heartbeats.receive(
             name=name, incarnation=incarnation, heartbeat=message
         )
@@ -265,6 +267,7 @@
     """
 
     def __init__(self, count: int, zones: int) -> None:
+        """Makes the entries; none ticks yet."""
         self.now_s = 0.0
         self.sent_bytes = 0
         self.pulls = False
@@ -278,6 +281,7 @@
         random.Random(1).shuffle(self.order)
 
     def run(self, seconds: float) -> None:
+        """Ticks every entry once in each interval."""
         step_s = INTERVAL_MS / 1000 / len(self.order)
         for _ in range(int(seconds * 1000 / INTERVAL_MS)):
             for entry in self.order:
@@ -285,6 +289,7 @@
                 entry.heartbeats._tick()
 
     def deliver(self, sender_name: str, name: str, frame: bytes) -> None:
+        """Hands a frame over, and a newer configuration when `pulls`."""
         entry = self.entries[name]
         heartbeat = messages.decode(frame)
         entry.receive(sender_name, 1, heartbeat)
@@ -298,16 +303,20 @@
     """Stands for the sockets of one entry."""
 
     def __init__(self, steps: Steps, name: str) -> None:
+        """Sends as the entry `name`."""
         self.steps = steps
         self.name = name
 
     def set_rows(self, rows) -> None:
+        """Needs no addresses."""
         del rows
 
     def connect(self, name: str) -> None:
+        """Needs no connection."""
         del name
 
     def send(self, name: str, message) -> bool:
+        """Delivers at once and counts the bytes."""
         frame = messages.encode(message)
         self.steps.sent_bytes += len(frame) + PACKET_OVERHEAD_BYTES
         self.steps.deliver(self.name, name, frame)
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -17,7 +17,7 @@
     When "c" is not heard for 5 seconds
     And the VM list holds "a, b", 1 second old
     And the VM list holds "a, b", 1 second old
-    Then "a" plans the table "a, b" with epoch 2
+    Then "a" plans the table "a, b" with epoch 2, of which work is lost
 
   Scenario: One answer without the VM is not enough
     When "c" is not heard for 5 seconds
@@ -73,7 +73,7 @@
 
   Scenario: An entry that finished leaving is dropped without the list
     When "c" says that it finished leaving
-    Then "a" plans the table "a, b" with epoch 2
+    Then "a" plans the table "a, b" with epoch 2, of which nothing is lost
 
   Scenario: Late frames of the old process do not drop the restarted one
     # Symptom: an entry was dropped right after its restart.
@@ -113,6 +113,15 @@
     When "b" registers "d" in the platform
     Then the platform's table is "a, b, c, d" with epoch 2
 
+  Scenario: A restarted process has no duty before its row is replaced
+    # Symptom: an upstream got more work than it has slots for.
+    # Sequence: an entry was killed with requests in flight; its next process
+    #   found its name in the table and took the duties up with all slots free.
+    # Cause: the row of the killed process was taken for its own.
+    When "c" restarts and registers
+    Then the entry table has epoch 2 and "a, b, c"
+    And the table tells that work was lost under epoch 2
+
   Scenario: A name in use is refused to another VM
     When another VM registers as "c"
     Then the registration is refused
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -20,6 +20,7 @@
 from almondstair.core.membership import Heard
 from almondstair.core.membership import Membership
 from almondstair.core.membership import VmObservation
+from almondstair.core.membership import incarnation_text
 from almondstair.errors import AlmondstairError
 from almondstair.heartbeats import Heartbeats
 from almondstair.messages import Heartbeat
@@ -37,11 +38,17 @@
     return [name.strip() for name in text.split(",") if name.strip()]
 
 
-def row(name, *, availability_zone="west-1", port=1):
+def row(name, *, availability_zone="west-1", port=1, incarnation=1):
     address = f"127.0.0.1:{port}"
-    region = availability_zone.rpartition("-")[0]
     return EntryRow(
-        name, availability_zone, region, address, address, address, address
+        name=name,
+        availability_zone=availability_zone,
+        region=availability_zone.rpartition("-")[0],
+        caller_address=address,
+        forward_address=address,
+        peer_address=address,
+        operator_address=address,
+        incarnation=incarnation_text(incarnation),
     )
 
 
@@ -165,11 +172,31 @@
 @when('"{name}" restarts and its last frame is read after the new first')
 def step_restart(context, name):
     heard(context, name, leaving=True, finished=False)
+    step_restarted(context, name)
     heard(context, name, incarnation=2, sequence=1)
     context.now_s += 0.1
     heard(context, name, leaving=True, finished=True)
 
 
+@when('"{name}" restarts and registers')
+def step_restarted(context, name):
+    newcomer = Membership(
+        own=row(name, incarnation=2), silence_limit_s=SILENCE_LIMIT_S
+    )
+    planned = newcomer.plan_registration(table=context.membership.table)
+    assert not newcomer.registered
+    newcomer.replace_table(table=context.membership.table, now_s=context.now_s)
+    assert not newcomer.registered
+    newcomer.replace_table(table=planned, now_s=context.now_s)
+    assert newcomer.registered
+    context.membership.replace_table(table=planned, now_s=context.now_s)
+
+
+@then("the table tells that work was lost under epoch {epoch:d}")
+def step_lost_epoch(context, epoch):
+    assert context.membership.table.lost_epoch == epoch
+
+
 @then('the live entries are "{names}"')
 def step_live(context, names):
     live = [
@@ -184,12 +211,27 @@
     assert planned is None, planned
 
 
-@then('"a" plans the table "{names}" with epoch {epoch:d}')
-def step_plans(context, names, epoch):
+@then(
+    '"a" plans the table "{names}" with epoch {epoch:d}, of which work is lost'
+)
+def step_plans_lost(context, names, epoch):
+    step_plans(context, names, epoch, epoch)
+
+
+@then(
+    '"a" plans the table "{names}" with epoch {epoch:d}, of which nothing is '
+    "lost"
+)
+def step_plans_released(context, names, epoch):
+    step_plans(context, names, epoch, 0)
+
+
+def step_plans(context, names, epoch, lost_epoch):
     planned = context.membership.plan_change(table=context.membership.table)
     assert planned is not None
     assert list(planned.names()) == names_of(names), planned
     assert planned.epoch == epoch, planned
+    assert planned.lost_epoch == lost_epoch, planned
 
 
 @given("the platform is out of reach")
@@ -252,7 +294,7 @@
 @when('another VM registers as "{name}"')
 def step_name_taken(context, name):
     stranger = Membership(
-        own=row(name, port=9), silence_limit_s=SILENCE_LIMIT_S
+        own=row(name, port=9, incarnation=2), silence_limit_s=SILENCE_LIMIT_S
     )
     context.error = None
     try:
