--- a/almondstair/core/heartbeats.py
+++ b/almondstair/core/heartbeats.py
@@ -50,10 +50,18 @@
 DIGESTS_TO_NEAR = 1
 # An entry is silent when this many turns in a row brought nothing.
 TURNS_MISSED = 3
+# With views most words come by relays, long before the entry's own turn. Twice
+# the greatest age that the benchmark finds in a zone of 55.
+VIEW_SILENCE_S = 6.0
 # Time that a digest takes over its relays, worked out in the benchmark.
 FAR_SILENCE_S = 15.0
 WATCHERS_PER_ZONE = 2
 AGE_UNIT_S = 0.1
+# Added to a relayed age for the way, so that no word grows fresher from relay
+# to relay. A message that was held up for longer makes its words look fresher
+# by the rest; since a relay's word acknowledges nothing, the worst of it is
+# work sent to a dead entry for that much longer.
+RELAY_S = 0.2
 UNKNOWN_BYTE = 255
 
 
@@ -310,6 +318,8 @@
 
     def silence_limit_s(self, *, shortest_s: float) -> float:
         """Returns the age past which a member of the group is silent."""
+        if self._with_view:
+            return max(shortest_s, VIEW_SILENCE_S)
         return max(shortest_s, TURNS_MISSED * self.near_turn_s)
 
     def tick(self) -> Sending:
@@ -346,13 +356,14 @@
     return tuple(taken), next_place
 
 
-def zone_names(*, table: EntryTable, availability_zone: str) -> list[str]:
-    """Returns a zone's names in the order that views and digests follow."""
-    names = []
+def zone_names(*, table: EntryTable) -> dict[str, list[str]]:
+    """Returns each zone's names in the order that views and digests follow."""
+    zones: dict[str, list[str]] = {}
     for row in table.entries:
-        if row.availability_zone == availability_zone:
-            names.append(row.name)
-    return sorted(names)
+        zones.setdefault(row.availability_zone, []).append(row.name)
+    for names in zones.values():
+        names.sort()
+    return zones
 
 
 def make_view(
@@ -397,7 +408,8 @@
         version = 0
         if lacked != UNKNOWN_BYTE:
             version = view.configuration_version - lacked
-        words.append(MemberWord(name, True, units * AGE_UNIT_S, version))
+        age_s = units * AGE_UNIT_S + RELAY_S
+        words.append(MemberWord(name, True, age_s, version))
     return words
 
 
@@ -446,7 +458,7 @@
       digest: a digest under this entry's own epoch.
       names: the zone in the order of the digest.
     """
-    age_s = digest.age_ms / 1000
+    age_s = digest.age_ms / 1000 + RELAY_S
     words = []
     for place, name in enumerate(names):
         live = _bit(digest.live_bits, place)
@@ -478,7 +490,7 @@
         """Starts without any."""
         self._digests: dict[str, ZoneDigest] = {}
         self._described_s: dict[str, float] = {}
-        self._place = 0
+        self._relays: dict[str, int] = {}
 
     def offer(self, *, digest: ZoneDigest, now_s: float) -> bool:
         """Keeps a digest if it is fresher than the one known.
@@ -487,11 +499,12 @@
           Whether it was kept.
         """
         zone = digest.availability_zone
-        described_s = now_s - digest.age_ms / 1000
+        described_s = now_s - digest.age_ms / 1000 - RELAY_S
         if described_s <= self._described_s.get(zone, float("-inf")):
             return False
         self._digests[zone] = digest
         self._described_s[zone] = described_s
+        self._relays[zone] = 0
         return True
 
     def get(self, *, availability_zone: str, now_s: float) -> ZoneDigest | None:
@@ -503,11 +516,19 @@
         return digest._replace(age_ms=math.ceil(age_s * 1000))
 
     def next(self, *, count: int, now_s: float) -> tuple[ZoneDigest, ...]:
-        """Returns the next digests to relay, taking turns over the zones."""
-        zones, self._place = _take(sorted(self._digests), self._place, count)
+        """Returns the next digests to relay.
+
+        Those relayed least since they were renewed go first, the freshest
+        among equals; in plain turns a fresh digest waited for all the others.
+        """
+        zones = sorted(self._digests, key=self._relay_order)[:count]
         digests = []
         for zone in zones:
+            self._relays[zone] += 1
             digest = self.get(availability_zone=zone, now_s=now_s)
             if digest is not None:
                 digests.append(digest)
         return tuple(digests)
+
+    def _relay_order(self, zone: str) -> tuple[int, float]:
+        return self._relays[zone], -self._described_s[zone]
