--- a/almondstair/core/blocks.py
+++ b/almondstair/core/blocks.py
@@ -9,6 +9,7 @@
 from array import array
 from bisect import bisect_left
 from collections.abc import Iterable
+import operator
 import sys
 from typing import NamedTuple
 
@@ -126,7 +127,7 @@
             values.append(msgspec.msgpack.encode(shard))
         return tuple(values)
 
-    def _family(self, *, block_bytes: int) -> _Family:
+    def family(self, *, block_bytes: int) -> _Family:
         """Returns the family whose blocks have so many bytes.
 
         Raises:
@@ -158,7 +159,7 @@
         words[len(row.block)].append(word)
     table = BlockTable(version=version)
     for block_bytes, unordered in words.items():
-        family = table._family(block_bytes=block_bytes)
+        family = table.family(block_bytes=block_bytes)
         previous = -1
         for word in sorted(set(unordered)):
             block = word >> _SITE_BITS
@@ -170,71 +171,84 @@
     return table
 
 
-def table_from_shards(*, values: Iterable[bytes]) -> BlockTable:
-    """Returns the table that shards make up.
+class ShardReader:
+    """Puts a table together from its shards, in any order.
 
-    Shards are taken in as whole arrays. Building row by row would hold up the
-    loop of an entry for seconds at a million blocks.
+    Shards are checked and taken in as whole arrays, one at a time: a million
+    rows at once would hold up the loop of an entry.
+    """
 
-    Args:
-      values: all shards of one version, in any order.
+    def __init__(self) -> None:
+        """Makes a reader that has read nothing."""
+        self._families: dict[int, _Family] = {}
+        self._versions: set[int] = set()
+        self._shard_counts: set[int] = set()
 
-    Raises:
-      AlmondstairError: CONFIGURATION_INVALID if shards are missing, belong to
-        different versions, are out of order or cannot be read. A table with
-        a gap would leave the callers of the gap without a site.
-    """
-    shards: dict[int, BlockShard] = {}
-    versions: set[int] = set()
-    counts: set[int] = set()
-    for value in values:
-        shard = _decode(value=value)
-        shards[shard.number] = shard
-        versions.add(shard.version)
-        counts.add(shard.shard_count)
-    if len(versions) != 1 or counts != {len(shards)}:
-        raise _invalid("shards that do not make up one table")
-    table = BlockTable(version=versions.pop())
-    for number in sorted(shards):
-        shard = shards[number]
-        family = table._family(block_bytes=shard.block_bytes)
-        _append(family=family, shard=shard)
-    return table
+    def take(self, *, value: bytes) -> None:
+        """Takes in one shard.
+
+        Raises:
+          AlmondstairError: CONFIGURATION_INVALID if it cannot be read or its
+            rows are not in order. Bisection over rows out of order would miss
+            blocks that are there.
+        """
+        try:
+            shard = msgspec.msgpack.decode(value, type=BlockShard)
+        except msgspec.MsgspecError as error:
+            raise _invalid(f"an unreadable shard ({error})") from error
+        self._versions.add(shard.version)
+        self._shard_counts.add(shard.shard_count)
+        self._families[shard.number] = _read_rows(shard=shard)
 
+    def table(self) -> BlockTable:
+        """Returns the table once every shard was taken in.
 
-def _decode(*, value: bytes) -> BlockShard:
-    try:
-        return msgspec.msgpack.decode(value, type=BlockShard)
-    except msgspec.MsgspecError as error:
-        raise _invalid(f"an unreadable shard ({error})") from error
+        Raises:
+          AlmondstairError: CONFIGURATION_INVALID if shards are missing or
+            belong to different versions. A table with a gap would leave the
+            callers of the gap without a site.
+        """
+        complete = self._shard_counts == {len(self._families)}
+        if not complete or len(self._versions) != 1:
+            raise _invalid("shards that do not make up one table")
+        (version,) = self._versions
+        table = BlockTable(version=version)
+        for number in sorted(self._families):
+            part = self._families[number]
+            whole = table.family(block_bytes=part.block_bytes)
+            if whole.blocks and whole.blocks[-1] >= part.blocks[0]:
+                raise _invalid("shards out of order")
+            whole.blocks.extend(part.blocks)
+            whole.sites.extend(part.sites)
+        return table
 
 
-def _append(*, family: _Family, shard: BlockShard) -> None:
-    """Adds a shard's rows, which must be higher than those before.
+def table_from_shards(*, values: Iterable[bytes]) -> BlockTable:
+    """Returns the table that shards make up, read in one go.
 
     Raises:
-      AlmondstairError: CONFIGURATION_INVALID if they are not in order, or
-        blocks and sites differ in number. Bisection over rows out of order
-        would miss blocks that are there.
+      AlmondstairError: CONFIGURATION_INVALID as `ShardReader` says.
     """
-    blocks = _block_array(block_bytes=shard.block_bytes)
-    sites = array(_SITE_CODE)
+    reader = ShardReader()
+    for value in values:
+        reader.take(value=value)
+    return reader.table()
+
+
+def _read_rows(*, shard: BlockShard) -> _Family:
+    rows = _Family(block_bytes=shard.block_bytes)
     try:
-        blocks.frombytes(shard.blocks)
-        sites.frombytes(shard.sites)
+        rows.blocks.frombytes(shard.blocks)
+        rows.sites.frombytes(shard.sites)
     except ValueError as error:
         raise _invalid("a shard with half a row") from error
-    _to_little_endian(words=blocks)
-    _to_little_endian(words=sites)
-    if len(blocks) != len(sites):
-        raise _invalid("a shard with more blocks than sites, or fewer")
-    ordered = sorted(set(blocks))
-    if ordered != blocks.tolist():
+    _to_little_endian(words=rows.blocks)
+    _to_little_endian(words=rows.sites)
+    if len(rows.blocks) != len(rows.sites) or not rows.blocks:
+        raise _invalid("a shard with no rows, or blocks without sites")
+    if not all(map(operator.lt, rows.blocks, rows.blocks[1:])):
         raise _invalid("a shard out of order")
-    if family.blocks and blocks and family.blocks[-1] >= blocks[0]:
-        raise _invalid("shards out of order")
-    family.blocks.extend(blocks)
-    family.sites.extend(sites)
+    return rows
 
 
 def _split(*, family: _Family) -> list[BlockShard]:
--- a/almondstair/core/lookup.py
+++ b/almondstair/core/lookup.py
@@ -4,7 +4,6 @@
 entries, so every entry gives the same answer and callers spread evenly.
 """
 
-from collections import OrderedDict
 import heapq
 import ipaddress
 from typing import NamedTuple
@@ -14,7 +13,10 @@
 from almondstair.core.model import Configuration
 
 DEFAULT_LIMIT = 3
-DEFAULT_CACHED_BLOCKS = 4096
+# Blocks are put into buckets and the answer is worked out once a bucket, which
+# bounds the memory of kept answers. Some hundreds of buckets for each entry of
+# a zone keep the callers evenly spread.
+BUCKETS = 16_384
 SAME_REGION_DISTANCE_MS = 0.5
 IPV4_BLOCK_BYTES = 3
 IPV6_BLOCK_BYTES = 6
@@ -88,8 +90,8 @@
 class LookupTable:
     """Orders the live entries for callers of one availability zone.
 
-    A table is built again whenever the live entries change; it is immutable
-    but for its cache.
+    A table is built again whenever the live entries change. Answers are worked
+    out when first asked for and then kept.
     """
 
     def __init__(
@@ -98,7 +100,6 @@
         entries: tuple[LookupEntry, ...],
         distances_ms: dict[str, float],
         limit: int = DEFAULT_LIMIT,
-        cached_blocks: int = DEFAULT_CACHED_BLOCKS,
     ) -> None:
         """Makes a table.
 
@@ -106,7 +107,6 @@
           entries: entries that are live and not leaving.
           distances_ms: distance of each availability zone from the callers.
           limit: most entries in an answer; at least 2.
-          cached_blocks: answers kept, least recently used dropped first.
 
         Raises:
           ValueError: `limit` is below 2.
@@ -117,8 +117,7 @@
         self._groups = _group_by_distance(
             entries=entries, distances_ms=distances_ms
         )
-        self._cached_blocks = cached_blocks
-        self._cache: OrderedDict[bytes, tuple[LookupEntry, ...]] = OrderedDict()
+        self._answers: dict[int, tuple[LookupEntry, ...]] = {}
 
     def order(self, *, block: bytes) -> tuple[LookupEntry, ...]:
         """Returns the entries for a caller's block, best first.
@@ -128,18 +127,14 @@
         take away every entry that its callers know until their cached answer
         ends; with this, one of them still answers.
         """
-        cached = self._cache.get(block)
-        if cached is not None:
-            self._cache.move_to_end(block)
-            return cached
-        answer = self._order_uncached(block=block)
-        self._cache[block] = answer
-        if len(self._cache) > self._cached_blocks:
-            self._cache.popitem(last=False)
+        bucket = xxhash.xxh3_64_intdigest(block) % BUCKETS
+        answer = self._answers.get(bucket)
+        if answer is None:
+            answer = self._order(bucket=bucket)
+            self._answers[bucket] = answer
         return answer
 
-    def _order_uncached(self, *, block: bytes) -> tuple[LookupEntry, ...]:
-        seed = xxhash.xxh3_64_intdigest(block)
+    def _order(self, *, bucket: int) -> tuple[LookupEntry, ...]:
         chosen: list[LookupEntry] = []
         last_group = len(self._groups) - 1
         for position, group in enumerate(self._groups):
@@ -148,7 +143,7 @@
                 break
             if position == 0 and last_group > 0:
                 room -= 1
-            chosen.extend(_best(group=group, seed=seed, count=room))
+            chosen.extend(_best(group=group, bucket=bucket, count=room))
         return tuple(chosen)
 
 
@@ -168,13 +163,13 @@
 
 
 def _best(
-    *, group: tuple[_Scored, ...], seed: int, count: int
+    *, group: tuple[_Scored, ...], bucket: int, count: int
 ) -> list[LookupEntry]:
     """Returns the highest scores of a group by rendezvous hashing."""
     digest = xxhash.xxh3_64_intdigest
     scores: list[tuple[int, int]] = []
     for position, scored in enumerate(group):
-        scores.append((digest(scored.key, seed), position))
+        scores.append((digest(scored.key, bucket), position))
     best: list[LookupEntry] = []
     for _, position in heapq.nlargest(count, scores):
         best.append(group[position].entry)
--- a/almondstair/core/steering.py
+++ b/almondstair/core/steering.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from almondstair.core import ramps
+from almondstair.core.admission import KEPT_FRACTION
 from almondstair.core.health import HealthTable
 from almondstair.core.health import HealthView
 from almondstair.core.loads import RegionLoad
@@ -31,13 +32,6 @@
 MAX_STEP_S = 1.0
 # A region that fails this part of its answers is left like a lost one.
 FAILED_AS_LOST = 0.8
-# Part of a region's slots that each priority leaves free for higher ones.
-SLOTS_LEFT_FREE: dict[Priority, float] = {
-    Priority.INTERACTIVE: 0.0,
-    Priority.COMMIT: 0.0,
-    Priority.UPLOAD: 0.1,
-    Priority.BATCH: 0.25,
-}
 # Work that is tried even where no slot is reported free: admission beside the
 # upstreams knows better than a report that lags.
 ALWAYS_TRIED = (Priority.INTERACTIVE, Priority.COMMIT)
@@ -374,9 +368,9 @@
                     continue
             load = self._loads[(weight.region, flow.service)]
             totals = load.totals(now_s=now_s)
-            left_free = totals.slots * SLOTS_LEFT_FREE[flow.priority]
+            kept_free = totals.slots * KEPT_FRACTION[flow.priority]
             if follows_load and totals.known:
-                if totals.free_slots <= left_free:
+                if totals.free_slots <= kept_free:
                     continue
             room.append(weight.region)
         return room
@@ -437,15 +431,15 @@
             name=_refusals_name(region, flow.service, flow.priority),
             now_s=now_s,
         )
-        left_free = slots * SLOTS_LEFT_FREE[flow.priority]
+        kept_free = slots * KEPT_FRACTION[flow.priority]
         link_key = (flow.availability_zone, region)
         return RegionView(
             region=region,
             latency_ms=self._distance_ms(
                 availability_zone=flow.availability_zone, region=region
             ),
-            slots=slots - left_free,
-            free_slots=max(0.0, free_slots - left_free),
+            slots=slots - kept_free,
+            free_slots=max(0.0, free_slots - kept_free),
             health=answers.factor * refusals.factor,
             link_headroom=self._link_headroom.get(link_key, 1.0),
         )
--- a/features/steering.feature
+++ b/features/steering.feature
@@ -141,8 +141,9 @@
   Scenario: Every request between two reports does not see the same slot
     # Symptom: bursts past the slots of a region each time it reports.
     # Cause: requests sent since the last report were not counted.
-    When one report gives the free slots home 3, near 0, far 0
-    And 3 requests are sent to "home"
+    When one report gives the free slots home 5, near 0, far 0
+    Then upload work goes to "home" first
+    When 3 requests are sent to "home"
     Then upload work is refused at once
 
   Scenario: Retries at twice the capacity
