--- a/features/steering.feature
+++ b/features/steering.feature
@@ -86,6 +86,11 @@
     Then the weight of "home" never grew
     And the weight of "home" is at most 0.02
 
+  Scenario: A region that fails everything is left sooner than by the ramp
+    When all regions report 20 free slots for 5 s
+    And all regions report 20 free slots for 4 s while "home" fails requests
+    Then the weight of "home" is at most 0.02
+
   Scenario: Reports frozen at idle while work is refused
     When all regions report 20 free slots for 5 s
     And all regions report 20 free slots for 30 s while "home" refuses requests
@@ -192,7 +197,7 @@
     # copy runs a little longer, by the time the message took.
     Given quarantines of 3 entries that exchange heartbeats
     When a crashing request is sent 20 times, each time to the next entry
-    And 330 s pass with heartbeats that take 1 s
+    And 330 s pass with heartbeats that take 3 s
     Then the request is clear on every entry
 
   Scenario: Marks in heartbeats are bounded and each gets its turn
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -362,6 +362,7 @@
     context.now_s += transit_s
     for marks in digests:
         for quarantine in context.quarantines:
+            quarantine.expire(now_s=context.now_s)
             quarantine.merge(marks=marks, now_s=context.now_s)
 
 
