--- /dev/null
+++ b/features/steps/quarantine_steps.py
@@ -0,0 +1,134 @@
+"""Steps of quarantine.feature."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from almondstair.core.quarantine import Quarantine
+from almondstair.core.quarantine import Verdict
+from almondstair.core.quarantine import body_digest
+from almondstair.core.quarantine import request_fingerprint
+
+HEARTBEAT_S = 0.25
+CRASHING = request_fingerprint(
+    method="POST", path="/crash", body_digest=body_digest(body=b"bad")
+)
+HARMLESS = request_fingerprint(
+    method="POST", path="/crash", body_digest=body_digest(body=b"good")
+)
+
+
+@given("quarantines of {count:d} entries that exchange heartbeats")
+def quarantines(context, count):
+    context.quarantines = []
+    for _ in range(count):
+        context.quarantines.append(Quarantine())
+    context.now_s = 0.0
+    context.crashed = set()
+
+
+def _exchange(context, *, transit_s):
+    """Sends one heartbeat of every entry to every entry."""
+    digests = []
+    for quarantine in context.quarantines:
+        digests.append(quarantine.digest(now_s=context.now_s))
+    context.now_s += transit_s
+    for marks in digests:
+        for quarantine in context.quarantines:
+            quarantine.expire(now_s=context.now_s)
+            quarantine.merge(marks=marks, now_s=context.now_s)
+
+
+@when("a crashing request is sent {count:d} times, each time to the next entry")
+def crashing_sent(context, count):
+    for attempt in range(count):
+        quarantine = context.quarantines[attempt % len(context.quarantines)]
+        verdict = quarantine.verdict(fingerprint=CRASHING, now_s=context.now_s)
+        if verdict is not Verdict.QUARANTINED:
+            upstream = f"upstream-{attempt}"
+            context.crashed.add(upstream)
+            quarantine.strike(
+                fingerprint=CRASHING, upstream=upstream, now_s=context.now_s
+            )
+        _exchange(context, transit_s=HEARTBEAT_S)
+
+
+@when("{length_s:d} s pass with heartbeats that take {transit_s:g} s")
+def time_passes(context, length_s, transit_s):
+    ends_s = context.now_s + length_s
+    while context.now_s < ends_s:
+        _exchange(context, transit_s=transit_s)
+
+
+@when(
+    "entry 0 has one strike and its marks are taken in {count:d} times by "
+    "entry 1"
+)
+def marks_repeated(context, count):
+    first, second = context.quarantines[:2]
+    first.strike(fingerprint=CRASHING, upstream="u", now_s=context.now_s)
+    marks = first.digest(now_s=context.now_s)
+    for _ in range(count):
+        second.merge(marks=marks, now_s=context.now_s)
+
+
+@when("entry 0 has strikes against {count:d} requests")
+def many_strikes(context, count):
+    for fingerprint in range(count):
+        context.quarantines[0].strike(
+            fingerprint=fingerprint, upstream="u", now_s=context.now_s
+        )
+
+
+@then("{count:d} upstreams were crashed")
+def upstreams_crashed(context, count):
+    assert len(context.crashed) == count, context.crashed
+
+
+def _assert_verdicts(context, fingerprint, verdict):
+    for quarantine in context.quarantines:
+        found = quarantine.verdict(fingerprint=fingerprint, now_s=context.now_s)
+        assert found is verdict, found
+
+
+@then("the request is quarantined on every entry")
+def quarantined_everywhere(context):
+    _assert_verdicts(context, CRASHING, Verdict.QUARANTINED)
+    for quarantine in context.quarantines:
+        remaining_s = quarantine.remaining_s(
+            fingerprint=CRASHING, now_s=context.now_s
+        )
+        assert remaining_s > 120.0, remaining_s
+
+
+@then("the request is clear on every entry")
+def clear_everywhere(context):
+    _assert_verdicts(context, CRASHING, Verdict.CLEAR)
+
+
+@then("another request is clear on every entry")
+def other_clear_everywhere(context):
+    _assert_verdicts(context, HARMLESS, Verdict.CLEAR)
+
+
+@then("entry 1 tells the request to run alone")
+def runs_alone(context):
+    verdict = context.quarantines[1].verdict(
+        fingerprint=CRASHING, now_s=context.now_s
+    )
+    assert verdict is Verdict.ALONE, verdict
+
+
+@then("each digest of entry 0 has at most {limit:d} marks")
+def digest_bounded(context, limit):
+    context.limit = limit
+
+
+@then("{count:d} heartbeats carry all {requests:d} to entry 1")
+def heartbeats_carry(context, count, requests):
+    first, second = context.quarantines[:2]
+    for _ in range(count):
+        marks = first.digest(now_s=context.now_s)
+        assert len(marks) <= context.limit, len(marks)
+        second.merge(marks=marks, now_s=context.now_s)
+    assert len(second) == requests, len(second)
--- a/features/support/steering_world.py
+++ b/features/support/steering_world.py
@@ -1,5 +1,6 @@
 """A small deployment and a clock for steering.feature."""
 
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from almondstair.core.model import Configuration
@@ -21,9 +22,16 @@
 SCALE = 10
 TICK_S = 0.25
 REPORT_LIMIT_S = 3.0
+DRAWS = 200
 LATENCY_MS = {"near": 10.0, "far": 200.0}
 
 
+def draws() -> Iterator[float]:
+    """Yields evenly spaced draws over [0, 1)."""
+    for step in range(DRAWS):
+        yield step / DRAWS
+
+
 class Sample(NamedTuple):
     """Weights at one moment."""
 
