Let a load report carry a limit of age of its own

Every far region would be unknown all the time and spilled work would never cross to one. A digest can now be observed with its own limit; the wiring has to pass it.

--- a/almondstair/core/loads.py
+++ b/almondstair/core/loads.py
@@ -32,6 +32,7 @@
     slots: int
     free_slots: int
     measured_s: float
+    ends_s: float
 
 
 class RegionLoad:
@@ -69,27 +70,38 @@
         self._valid_until_s = NEVER_S
 
     def report(
-        self, *, source: str, slots: int, free_slots: int, measured_s: float
+        self,
+        *,
+        source: str,
+        slots: int,
+        free_slots: int,
+        measured_s: float,
+        limit_s: float | None = None,
     ) -> None:
-        """Takes a report unless a younger one of the source is known."""
+        """Takes a report unless a younger one of the source is known.
+
+        Args:
+          source: who reports.
+          slots: slots that it answers for.
+          free_slots: free ones among them.
+          measured_s: when they were counted.
+          limit_s: age at which this report no longer counts; None for the
+            limit of the load.
+        """
         last = self._reports.get(source)
         if last is not None and last.measured_s > measured_s:
             return
-        self._reports[source] = _Report(slots, free_slots, measured_s)
+        ends_s = measured_s + (self._limit_s if limit_s is None else limit_s)
+        self._reports[source] = _Report(slots, free_slots, measured_s, ends_s)
         # The report covers what was sent before it, in its source's part.
         self._outstanding -= self._outstanding / len(self._reports)
-        if (
-            last is None
-            or last.measured_s + self._limit_s < self._valid_until_s
-        ):
+        if last is None or last.ends_s < self._valid_until_s:
             # Its last report is not in the sums.
             self._valid_until_s = NEVER_S
             return
         self._slots += slots - last.slots
         self._free_slots += free_slots - last.free_slots
-        self._valid_until_s = min(
-            self._valid_until_s, measured_s + self._limit_s
-        )
+        self._valid_until_s = min(self._valid_until_s, ends_s)
 
     def forget(self, *, source: str) -> None:
         """Drops a source that left."""
@@ -138,13 +150,12 @@
         self._known = False
         self._valid_until_s = float("inf")
         for report in self._reports.values():
-            ends_s = report.measured_s + self._limit_s
-            if ends_s < now_s:
+            if report.ends_s < now_s:
                 continue
             self._known = True
             self._slots += report.slots
             self._free_slots += report.free_slots
-            self._valid_until_s = min(self._valid_until_s, ends_s)
+            self._valid_until_s = min(self._valid_until_s, report.ends_s)
 
 
 def configured_slots(
--- a/almondstair/core/steering.py
+++ b/almondstair/core/steering.py
@@ -151,6 +151,7 @@
         free_slots: int,
         age_s: float,
         now_s: float,
+        limit_s: float | None = None,
     ) -> None:
         """Takes a load report; one on an unknown region or service is dropped.
 
@@ -162,6 +163,8 @@
           free_slots: free ones among them.
           age_s: age of the measurement when it arrived.
           now_s: now.
+          limit_s: age at which this report no longer counts, for digests that
+            take long over several relays; None for the usual limit.
         """
         load = self._loads.get((region, service))
         if load is None:
@@ -171,6 +174,7 @@
             slots=slots,
             free_slots=free_slots,
             measured_s=now_s - age_s,
+            limit_s=limit_s,
         )
 
     def forget_source(self, *, source: str) -> None:
--- a/features/steering.feature
+++ b/features/steering.feature
@@ -150,3 +150,14 @@
     Then upload work goes to "home" first
     When 3 requests are sent to "home"
     Then upload work is refused at once
+
+  Scenario: A digest that takes long over its relays counts for its own limit
+    # Symptom: in a large fleet no spilled work ever crosses to a far region.
+    # Events: a far zone's load arrives by digests 5 s old, older than the
+    # limit for reports of the entries nearby.
+    # Cause: one limit for both.
+    When for 30 s a digest 5 s old with a limit of 15 s gives "near" 15 free
+    And for 30 s the same digest comes while "home" reports 0 free
+    Then the weight of "near" is 1.00
+    When nobody reports for 12 s
+    Then "near" is no longer known
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -10,6 +10,7 @@
 from features.support.steering_world import REPORT_LIMIT_S
 from features.support.steering_world import SCALE
 from features.support.steering_world import SERVICE
+from features.support.steering_world import SLOTS
 from features.support.steering_world import TICK_S
 from features.support.steering_world import ZONE
 from features.support.steering_world import SteeringWorld
@@ -54,6 +55,52 @@
     context.world.run(length_s=length_s, free_slots={first: free, second: free})
 
 
+def _digest(world, age_s, limit_s, region, free):
+    world.steering.observe(
+        region=region,
+        service=SERVICE,
+        source=f"digest-{region}",
+        slots=SLOTS * SCALE,
+        free_slots=round(free * SCALE),
+        age_s=age_s,
+        now_s=world.now_s,
+        limit_s=limit_s,
+    )
+
+
+@when(
+    "for {length_s:d} s a digest {age_s:g} s old with a limit of {limit_s:g} s "
+    'gives "{region}" {free:g} free'
+)
+def digest_comes(context, *, length_s, age_s, limit_s, region, free):
+    context.digest = (age_s, limit_s, region, free)
+    context.world.run(
+        length_s=length_s,
+        free_slots={},
+        each_tick=lambda: _digest(context.world, *context.digest),
+    )
+
+
+@when(
+    'for {length_s:d} s the same digest comes while "{region}" reports '
+    "{free:g} free"
+)
+def digest_goes_on(context, length_s, region, free):
+    context.world.run(
+        length_s=length_s,
+        free_slots={region: free},
+        each_tick=lambda: _digest(context.world, *context.digest),
+    )
+
+
+@then('"{region}" is no longer known')
+def no_longer_known(context, region):
+    world = context.world
+    for row in world.steering.status(service=SERVICE, now_s=world.now_s):
+        if row.region == region:
+            assert not row.known, row
+
+
 @when("nobody reports for {length_s:d} s")
 def nobody_reports(context, length_s):
     context.world.run(length_s=length_s, free_slots={})
