--- /dev/null
+++ b/benchmarks/ownership.py
@@ -0,0 +1,162 @@
+"""Measures homes and link shares by size of the entry table.
+
+Run: python -m benchmarks.ownership
+Homes: processor time of taking a new entry table, which is one stall of the
+loop, and of one question for a duty. Links: a round in which one entry wants
+all and every other lends, seen by the busy one and by a lender; and memory.
+"""
+
+import time
+import tracemalloc
+
+import msgspec
+
+from almondstair.core.entry_table import EntryRow
+from almondstair.core.entry_table import EntryTable
+from almondstair.core.homes import HomedUpstream
+from almondstair.core.homes import Homes
+from almondstair.core.links import LinkShare
+from almondstair.core.loans import Loan
+from almondstair.core.slot_book import SlotBook
+
+# Entries and upstreams: today, between, and the target with an assumed 1000
+# upstreams; in one region of four.
+SIZES = ((12, 28), (96, 125), (192, 250), (385, 500), (770, 1000))
+REGIONS = 4
+TABLES = 5
+QUESTIONS = 2000
+ZONES = (2, 14, 28, 55)
+ROUNDS = 40
+ROUND_S = 0.25
+CAP_BYTES_PER_S = 100_000_000
+MIB = 1 << 20
+
+
+def _row(*, number: int) -> EntryRow:
+    return EntryRow(
+        name=f"entry-{number:03}",
+        availability_zone=f"zone-{number % 14:02}",
+        region=f"region-{number % REGIONS}",
+        caller_address="127.0.0.1:20100",
+        forward_address="127.0.0.1:20101",
+        peer_address="127.0.0.1:20102",
+        operator_address="127.0.0.1:20103",
+        incarnation="0123456789abcdef",
+        joined_epoch=1,
+    )
+
+
+def _homes(*, upstreams: int) -> Homes:
+    homes = Homes(
+        entry_name="entry-000",
+        incarnation="0123456789abcdef",
+        t1_s=1.0,
+        reserve_deadline_s=2.0,
+        margin_s=0.5,
+        book=SlotBook(margin_s=0.5),
+    )
+    homed: list[HomedUpstream] = []
+    for number in range(upstreams):
+        region = f"region-{number % REGIONS}"
+        homed.append(HomedUpstream(f"upstream-{number}", region, 3, 2.0))
+    homes.set_upstreams(upstreams=tuple(homed))
+    return homes
+
+
+def measure_homes(*, entries: int, upstreams: int) -> None:
+    rows: list[EntryRow] = []
+    for number in range(entries):
+        rows.append(_row(number=number))
+    # The own row comes last, since rows are looked through from the first.
+    rows.reverse()
+    tracemalloc.start()
+    homes = _homes(upstreams=upstreams)
+    homes.update_table(table=EntryTable(1, tuple(rows)), now_s=0.0)
+    size_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started_s = time.process_time()
+    for epoch in range(2, 2 + TABLES):
+        homes.update_table(table=EntryTable(epoch, tuple(rows)), now_s=0.0)
+    table_ms = (time.process_time() - started_s) / TABLES * 1e3
+    started_s = time.process_time()
+    for number in range(QUESTIONS):
+        homes.duty(upstream=f"upstream-{number % upstreams}", now_s=0.0)
+    duty_us = (time.process_time() - started_s) / QUESTIONS * 1e6
+    print(
+        f"homes, {entries:>3} entries, {upstreams:>4} upstreams: "
+        f"new table {table_ms:.1f} ms CPU, duty {duty_us:.1f} us, "
+        f"{size_bytes / MIB:.2f} MiB"
+    )
+
+
+def _share(*, name: str, names: tuple[str, ...]) -> LinkShare:
+    share = LinkShare(
+        link="zone-00:region-0:out",
+        entry_name=name,
+        incarnation=1,
+        cap_bytes_per_s=CAP_BYTES_PER_S,
+        now_s=0.0,
+    )
+    share.on_epoch(epoch=1, entries=names, from_platform=True, now_s=0.0)
+    for other in names:
+        if other != name:
+            share.on_acknowledged(entry=other, epoch=1, now_s=0.0)
+    return share
+
+
+def measure_links(*, entries: int) -> None:
+    names: list[str] = []
+    for number in range(entries):
+        names.append(f"entry-{number:03}")
+    tracemalloc.start()
+    busy = _share(name=names[0], names=tuple(names))
+    size_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    lenders: dict[str, LinkShare] = {}
+    for name in names[1:]:
+        lenders[name] = _share(name=name, names=tuple(names))
+    now_s = 100.0
+    busy_s = 0.0
+    lend_s = 0.0
+    messages = 0
+    sent_bytes = 0
+    for _ in range(ROUNDS):
+        now_s += ROUND_S
+        started_s = time.process_time()
+        busy.take_part(size_bytes=CAP_BYTES_PER_S, now_s=now_s)
+        requests = busy.ask(now_s=now_s)
+        busy_s += time.process_time() - started_s
+        loans: list[Loan] = []
+        started_s = time.process_time()
+        for request in requests:
+            loan = lenders[request.lender].lend(request=request, now_s=now_s)
+            if loan is not None:
+                loans.append(loan)
+        lend_s += time.process_time() - started_s
+        messages += len(requests) + len(loans)
+        for message in (*requests, *loans):
+            sent_bytes += len(msgspec.msgpack.encode(message))
+        started_s = time.process_time()
+        for loan in loans:
+            busy.accept(loan=loan, now_s=now_s)
+        busy_s += time.process_time() - started_s
+    length_s = ROUNDS * ROUND_S
+    print(
+        f"link, {entries:>2} entries of a zone, one busy: "
+        f"{messages / length_s:.1f} messages/s of "
+        f"{sent_bytes / messages:.0f} bytes, "
+        f"busy entry {busy_s / length_s * 100:.3f}% of a core, "
+        f"all lenders together {lend_s / length_s * 100:.3f}%, "
+        f"share takes {size_bytes:,} bytes"
+    )
+
+
+def main() -> None:
+    for entries, upstreams in SIZES:
+        measure_homes(entries=entries, upstreams=upstreams)
+    for entries in ZONES:
+        measure_links(entries=entries)
+
+
+if __name__ == "__main__":
+    main()
