--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -2,7 +2,9 @@
 
 Run: python -m benchmarks.ownership
 Homes: processor time of taking a new entry table, which is one stall of the
-loop, and of one question for a duty. Links: a round in which one entry wants
+loop, and of one question for a duty. Admission: one choice of an upstream that
+ends in a refusal, with all upstreams in one service; an admitted one looks
+through them three times. Links: a round in which one entry wants
 all and every other lends, seen by the busy one and by a lender; and memory.
 """
 
@@ -11,12 +13,21 @@
 
 import msgspec
 
+from almondstair.core.admission import SlotTable
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
-from almondstair.core.homes import HomedUpstream
 from almondstair.core.homes import Homes
+from almondstair.core.homes import homed_upstreams
 from almondstair.core.links import LinkShare
 from almondstair.core.loans import Loan
+from almondstair.core.model import Configuration
+from almondstair.core.model import PolicyName
+from almondstair.core.model import Priority
+from almondstair.core.model import Profile
+from almondstair.core.model import Region
+from almondstair.core.model import RequestClass
+from almondstair.core.model import Service
+from almondstair.core.model import Upstream
 from almondstair.core.slot_book import SlotBook
 
 # Entries and upstreams: today, between, and the target with an assumed 1000
@@ -25,6 +36,7 @@
 REGIONS = 4
 TABLES = 5
 QUESTIONS = 2000
+CHOICES = 50
 ZONES = (2, 14, 28, 55)
 ROUNDS = 40
 ROUND_S = 0.25
@@ -46,31 +58,65 @@
     )
 
 
-def _homes(*, upstreams: int) -> Homes:
+def _configuration(*, upstreams: int) -> Configuration:
+    regions: dict[str, Region] = {}
+    for number in range(REGIONS):
+        regions[f"region-{number}"] = Region((f"zone-{number:02}",))
+    configured: dict[str, Upstream] = {}
+    for number in range(upstreams):
+        configured[f"upstream-{number}"] = Upstream(
+            ("work",), "127.0.0.1:1", f"zone-{number % REGIONS:02}", 3, 330
+        )
+    request_class = RequestClass(
+        "get", ("GET",), "/*", True, Priority.INTERACTIVE, 2000
+    )
+    return Configuration(
+        regions=regions,
+        services={"work": Service("local", (request_class,))},
+        upstreams=configured,
+        profiles={"local": Profile(policy=PolicyName.LOCAL)},
+    )
+
+
+def _homes(*, configuration: Configuration, book: SlotBook) -> Homes:
     homes = Homes(
         entry_name="entry-000",
         incarnation="0123456789abcdef",
         t1_s=1.0,
         reserve_deadline_s=2.0,
         margin_s=0.5,
-        book=SlotBook(margin_s=0.5),
+        book=book,
     )
-    homed: list[HomedUpstream] = []
-    for number in range(upstreams):
-        region = f"region-{number % REGIONS}"
-        homed.append(HomedUpstream(f"upstream-{number}", region, 3, 2.0))
-    homes.set_upstreams(upstreams=tuple(homed))
+    homes.set_upstreams(upstreams=homed_upstreams(configuration=configuration))
     return homes
 
 
+def _choose_us(
+    *, homes: Homes, book: SlotBook, configuration: Configuration
+) -> float:
+    slots = SlotTable(homes=homes, book=book)
+    slots.set_configuration(configuration=configuration)
+    started_s = time.process_time()
+    for _ in range(CHOICES):
+        slots.choose(
+            service="work",
+            priority=Priority.INTERACTIVE,
+            deadline_s=1.0,
+            now_s=0.0,
+        )
+    return (time.process_time() - started_s) / CHOICES * 1e6
+
+
 def measure_homes(*, entries: int, upstreams: int) -> None:
     rows: list[EntryRow] = []
     for number in range(entries):
         rows.append(_row(number=number))
     # The own row comes last, since rows are looked through from the first.
     rows.reverse()
+    configuration = _configuration(upstreams=upstreams)
+    book = SlotBook(margin_s=0.5)
     tracemalloc.start()
-    homes = _homes(upstreams=upstreams)
+    homes = _homes(configuration=configuration, book=book)
     homes.update_table(table=EntryTable(1, tuple(rows)), now_s=0.0)
     size_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
@@ -82,10 +128,11 @@
     for number in range(QUESTIONS):
         homes.duty(upstream=f"upstream-{number % upstreams}", now_s=0.0)
     duty_us = (time.process_time() - started_s) / QUESTIONS * 1e6
+    choose_us = _choose_us(homes=homes, book=book, configuration=configuration)
     print(
         f"homes, {entries:>3} entries, {upstreams:>4} upstreams: "
         f"new table {table_ms:.1f} ms CPU, duty {duty_us:.1f} us, "
-        f"{size_bytes / MIB:.2f} MiB"
+        f"refused choice {choose_us:.0f} us, {size_bytes / MIB:.2f} MiB"
     )
 
 
