Let a starting process settle before the ramp holds

Symptom: after a start callers are served from a far region for up to ten seconds. Cause: the first region heard to have slots got all the work and gave it back by the ramp. For its first 3 s a flow now follows its target at once.

--- a/almondstair/core/steering.py
+++ b/almondstair/core/steering.py
@@ -30,6 +30,11 @@
 STEP_INTERVAL_S = 0.05
 # A pause of this process is no licence to move much at once afterwards.
 MAX_STEP_S = 1.0
+# A process that starts hears its regions one after another, and the first one
+# heard would get all the work and give it back by the ramp only: callers would
+# be served from far away for seconds after each start. Until a flow is this
+# old its weights follow their target at once; they have no history to keep.
+SETTLING_S = 3.0
 # A region that fails this part of its answers is left like a lost one.
 FAILED_AS_LOST = 0.8
 # Work that is tried even where no slot is reported free: admission beside the
@@ -91,11 +96,12 @@
 class _InForce:
     """Weights in force for one flow."""
 
-    __slots__ = ("stepped_s", "weights")
+    __slots__ = ("started_s", "stepped_s", "weights")
 
-    def __init__(self, *, weights: ramps.Weights, stepped_s: float) -> None:
+    def __init__(self, *, weights: ramps.Weights, started_s: float) -> None:
         self.weights = weights
-        self.stepped_s = stepped_s
+        self.started_s = started_s
+        self.stepped_s = started_s
 
 
 class Steering:
@@ -313,7 +319,7 @@
         in_force = self._flows.get(flow)
         if in_force is None:
             in_force = _InForce(
-                weights=self._initial(flow=flow, now_s=now_s), stepped_s=now_s
+                weights=self._initial(flow=flow, now_s=now_s), started_s=now_s
             )
             self._flows[flow] = in_force
         due = now_s - in_force.stepped_s >= STEP_INTERVAL_S
@@ -524,6 +530,8 @@
             now_s=now_s,
         )
         growth = profile.ramp_fraction_per_s * elapsed_s
+        if now_s - in_force.started_s < SETTLING_S:
+            growth = 1.0
         in_force.weights = ramps.ramped(
             start=start, target=target, growth=growth
         )
--- a/features/steering.feature
+++ b/features/steering.feature
@@ -129,6 +129,17 @@
     And batch work is never sent to "near" first
     And interactive work goes to "near" first
 
+  Scenario: A process starts and hears the far region first
+    # Symptom: for seconds after each start callers are served from far away.
+    # Events: "home" has no slots until its duties are taken over, "near" has
+    # them already; then "home" has them too.
+    # Cause: what was first heard got all the work and kept it by the ramp.
+    When "home" reports that it has no slots
+    And only near and far report 20 free slots for 1 s
+    Then the weight of "near" is 1.00
+    When all regions report 20 free slots for 1 s
+    Then the weight of "home" is 1.00
+
   Scenario: A lost region comes back cold
     When all regions report 15 free slots for 5 s
     And the region "home" is lost
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -165,6 +165,20 @@
     _run_with_answers(context, free=free, length_s=length_s, each=answer)
 
 
+@when('"{region}" reports that it has no slots')
+def no_slots(context, region):
+    world = context.world
+    world.steering.observe(
+        region=region,
+        service=SERVICE,
+        source=f"entry-{region}",
+        slots=0,
+        free_slots=0,
+        age_s=0.0,
+        now_s=world.now_s,
+    )
+
+
 @when('the region "{region}" is lost')
 def region_lost(context, region):
     context.world.steering.region_lost(region=region)
