Close two holes in the headers that cross an entry, and show the body path

Cause 1: a caller that sent "Connection: content-length" had its length dropped as a header of one hop. A GET with a body over 64 KiB then went on without any length, and the upstream read the body as further requests. Cause 2: an upstream's own Almondstair-Answer header was passed on, so the entry before took the answer to a request that had run for a refusal, sent it elsewhere, and the caller saw the header.

Change: such a request gets 400 and a closed connection; the headers in which entries talk are taken off every answer that comes from outside.

features/http.feature shows these, and the rest of the path on real processes: bodies, framing, callers that leave, bad input, cut answers. Failing first: "a length named per-hop" got 200 from the upstream through either entry, and "headers of one hop" saw Almondstair-Answer at the caller (one entry) and a 503 for work that had run (two entries).

--- a/almondstair/answers.py
+++ b/almondstair/answers.py
@@ -77,8 +77,16 @@
         return self.state is AnswerState.NOTHING
 
     def head(self, head: ResponseHead) -> None:
-        """Holds the head until it is known whether the answer is small."""
-        self._head = head
+        """Holds the head until it is known whether the answer is small.
+
+        Headers in which entries talk to each other stop here: an upstream
+        that sent one would else be taken for an entry, and its answer for a
+        refusal of work that it ran.
+        """
+        headers = end_to_end_headers(headers=head.headers)
+        if LOAD_HEADER in headers:
+            del headers[LOAD_HEADER]
+        self._head = head._replace(headers=headers)
 
     async def data(self, chunk: bytes) -> None:
         """Holds or passes on a chunk of the body."""
@@ -186,9 +194,7 @@
 
     def write_head(self, head: ResponseHead, chunk: bytes) -> Awaitable[None]:
         """Writes the head and the first bytes of the body."""
-        headers = end_to_end_headers(headers=head.headers, drop_own=False)
-        if LOAD_HEADER in headers:
-            del headers[LOAD_HEADER]
+        headers = head.headers
         if head.status == _NO_CONTENT and "Content-Length" in headers:
             del headers["Content-Length"]
         if self.close_after:
--- a/almondstair/http_messages.py
+++ b/almondstair/http_messages.py
@@ -38,6 +38,8 @@
         "Expect",
     )
 )
+# What no Connection header may take off a message.
+_FRAMING = frozenset(("Content-Length", "Transfer-Encoding"))
 _LENGTH = re.compile(r"[0-9]{1,18}\Z")
 _STATUS_WITHOUT_BODY = frozenset((204, 304))
 
@@ -66,13 +68,23 @@
     Raises:
       AlmondstairError: `bad_request`.
     """
-    lengths = headers.get_list("Content-Length")
-    encodings = headers.get_list("Transfer-Encoding")
     size_bytes = 0
     for name, value in headers.get_all():
         size_bytes += len(name) + len(value) + 4
     if size_bytes > MAX_HEADER_BYTES:
         raise _bad(f"the headers are over {MAX_HEADER_BYTES} bytes")
+    if not _FRAMING.isdisjoint(_named_by_connection(headers)):
+        # Dropped as a header of one hop, the length would be missing on the
+        # next: the upstream would read the body as further requests.
+        raise _bad("Connection may not name the body's length")
+    return _body_length(start_line, headers)
+
+
+def _body_length(
+    start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+) -> int | None:
+    lengths = headers.get_list("Content-Length")
+    encodings = headers.get_list("Transfer-Encoding")
     if lengths and encodings:
         raise _bad("Content-Length and Transfer-Encoding exclude each other")
     if len(lengths) > 1 or len(encodings) > 1:
@@ -104,27 +116,34 @@
 
 
 def end_to_end_headers(
-    *, headers: httputil.HTTPHeaders, drop_own: bool = True
+    *, headers: httputil.HTTPHeaders
 ) -> httputil.HTTPHeaders:
-    """Returns the headers that travel on, without the hop-by-hop ones.
+    """Returns the headers that travel on.
 
-    Args:
-      headers: headers as they arrived.
-      drop_own: whether to drop the headers that entries use among themselves.
+    Those of one hop stay behind, and those in which entries talk to each
+    other.
     """
-    named = set()
-    for token in headers.get("Connection", "").split(","):
-        named.add(token.strip().title())
+    named = _named_by_connection(headers) - _FRAMING
     kept = httputil.HTTPHeaders()
     for name, value in headers.get_all():
         if name in _HOP_BY_HOP or name in named:
             continue
-        if drop_own and name.startswith(OWN_PREFIX):
+        if name.startswith(OWN_PREFIX):
             continue
         kept.add(name, value)
     return kept
 
 
+def _named_by_connection(headers: httputil.HTTPHeaders) -> frozenset[str]:
+    value = headers.get("Connection", "")
+    if not value:
+        return frozenset()
+    names = set()
+    for token in value.split(","):
+        names.add(token.strip().title())
+    return frozenset(names)
+
+
 def remaining_ms(*, deadline_s: float) -> int:
     """Returns the whole milliseconds left until a monotonic deadline."""
     return int((deadline_s - time.monotonic()) * 1000)
--- /dev/null
+++ b/features/steps/http_steps.py
@@ -0,0 +1,595 @@
+"""Steps of http.feature."""
+
+import itertools
+import json
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support import upstream_standin
+from features.support import wire
+from features.support.deployment import CLASSES
+from features.support.deployment import Deployment
+from features.support.deployment import Shape
+from features.support.harness import Processes
+from features.support.harness import free_address
+from features.support.harness import post
+from features.support.harness import send
+from features.support.harness import wait_until
+
+MIB = 1 << 20
+UPSTREAM = "bkk-u0"
+RAW_UPSTREAM = "bkk-raw"
+HEAD_PAUSE_S = 1.5
+READY_REQUESTS = (("GET", "/statements/1"), ("PUT", "/batches/1"))
+BIG_LINK_BYTES_PER_S = 2_000_000_000
+FIRST = "PUT /matching/batches/1 HTTP/1.1\r\nHost: x\r\n"
+LENGTH = "Content-Length: 5\r\n"
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+HIDDEN = "GET /orders/hidden HTTP/1.1\r\nHost: x\r\n\r\n"
+SHAPES = {
+    "both lengths": FIRST + LENGTH + CHUNKED + "\r\n0\r\n\r\n" + HIDDEN,
+    "two lengths": FIRST + LENGTH + "Content-Length: 6\r\n\r\nhellox",
+    "a list of lengths": FIRST + "Content-Length: 5, 5\r\n\r\nhello",
+    "a signed length": FIRST + "Content-Length: +5\r\n\r\nhello",
+    "two encodings": FIRST + CHUNKED + CHUNKED + "\r\n0\r\n\r\n",
+    "another encoding": FIRST
+    + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "a bad chunk size": FIRST + CHUNKED + "\r\n5x\r\nhello\r\n0\r\n\r\n",
+    "a signed chunk size": FIRST + CHUNKED + "\r\n+5\r\nhello\r\n0\r\n\r\n",
+    "a chunk without its end": FIRST + CHUNKED + "\r\n5\r\nhelloxx0\r\n\r\n",
+    "headers of 40 KiB": FIRST + LENGTH + f"X-Long: {'a' * 40960}\r\n\r\nhello",
+    "a length named per-hop": "GET /matching/orders/1 HTTP/1.1\r\nHost: x\r\n"
+    + f"Connection: content-length\r\nContent-Length: {80 * 1024}\r\n\r\n"
+    + HIDDEN * (80 * 1024 // len(HIDDEN) + 1),
+    "a space before the colon": FIRST + "Content-Length : 5\r\n\r\nhello",
+    "a header without a colon": FIRST + LENGTH + "Odd\r\n\r\nhello",
+    "a bad start line": "PUT  /matching/batches/1\r\n\r\n",
+}
+
+
+class _HttpDeployment(Deployment):
+    """A deployment with a second service on an upstream in this process."""
+
+    def deployment_text(self):
+        text = super().deployment_text()
+        block = f'[upstreams.{RAW_UPSTREAM}]\nservices = ["{{}}"]'
+        text = text.replace(block.format("matching"), block.format("raw"))
+        service = '[services.raw]\nprofile = "local"\n'
+        service += CLASSES.format(service="raw", commit_ms=3000)
+        return text.replace("[upstreams.", service + "\n[upstreams.", 1)
+
+
+@given("an upstream in bkk, and an entry each in bkk and cnx")
+def step_deployment(context):
+    if "http" not in context:
+        _start(context)
+    context.deployment = context.http
+    context.control = context.deployment.control
+    context.control(UPSTREAM, cut=0)
+    wait_until(lambda: not _journal(context)["busy"], what="an idle upstream")
+    context.raw.answer = wire.NOTHING
+    wait_until(lambda: _all_serve(context), what="upstreams that take work")
+    context.runs_before = len(_journal(context)["runs"])
+    context.raw.heads.clear()
+
+
+def _all_serve(context):
+    # A new entry has no share of its links yet, and after a failure an
+    # upstream gets no work for a while; both refuse long work longest.
+    for entry in context.deployment.entries:
+        for service in ("matching", "raw"):
+            for method, path in READY_REQUESTS:
+                answer = send(
+                    method, _address(context, entry), f"/{service}{path}"
+                )
+                if answer.status != 200:
+                    return False
+    return True
+
+
+def _start(context):
+    processes = Processes()
+    context._set_root_attribute("http_processes", processes)
+    deployment = _HttpDeployment(
+        processes=processes,
+        shape=Shape(
+            entries={"bkk": 1, "cnx": 1},
+            upstreams={"bkk": 1},
+            cap_bytes_per_s=BIG_LINK_BYTES_PER_S,
+        ),
+    )
+    raw_address = free_address()
+    raw = wire.RawUpstream(raw_address)
+    deployment.upstreams[RAW_UPSTREAM] = raw_address
+    deployment.start()
+    context.raw = raw
+    context._set_root_attribute("http", deployment)
+    context._set_root_attribute("raw", raw)
+    context.add_cleanup(processes.end, layer="feature")
+    context.add_cleanup(raw.end, layer="feature")
+
+
+def _journal(context):
+    return context.deployment.journal(UPSTREAM)
+
+
+def _address(context, entry):
+    return context.deployment.entries[entry]["caller"]
+
+
+def _new_runs(context):
+    return _journal(context)["runs"][context.runs_before :]
+
+
+def _resident(context, field):
+    found = {}
+    for name in context.deployment.entries:
+        child = context.deployment.processes.children[name]
+        found[name] = child.resident_bytes(field=field)
+    return found
+
+
+def _wire(context, entry):
+    opened = wire.Wire(_address(context, entry))
+    context.add_cleanup(opened.close)
+    return opened
+
+
+# Long bodies.
+
+
+@when("64 MiB are sent to {entry} with {framing}")
+def step_upload(context, entry, framing):
+    context.entry = entry
+    context.resident_before = _resident(context, "VmRSS")
+
+    def sent():
+        context.sent = wire.upload(
+            _address(context, entry),
+            "/matching/batches/1",
+            size_bytes=64 * MIB,
+            chunked=framing == "chunks",
+        )
+        return context.sent.answer.status != 503
+
+    wait_until(sent, what="an upload that is not refused")
+
+
+@then("the upstream got them byte for byte")
+def step_upload_whole(context):
+    assert context.sent.answer.status == 200, context.sent
+    assert context.sent.size_bytes == 64 * MIB, context.sent
+    expected = upstream_standin.body_sha256(64 * MIB)
+    assert context.sent.sha256 == expected
+    print(f"upload: {context.sent.took_s:.2f} s")
+
+
+@then("a statement of 64 MiB through {entry} arrives byte for byte")
+def step_statement(context, entry):
+    path = f"/matching/statements/1?answer_bytes={64 * MIB}"
+
+    def read():
+        got = wire.download(_address(context, entry), path)
+        return got if got.answer.status != 503 else None
+
+    got = wait_until(read, what="a statement that is not refused")
+    assert got.answer.status == 200, got
+    assert got.size_bytes == 64 * MIB, got
+    assert got.sha256 == upstream_standin.body_sha256(64 * MIB)
+    print(f"statement: {got.took_s:.2f} s")
+
+
+@when("a caller of {entry} pauses after the head of a 64 MiB statement")
+def step_pause(context, entry):
+    context.resident_before = _resident(context, "VmRSS")
+
+    def started():
+        opened = _wire(context, entry)
+        opened.write(
+            f"GET /matching/statements/1?answer_bytes={64 * MIB} HTTP/1.1\r\n"
+            "Host: x\r\n\r\n".encode()
+        )
+        return opened.head().status == 200
+
+    wait_until(started, what="a statement that is not refused")
+    time.sleep(HEAD_PAUSE_S)
+    assert _journal(context)["busy"] == 1, "the statement did not wait"
+
+
+@when("64 MiB are sent through {entry} to an upstream that reads nothing")
+def step_stalled(context, entry):
+    context.resident_before = _resident(context, "VmRSS")
+    context.raw.stalls = True
+    context.raw.going.clear()
+    context.add_cleanup(_resume, context.raw)
+    head = f"PUT /raw/batches/1 HTTP/1.1\r\nContent-Length: {64 * MIB}\r\n"
+
+    def started():
+        opened = _wire(context, entry)
+        opened.write((head + "Host: x\r\n\r\n").encode())
+        sent = opened.write_until_full(64 * MIB, limit_s=HEAD_PAUSE_S)
+        return sent if context.raw.heads else 0
+
+    sent_bytes = wait_until(started, what="an upload that is not refused")
+    assert sent_bytes < 32 * MIB, f"{sent_bytes} bytes had no end"
+
+
+def _resume(raw):
+    raw.stalls = False
+    raw.going.set()
+
+
+@then("no entry's resident memory grew by 16 MiB")
+def step_resident(context):
+    peaks = _resident(context, "VmHWM")
+    for name, peak_bytes in peaks.items():
+        grown_bytes = peak_bytes - context.resident_before[name]
+        print(f"{name}: peak {grown_bytes / MIB:.1f} MiB above the start")
+        assert grown_bytes < 16 * MIB, f"{name} grew {grown_bytes} bytes"
+
+
+# Framing.
+
+
+@when("the head of an upload to {entry} asks for 100-continue")
+def step_expect(context, entry):
+    context.wire = _wire(context, entry)
+    context.wire.write(
+        (FIRST + LENGTH + "Expect: 100-continue\r\n\r\n").encode()
+    )
+
+
+@then("the answer is a {status:d}")
+def step_status(context, status):
+    context.head = context.wire.head()
+    assert context.head.status == status, context.head
+
+
+@when("its body is sent")
+def step_send_body(context):
+    context.wire.write(b"hello")
+
+
+@then("the upstream read {size:d} bytes")
+def step_read_bytes(context, size):
+    assert context.head.headers["body-length"] == str(size), context.head
+
+
+@when('"{method} {path}" and a look-up go to {entry} on one connection')
+def step_two_on_one(context, method, path, entry):
+    context.method = method
+    context.wire = _wire(context, entry)
+    context.wire.write(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+
+
+@then("the answers are {first:d} without a body and {second:d} with one")
+def step_two_answers(context, first, second):
+    head = context.wire.head()
+    assert head.status == first, head
+    if context.method == "GET":
+        assert "transfer-encoding" not in head.headers, head
+    context.wire.write(
+        b"GET /v1/entries?service=matching HTTP/1.1\r\nHost: x\r\n\r\n"
+    )
+    head = context.wire.head()
+    assert head.status == second, head
+    body = json.loads(context.wire.body(head))
+    assert len(body["entries"]) == 2, body
+
+
+# Callers that leave.
+
+
+def _until_run(context, entry, data):
+    """Sends until it is not refused, as a caller would; returns the wire."""
+
+    def running():
+        opened = _wire(context, entry)
+        opened.write(data)
+        return opened if opened.is_silent(limit_s=0.3) else None
+
+    opened = wait_until(running, what="a request that is not refused")
+    wait_until(lambda: _new_runs(context), what="a run")
+    return opened
+
+
+@when("a caller of {entry} leaves while the upstream works for {work_ms:d} ms")
+def step_leave(context, entry, work_ms):
+    path = f"/matching/statements/1?work_ms={work_ms}"
+    data = f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+    _until_run(context, entry, data).close()
+
+
+@when("a caller of {entry} leaves in the middle of its body")
+def step_leave_body(context, entry):
+    data = f"{FIRST}Content-Length: {MIB}\r\n\r\n".encode()
+    _until_run(context, entry, data + bytes(MIB // 2)).close()
+
+
+@then('the upstream\'s journal says "{outcome}" within {limit_s:d} s')
+def step_outcome(context, outcome, limit_s):
+    def ended():
+        runs = _new_runs(context)
+        return len(runs) == 1 and runs[0]["outcome"] == outcome
+
+    wait_until(ended, limit_s=limit_s, what=f"{outcome}: {_new_runs(context)}")
+
+
+@then("every slot of the upstream is free within {limit_s:d} s")
+def step_slots_free(context, limit_s):
+    def free():
+        rows = context.deployment.status("bkk-e0")["upstreams"]
+        return all(row["in_flight"] == 0 for row in rows)
+
+    wait_until(free, limit_s=limit_s, what="free slots")
+
+
+# Headers.
+
+
+@when("a request to {entry} has hop-by-hop headers and ours")
+def step_hop_headers(context, entry):
+    context.raw.answer = (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=5\r\n"
+        b"Connection: X-Answer-Dropped, close\r\nX-Answer-Dropped: 1\r\n"
+        b"X-Answer-Kept: 1\r\nProxy-Authenticate: Basic\r\n"
+        b"Almondstair-Answer: no_slot;no\r\nTrailer: X-Sum\r\n"
+        b"Upstream-Load: slots=4;busy=1\r\n\r\n"
+    )
+    context.wire = _wire(context, entry)
+    context.wire.write(
+        b"GET /raw/orders/1 HTTP/1.1\r\nHost: x\r\nX-Kept: 1\r\n"
+        b"Connection: X-Dropped, keep-alive\r\nX-Dropped: 1\r\n"
+        b"Keep-Alive: timeout=5\r\nTE: trailers\r\nTrailer: X-Sum\r\n"
+        b"Proxy-Authorization: Basic x\r\nProxy-Connection: close\r\n"
+        b"Upgrade: h2c\r\nAlmondstair-Caller-Zone: elsewhere\r\n\r\n"
+    )
+
+
+@then('the next hop gets only "{name}"')
+def step_next_hop(context, name):
+    context.head = context.wire.head()
+    assert context.head.status == 200, context.head
+    assert len(context.raw.heads) == 1, context.raw.heads
+    names = set()
+    for line in context.raw.heads[0].split("\n")[1:]:
+        names.add(line.partition(":")[0].title())
+    # What an entry itself says to an upstream.
+    names -= {"Host", "Deadline-Ms", "Traceparent"}
+    assert names == {name.title()}, names
+
+
+@then('the caller gets only "{name}"')
+def step_caller_gets(context, name):
+    names = set(context.head.headers) - {"content-length"}
+    assert names == {name.lower()}, context.head
+
+
+# Smuggling.
+
+
+@when("{shape} is sent to {entry}")
+def step_shape(context, shape, entry):
+    context.wire = _wire(context, entry)
+    context.wire.write(SHAPES[shape].encode())
+
+
+@then("the answer is a 400 and the connection is closed")
+def step_refused_closed(context):
+    head = context.wire.head()
+    assert head.status == 400, head
+    context.wire.body(head)
+    rest = context.wire.rest()
+    assert rest == b"", rest[:200]
+
+
+@then("no upstream has seen a request")
+def step_nothing_seen(context):
+    assert _new_runs(context) == [], _new_runs(context)
+    assert context.raw.heads == [], context.raw.heads
+
+
+# Bad input.
+
+
+@when(
+    '"{request}" goes to {entry} with headers "{headers:Maybe}" '
+    "and {size:d} bytes"
+)
+def step_request(context, request, entry, headers, size):
+    method, _, path = request.partition(" ")
+    sent = {}
+    if headers:
+        name, _, value = headers.partition(": ")
+        sent[name] = value
+    body = bytes(size) if size else None
+    context.answer = send(
+        method, _address(context, entry), path, body=body, headers=sent
+    )
+
+
+@when("{size:d} bytes in chunks go to {entry} as an approval")
+def step_chunked_approval(context, size, entry):
+    context.answer = send(
+        "POST",
+        _address(context, entry),
+        "/matching/approvals",
+        body=iter([bytes(size // 2), bytes(size // 2)]),
+        headers={"Idempotency-Key": "k"},
+    )
+
+
+@then('the problem is {kind} with {code:d}, status {status:d}, ran "{ran}"')
+def step_problem(context, kind, code, status, ran):
+    answer = context.answer
+    assert answer.status == status, answer
+    assert answer.headers["Content-Type"] == "application/problem+json"
+    problem = answer.json()
+    assert problem["kind"] == kind, problem
+    assert problem["code"] == code, problem
+    assert problem["ran"] == ran, problem
+    assert problem["status"] == status, problem
+    comes_back = problem["retry_after_ms"] is not None
+    assert comes_back == ("Retry-After" in answer.headers), answer
+
+
+@given("every slot of the upstream is taken")
+def step_take_slots(context):
+    # The entry uses more slots of an upstream with each good answer.
+    def taken():
+        if _journal(context)["busy"] == context.deployment.shape.slots:
+            return True
+        opened = _wire(context, "bkk-e0")
+        opened.write(
+            b"GET /matching/orders/1?work_ms=1900 HTTP/1.1\r\nHost: x\r\n\r\n"
+        )
+        send("GET", _address(context, "bkk-e0"), "/matching/orders/1")
+        return False
+
+    wait_until(taken, what="a busy upstream")
+
+
+@then("the problem has a Retry-After")
+def step_retry_after(context):
+    problem = context.answer.json()
+    assert context.answer.status == 503, context.answer
+    assert problem["ran"] == "no", problem
+    assert problem["retry_after_ms"] > 0, problem
+    seconds = int(context.answer.headers["Retry-After"])
+    assert seconds * 1000 >= problem["retry_after_ms"] > seconds * 1000 - 1000
+
+
+# Cut answers.
+
+
+@given("the upstream cuts its next answer after {size:d} bytes")
+def step_cut(context, size):
+    context.control(UPSTREAM, cut=1, cut_after_bytes=size)
+
+
+@when("a statement of {size:d} bytes {framing} is read from {entry}")
+def step_read_statement(context, size, framing, entry):
+    path = f"/matching/orders/1?answer_bytes={size}"
+    if framing == "in chunks":
+        path += "&answer_chunked=1"
+    context.size = size
+    context.wire = _wire(context, entry)
+    context.wire.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+
+
+@then("the caller's connection ends without the end of the body")
+def step_cut_seen(context):
+    head = context.wire.head()
+    assert head.status == 200, head
+    rest = context.wire.rest()
+    if head.headers.get("transfer-encoding") == "chunked":
+        assert not rest.endswith(b"0\r\n\r\n"), "the body was ended"
+        return
+    assert head.headers["content-length"] == str(context.size), head
+    assert 0 < len(rest) < context.size, len(rest)
+
+
+@given("the upstream answers without a length")
+def step_no_length(context):
+    context.raw.answer = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf"
+
+
+@given("an entry and an upstream each in bkk and cnx")
+def step_two_regions(context):
+    context.deployment = Deployment(
+        processes=context.processes,
+        shape=Shape(
+            entries={"bkk": 1, "cnx": 1}, upstreams={"bkk": 1, "cnx": 1}
+        ),
+    )
+    context.deployment.start()
+
+
+@given("{upstream} cuts its answers before the first byte")
+def step_cut_first(context, upstream):
+    _cut(context, [upstream])
+
+
+def _cut(context, names):
+    # A retry needs a budget, which first tries earn.
+    for entry in context.deployment.entries:
+        for _ in range(12):
+            send("GET", _address(context, entry), "/matching/orders/0")
+    context.cutting = names
+    for name in names:
+        context.deployment.control(name, cut=1000, cut_after_bytes=0)
+
+
+def _cut_runs(context):
+    found = []
+    for name in context.cutting:
+        for run in context.deployment.journal(name)["runs"]:
+            if run["outcome"] == "cut":
+                found.append(run)
+    return found
+
+
+@when("approvals go to {entry} until an answer is cut")
+def step_approvals_until_cut(context, entry):
+    keys = itertools.count()
+
+    def cut():
+        context.key = f"a-{next(keys)}"
+        context.answer = post(
+            _address(context, entry),
+            "/matching/approvals",
+            {"amount": 1},
+            headers={"Idempotency-Key": context.key},
+        )
+        return _cut_runs(context)
+
+    wait_until(cut, what="a cut answer")
+
+
+@then("it ran once in all")
+def step_ran_once(context):
+    runs = []
+    for name in context.deployment.upstreams:
+        for run in context.deployment.journal(name)["runs"]:
+            if run["key"] == context.key:
+                runs.append(run)
+    assert len(runs) == 1, runs
+
+
+@given("two entries of bkk with upstreams, and an entry in cnx")
+def step_two_homes(context):
+    context.deployment = Deployment(
+        processes=context.processes,
+        shape=Shape(entries={"bkk": 2, "cnx": 1}, upstreams={"bkk": 4}),
+    )
+    context.deployment.start()
+
+
+@given("the upstreams of one entry cut their answers before the first byte")
+def step_cut_one_home(context):
+    deployment = context.deployment
+    homes = {}
+    for name in deployment.upstreams:
+        home = deployment.home_of(name, asked="cnx-e0")
+        homes.setdefault(home, []).append(name)
+    assert len(homes) == 2, homes
+    _cut(context, sorted(homes.values())[0])
+
+
+@when("orders go to {entry} until an answer is cut")
+def step_until_cut(context, entry):
+    def cut():
+        context.answer = send(
+            "GET", _address(context, entry), "/matching/orders/1"
+        )
+        return _cut_runs(context)
+
+    wait_until(cut, what="a cut answer")
+
+
+@then("the answer is whole nevertheless")
+def step_whole_nevertheless(context):
+    assert context.answer.status == 200, context.answer
