Try again at the first entry what was cut behind the second

Cause: the second entry makes one attempt and answers 502 upstream_lost, unknown. The first took that for a whole answer, so an order cut before its first byte was not tried again when it was forwarded, though it was when it was not.

Change: for idempotent work any error of another entry counts as a failed attempt; for other work only one that says "not run", as before. Whether it ran now travels with the kind, so an unknown outcome stays unknown.

Failing first: "A cut behind the second entry" got the 502; it gets 200 now. "Work that may have run is not tried again" holds before and after.

--- a/almondstair/dispatch.py
+++ b/almondstair/dispatch.py
@@ -166,7 +166,11 @@
             headers[KEY_HEADER] = call.head.key
         if to_entry:
             headers[CALLER_ZONE_HEADER] = self._own_zone
-        refusal = _entry_refusal if to_entry else None
+        refusal = None
+        if to_entry:
+            refusal = _entry_refusal
+            if call.head.request_class.idempotent:
+                refusal = _entry_failure
         exchange = await client.exchange(
             address=address,
             stream=stream,
@@ -181,7 +185,7 @@
             wait_for_continue=to_entry,
             after_write=_still_in_time(call, may_write),
         )
-        if exchange.sent in (Sent.NOT_SENT, Sent.REFUSED):
+        if _surely_not_run(exchange):
             call.progress.not_run()
         return exchange
 
@@ -203,13 +207,34 @@
 
 
 def _entry_refusal(head: ResponseHead) -> str:
-    answer = read_entry_answer(value=head.headers.get(ANSWER_HEADER, ""))
-    if answer is None:
+    """Returns another entry's word that it did not run a request."""
+    value = head.headers.get(ANSWER_HEADER, "")
+    answer = read_entry_answer(value=value)
+    if answer is None or answer[1] is not Ran.NO:
         return ""
-    kind, ran = answer
-    if ran is not Ran.NO:
+    return value
+
+
+def _entry_failure(head: ResponseHead) -> str:
+    """Returns another entry's error, whether or not the request ran.
+
+    The other entry makes one attempt and leaves the next to this one. Taken
+    for an answer its failure would end a request that another upstream could
+    have served. Only for work that does no harm when it runs twice.
+    """
+    value = head.headers.get(ANSWER_HEADER, "")
+    if read_entry_answer(value=value) is None:
         return ""
-    return str(kind)
+    return value
+
+
+def _surely_not_run(exchange: Exchange) -> bool:
+    if exchange.sent is Sent.NOT_SENT:
+        return True
+    if exchange.sent is not Sent.REFUSED:
+        return False
+    answer = read_entry_answer(value=exchange.refused)
+    return answer is None or answer[1] is Ran.NO
 
 
 def _upstream_error(exchange: Exchange, name: str) -> AlmondstairError | None:
@@ -240,10 +265,13 @@
             ran=Ran.NO,
         )
     if exchange.sent is Sent.REFUSED:
-        kind = ErrorKind(exchange.refused)
-        retry_after_ms = ERROR_TABLE[kind].retry_after_ms
+        answer = read_entry_answer(value=exchange.refused)
+        assert answer is not None
+        kind, ran = answer
         return AlmondstairError(
-            kind=kind, ran=Ran.NO, retry_after_ms=retry_after_ms
+            kind=kind,
+            ran=ran,
+            retry_after_ms=ERROR_TABLE[kind].retry_after_ms,
         )
     return AlmondstairError(kind=ErrorKind.ENTRY_LOST)
 
