Start as joining in the daemon, not in the pure membership

Cause: seven scenarios of membership failed after the joining state came in: they make a Membership and expect that it takes work. Ruled out: a fault in the membership. Change: the entry sets the state before it starts. After: the 40 scenarios of membership and configuration pass, unchanged.

--- a/almondstair/core/membership.py
+++ b/almondstair/core/membership.py
@@ -88,7 +88,7 @@
         """
         self.own = own
         self.table = EntryTable()
-        self.joining = True
+        self.joining = False
         self.leaving = False
         self._near_names: frozenset[str] = frozenset()
         self._near_limit_s = silence_limit_s
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -117,6 +117,7 @@
         self.membership = Membership(
             own=self.own, silence_limit_s=timing.silence_limit_ms / 1000
         )
+        self.membership.joining = True
         self._state = ConfigurationState()
         book = SlotBook(margin_s=SLOT_MARGIN_S)
         self.homes = Homes(
