Ask the VM list under the URL that the settings give

Symptom: no VM list was ever read; GET /vms/vms answered 404 and no mark of the platform came through. Cause: the adapter added /vms to vm_list_url, which already names the list. Ruled out: a URL without its path in the settings, since the key is named after the list.

--- a/almondstair/platform/etcd.py
+++ b/almondstair/platform/etcd.py
@@ -298,7 +298,7 @@
             address=self._address,
             stream=stream,
             start_line=httputil.RequestStartLine(
-                method, self._path + path, "HTTP/1.1"
+                method, self._path + path or "/", "HTTP/1.1"
             ),
             headers=headers,
             body=request_body,
@@ -608,10 +608,10 @@
 
 
 class HttpVmList(base.VmList):
-    """The VM list over HTTP: `GET /vms`."""
+    """The VM list over HTTP."""
 
     def __init__(self, *, url: str, timeout_s: float) -> None:
-        """Makes an adapter; `url` is `http://ip:port` of the list."""
+        """Makes an adapter; `url` is that of the list, path included."""
         self._caller = _Caller(url=url, timeout_s=timeout_s)
 
     def close(self) -> None:
@@ -621,7 +621,7 @@
     async def list_vms(self) -> base.VmListing:
         """See the base class."""
         answer = await self._caller.call(
-            path="/vms", body=None, writes=False, answer=_WireVmList
+            path="", body=None, writes=False, answer=_WireVmList
         )
         vms = []
         for wire in answer["vms"]:
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -309,7 +309,7 @@
 @then("the adapter lists both with the age of the list")
 def listed(context):
     async def list_vms():
-        url = f"http://{context.address}"
+        url = f"http://{context.address}/vms"
         return await etcd.HttpVmList(url=url, timeout_s=1.0).list_vms()
 
     listing = run(context, list_vms())
