Read a load report whose flag is a number

Symptom: an upstream without traffic never had a report. Cause: draining came as 0, as it does in the header, and the reader took only true or false.

--- a/almondstair/probing.py
+++ b/almondstair/probing.py
@@ -120,7 +120,8 @@
 
 
 def _read_report(body: bytes) -> UpstreamReport:
-    report = msgspec.json.decode(body, type=_Report)
+    # Some upstreams report their flag as 0 or 1.
+    report = msgspec.json.decode(body, type=_Report, strict=False)
     return UpstreamReport(
         slots=report.slots, busy=report.busy, draining=report.draining
     )
