--- a/almondstair/tools/commands.py
+++ b/almondstair/tools/commands.py
@@ -319,8 +319,13 @@
           name: the upstream or entry.
           wait_s: how long to wait for every entry, in seconds.
         """
+        until_s = time.monotonic() + wait_s
         self._mark(name, leaving=False, wait_s=wait_s)
         drain = self._session.client.drain(name=name)
+        # The other entries still say for a moment that it leaves.
+        while drain["leaving"] and time.monotonic() < until_s:
+            time.sleep(session_module.POLL_INTERVAL_S)
+            drain = self._session.client.drain(name=name)
         line = f"{name} takes work again"
         if drain["leaving"]:
             line = f"{name} is unmarked, but leaves by its own or the "
--- a/almondstair/tools/operator_client.py
+++ b/almondstair/tools/operator_client.py
@@ -13,6 +13,8 @@
 
 _CONNECT_TIMEOUT_S = 2.0
 _REQUEST_TIMEOUT_S = 10.0
+# For one of many entries, so that a frozen one does not hold up the rest.
+_ONE_OF_MANY_TIMEOUT_S = 2.0
 
 
 class Silence(NamedTuple):
@@ -108,7 +110,13 @@
     def _ask_one(self, address: str, path: str) -> Any:
         """Asks a certain entry; None if it does not answer."""
         try:
-            return self._exchange(address, "GET", path, body=None)
+            return self._exchange(
+                address,
+                "GET",
+                path,
+                body=None,
+                timeout_s=_ONE_OF_MANY_TIMEOUT_S,
+            )
         except OSError as error:
             self._note_silence(address, error=error)
         except errors.AlmondstairError as error:
@@ -165,7 +173,13 @@
             ) from error
 
     def _exchange(
-        self, address: str, method: str, path: str, *, body: Any
+        self,
+        address: str,
+        method: str,
+        path: str,
+        *,
+        body: Any,
+        timeout_s: float = _REQUEST_TIMEOUT_S,
     ) -> Any:
         request = httpclient.HTTPRequest(
             f"http://{address}{path}",
@@ -173,7 +187,7 @@
             body=None if body is None else json.dumps(body),
             headers={"Content-Type": "application/json"},
             connect_timeout=_CONNECT_TIMEOUT_S,
-            request_timeout=_REQUEST_TIMEOUT_S,
+            request_timeout=timeout_s,
             follow_redirects=False,
         )
         try:
--- a/almondstair/tools/tables.py
+++ b/almondstair/tools/tables.py
@@ -7,6 +7,8 @@
 
 UNKNOWN = "[yellow]unknown[/yellow]"
 _SILENT = "[red]no word[/red]"
+# States that an entry knows of itself, without a report of the upstream.
+_STATES_WITHOUT_REPORT = ("leaving", "without home", "being taken over")
 _BYTES_PER_MB = 1_000_000
 _REPORT_LIMIT_S = settings.TimingSettings().load_report_limit_ms / 1000
 _SILENCE_LIMIT_S = settings.TimingSettings().silence_limit_ms / 1000
@@ -43,8 +45,9 @@
         state = row["state"]
         busy = number(row["busy"])
         if _is_stale(row["report_age_s"]):
-            # The last state before the silence would read as today's.
-            state = UNKNOWN
+            # The last calm state before the silence would read as today's.
+            if state not in _STATES_WITHOUT_REPORT:
+                state = UNKNOWN
             busy = UNKNOWN
         table.add_row(
             row["name"],
