--- a/almondstair/core/links.py
+++ b/almondstair/core/links.py
@@ -394,8 +394,10 @@
         self._update_allowance(now_s=now_s)
         own = self._allowance_bytes_per_s - self._lent.share_bytes_per_s
         share = max(0, own) + self._borrowed.share_bytes_per_s
+        # A clock that runs fast would let more than its share through.
+        steady_fraction = 1.0 - DEPTH_FRACTION - self._timing.drift_fraction
         self._bucket.resize(
-            rate_bytes_per_s=share * (1.0 - DEPTH_FRACTION),
+            rate_bytes_per_s=share * steady_fraction,
             depth_bytes=share * DEPTH_FRACTION * WINDOW_S,
             now_s=now_s,
         )
--- a/almondstair/core/loans.py
+++ b/almondstair/core/loans.py
@@ -20,12 +20,13 @@
 
     Attributes:
       term_s: how long a borrower uses a loan, counted from when it asked.
-      drift_fraction: how much faster one monotonic clock may run than another.
+      drift_fraction: how much faster one clock may run than another, the clock
+        of whoever measures the link among them.
       ask_interval_s: shortest time between two rounds of requests.
     """
 
     term_s: float = 1.0
-    drift_fraction: float = 0.01
+    drift_fraction: float = 0.005
     ask_interval_s: float = 0.25
 
     @property
