Tell each single-loan failure in a scenario of its own

Not caught by any scenario, since dropping requests at a new epoch already covers them: the epoch compared in accept and in lend. Both stay as the cheaper refusal.

--- a/features/links.feature
+++ b/features/links.feature
@@ -65,3 +65,54 @@
     When one entry is busy for 5 s and the other idle
     And the busy entry freezes for 2 s while the other becomes busy
     Then no window of one second is over the cap
+
+  # Symptom: a borrower uses a loan that its lender counts as ended.
+  # Sequence: it asks, restarts and asks again under the same number; the loan
+  #   for the first request arrives late.
+  # Cause: the loan was matched by its number alone.
+  Scenario: A loan meant for an earlier process is refused
+    Given a lender and a borrower of a link of 10000000 bytes/s
+    When the borrower asks and the lender lends
+    And the borrower restarts and asks again
+    And the first loan arrives
+    Then the borrower holds 0 bytes/s
+
+  # Symptom: lender and borrower use the same bytes for part of a second.
+  # Sequence: a loan is renewed by a smaller one, which is lost.
+  # Cause: the lender counted the newest loan, the borrower holds the older one.
+  Scenario: A lender counts the larger loan until its term ends
+    Given a lender and a borrower of a link of 10000000 bytes/s
+    When the borrower asks and the lender lends
+    And the first loan arrives
+    And the borrower asks for 1000000 bytes/s and the lender lends
+    Then the second loan is smaller than the first
+    And the lender counts as much as the borrower holds
+
+  # Symptom: lender and borrower use the same bytes for part of a second.
+  # Sequence: the smaller renewal overtakes the larger loan before it.
+  # Cause: the borrower took the loan that came last, not the newest.
+  Scenario: A loan that a newer one overtook is refused
+    Given a lender and a borrower of a link of 10000000 bytes/s
+    When the borrower asks and the lender lends
+    And the borrower asks for 1000000 bytes/s and the lender lends
+    And the second loan arrives
+    And the first loan arrives
+    Then the borrower holds the second loan
+
+  # Symptom: with four new entries the link is over its cap for up to a term.
+  # Sequence: an entry lends half the cap; a table of six entries comes; it
+  #   acknowledges; the new entries grow while the borrower, restarted with an
+  #   outdated table, uses the loan.
+  # Cause: it acknowledged a share smaller than what it had lent.
+  Scenario: An epoch is acknowledged only when what is lent fits the new share
+    Given a lender and a borrower of a link of 10000000 bytes/s
+    When the borrower asks and the lender lends
+    And the lender adopts epoch 2 with 6 entries
+    Then the lender acknowledges epoch 1
+    And the lender acknowledges epoch 2 after 1.1 s
+
+  Scenario: A request that comes twice is lent for once
+    Given a lender and a borrower of a link of 10000000 bytes/s
+    When the borrower asks and the lender lends
+    And the same request comes again 0.5 s later
+    Then the lender counts as ended after 0.6 s what it lent
