Close the connection of a cancelled watch

Cause: tornado's ready-made client cannot close a connection early, so a cancelled watch stayed open at the platform for up to a minute and counted as a waiting watch: 14 entries that hand the watch on leave 14 behind.

Change: the watch uses our own HttpClient, as calls do already, and closes its stream when it is cancelled, ended or past its lifetime. AsyncHTTPClient is no longer used in the adapter.

Failing first: "A cancelled watch is closed" waited 3 s and the platform still counted 1; it counts 0 at once now. features/platform.feature and ledger.feature: 41 scenarios passed.

--- a/almondstair/platform/etcd.py
+++ b/almondstair/platform/etcd.py
@@ -14,10 +14,6 @@
 
 import msgspec
 from tornado import httputil
-from tornado.httpclient import AsyncHTTPClient
-from tornado.httpclient import HTTPClientError
-from tornado.httpclient import HTTPRequest
-from tornado.httpclient import HTTPResponse
 from tornado.iostream import IOStream
 
 from almondstair.body import RequestBody
@@ -41,7 +37,6 @@
 
 _HTTP_OK = 200
 _SURELY_REFUSED_STATUSES = (400, 401, 403, 404, 429)
-_UNLIMITED_BYTES = 1 << 50
 
 T = TypeVar("T")
 
@@ -467,10 +462,17 @@
         )
 
 
-def _note_error(future: asyncio.Future[HTTPResponse]) -> None:
-    """Reads the error of a future that nobody awaits any more."""
-    if not future.cancelled():
-        future.exception()
+class _WatchSink(AnswerSink):
+    """Hands over the bytes of a watch as they come."""
+
+    def __init__(self, *, receive: Callable[[bytes], None]) -> None:
+        self._receive = receive
+
+    def head(self, head: ResponseHead) -> None:
+        """Nothing is read off the head: lines tell how the watch fares."""
+
+    async def data(self, chunk: bytes) -> None:
+        self._receive(chunk)
 
 
 class _EtcdWatch(base.Watch):
@@ -479,8 +481,8 @@
     A connection cut off in the network without a packet looks like a quiet
     watch, and the watcher would stay on old values for good; so a connection
     is given up after `WATCH_LIFETIME_S` and the next starts from the revision
-    after the last one seen. Tornado's client cannot close a connection early:
-    that of a cancelled watch is closed when its lifetime ends.
+    after the last one seen. A connection that is given up is closed: the
+    service would go on counting it as a watch.
     """
 
     def __init__(
@@ -493,10 +495,12 @@
         connect_timeout_s: float,
     ) -> None:
         """Starts the watch on the running loop."""
-        self._url = url
+        parts = urllib.parse.urlsplit(url)
+        self._address = parts.netloc
+        self._path = parts.path
         self._prefix = prefix
         self._callback = callback
-        self._connect_timeout_s = connect_timeout_s
+        self._client = HttpClient(connect_timeout_s=connect_timeout_s)
         self._next_revision = max(from_revision, 1)
         self._heard = False
         self._buffer = b""
@@ -513,7 +517,7 @@
         while True:
             self._heard = False
             # Whatever ended the connection, connecting again is the remedy.
-            with contextlib.suppress(HTTPClientError, OSError):
+            with contextlib.suppress(OSError):
                 await self._connect()
             if self._heard:
                 delay_s = RECONNECT_FIRST_S
@@ -521,49 +525,42 @@
             delay_s = min(delay_s * 2, RECONNECT_LAST_S)
 
     async def _connect(self) -> None:
-        ended = asyncio.Event()
-        self._ended = ended
+        self._ended = asyncio.Event()
         self._buffer = b""
-
-        def receive(chunk: bytes) -> None:
-            # The client of an earlier connection may still hand over bytes.
-            if not ended.is_set():
-                self._receive(chunk)
-
-        client = AsyncHTTPClient(
-            force_instance=True, max_clients=1, max_body_size=_UNLIMITED_BYTES
-        )
-        fetch = asyncio.ensure_future(client.fetch(self._request(receive)))
-        end = asyncio.ensure_future(ended.wait())
+        stream = await self._client.connect(self._address, fresh=True)
+        exchange = asyncio.ensure_future(self._exchange(stream))
+        end = asyncio.ensure_future(self._ended.wait())
         try:
             await asyncio.wait(
-                (fetch, end), return_when=asyncio.FIRST_COMPLETED
+                (exchange, end),
+                timeout=WATCH_LIFETIME_S,
+                return_when=asyncio.FIRST_COMPLETED,
             )
-            if fetch.done():
-                fetch.result()
         finally:
-            ended.set()
-            # Tornado logs an error for a call that ends after its future was
-            # cancelled, so the future is left to end by itself.
-            fetch.add_done_callback(_note_error)
             end.cancel()
-            client.close()
+            exchange.cancel()
+            stream.close()
 
-    def _request(self, receive: Callable[[bytes], None]) -> HTTPRequest:
+    async def _exchange(self, stream: IOStream) -> None:
         create = {
             "key": _to_wire(self._prefix.encode()),
             "range_end": _to_wire(_prefix_end(self._prefix)),
             "start_revision": str(self._next_revision),
         }
-        return HTTPRequest(
-            self._url,
-            method="POST",
-            headers={"Content-Type": "application/json"},
-            body=msgspec.json.encode({"create_request": create}),
-            connect_timeout=self._connect_timeout_s,
-            request_timeout=WATCH_LIFETIME_S,
-            follow_redirects=False,
-            streaming_callback=receive,
+        body = RequestBody()
+        body.put(msgspec.json.encode({"create_request": create}))
+        body.end()
+        await self._client.exchange(
+            address=self._address,
+            stream=stream,
+            start_line=httputil.RequestStartLine(
+                "POST", self._path, "HTTP/1.1"
+            ),
+            headers=httputil.HTTPHeaders(
+                {"Host": self._address, "Content-Type": "application/json"}
+            ),
+            body=body,
+            sink=_WatchSink(receive=self._receive),
         )
 
     def _receive(self, chunk: bytes) -> None:
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -54,3 +54,12 @@
   Scenario: The VM list
     When the VM list has a live VM and a leaving one
     Then the adapter lists both with the age of the list
+
+  Scenario: A cancelled watch is closed
+    # Symptom: the platform counts watches that nobody follows.
+    # Sequence: an entry hands its watch to another and cancels its own.
+    # Cause: a cancel that stops reading but leaves the connection open.
+    When a watch runs over "a/"
+    Then the platform counts 1 watch
+    When the watch is cancelled
+    Then the platform counts 0 watches
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -23,6 +23,7 @@
 }
 WELL = {"lose_answers": 0, "lose_calls": 0, "delay_ms": 0, "down": False}
 NO_SUCH_LEASE = 4711
+WATCH_LIMIT_S = 3.0
 
 
 def run(context, coroutine):
@@ -192,7 +193,30 @@
 @when('a watch runs over "{prefix}"')
 def watch(context, prefix):
     context.notices = []
-    run(context, start_watch(context, context.service, prefix, 1))
+    context.watch = run(
+        context, start_watch(context, context.service, prefix, 1)
+    )
+
+
+@when("the watch is cancelled")
+def cancel_watch(context):
+    context.watch.cancel()
+
+
+@then("the platform counts {count:d} watch")
+@then("the platform counts {count:d} watches")
+def watches(context, count):
+    async def counted():
+        async with asyncio.timeout(WATCH_LIMIT_S):
+            while True:
+                counts = await asyncio.to_thread(
+                    harness.get, context.address, "/counts"
+                )
+                if counts.json()["watches"] == count:
+                    return
+                await asyncio.sleep(harness.POLL_INTERVAL_S)
+
+    run(context, counted())
 
 
 @when('"{key}" is written')
