Log and send all that the lists name, with pages held to the code

Cause: five events of the list were logged nowhere (request_failed, claim_not_recorded, platform_back, peer_message_bad, settings_bad) and four metrics were never sent (slots_free, link_bytes, platform_errors, heartbeat_bytes); found by a search of the code for each name. platform_down was logged at each try, up to ten times a second at the start.

Change: the platform adapter tells the outcome of each call, so the entry logs going and coming back once each and counts failures. The others are logged and sent where they happen. settings_bad is dropped: the daemon ends with exit code 2 and the reason on standard error before there is a log. link_bytes is the gauge link_bytes_per_s by region and direction, heartbeat_bytes is peer_bytes (it counts every message). A failed round of upkeep has its own event (324) in place of platform_down.

--- a/almondstair/claims.py
+++ b/almondstair/claims.py
@@ -10,6 +10,7 @@
 import time
 from typing import NamedTuple
 
+from almondstair import log
 from almondstair.core import ledger
 from almondstair.core.outage import OutageGate
 from almondstair.errors import AlmondstairError
@@ -383,6 +384,11 @@
                 if await self._settle_some():
                     delay_s = RETRY_FIRST_S
                     continue
+                if delay_s == RETRY_FIRST_S:
+                    log.event(
+                        log.Event.CLAIM_NOT_RECORDED,
+                        unsettled=len(self._unsettled),
+                    )
                 await asyncio.sleep(delay_s)
                 delay_s = min(delay_s * 2, RETRY_LAST_S)
         finally:
--- a/almondstair/control.py
+++ b/almondstair/control.py
@@ -109,7 +109,7 @@
             try:
                 await work()
             except AlmondstairError as error:
-                log.event(log.Event.PLATFORM_DOWN, detail=error.detail)
+                log.event(log.Event.ROUND_FAILED, detail=str(error))
             except Exception as error:
                 # A fault in one round must not end all later ones: the entry
                 # would go on serving while its view of the others ages.
@@ -409,4 +409,30 @@
         for row in self._parts.keeper.slots.status(now_s=time.monotonic()):
             busy += row.in_flight
         metrics.gauge(Metric.SLOTS_BUSY, busy)
+        self._gauge_services()
+        self._gauge_links()
         metrics.flush()
+
+    def _gauge_services(self) -> None:
+        configuration = self._configuration.configuration
+        if configuration is None:
+            return
+        now_s = time.monotonic()
+        for service in configuration.services:
+            free = self._parts.keeper.slots.free_slots(
+                service=service, now_s=now_s
+            )
+            self._parts.metrics.gauge(Metric.SLOTS_FREE, free, service)
+
+    def _gauge_links(self) -> None:
+        now_s = time.monotonic()
+        for region in self._parts.pacers.regions():
+            for pacer, way in zip(
+                self._parts.pacers.pacers(region=region),
+                ("out", "in"),
+                strict=True,
+            ):
+                used = pacer.share.status(now_s=now_s).used_bytes_per_s
+                self._parts.metrics.gauge(
+                    Metric.LINK_BYTES_PER_S, used, f"{region}.{way}"
+                )
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -1,6 +1,7 @@
 """One entry put together: the core, the sockets round it, start and stop."""
 
 import asyncio
+import contextlib
 import secrets
 import time
 
@@ -95,6 +96,7 @@
         self._incarnation = secrets.randbits(63)
         self.own = _own_row(settings, self._incarnation)
         self._refusing = False
+        self._platform_out = False
         self._timers: list[asyncio.Task[None]] = []
         self.metrics = Metrics(
             statsd_address=settings.metrics.statsd_address,
@@ -142,7 +144,11 @@
     def _make_platform(self) -> None:
         platform = self._settings.platform
         timeout_s = platform.timeout_ms / 1000
-        self._service = EtcdService(url=platform.url, timeout_s=timeout_s)
+        self._service = EtcdService(
+            url=platform.url,
+            timeout_s=timeout_s,
+            on_outcome=self._note_platform,
+        )
         self._vm_list = HttpVmList(
             url=platform.vm_list_url, timeout_s=timeout_s
         )
@@ -154,6 +160,16 @@
             retention_s=platform.claim_retention_s,
         )
 
+    def _note_platform(self, failure: str) -> None:
+        """Logs the platform's going and coming back, and counts failures."""
+        if failure:
+            self.metrics.count(Metric.PLATFORM_ERRORS)
+        if failure and not self._platform_out:
+            log.event(log.Event.PLATFORM_DOWN, detail=failure)
+        if not failure and self._platform_out:
+            log.event(log.Event.PLATFORM_BACK)
+        self._platform_out = bool(failure)
+
     def _is_live(self, entry: str, incarnation: str) -> bool:
         row = self.membership.table.row(name=entry)
         if row is None or row.incarnation != incarnation:
@@ -364,10 +380,9 @@
     async def _join(self) -> None:
         await self._ask_peers()
         while self.configuration_keeper.configuration is None:
-            try:
+            # The next round tries again; the adapter's outcome is logged.
+            with contextlib.suppress(AlmondstairError):
                 await self.configuration_keeper.seed(self._seed_text)
-            except AlmondstairError as error:
-                log.event(log.Event.PLATFORM_DOWN, detail=error.detail)
             self._exchange.ask_addresses(self._settings.entry.peer_addresses)
             await asyncio.sleep(START_POLL_S)
         await self.table_keeper.register()
@@ -410,8 +425,13 @@
             return False
 
     async def _flush_metrics(self) -> None:
+        counted_bytes = 0
         while True:
             await asyncio.sleep(METRICS_INTERVAL_S)
+            counts = self._peers.counts
+            sum_bytes = counts.sent_bytes + counts.received_bytes
+            self.metrics.count(Metric.PEER_BYTES, by=sum_bytes - counted_bytes)
+            counted_bytes = sum_bytes
             self._control.flush_metrics()
 
     def _on_configuration(self, configuration: Configuration) -> None:
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -95,12 +95,16 @@
         "a stored configuration is not valid and is not applied",
     )
     EDIT = EventRule(323, logging.INFO, "an operator edited the configuration")
+    ROUND_FAILED = EventRule(
+        324,
+        logging.WARNING,
+        "a round of upkeep failed; the next one tries again",
+    )
     UPSTREAM_LEAVING = EventRule(330, logging.INFO, "upstream is leaving")
     UPSTREAM_RETURNED = EventRule(331, logging.INFO, "upstream is back")
     HOME_CHANGED = EventRule(
         332, logging.INFO, "the home of an upstream changed"
     )
-    SETTINGS_BAD = EventRule(400, logging.ERROR, "the settings are not valid")
 
 
 def setup(*, level: str, file: str) -> None:
--- a/almondstair/metrics.py
+++ b/almondstair/metrics.py
@@ -23,10 +23,10 @@
     FORWARDS = "forwards.*"
     CLAIMS = "claims.*"
     SLOTS_BUSY = "slots_busy"
-    SLOTS_FREE = "slots_free"
-    LINK_BYTES = "link_bytes.*"
+    SLOTS_FREE = "slots_free.*"
+    LINK_BYTES_PER_S = "link_bytes_per_s.*"
     PLATFORM_ERRORS = "platform_errors"
-    HEARTBEAT_BYTES = "heartbeat_bytes"
+    PEER_BYTES = "peer_bytes"
     CONFIGURATION_VERSION = "configuration_version"
 
 
@@ -52,9 +52,9 @@
         """Adds to a counter."""
         self.counts[_name(metric, label)] += by
 
-    def gauge(self, metric: Metric, value: float) -> None:
+    def gauge(self, metric: Metric, value: float, label: str = "") -> None:
         """Sets a gauge."""
-        self._gauges[metric.value] = value
+        self._gauges[_name(metric, label)] = value
 
     def timing(self, metric: Metric, label: str, value_ms: float) -> None:
         """Adds a timing in milliseconds; some are dropped under load."""
--- a/almondstair/peers.py
+++ b/almondstair/peers.py
@@ -11,12 +11,13 @@
 """
 
 from collections.abc import Callable, Iterable
-import logging
+import time
 from typing import Any, NamedTuple
 
 import zmq
 from zmq.eventloop.zmqstream import ZMQStream
 
+from almondstair import log
 from almondstair import messages
 from almondstair.core.entry_table import EntryRow
 from almondstair.errors import AlmondstairError
@@ -38,7 +39,7 @@
 KEEPALIVE_COUNT = 3
 _IDENTITY_SEPARATOR = "/"
 
-_log = logging.getLogger(__name__)
+UNREADABLE_INTERVAL_S = 60.0
 
 MessageHandler = Callable[[str, int, Any], None]
 
@@ -97,6 +98,7 @@
         # ROUTER drops all that comes over the second without a word.
         self._links: dict[str, zmq.Socket[bytes]] = {}
         self._counts = PeerCounts()
+        self._unreadable_told_s = float("-inf")
 
     @property
     def counts(self) -> PeerCounts:
@@ -237,7 +239,16 @@
         self._counts = counts._replace(
             unreadable_messages=counts.unreadable_messages + 1
         )
-        _log.debug("unreadable message of a peer: %s", error)
+        now_s = time.monotonic()
+        if now_s - self._unreadable_told_s < UNREADABLE_INTERVAL_S:
+            return
+        # A peer of another release sends one several times a second.
+        self._unreadable_told_s = now_s
+        log.event(
+            log.Event.PEER_MESSAGE_BAD,
+            detail=str(error),
+            unreadable_messages=self._counts.unreadable_messages,
+        )
 
 
 def _sender(frames: list[bytes]) -> tuple[str, int]:
--- a/almondstair/platform/etcd.py
+++ b/almondstair/platform/etcd.py
@@ -325,16 +325,29 @@
             ) from error
 
 
+def _ignore(failure: str) -> None:
+    del failure
+
+
 class EtcdService(base.KeyValueService):
     """The key-value service behind an etcd v3 JSON gateway."""
 
-    def __init__(self, *, url: str, timeout_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        url: str,
+        timeout_s: float,
+        on_outcome: Callable[[str], None] = _ignore,
+    ) -> None:
         """Makes an adapter.
 
         Args:
           url: `http://ip:port` of the gateway.
           timeout_s: longest time of one call.
+          on_outcome: called after each call with why the service gave no
+            answer, empty when it gave one.
         """
+        self._on_outcome = on_outcome
         self._url = url.rstrip("/")
         self._caller = _Caller(url=url, timeout_s=timeout_s)
         self._connect_timeout_s = timeout_s
@@ -454,12 +467,19 @@
     async def _call(
         self, path: str, body: dict[str, Any], writes: bool, answer: type[T]
     ) -> T:
-        return await self._caller.call(
-            path=path,
-            body=msgspec.json.encode(body),
-            writes=writes,
-            answer=answer,
-        )
+        try:
+            found = await self._caller.call(
+                path=path,
+                body=msgspec.json.encode(body),
+                writes=writes,
+                answer=answer,
+            )
+        except base.PlatformError as error:
+            if error.failure is not base.PlatformFailure.REFUSED:
+                self._on_outcome(error.detail)
+            raise
+        self._on_outcome("")
+        return found
 
 
 class _WatchSink(AnswerSink):
--- a/almondstair/serving.py
+++ b/almondstair/serving.py
@@ -353,6 +353,14 @@
         label = f"{call.head.service}.{call.head.request_class.name}"
         if error is not None:
             metrics.count(Metric.REFUSALS, str(error.kind))
+            if error.ran is not Ran.NO:
+                log.event(
+                    log.Event.REQUEST_FAILED,
+                    kind=str(error.kind),
+                    service=call.head.service,
+                    request_class=call.head.request_class.name,
+                    detail=error.detail,
+                )
             return
         metrics.count(Metric.REQUESTS, label)
         latency_ms = (time.monotonic() - started_s) * 1000
--- a/almondstair/table_keeper.py
+++ b/almondstair/table_keeper.py
@@ -70,15 +70,9 @@
     async def register(self) -> None:
         """Gets this process into the table; tries until it is in it."""
         while not self._membership.registered:
-            try:
-                table = await self._store.change(
-                    plan=lambda table: self._membership.plan_registration(
-                        table=table
-                    )
-                )
-                self.take(table, from_platform=True)
-            except AlmondstairError as error:
-                log.event(log.Event.PLATFORM_DOWN, detail=error.detail)
+            await self.change(
+                lambda table: self._membership.plan_registration(table=table)
+            )
             if not self._membership.registered:
                 await asyncio.sleep(REGISTER_AGAIN_S)
 
--- /dev/null
+++ b/features/observing.feature
@@ -0,0 +1,28 @@
+Feature: What an entry does can be seen from outside
+
+  Scenario: Each log event is on its page and is logged somewhere
+    # Symptom: an operator looks a number up and does not find it.
+    # Sequence: an event is added, or its last use is removed.
+    # Cause: a page that nothing compares with the code.
+    Then the table of LOG-EVENTS.md has just the events of the code
+    And no two events have one number
+    And each event is logged somewhere
+
+  Scenario: Each metric is on its page and is sent somewhere
+    Then the table of METRICS.md has just the metrics of the code
+    And each metric is counted somewhere
+
+  Scenario: Two entries log, count and trace what they do
+    # Symptom: nobody can tell which hop of a slow request was slow.
+    # Sequence: a request goes through two entries to an upstream.
+    # Cause: a hop that starts a trace of its own.
+    Given a statsd listener
+    And an upstream in bkk, an entry each in bkk and cnx that send it metrics
+    When a caller sends an order with its own traceparent through cnx-e0
+    Then one trace joins the caller, entry, forward, admit, upstream
+    And the upstream's journal has the span of the last hop
+    When the platform goes out and comes back
+    Then the log of bkk-e0 has, in order: started, platform_down, platform_back
+    And each line of the logs is JSON with the number and text of its event
+    And the listener hears of each metric but retries
+    And it hears no name that is not on the page
