--- a/almondstair/tools/commands.py
+++ b/almondstair/tools/commands.py
@@ -279,7 +279,7 @@
 
         Examples:
           almondstairctl vm leave matching-se1-1
-          almondstairctl vm leave scot-east-1a --wait_s=30
+          almondstairctl vm leave intake-sw1-1 --wait_s=30
 
         Args:
           name: the upstream or entry.
