Compute a link share only when something changed

Cause: reading the status of a share walked the whole entry table, 12 us with 55 entries, and a request reads it twice. Ruled out: the token bucket itself, under 1 us. Change: the share is computed anew only by an event (end of a term, epoch, acknowledgement, cap, release). The scenarios of links.feature pass as before.

--- a/almondstair/core/links.py
+++ b/almondstair/core/links.py
@@ -181,8 +181,7 @@
           wait before asking again. A piece above `largest_take_bytes` waits
           for ever; use `take_part` for those.
         """
-        if now_s >= self._next_change_s:
-            self._settle(now_s=now_s)
+        self._settle(now_s=now_s)
         if self._bucket.take(size_bytes=size_bytes, now_s=now_s):
             self._meter.add(size_bytes)
             return 0.0
@@ -200,8 +199,7 @@
           How much may move now and was paid for. To spare tiny writes this is
           nothing until half a bucket, or the whole piece, is there.
         """
-        if now_s >= self._next_change_s:
-            self._settle(now_s=now_s)
+        self._settle(now_s=now_s)
         least_bytes = min(size_bytes, int(self._bucket.depth_bytes / 2) + 1)
         self._bucket.fill(now_s=now_s)
         wait_s = self._wait_s(size_bytes=least_bytes)
@@ -255,6 +253,7 @@
             return
         self._heard_epochs[entry] = epoch
         self._settle(now_s=now_s)
+        self._apply(now_s=now_s)
 
     def acknowledged_epoch(self, *, now_s: float) -> int:
         """Returns the epoch that peers may count on.
@@ -271,14 +270,16 @@
         The sum of use is at or under the new cap once the configuration is in
         force on every entry and the loans of before have ended.
         """
-        self._cap_bytes_per_s = cap_bytes_per_s
         self._settle(now_s=now_s)
+        self._cap_bytes_per_s = cap_bytes_per_s
+        self._apply(now_s=now_s)
 
     def release(self, *, now_s: float) -> None:
         """Gives up the allowance and all loans for good, before leaving."""
+        self._settle(now_s=now_s)
         self._released = True
         self._borrowed.drop_all()
-        self._settle(now_s=now_s)
+        self._apply(now_s=now_s)
 
     # Loans.
 
@@ -387,7 +388,6 @@
             self._lent.expire(now_s=change_s)
             self._borrowed.expire(now_s=change_s)
             self._apply(now_s=change_s)
-        self._apply(now_s=now_s)
 
     def _apply(self, *, now_s: float) -> None:
         """Computes allowance and bucket from the present state."""
