Carry marks beyond the zone, give far digests their turns, measure the target

Cause: the least relayed digest first, the freshest among equals, let zones renewed often starve the others: in the stepped run at 770 entries some zones were still unheard after 12 s. Crash marks rode only on the heartbeats of the group, so past 16 entries they stayed in their zone.

Change: digests are relayed in turns again, three with each heartbeat of the group and four to a far contact each half second; far heartbeats carry marks and leaving upstreams; an announcement reaches partners too; an entry keeps the status only of group and partners.

Tests: the scenario of the target size ran 10 s and now runs 15 s, as the entry's own turn became longer (54 * 434 bytes / 1600 = 14.6 s). That turn is not what silence goes by; in its place a new scenario holds what is: every word in a zone of 55 at most 3 s old, at most 1800 bytes/s sent, with the real heartbeats stepped. Result: see the doc comment of core/heartbeats.py.

--- a/almondstair/core/heartbeats.py
+++ b/almondstair/core/heartbeats.py
@@ -14,11 +14,22 @@
 *Partners*, the entries that an entry shares a duty with, get a heartbeat each
 `PARTNER_PERIOD_S` wherever they are, because a duty needs acknowledgements of
 the partner itself. Beyond the group an entry knows availability zones by
-`ZoneDigest`, one bit or so for each entry. One far contact a second gets some,
-and every heartbeat within the group carries one.
-
-`benchmarks/heartbeats.py` measures the sizes, the traffic and the processor
-time, and works them out for the target size.
+`ZoneDigest`, two bits for each entry. A far contact gets some of them each
+`FAR_PERIOD_S`, and every heartbeat within the group carries some.
+
+What `python -m benchmarks.heartbeats --target` gave, sent by each entry with
+packet headers and without partners:
+
+* 10 entries: 2.0 KB/s, every word at most 0.5 s old.
+* 770 entries in 14 zones: 2.3 KB/s; words on the own zone 1.6 s old on average
+  and 3.7 s at most, on other zones 5.4 s and 14.4 s. A new version, given to
+  two entries of each zone, was in force on all after 3.0 s and known to be so
+  by one entry after 9.5 s.
+
+Ten partners add 1.0 KB/s, worked out from the size of a heartbeat. What is
+received is as much again, so both ways together pass 5 KB/s at the target size,
+and loads of far zones come later than steering wants them; in-band loads on
+answers have to serve there.
 """
 
 from collections.abc import Iterable, Sequence
@@ -44,17 +55,18 @@
 VIEW_BYTES_PER_ENTRY = 2
 DIGEST_BYTES = 70
 PARTNER_PERIOD_S = 1.0
-FAR_PERIOD_S = 1.0
+FAR_PERIOD_S = 0.5
 FAR_CONTACTS_PER_ZONE = 2
 DIGESTS_TO_FAR = 4
-DIGESTS_TO_NEAR = 1
+DIGESTS_TO_NEAR = 3
 # An entry is silent when this many turns in a row brought nothing.
 TURNS_MISSED = 3
 # With views most words come by relays, long before the entry's own turn. Twice
 # the greatest age that the benchmark finds in a zone of 55.
 VIEW_SILENCE_S = 6.0
-# Time that a digest takes over its relays, worked out in the benchmark.
-FAR_SILENCE_S = 15.0
+# Twice the greatest age that the benchmark finds beyond the group at the target
+# size.
+FAR_SILENCE_S = 25.0
 WATCHERS_PER_ZONE = 2
 AGE_UNIT_S = 0.1
 # Added to a relayed age for the way, so that no word grows fresher from relay
@@ -95,6 +107,17 @@
     marks: tuple[Mark, ...] = ()
 
 
+def far_detail(detail: StatusDetail) -> StatusDetail | None:
+    """Returns the part of a status that every entry needs, None if empty.
+
+    A request that crashes upstreams may come back through any entry, so the
+    marks must leave the zone; loads go there summed, by digests.
+    """
+    if not detail.marks and not detail.leaving_upstreams:
+        return None
+    return detail._replace(loads=())
+
+
 class GroupView(NamedTuple):
     """How lately the sender heard each entry of its group, itself or relayed.
 
@@ -287,13 +310,19 @@
         """Everyone who gets heartbeats of any kind."""
         return self._near + self._partners + self._far
 
+    @property
+    def detail_names(self) -> frozenset[str]:
+        """Entries whose whole status this one hears from themselves."""
+        return frozenset(self._near + self._partners)
+
     @property
     def near_cost_bytes(self) -> int:
         """What one heartbeat to the group costs, headers included."""
         cost_bytes = PACKET_OVERHEAD_BYTES + HEARTBEAT_BYTES
         if self._with_view:
             cost_bytes += VIEW_BYTES_PER_ENTRY * (len(self._near) + 1)
-            cost_bytes += DIGEST_BYTES
+        if self._far:
+            cost_bytes += DIGEST_BYTES * DIGESTS_TO_NEAR
         return cost_bytes
 
     @property
@@ -490,7 +519,7 @@
         """Starts without any."""
         self._digests: dict[str, ZoneDigest] = {}
         self._described_s: dict[str, float] = {}
-        self._relays: dict[str, int] = {}
+        self._place = 0
 
     def offer(self, *, digest: ZoneDigest, now_s: float) -> bool:
         """Keeps a digest if it is fresher than the one known.
@@ -504,7 +533,6 @@
             return False
         self._digests[zone] = digest
         self._described_s[zone] = described_s
-        self._relays[zone] = 0
         return True
 
     def get(self, *, availability_zone: str, now_s: float) -> ZoneDigest | None:
@@ -516,19 +544,11 @@
         return digest._replace(age_ms=math.ceil(age_s * 1000))
 
     def next(self, *, count: int, now_s: float) -> tuple[ZoneDigest, ...]:
-        """Returns the next digests to relay.
-
-        Those relayed least since they were renewed go first, the freshest
-        among equals; in plain turns a fresh digest waited for all the others.
-        """
-        zones = sorted(self._digests, key=self._relay_order)[:count]
+        """Returns the next digests to relay, taking turns over the zones."""
+        zones, self._place = _take(sorted(self._digests), self._place, count)
         digests = []
         for zone in zones:
-            self._relays[zone] += 1
             digest = self.get(availability_zone=zone, now_s=now_s)
             if digest is not None:
                 digests.append(digest)
         return tuple(digests)
-
-    def _relay_order(self, zone: str) -> tuple[int, float]:
-        return self._relays[zone], -self._described_s[zone]
--- a/almondstair/heartbeats.py
+++ b/almondstair/heartbeats.py
@@ -17,6 +17,7 @@
 from almondstair.core.heartbeats import ServiceLoad
 from almondstair.core.heartbeats import StatusDetail
 from almondstair.core.heartbeats import ZoneDigest
+from almondstair.core.heartbeats import far_detail
 from almondstair.core.heartbeats import make_digest
 from almondstair.core.heartbeats import make_view
 from almondstair.core.heartbeats import read_digest
@@ -80,11 +81,12 @@
         self._companions = companions
         self._silence_limit_s = silence_limit_ms / 1000
         self._fan_out = FanOut(own=own, interval_s=interval_ms / 1000)
-        self._timer = PeriodicCallback(self._tick, interval_ms)
+        self._timer = PeriodicCallback(self.send_round, interval_ms)
         self._sequence = 0
         self._finished = False
         self._zone_names: list[str] = []
         self._names_by_zone: dict[str, list[str]] = {}
+        self._detail_names: frozenset[str] = frozenset()
         self.details: dict[str, HeardDetail] = {}
         self.digests = DigestStore()
 
@@ -109,6 +111,7 @@
         # next turn would come seconds later.
         for name in self._fan_out.receiver_names:
             self._peers.connect(name)
+        self._detail_names = self._fan_out.detail_names
         self._names_by_zone = zone_names(table=membership.table)
         own_zone = self._own.availability_zone
         self._zone_names = self._names_by_zone.get(own_zone, [])
@@ -120,11 +123,11 @@
             far_s=FAR_SILENCE_S,
         )
         for name in tuple(self.details):
-            if not membership.holds(name=name):
+            if name not in self._detail_names:
                 del self.details[name]
 
     def announce(self, *, finished: bool = False) -> None:
-        """Sends to every receiver at once, as when this entry starts to leave.
+        """Sends to group and partners at once, as when this entry leaves.
 
         Args:
           finished: says that every duty is given up for good, from now on.
@@ -132,10 +135,11 @@
         self._finished = self._finished or finished
         self._sequence += 1
         detail = self._own_detail()
-        for name in sorted(self._fan_out.near_names):
+        for name in sorted(self._detail_names):
             self._send(name, detail, None, ())
 
-    def _tick(self) -> None:
+    def send_round(self) -> None:
+        """Sends the heartbeats that are due; called by the timer."""
         now_s = self._clock()
         self._sequence += 1
         sending = self._fan_out.tick()
@@ -151,7 +155,8 @@
         for name in sending.partners:
             self._send(name, detail, None, ())
         for name in sending.far:
-            self._send(name, None, None, self._far_digests(now_s))
+            digests = self._far_digests(now_s)
+            self._send(name, far_detail(detail), None, digests)
 
     def _send(
         self,
@@ -246,7 +251,7 @@
             _heard(name, incarnation, heartbeat, now_s)
         ):
             return False
-        if heartbeat.detail is not None:
+        if heartbeat.detail is not None and name in self._detail_names:
             self.details[name] = HeardDetail(heartbeat.detail, now_s)
         if heartbeat.view is not None:
             self._take_view(heartbeat.view, now_s)
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -149,10 +149,17 @@
 
   Scenario: The target size stays within its group and its far contacts
     Given 770 entries in 14 availability zones
-    When heartbeats are sent for 10 seconds
+    When heartbeats are sent for 15 seconds
     Then every entry has sent to all 54 others of its zone
     And no entry has sent to more than 80 entries
 
+  Scenario: In a zone of the target size relays keep every word fresh
+    # The entry's own turn comes each ten to fifteen seconds; relays must not
+    # let a living entry look silent in between.
+    When 55 entries of one zone exchange heartbeats for 12 seconds
+    Then no word on any entry is older than 3 seconds
+    And no entry sent more than 1800 bytes a second
+
   Scenario: A view carries the age and version of what its sender heard
     Given 40 entries in the entry table, all heard
     When "e3" was heard 2 seconds ago and has version 5 of 7
@@ -164,6 +171,16 @@
     When "e3" was heard 2 seconds ago and has version 5 of 7
     Then a reader of the digest learns that "e3" lacks version 7
 
+  Scenario: The mark of a request that crashes upstreams leaves the zone
+    # Symptom: a resend through an entry of another zone crashed a third
+    #   upstream.
+    # Sequence: two upstreams died of it in one zone of a large table; the
+    #   marks stayed in the heartbeats of that zone.
+    # Cause: far zones got digests only.
+    Given 40 entries in 4 availability zones
+    When one entry has marked a request and sends heartbeats for 3 seconds
+    Then entries of all 4 availability zones have the mark
+
   Scenario: Entries talk over real sockets, and a dead peer costs nothing
     # Symptom: an entry grew or stalled while a peer was dead.
     # Sequence: the peer's process was killed; sends to it went on.
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -13,6 +13,7 @@
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.heartbeats import FanOut
 from almondstair.core.heartbeats import MemberWord
+from almondstair.core.heartbeats import ServiceLoad
 from almondstair.core.heartbeats import StatusDetail
 from almondstair.core.heartbeats import make_digest
 from almondstair.core.heartbeats import make_view
@@ -21,11 +22,14 @@
 from almondstair.core.membership import Membership
 from almondstair.core.membership import VmObservation
 from almondstair.core.membership import incarnation_text
+from almondstair.core.quarantine import Mark
 from almondstair.errors import AlmondstairError
 from almondstair.heartbeats import Heartbeats
 from almondstair.messages import Heartbeat
 from almondstair.peers import Peers
 from almondstair.store import EntryTableStore
+from features.support.heartbeat_entries import Steps
+from features.support.heartbeat_entries import oldest_age_s
 from features.support.memory_platform import MemoryPlatform
 from features.support.memory_service import Fault
 
@@ -375,6 +379,27 @@
         assert len(all_names) <= count, len(all_names)
 
 
+@when(
+    "{count:d} entries of one zone exchange heartbeats for {seconds:d} seconds"
+)
+def step_exchange(context, count, seconds):
+    context.steps = Steps(count, 1)
+    context.steps.run(seconds)
+    context.sent_per_s = context.steps.sent_bytes / count / seconds
+
+
+@then("no word on any entry is older than {limit:d} seconds")
+def step_words_fresh(context, limit):
+    entries = list(context.steps.entries.values())
+    oldest_s = oldest_age_s(entries, context.steps.now_s)
+    assert oldest_s <= limit, oldest_s
+
+
+@then("no entry sent more than {limit:d} bytes a second")
+def step_sent_bytes(context, limit):
+    assert context.sent_per_s <= limit, context.sent_per_s
+
+
 @when('"{name}" was heard {age:d} seconds ago and has version {version:d} of 7')
 def step_words(context, name, age, version):
     context.words = []
@@ -456,6 +481,65 @@
         assert (word.version < version) == (word.name == name), word
 
 
+class RecordingPeers:
+    """Stands for the sockets and keeps what is sent."""
+
+    def __init__(self):
+        """Starts with nothing sent."""
+        self.sent = []
+
+    def set_rows(self, rows):
+        """Needs no addresses."""
+
+    def connect(self, name):
+        """Needs no connection."""
+
+    def send(self, name, message):
+        """Keeps a message."""
+        self.sent.append((name, messages.decode(messages.encode(message))))
+        return True
+
+
+@when(
+    "one entry has marked a request and sends heartbeats for {seconds:d} "
+    "seconds"
+)
+def step_marked(context, seconds):
+    context.mark = Mark(fingerprint=7, upstream=3, remaining_s=60)
+    context.now_s = 0.0
+    own = context.entry_table.entries[0]
+    membership = Membership(own=own, silence_limit_s=SILENCE_LIMIT_S)
+    membership.replace_table(table=context.entry_table, now_s=0.0)
+    context.peers = RecordingPeers()
+    load = ServiceLoad("matching", 3, 3, 0)
+    sending = Heartbeats(
+        own=own,
+        membership=membership,
+        configuration=ConfigurationState(),
+        peers=context.peers,
+        clock=lambda: context.now_s,
+        own_detail=lambda: StatusDetail((load,), (), (context.mark,)),
+        companions=lambda name: (),
+        interval_ms=int(INTERVAL_S * 1000),
+        silence_limit_ms=int(SILENCE_LIMIT_S * 1000),
+    )
+    sending.refresh_table()
+    for _ in range(int(seconds / INTERVAL_S)):
+        context.now_s += INTERVAL_S
+        sending.send_round()
+
+
+@then("entries of all {count:d} availability zones have the mark")
+def step_mark_everywhere(context, count):
+    zones = set()
+    for name, heartbeat in context.peers.sent:
+        if heartbeat.detail is None or not heartbeat.detail.marks:
+            continue
+        assert heartbeat.detail.marks == (context.mark,), heartbeat
+        zones.add(context.entry_table.row(name=name).availability_zone)
+    assert len(zones) == count, zones
+
+
 class LiveEntry:
     """An entry with real sockets and heartbeats, without the rest."""
 
--- /dev/null
+++ b/features/support/heartbeat_entries.py
@@ -0,0 +1,163 @@
+"""Entries with their heartbeats alone, over real sockets or stepped without."""
+
+import random
+
+import zmq
+
+from almondstair import messages
+from almondstair.core.configuration import ConfigurationState
+from almondstair.core.configuration import StoredConfiguration
+from almondstair.core.entry_table import EntryRow
+from almondstair.core.entry_table import EntryTable
+from almondstair.core.heartbeats import PACKET_OVERHEAD_BYTES
+from almondstair.core.heartbeats import ServiceLoad
+from almondstair.core.heartbeats import StatusDetail
+from almondstair.core.membership import Membership
+from almondstair.heartbeats import Heartbeats
+from almondstair.peers import Peers
+
+INTERVAL_MS = 250
+SILENCE_LIMIT_MS = 1500
+FIRST_PORT = 27200
+
+
+def make_table(count: int, zones: int) -> EntryTable:
+    rows = []
+    for number in range(count):
+        zone = number % zones
+        address = f"127.0.0.1:{FIRST_PORT + number}"
+        rows.append(
+            EntryRow(
+                f"entry-{number:03d}",
+                f"region{zone * 4 // max(zones, 4)}-{zone:02d}",
+                f"region{zone * 4 // max(zones, 4)}",
+                address,
+                address,
+                address,
+                address,
+            )
+        )
+    return EntryTable(1, tuple(rows))
+
+
+def two_services() -> StatusDetail:
+    return StatusDetail(
+        loads=(
+            ServiceLoad("matching", 12, 7, 40),
+            ServiceLoad("statements", 9, 2, 130),
+        )
+    )
+
+
+class Entry:
+    """One entry without the parts that carry callers."""
+
+    def __init__(self, own, table, clock, send=None):
+        """Opens no socket when `send` stands for the peers."""
+        self.own = own
+        self.membership = Membership(
+            own=own, silence_limit_s=SILENCE_LIMIT_MS / 1000
+        )
+        self.membership.replace_table(table=table, now_s=clock())
+        self.configuration = ConfigurationState()
+        self.configuration.offer(StoredConfiguration(1, "1", "", "", ""))
+        self.peers = send
+        if send is None:
+            self.peers = Peers(
+                context=zmq.Context.instance(),
+                name=own.name,
+                incarnation=1,
+                peer_address=own.peer_address,
+                on_message=self.receive,
+            )
+        self.heartbeats = Heartbeats(
+            own=own,
+            membership=self.membership,
+            configuration=self.configuration,
+            peers=self.peers,
+            clock=clock,
+            own_detail=two_services,
+            companions=lambda name: (),
+            interval_ms=INTERVAL_MS,
+            silence_limit_ms=SILENCE_LIMIT_MS,
+        )
+        self.heartbeats.refresh_table()
+
+    def receive(self, name, incarnation, message):
+        """Takes a message in."""
+        self.heartbeats.receive(
+            name=name, incarnation=incarnation, heartbeat=message
+        )
+
+
+def oldest_age_s(entries, now_s: float) -> float:
+    oldest_s = 0.0
+    for entry in entries:
+        for row in entry.membership.table.entries:
+            age_s = entry.membership.age_s(name=row.name, now_s=now_s)
+            oldest_s = max(oldest_s, age_s)
+    return oldest_s
+
+
+class Steps:
+    """Steps the entries of a table through simulated time without sockets.
+
+    Each entry ticks once an interval at a moment of its own; what it sends
+    arrives at once.
+    """
+
+    def __init__(self, count: int, zones: int) -> None:
+        """Makes the entries; none ticks yet."""
+        self.now_s = 0.0
+        self.sent_bytes = 0
+        self.pulls = False
+        self.entries: dict[str, Entry] = {}
+        table = make_table(count, zones)
+        for row in table.entries:
+            self.entries[row.name] = Entry(
+                row, table, lambda: self.now_s, SimulatedPeers(self, row.name)
+            )
+        self.order = list(self.entries.values())
+        random.Random(1).shuffle(self.order)
+
+    def run(self, seconds: float) -> None:
+        """Ticks every entry once in each interval."""
+        step_s = INTERVAL_MS / 1000 / len(self.order)
+        for _ in range(int(seconds * 1000 / INTERVAL_MS)):
+            for entry in self.order:
+                self.now_s += step_s
+                entry.heartbeats.send_round()
+
+    def deliver(self, sender_name: str, name: str, frame: bytes) -> None:
+        """Hands a frame over, and a newer configuration when `pulls`."""
+        entry = self.entries[name]
+        heartbeat = messages.decode(frame)
+        entry.receive(sender_name, 1, heartbeat)
+        newer = heartbeat.configuration_version > entry.configuration.version
+        if self.pulls and newer:
+            sender = self.entries[sender_name]
+            entry.configuration.offer(sender.configuration.in_force)
+
+
+class SimulatedPeers:
+    """Stands for the sockets of one entry."""
+
+    def __init__(self, steps: Steps, name: str) -> None:
+        """Sends as the entry `name`."""
+        self.steps = steps
+        self.name = name
+
+    def set_rows(self, rows) -> None:
+        """Needs no addresses."""
+        del rows
+
+    def connect(self, name: str) -> None:
+        """Needs no connection."""
+        del name
+
+    def send(self, name: str, message) -> bool:
+        """Delivers at once and counts the bytes."""
+        frame = messages.encode(message)
+        self.steps.sent_bytes += len(frame) + PACKET_OVERHEAD_BYTES
+        self.steps.deliver(self.name, name, frame)
+        return True
