Give up a body that does not arrive before its deadline

Cause: a call starts when its body is whole or too long to hold. A caller that sent a part of a small body and then nothing had no deadline: its connection stayed open for good, and enough of them leave an entry without descriptors. Cause 2: tornado's server sends the go-ahead only for "100-continue" in lower case; a caller that writes "100-Continue" waited for it in vain.

Change: a timer from the head to the start of the call answers 504 deadline_passed, "no", and closes; the expectation is read in any case. The constant of a header timeout that nothing used is gone (the server's idle limit of 60 s covers a head that does not end).

Failing first: the three new scenarios waited 10 s for any answer.

--- a/almondstair/frontend.py
+++ b/almondstair/frontend.py
@@ -41,7 +41,6 @@
 # connection is closed without.
 HARD_HEADER_LIMIT_BYTES = 512 * 1024
 IDLE_CONNECTION_LIMIT_S = 60.0
-HEADER_TIMEOUT_S = 20.0
 # How long and how far a refused body is still read, so that closing does not
 # reset the connection before the caller has read the refusal.
 DISCARD_LIMIT_S = 2.0
@@ -176,6 +175,7 @@
         self._ended = False
         self._body_limit_bytes = 0
         self._discard_timer: asyncio.TimerHandle | None = None
+        self._late_timer: asyncio.TimerHandle | None = None
 
     def headers_received(
         self,
@@ -185,6 +185,9 @@
         """Checks the head and starts the call when no body need be awaited."""
         assert isinstance(start_line, httputil.RequestStartLine)
         self._expects_continue = "Expect" in headers
+        if self._expects_continue:
+            # The server looks for it in lower case only.
+            headers["Expect"] = headers["Expect"].lower()
         self._answer.method = start_line.method
         self._answer.close_after = self._door.handler.leaving()
         try:
@@ -256,6 +259,10 @@
         )
         if length == 0:
             self._body.end()
+            return
+        self._late_timer = asyncio.get_running_loop().call_later(
+            max(0.0, head.deadline_s - time.monotonic()), self._body_is_late
+        )
 
     def _early_start(self) -> Awaitable[None] | None:
         """Starts a call whose body waits for a go-ahead.
@@ -297,6 +304,24 @@
             self._start()
         return wait
 
+    def _body_is_late(self) -> None:
+        """Gives up a body that did not arrive before its deadline.
+
+        A call starts when its body is whole or too long to hold, and its
+        deadline is kept from then on. A sender that stops before that would
+        keep its connection for good.
+        """
+        if self._started or self._ended:
+            return
+        self._body.abort()
+        self._call = None
+        self._refuse_and_close(
+            AlmondstairError(
+                kind=ErrorKind.DEADLINE_PASSED,
+                detail="the body did not arrive before the deadline",
+            )
+        )
+
     def _over_limit(self) -> None:
         assert self._call is not None
         error = _too_large(self._body_limit_bytes)
@@ -341,6 +366,8 @@
 
     def on_connection_close(self) -> None:
         """The sender went away before the end of its request."""
+        if self._late_timer is not None:
+            self._late_timer.cancel()
         self._body.abort()
         self._caller_gone()
 
@@ -365,6 +392,8 @@
     def _start(self) -> None:
         assert self._call is not None
         self._started = True
+        if self._late_timer is not None:
+            self._late_timer.cancel()
         self._task = asyncio.ensure_future(self._run(self._call))
         self._door.running.add(self._task)
         self._task.add_done_callback(self._door.running.discard)
--- a/features/http.feature
+++ b/features/http.feature
@@ -44,17 +44,31 @@
       | bkk-e0 |
       | cnx-e0 |
 
+  Scenario Outline: A body that stops arriving does not hold its connection
+    # Symptom: an entry runs out of connections while it looks idle.
+    # Sequence: callers send a head and a part of a small body, then nothing.
+    # Cause: a deadline that counts only from the end of the body.
+    When <size> of 100 bytes of a body are sent to <entry> with 300 ms left
+    Then the answer is a 504 and the connection is closed
+    And no upstream has seen a request
+
+    Examples:
+      | entry  | size |
+      | bkk-e0 | 50   |
+      | cnx-e0 | 0    |
+
   Scenario Outline: A caller waits for the go-ahead before its body
-    When the head of an upload to <entry> asks for 100-continue
+    When the head of an upload to <entry> asks for <expectation>
     Then the answer is a 100
     When its body is sent
     Then the answer is a 200
     And the upstream read 5 bytes
 
     Examples:
-      | entry  |
-      | bkk-e0 |
-      | cnx-e0 |
+      | entry  | expectation  |
+      | bkk-e0 | 100-continue |
+      | cnx-e0 | 100-continue |
+      | bkk-e0 | 100-Continue |
 
   Scenario Outline: Answers without a body keep the connection in step
     # Symptom: the next answer on a connection is taken for a body.
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -234,12 +234,19 @@
 # Framing.
 
 
-@when("the head of an upload to {entry} asks for 100-continue")
-def step_expect(context, entry):
+@when(
+    "{size:d} of 100 bytes of a body are sent to {entry} with {left:d} ms left"
+)
+def step_part(context, size, entry, left):
     context.wire = _wire(context, entry)
-    context.wire.write(
-        (FIRST + LENGTH + "Expect: 100-continue\r\n\r\n").encode()
-    )
+    head = f"{FIRST}Content-Length: 100\r\nDeadline-Ms: {left}\r\n\r\n"
+    context.wire.write(head.encode() + bytes(size))
+
+
+@when("the head of an upload to {entry} asks for {expectation}")
+def step_expect(context, entry, expectation):
+    context.wire = _wire(context, entry)
+    context.wire.write(f"{FIRST}{LENGTH}Expect: {expectation}\r\n\r\n".encode())
 
 
 @then("the answer is a {status:d}")
@@ -377,10 +384,10 @@
     context.wire.write(SHAPES[shape].encode())
 
 
-@then("the answer is a 400 and the connection is closed")
-def step_refused_closed(context):
+@then("the answer is a {status:d} and the connection is closed")
+def step_refused_closed(context, status):
     head = context.wire.head()
-    assert head.status == 400, head
+    assert head.status == status, head
     context.wire.body(head)
     rest = context.wire.rest()
     assert rest == b"", rest[:200]
