Close the connections that a leaving entry says it closes

Cause: an answer of a leaving entry had "Connection: close", but the server decides before the head is handed over whether a connection is kept, so it stayed open until the entry ended, and a caller that overlooked the header went on using it.

Change: a leaving entry tells its servers to keep no connection.

Failing first: "A connection that is said to be closed is closed" found it open after half a second. features/http_retries.feature: 4 scenarios passed.

--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -458,6 +458,8 @@
         """
         log.event(log.Event.STOPPING, entry=self.own.name)
         self.membership.leaving = True
+        self._caller_door.end_keep_alive()
+        self._forward_door.end_keep_alive()
         self.heartbeats.announce()
         timing = self._settings.timing
         until_s = time.monotonic()
--- a/almondstair/frontend.py
+++ b/almondstair/frontend.py
@@ -133,6 +133,11 @@
         )
         self._server.add_sockets(sockets)
 
+    def end_keep_alive(self) -> None:
+        """Closes each connection after its next answer, and says so in it."""
+        if self._server is not None:
+            self._server.conn_params.no_keep_alive = True
+
     def stop_listening(self) -> None:
         """Takes no more connections; open ones go on."""
         if self._server is not None:
--- a/features/http_retries.feature
+++ b/features/http_retries.feature
@@ -27,3 +27,11 @@
     And the upstreams of one entry cut their answers before the first byte
     When orders go to cnx-e0 until an answer is cut
     Then the answer is whole nevertheless
+
+  Scenario: A connection that is said to be closed is closed
+    # Symptom: a caller keeps a connection to an entry that is going away.
+    # Sequence: the entry leaves; it answers with "Connection: close".
+    # Cause: an answer that says so on a connection that stays open.
+    Given an entry and an upstream each in bkk and cnx
+    When bkk-e0 is told to stop
+    Then its answers to callers end their connections
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -600,3 +600,27 @@
 @then("the answer is whole nevertheless")
 def step_whole_nevertheless(context):
     assert context.answer.status == 200, context.answer
+
+
+@when("{entry} is told to stop")
+def step_stop(context, entry):
+    context.entry = entry
+    context.deployment.processes.children[entry].process.terminate()
+
+
+@then("its answers to callers end their connections")
+def step_ends_connections(context):
+    def says_close():
+        context.wire = _wire(context, context.entry)
+        context.wire.write(
+            b"GET /v1/entries?service=matching HTTP/1.1\r\nHost: x\r\n\r\n"
+        )
+        head = context.wire.head()
+        assert head.status == 200, head
+        context.wire.body(head)
+        return head.headers.get("connection") == "close"
+
+    wait_until(says_close, what="an answer of a leaving entry")
+    # Well before the entry ends.
+    assert not context.wire.is_silent(limit_s=0.5), "it stays open"
+    assert context.wire.rest() == b""
