Hold that a process's last word does not drop its successor

Cause: without the check of the row's incarnation no scenario failed, because each began with a heartbeat of the successor.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -75,6 +75,11 @@
     When "c" says that it finished leaving
     Then "a" plans the table "a, b" with epoch 2, of which nothing is lost
 
+  Scenario: The last word of a process does not drop the one after it
+    When "c" says that it finished leaving
+    And "c" restarts and registers
+    Then "a" plans no change
+
   Scenario: Late frames of the old process do not drop the restarted one
     # Symptom: an entry was dropped right after its restart.
     # Sequence: it finished leaving and started again; the last frame of the old
