Start a change of the entry table from the latest one, never from older rows

Cause: after a wipe of the platform, a new process registers in the empty table; any change that a running entry then makes from those rows gets an epoch above all and drops every other entry, duties included. Found by reading. Ruled out: followers, which ignore older epochs. Change: a change starts from the table in force when the platform's is older, and only when every entry of it is heard and none is ahead; an entry that finds itself out of the table registers again; the unused plan_restore is gone; a taken peer address ends the daemon with a message. Failing first: with the guard off, the new scenario fails. After: membership and observing pass.

--- a/almondstair/core/membership.py
+++ b/almondstair/core/membership.py
@@ -213,21 +213,31 @@
         """Returns a table whose successor has an epoch never seen here."""
         return table._replace(epoch=max(table.epoch, self.table.epoch))
 
-    def plan_restore(self, *, table: EntryTable) -> EntryTable | None:
-        """Returns what repairs a platform that lost the table, for operators.
-
-        A platform that was wiped or rolled back serves an older epoch. Nothing
-        is written to it by itself: this entry may hold an older table than a
-        silent one, and two tables under one epoch would let two entries hold
-        one duty. Only when this entry's epoch is the highest heard, and every
-        entry of its table is heard, is its table surely the latest.
+    def base_table(
+        self, *, table: EntryTable, now_s: float
+    ) -> EntryTable | None:
+        """Returns the table that a change must start from.
+
+        A platform that was wiped or rolled back serves an older epoch. A
+        change made from its rows would drop entries that run and hold duties,
+        under an epoch that they follow. So a change starts from the table in
+        force here instead, and only when that is surely the latest: every
+        entry of it is heard, and none acts on a higher epoch. Otherwise a
+        silent entry may know a later one, and two tables under one epoch would
+        give one duty to two entries.
 
         Args:
           table: the table as the platform has it now.
+          now_s: monotonic time.
+
+        Returns:
+          The table, None while no change may be made.
         """
-        if table.epoch >= self.table.epoch or self.is_behind:
+        if table.epoch >= self.table.epoch:
+            return table
+        if self.is_behind or self.silent(now_s=now_s):
             return None
-        return self.table._replace(epoch=self.table.epoch + 1)
+        return self.table
 
     def released_names(self) -> set[str]:
         """Returns the entries that said that they gave up every duty."""
--- a/almondstair/daemon.py
+++ b/almondstair/daemon.py
@@ -7,6 +7,8 @@
 import signal
 import sys
 
+import zmq
+
 from almondstair import __version__
 from almondstair import log
 from almondstair import settings
@@ -33,7 +35,7 @@
     except AlmondstairError as error:
         print(f"almondstaird: {error}", file=sys.stderr)
         sys.exit(error.rule.exit_code)
-    except OSError as error:
+    except (OSError, zmq.ZMQError) as error:
         log.event(log.Event.FATAL, detail=str(error))
         print(f"almondstaird: cannot listen: {error}", file=sys.stderr)
         sys.exit(ERROR_TABLE[ErrorKind.INTERNAL].exit_code)
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -79,6 +79,12 @@
     PEER_MESSAGE_BAD = EventRule(
         313, logging.WARNING, "a message from a peer could not be read"
     )
+    ENTRY_TABLE_OLDER = EventRule(
+        314,
+        logging.ERROR,
+        "the platform's service holds an older entry table than the one in "
+        "force; nothing is changed until every entry is heard",
+    )
     CONFIGURATION_IN_FORCE = EventRule(
         320, logging.INFO, "configuration is in force"
     )
--- a/almondstair/table_keeper.py
+++ b/almondstair/table_keeper.py
@@ -48,6 +48,7 @@
         self._planned_since_s: float | None = None
         self._changing = False
         self._list_failed = False
+        self.joined = False
         self.vms_leaving: frozenset[str] = frozenset()
         self.list_described_s: float | None = None
 
@@ -75,6 +76,30 @@
             )
             if not self._membership.registered:
                 await asyncio.sleep(REGISTER_AGAIN_S)
+        self.joined = True
+
+    def _plan_registration(self, table: EntryTable) -> EntryTable | None:
+        return self._membership.plan_registration(table=table)
+
+    def _on_base(
+        self, plan: Callable[[EntryTable], EntryTable | None]
+    ) -> Callable[[EntryTable], EntryTable | None]:
+        """Has a change start from the table that it must start from."""
+
+        def planned(table: EntryTable) -> EntryTable | None:
+            base = self._membership.base_table(
+                table=table, now_s=time.monotonic()
+            )
+            if base is None:
+                log.event(
+                    log.Event.ENTRY_TABLE_OLDER,
+                    offered_epoch=table.epoch,
+                    in_force_epoch=self._membership.table.epoch,
+                )
+                return None
+            return plan(base)
+
+        return planned
 
     async def change(
         self, plan: Callable[[EntryTable], EntryTable | None]
@@ -85,7 +110,7 @@
           Whether the platform has it now; False while it does not answer.
         """
         try:
-            table = await self._store.change(plan=plan)
+            table = await self._store.change(plan=self._on_base(plan))
         except AlmondstairError:
             return False
         self.take(table, from_platform=True)
@@ -153,6 +178,10 @@
         Every entry sees the same VM list; without turns each of them would
         write the same change in the same moment.
         """
+        if self.joined and not self._membership.registered:
+            # Dropped by mistake, or by a platform that lost the table.
+            await self.change(self._plan_registration)
+            return
         table = self._membership.table
         gone = self._membership.gone_names() & set(table.names())
         if not gone or self._changing:
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -196,3 +196,15 @@
 
   Scenario: Damaged and foreign messages are refused
     Then these frames are refused as "bad_request": empty, unknown tag, cut short
+
+  Scenario: A platform that lost the table is not followed
+    # Symptom: running entries lost their duties to one new process.
+    # Sequence: the platform was wiped; a process registered in the empty table;
+    #   its change, made from the platform's rows, got an epoch above all.
+    # Cause: a change started from an older table than the one in force.
+    Then a change on the platform's table of epoch 0 starts from "a, b, c"
+    When "c" is not heard for 5 seconds
+    Then no change is made on the platform's table of epoch 0
+    When "c" is heard again
+    And "b" is heard on epoch 9
+    Then no change is made on the platform's table of epoch 0
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -650,3 +650,23 @@
             assert error.kind == kind, error
             continue
         raise AssertionError(f"{frame!r} was taken")
+
+
+@then(
+    'a change on the platform\'s table of epoch {epoch:d} starts from "{names}"'
+)
+def step_starts_from(context, epoch, names):
+    base = context.membership.base_table(
+        table=EntryTable(epoch), now_s=context.now_s
+    )
+    assert base is not None
+    assert set(base.names()) == set(names_of(names)), base
+    assert base.epoch == context.membership.table.epoch
+
+
+@then("no change is made on the platform's table of epoch {epoch:d}")
+def step_no_base(context, epoch):
+    base = context.membership.base_table(
+        table=EntryTable(epoch), now_s=context.now_s
+    )
+    assert base is None, base
