Count what a report says of settling together with its records

Second cause: slots held for a lost entry were freed by the reports of another one.

Change: the newest report of each entry is kept whole; only the process that a duty was taken over from frees its slots.

--- a/almondstair/core/homes.py
+++ b/almondstair/core/homes.py
@@ -110,40 +110,59 @@
     records: tuple[HeldRecord, ...] = ()
 
 
+class _Source(NamedTuple):
+    """The process, and its record, that a duty was taken over from."""
+
+    entry: str
+    incarnation: str
+    held_epoch: int
+
+
+NOBODY = _Source("", "", 0)
+
+
 class _Token(NamedTuple):
-    """The duty of one upstream as this entry holds or last held it."""
+    """The duty of one upstream as this entry holds or last held it.
+
+    Attributes:
+      held_epoch: last epoch in which this entry held it.
+      busy_until_s: one time for each slot taken by another's work.
+      source: whose word may free those slots sooner; None for nobody's.
+    """
 
     held_epoch: int
     busy_until_s: tuple[float, ...] = ()
-    source: str = ""
+    source: _Source | None = None
 
 
 class _Offer(NamedTuple):
     """A record received under the current epoch, in this entry's time."""
 
-    entry: str
-    held_epoch: int
+    source: _Source
     busy_until_s: tuple[float, ...]
 
+    @property
+    def held_epoch(self) -> int:
+        """Last epoch in which the sender held the duty."""
+        return self.source.held_epoch
+
 
 class _Peer(NamedTuple):
     """What was last heard of one entry.
 
     Attributes:
-      incarnation: its incarnation.
+      report: its newest report by its own clock.
+      report_s: when that came.
       heard_s: when anything came from it.
-      sent_s: its own clock at the newest report.
-      settled_epoch: highest epoch it settled under.
-      settled_s: when that was heard.
+      settled_s: when it was first heard settled under the report's epoch.
       echo_epoch: epoch of the newest echo.
       echo_sent_s: this entry's own clock at the report that was echoed.
     """
 
-    incarnation: str
+    report: HomesReport
+    report_s: float
     heard_s: float
-    sent_s: float
-    settled_epoch: int = 0
-    settled_s: float = NEVER_S
+    settled_s: float
     echo_epoch: int = 0
     echo_sent_s: float = NEVER_S
 
@@ -218,7 +237,6 @@
         self._lost_s = NEVER_S
         self._ranks: dict[str, tuple[str, ...]] = {}
         self._tokens: dict[str, _Token] = {}
-        self._offers: dict[str, dict[str, _Offer]] = {}
         self._peers: dict[str, _Peer] = {}
         self._pending: set[str] = set()
 
@@ -264,7 +282,6 @@
         self._table = table
         self._applied_s = now_s
         self._ranks.clear()
-        self._offers.clear()
         if self._was_dropped(since_epoch=old_epoch):
             # The others counted this process as lost and others hold its
             # duties by now; keeping them would run two homes at once.
@@ -281,17 +298,11 @@
             # An old process of the same name, or one whose row is not yet
             # replaced: its word would stand for work nobody accounts for.
             return
-        peer = self._peer(report=report)
-        newest = report.sent_s >= peer.sent_s
-        peer = peer._replace(
-            heard_s=now_s, sent_s=max(peer.sent_s, report.sent_s)
-        )
+        peer = self._peer(report=report, now_s=now_s)
         peer = self._with_echo(peer=peer, report=report)
-        if report.settled and report.epoch > peer.settled_epoch:
-            peer = peer._replace(settled_epoch=report.epoch, settled_s=now_s)
-        self._peers[report.entry] = peer
-        if newest and report.epoch == self._table.epoch:
-            self._take_records(report=report, now_s=now_s)
+        self._peers[report.entry] = peer._replace(heard_s=now_s)
+        if peer.report is report:
+            self._free_ended_work(peer=peer)
             self._take_over_all(now_s=now_s)
 
     def report_to(self, *, peer: str, now_s: float) -> HomesReport:
@@ -300,8 +311,8 @@
         echo_sent_s = None
         known = self._peers.get(peer)
         if known is not None and not self._in_reserve_of(home=peer):
-            echo_incarnation = known.incarnation
-            echo_sent_s = known.sent_s
+            echo_incarnation = known.report.incarnation
+            echo_sent_s = known.report.sent_s
         return HomesReport(
             entry=self._name,
             incarnation=self._incarnation,
@@ -371,11 +382,24 @@
         self._ranks[upstream] = rank
         return rank
 
-    def _peer(self, *, report: HomesReport) -> _Peer:
+    def _peer(self, *, report: HomesReport, now_s: float) -> _Peer:
+        """Returns what is known of a sender, the report's word included.
+
+        What a report says of settling and its records are kept together, also
+        when it is of an epoch that this entry has yet to apply. Were the one
+        remembered and the other dropped, the last holder would look like an
+        entry that never held anything, and its work would not be counted.
+        """
+        fresh = _Peer(report, now_s, now_s, now_s)
         peer = self._peers.get(report.entry)
-        if peer is not None and peer.incarnation == report.incarnation:
+        if peer is None or peer.report.incarnation != report.incarnation:
+            return fresh
+        if report.sent_s <= peer.report.sent_s:
             return peer
-        return _Peer(report.incarnation, NEVER_S, NEVER_S)
+        settled_s = peer.settled_s
+        if not peer.report.settled or peer.report.epoch != report.epoch:
+            settled_s = now_s
+        return peer._replace(report=report, report_s=now_s, settled_s=settled_s)
 
     def _with_echo(self, *, peer: _Peer, report: HomesReport) -> _Peer:
         if report.echo_sent_s is None:
@@ -389,26 +413,50 @@
             sent_s = max(sent_s, peer.echo_sent_s)
         return peer._replace(echo_epoch=report.epoch, echo_sent_s=sent_s)
 
-    def _take_records(self, *, report: HomesReport, now_s: float) -> None:
-        for record in report.records:
-            until = []
-            for left_s in record.busy_left_s:
-                until.append(now_s + left_s + self._margin_s)
-            offer = _Offer(report.entry, record.held_epoch, tuple(until))
-            offers = self._offers.setdefault(record.upstream, {})
-            offers[report.entry] = offer
-            self._refresh_token(upstream=record.upstream, offer=offer)
-
-    def _refresh_token(self, *, upstream: str, offer: _Offer) -> None:
+    def _offers(self, *, upstream: str) -> tuple[_Offer, ...]:
+        """Returns what others reported of an upstream under this epoch."""
+        offers = []
+        for peer in self._peers.values():
+            if not self._counts(peer=peer):
+                continue
+            for record in peer.report.records:
+                if record.upstream == upstream:
+                    offers.append(self._offer(peer=peer, record=record))
+        return tuple(offers)
+
+    def _offer(self, *, peer: _Peer, record: HeldRecord) -> _Offer:
+        until = []
+        for left_s in record.busy_left_s:
+            until.append(peer.report_s + left_s + self._margin_s)
+        source = _Source(
+            peer.report.entry, peer.report.incarnation, record.held_epoch
+        )
+        return _Offer(source, tuple(until))
+
+    def _counts(self, *, peer: _Peer) -> bool:
+        """Says whether a report is of a member and of the table in use.
+
+        Only the very epoch counts: an entry that is ahead may be home under a
+        table that this entry has not seen.
+        """
+        row = self._table.row(name=peer.report.entry)
+        if row is None or row.incarnation != peer.report.incarnation:
+            return False
+        return peer.report.epoch == self._table.epoch
+
+    def _free_ended_work(self, *, peer: _Peer) -> None:
         """Frees slots as the work of the former holder ends."""
-        token = self._tokens.get(upstream)
-        if token is None or token.source != offer.entry:
+        if not self._counts(peer=peer):
             return
-        if token.held_epoch != self._table.epoch:
-            return
-        if offer.held_epoch >= token.held_epoch:
-            return
-        self._tokens[upstream] = token._replace(busy_until_s=offer.busy_until_s)
+        for record in peer.report.records:
+            offer = self._offer(peer=peer, record=record)
+            token = self._tokens.get(record.upstream)
+            if token is None or token.source != offer.source:
+                continue
+            if token.held_epoch == self._table.epoch:
+                self._tokens[record.upstream] = token._replace(
+                    busy_until_s=offer.busy_until_s
+                )
 
     def _records_for(
         self, *, home: str, now_s: float
@@ -417,7 +465,7 @@
         for name, token in self._tokens.items():
             if token.held_epoch == self._table.epoch:
                 continue
-            if self.home_of(upstream=name) != home:
+            if self.home_of(upstream=name) not in (home, None):
                 continue
             left = self._busy_left_s(upstream=name, token=token, now_s=now_s)
             records.append(HeldRecord(name, token.held_epoch, left))
@@ -465,19 +513,15 @@
         return True
 
     def _settled_s(self, *, region: str) -> float | None:
-        """Returns when the last entry of the region settled, None if not all.
-
-        Only the very epoch counts: an entry that is ahead may be home under a
-        table that this entry has not seen.
-        """
+        """Returns when the last of the region settled, None if not all."""
         latest_s = self._applied_s
         for row in self._table.entries:
             if row.region != region or row.name == self._name:
                 continue
             peer = self._peers.get(row.name)
-            if peer is None or peer.incarnation != row.incarnation:
+            if peer is None or not self._counts(peer=peer):
                 return None
-            if peer.settled_epoch != self._table.epoch:
+            if not peer.report.settled:
                 return None
             latest_s = max(latest_s, peer.settled_s)
         return latest_s
@@ -531,10 +575,12 @@
         best = self._last_holder(upstream=upstream)
         if best is None:
             return
-        busy = best.busy_until_s
+        token = _Token(self._table.epoch, best.busy_until_s, best.source)
         if not self._accounts_for_lost(holder=best):
+            # The slots are held for the lost entry, so no report of another
+            # may free them: the token has no source.
             busy = self._all_busy(upstream=upstream, now_s=now_s)
-        token = _Token(self._table.epoch, busy, best.entry)
+            token = _Token(self._table.epoch, busy)
         self._tokens[upstream.name] = token
         self._pending.discard(upstream.name)
 
@@ -545,11 +591,12 @@
         Otherwise every entry must have settled under this epoch, lest one that
         is frozen, or whose report was lost, still dispatches.
         """
-        best = _Offer("", 0, ())
+        best = _Offer(NOBODY, ())
         own = self._tokens.get(upstream.name)
         if own is not None:
-            best = _Offer(self._name, own.held_epoch, own.busy_until_s)
-        for offer in self._offers.get(upstream.name, {}).values():
+            source = _Source(self._name, self._incarnation, own.held_epoch)
+            best = _Offer(source, own.busy_until_s)
+        for offer in self._offers(upstream=upstream.name):
             if offer.held_epoch > best.held_epoch:
                 best = offer
         if self._held_just_before(holder=best):
@@ -565,7 +612,7 @@
         return self._held_just_before(holder=holder)
 
     def _held_just_before(self, *, holder: _Offer) -> bool:
-        if not holder.entry:
+        if holder.source == NOBODY:
             return False
         return holder.held_epoch == self._table.epoch - 1
 
--- a/spec/homes.py
+++ b/spec/homes.py
@@ -40,6 +40,16 @@
     lost_epoch: int
 
 
+class Source(NamedTuple):
+    """A process by its entry and incarnation."""
+
+    entry: int
+    incarnation: int
+
+
+NOBODY = Source(-1, 0)
+
+
 class Node(NamedTuple):
     """One process.
 
@@ -49,6 +59,8 @@
       epoch: the table that it has applied.
       held_epoch: last epoch in which it held the duty, 0 for never.
       held_back: time until work of others is surely over.
+      source: process whose work `held_back` is for; NOBODY when it is held
+        for one that was lost.
       running: time left to the deadline of its request, 0 for none.
     """
 
@@ -57,6 +69,7 @@
     epoch: int = 0
     held_epoch: int = 0
     held_back: int = 0
+    source: Source = NOBODY
     running: int = 0
 
 
@@ -98,6 +111,7 @@
     exact_epoch: bool = True
     checks_incarnation: bool = True
     hands_on_busy: bool = True
+    frees_only_source: bool = True
 
 
 Step = tuple[str, State]
@@ -163,9 +177,12 @@
     """Time passes for everyone, frozen or not."""
     nodes = []
     for node in state.nodes:
+        held_back = max(0, node.held_back - 1)
+        source = node.source if held_back else NOBODY
         nodes.append(
             node._replace(
-                held_back=max(0, node.held_back - 1),
+                held_back=held_back,
+                source=source,
                 running=max(0, node.running - 1),
             )
         )
@@ -237,17 +254,39 @@
     table = state.tables[node.epoch]
     if home_of(table) != number or node.held_epoch == node.epoch:
         return
-    for held_back in held_back_choices(state, number, guards):
-        changed = node._replace(held_epoch=node.epoch, held_back=held_back)
+    for held_back, source in held_back_choices(state, number, guards):
+        changed = node._replace(
+            held_epoch=node.epoch,
+            held_back=held_back,
+            source=source if held_back else NOBODY,
+        )
         yield f"take over {number}", with_node(state, number, changed)
 
 
+def free_ended(state: State, number: int, guards: Guards) -> Iterator[Step]:
+    """`Homes._free_ended_work`: the former holder says that less runs."""
+    node = state.nodes[number]
+    if not is_holder(state, number, guards) or node.source == NOBODY:
+        return
+    for report in usable_reports(state, number, node.source.entry, guards):
+        same = report.incarnation == node.source.incarnation
+        if guards.frees_only_source and not same:
+            continue
+        if report.busy_left < node.held_back:
+            source = node.source if report.busy_left else NOBODY
+            changed = node._replace(held_back=report.busy_left, source=source)
+            yield f"free {number}", with_node(state, number, changed)
+
+
 def held_back_choices(
     state: State, number: int, guards: Guards
-) -> Iterator[int]:
-    """Yields, for each way to be sure of the last holder, the time to wait."""
+) -> Iterator[tuple[int, Source]]:
+    """Yields, for each way to be sure of the last holder, the time to wait.
+
+    With it comes the process whose later reports may shorten that time.
+    """
     if not guards.waits_for_holder:
-        yield 0
+        yield 0, NOBODY
         return
     node = state.nodes[number]
     table = state.tables[node.epoch]
@@ -261,17 +300,18 @@
         settled = settled and bool(reports)
         for report in reports:
             if report.held_epoch == node.epoch - 1 and report.held_epoch > 0:
-                yield report.busy_left
+                yield report.busy_left, Source(sender, report.incarnation)
     if not settled:
         return
     own = Report(number, 0, 0, node.held_epoch, node.held_back)
     for best in best_choices(choices, own):
-        if best.held_epoch >= table.lost_epoch or not (
-            guards.holds_slots_of_lost
-        ):
-            yield best.busy_left
+        known = best.held_epoch >= table.lost_epoch
+        if known or not guards.holds_slots_of_lost:
+            yield best.busy_left, Source(best.sender, best.incarnation)
+        elif guards.frees_only_source:
+            yield LONGEST_DEADLINE, NOBODY
         else:
-            yield LONGEST_DEADLINE
+            yield LONGEST_DEADLINE, Source(best.sender, best.incarnation)
 
 
 def best_choices(choices: list[list[Report]], own: Report) -> set[Report]:
@@ -388,6 +428,7 @@
         yield from apply_table(state, number)
         yield from send_report(state, number, guards)
         yield from take_over(state, number, guards)
+        yield from free_ended(state, number, guards)
         yield from dispatch(state, number, guards)
         yield from finish(state, number)
         yield from die(state, number)
@@ -448,6 +489,7 @@
 START = started_from_nothing(deaths=1, changes=4)
 SMALL_START = started_from_nothing(deaths=1, changes=2)
 PAIR = running_pair(deaths=1, changes=2)
+SHORT_START = started_from_nothing(deaths=1, changes=3)
 UNDYING_PAIR = running_pair(deaths=0, changes=2)
 
 MUTANTS = (
@@ -456,6 +498,7 @@
     ("exact_epoch", UNDYING_PAIR),
     ("checks_incarnation", SMALL_START),
     ("hands_on_busy", SMALL_START),
+    ("frees_only_source", SHORT_START),
 )
 
 
