Work out the room at each upstream once for each admission

Cause: one admission asked for the duty at every upstream of the service four times over, those of other entries included, and each time looked through the whole entry table.

Now only the upstreams that this entry is home or successor of are looked at, once; rows are found by name, and who has settled is kept until a report or a table changes it.

--- a/almondstair/core/admission.py
+++ b/almondstair/core/admission.py
@@ -94,6 +94,24 @@
     report_age_s: float | None
 
 
+class _Room(NamedTuple):
+    """What one upstream can take now.
+
+    Attributes:
+      upstream: its name.
+      duty: what this entry may do at it.
+      usable: slots that this entry may fill.
+      free: slots open to short work.
+      free_long: slots open to work too long for the reserve.
+    """
+
+    upstream: str
+    duty: Duty
+    usable: int
+    free: int
+    free_long: int
+
+
 class _UpstreamState:
     """What admission remembers of one upstream."""
 
@@ -202,24 +220,28 @@
           now_s: the time.
           avoid: upstreams that this request must not go to.
         """
-        best_name = ""
+        is_long = deadline_s - now_s > self._homes.reserve_deadline_s
+        rooms = self._rooms(service=service, now_s=now_s)
+        best: _Room | None = None
         best_free = 0
-        for name in self._by_service.get(service, []):
-            if name in avoid:
+        for room in rooms:
+            if room.upstream in avoid:
                 continue
-            free = self._free(upstream=name, deadline_s=deadline_s, now_s=now_s)
+            free = room.free_long if is_long else room.free
             if free > best_free:
-                best_name = name
+                best = room
                 best_free = free
-        if not best_name:
+        if deadline_s <= now_s:
+            return Refusal(ErrorKind.DEADLINE_PASSED, LEAST_RETRY_MS)
+        if best is None or not self._may_take(best, rooms, priority):
             return self.refusal(service=service, now_s=now_s)
-        return self.admit(
-            upstream=best_name,
+        ticket = self._book.start(
+            upstream=best.upstream,
             service=service,
-            priority=priority,
             deadline_s=deadline_s,
-            now_s=now_s,
+            reserve=best.duty.reserve_only,
         )
+        return Admission(ticket, best.upstream, service, now_s)
 
     def admit(
         self,
@@ -231,27 +253,29 @@
         now_s: float,
     ) -> Admission | Refusal:
         """Takes a slot at one upstream, or says why not."""
-        if deadline_s <= now_s:
-            return Refusal(ErrorKind.DEADLINE_PASSED, LEAST_RETRY_MS)
-        if (
-            self._free(upstream=upstream, deadline_s=deadline_s, now_s=now_s)
-            < 1
-        ):
-            return self.refusal(service=service, now_s=now_s)
-        duty = self._homes.duty(upstream=upstream, now_s=now_s)
-        if not duty.reserve_only:
-            kept = self._kept_slots(
-                service=service, priority=priority, now_s=now_s
-            )
-            if self.free_slots(service=service, now_s=now_s) <= kept:
-                return self.refusal(service=service, now_s=now_s)
-        ticket = self._book.start(
-            upstream=upstream,
+        others = set(self._by_service.get(service, []))
+        others.discard(upstream)
+        return self.choose(
             service=service,
+            priority=priority,
             deadline_s=deadline_s,
-            reserve=duty.reserve_only,
+            now_s=now_s,
+            avoid=frozenset(others),
         )
-        return Admission(ticket, upstream, service, now_s)
+
+    def _may_take(
+        self, best: _Room, rooms: list[_Room], priority: Priority
+    ) -> bool:
+        """Says whether a priority leaves enough to the ones above it."""
+        if best.duty.reserve_only:
+            return True
+        usable = 0
+        free = 0
+        for room in rooms:
+            usable += room.usable
+            free += room.free
+        kept = math.ceil(self._kept_fraction[priority] * usable)
+        return free > max(0, min(kept, usable - 1))
 
     def release(
         self,
@@ -309,15 +333,15 @@
     def free_slots(self, *, service: str, now_s: float) -> int:
         """Returns the slots that interactive work could take now."""
         free = 0
-        for name in self._by_service.get(service, []):
-            free += self._free(upstream=name, deadline_s=now_s, now_s=now_s)
+        for room in self._rooms(service=service, now_s=now_s):
+            free += room.free
         return free
 
     def usable_slots(self, *, service: str, now_s: float) -> int:
         """Returns the slots of a service that this entry may fill."""
         usable = 0
-        for name in self._by_service.get(service, []):
-            usable += self._usable(upstream=name, now_s=now_s)
+        for room in self._rooms(service=service, now_s=now_s):
+            usable += room.usable
         return usable
 
     def service_time_s(self, *, service: str) -> float:
@@ -364,22 +388,32 @@
     def _is_leaving(self, *, upstream: str) -> bool:
         return upstream in self._leaving or self._states[upstream].draining
 
-    def _free(self, *, upstream: str, deadline_s: float, now_s: float) -> int:
-        """Returns the slots open to a request with this deadline."""
+    def _rooms(self, *, service: str, now_s: float) -> list[_Room]:
+        """Returns what the upstreams of a service can take from here."""
+        rooms = []
+        for name in self._homes.mine():
+            state = self._states.get(name)
+            if state is None or service not in state.services:
+                continue
+            rooms.append(self._room(upstream=name, now_s=now_s))
+        return rooms
+
+    def _room(self, *, upstream: str, now_s: float) -> _Room:
         self._book.expire(upstream=upstream, now_s=now_s)
         duty = self._homes.duty(upstream=upstream, now_s=now_s)
         limit = self._limit(upstream=upstream, duty=duty, now_s=now_s)
+        if limit < 1:
+            return _Room(upstream, duty, 0, 0, 0)
         used = self._used(upstream=upstream, duty=duty, now_s=now_s)
-        free = limit - used
-        if deadline_s - now_s <= self._homes.reserve_deadline_s:
-            return max(0, free)
         long_used = self._long_used(upstream=upstream, duty=duty, now_s=now_s)
-        return max(0, min(free, duty.long_slots - long_used))
-
-    def _usable(self, *, upstream: str, now_s: float) -> int:
-        duty = self._homes.duty(upstream=upstream, now_s=now_s)
-        limit = self._limit(upstream=upstream, duty=duty, now_s=now_s)
-        return max(0, limit - len(duty.busy_until_s))
+        free = max(0, limit - used)
+        return _Room(
+            upstream=upstream,
+            duty=duty,
+            usable=max(0, limit - len(duty.busy_until_s)),
+            free=free,
+            free_long=max(0, min(free, duty.long_slots - long_used)),
+        )
 
     def _limit(self, *, upstream: str, duty: Duty, now_s: float) -> int:
         state = self._states.get(upstream)
@@ -426,14 +460,6 @@
                 used += 1
         return used
 
-    def _kept_slots(
-        self, *, service: str, priority: Priority, now_s: float
-    ) -> int:
-        """Returns the slots that a priority leaves to the ones above it."""
-        usable = self.usable_slots(service=service, now_s=now_s)
-        kept = math.ceil(self._kept_fraction[priority] * usable)
-        return max(0, min(kept, usable - 1))
-
     def _note_service_time(self, *, service: str, latency_s: float) -> None:
         known_s = self._service_time_s.get(service)
         if known_s is None:
--- a/almondstair/core/homes.py
+++ b/almondstair/core/homes.py
@@ -24,6 +24,7 @@
 
 import xxhash
 
+from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.model import Configuration
 from almondstair.core.slot_book import SlotBook
@@ -239,6 +240,9 @@
         self._tokens: dict[str, _Token] = {}
         self._peers: dict[str, _Peer] = {}
         self._pending: set[str] = set()
+        self._rows: dict[str, EntryRow] = {}
+        self._settled_cache: dict[str, float | None] = {}
+        self._mine: tuple[str, ...] | None = None
 
     @property
     def epoch(self) -> int:
@@ -256,6 +260,7 @@
         for upstream in upstreams:
             self._upstreams[upstream.name] = upstream
         self._ranks.clear()
+        self._mine = None
         self._list_pending()
 
     def home_of(self, *, upstream: str) -> str | None:
@@ -281,7 +286,12 @@
             self._lost_s = now_s
         self._table = table
         self._applied_s = now_s
+        self._rows = {}
+        for row in table.entries:
+            self._rows[row.name] = row
         self._ranks.clear()
+        self._settled_cache.clear()
+        self._mine = None
         if self._was_dropped(since_epoch=old_epoch):
             # The others counted this process as lost and others hold its
             # duties by now; keeping them would run two homes at once.
@@ -293,7 +303,7 @@
 
     def heard(self, *, report: HomesReport, now_s: float) -> None:
         """Takes a report of another entry, in any order and however late."""
-        row = self._table.row(name=report.entry)
+        row = self._rows.get(report.entry)
         if row is None or row.incarnation != report.incarnation:
             # An old process of the same name, or one whose row is not yet
             # replaced: its word would stand for work nobody accounts for.
@@ -302,6 +312,7 @@
         peer = self._with_echo(peer=peer, report=report)
         self._peers[report.entry] = peer._replace(heard_s=now_s)
         if peer.report is report:
+            self._settled_cache.clear()
             self._free_ended_work(peer=peer)
             self._take_over_all(now_s=now_s)
 
@@ -324,6 +335,16 @@
             records=self._records_for(home=peer, now_s=now_s),
         )
 
+    def mine(self) -> tuple[str, ...]:
+        """Returns the upstreams that this entry is home or successor of."""
+        if self._mine is None:
+            names = []
+            for name in self._upstreams:
+                if self._name in self._rank(upstream=name)[:2]:
+                    names.append(name)
+            self._mine = tuple(names)
+        return self._mine
+
     def duty(self, *, upstream: str, now_s: float) -> Duty:
         """Returns what this entry may do at an upstream now."""
         known = self._upstreams.get(upstream)
@@ -337,7 +358,7 @@
 
     def idle(self, *, now_s: float) -> bool:
         """Says whether a leaving entry has released everything it held."""
-        row = self._table.row(name=self._name)
+        row = self._rows.get(self._name)
         if row is not None and not row.leaving:
             return False
         for token in self._tokens.values():
@@ -349,11 +370,11 @@
         return not self._book.upstreams()
 
     def _in_table(self) -> bool:
-        row = self._table.row(name=self._name)
+        row = self._rows.get(self._name)
         return row is not None and row.incarnation == self._incarnation
 
     def _was_dropped(self, *, since_epoch: int) -> bool:
-        row = self._table.row(name=self._name)
+        row = self._rows.get(self._name)
         if row is None or row.incarnation != self._incarnation:
             return True
         return row.joined_epoch > since_epoch
@@ -439,7 +460,7 @@
         Only the very epoch counts: an entry that is ahead may be home under a
         table that this entry has not seen.
         """
-        row = self._table.row(name=peer.report.entry)
+        row = self._rows.get(peer.report.entry)
         if row is None or row.incarnation != peer.report.incarnation:
             return False
         return peer.report.epoch == self._table.epoch
@@ -514,6 +535,11 @@
 
     def _settled_s(self, *, region: str) -> float | None:
         """Returns when the last of the region settled, None if not all."""
+        if region not in self._settled_cache:
+            self._settled_cache[region] = self._last_settled_s(region=region)
+        return self._settled_cache[region]
+
+    def _last_settled_s(self, *, region: str) -> float | None:
         latest_s = self._applied_s
         for row in self._table.entries:
             if row.region != region or row.name == self._name:
