Build the models of three specifications in one place

Cause: claims, reserve and homes each had the same lines that make right models and mutants. Change: one function in spec/checked_model.py. After: 35 models, 585,406 states, 0 surprises, 57.2 s.

--- a/spec/checked_model.py
+++ b/spec/checked_model.py
@@ -1,6 +1,7 @@
 """What each module of the specification offers to the model check."""
 
-from typing import NamedTuple
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
 
 import minicheck
 
@@ -20,3 +21,34 @@
     protocol: minicheck.Protocol
     expect_holds: bool
     guard: str = ""
+
+
+def checked_models(
+    *,
+    module: str,
+    build: Callable[[str, Any, str], minicheck.Protocol],
+    right: Sequence[tuple[str, Any]],
+    mutants: Sequence[tuple[str, Any]],
+) -> tuple[CheckedModel, ...]:
+    """Returns the right models of a module and its mutants.
+
+    Args:
+      module: name of the module, first in the name of each model.
+      build: makes a protocol from a name, a start and the guard to leave out,
+        "" for none.
+      right: what distinguishes each right model, and its start.
+      mutants: the guard that each mutant lacks, and its start.
+    """
+    models = []
+    for what, start in right:
+        name = f"{module}: {what}"
+        models.append(
+            CheckedModel(name, build(name, start, ""), expect_holds=True)
+        )
+    for guard, start in mutants:
+        name = f"{module} without: {guard}"
+        mutant = build(name, start, guard)
+        models.append(
+            CheckedModel(name, mutant, expect_holds=False, guard=guard)
+        )
+    return tuple(models)
--- a/spec/claims.py
+++ b/spec/claims.py
@@ -19,7 +19,7 @@
 
 from minicheck import Protocol
 
-from spec.checked_model import CheckedModel
+from spec.checked_model import checked_models
 
 ENTRY_OF_ATTEMPT = (0, 1, 0)
 
@@ -397,22 +397,19 @@
 )
 
 
-def _models() -> tuple[CheckedModel, ...]:
-    models = []
-    for name, bounds in (
-        ("claims: sent twice, written twice", TWICE),
-        ("claims: sent three times", THRICE),
-    ):
-        right = protocol(name, bounds, Guards())
-        models.append(CheckedModel(name, right, expect_holds=True))
-    for guard, bounds in MUTANTS:
-        name = f"claims without: {guard}"
-        guards = Guards()._replace(**{guard: False})
-        mutant = protocol(name, bounds, guards)
-        models.append(
-            CheckedModel(name, mutant, expect_holds=False, guard=guard)
-        )
-    return tuple(models)
+def _build(name: str, bounds: Bounds, without: str) -> Protocol:
+    guards = Guards()
+    if without:
+        guards = guards._replace(**{without: False})
+    return protocol(name, bounds, guards)
 
 
-MODELS = _models()
+MODELS = checked_models(
+    module="claims",
+    build=_build,
+    right=(
+        ("sent twice, written twice", TWICE),
+        ("sent three times", THRICE),
+    ),
+    mutants=MUTANTS,
+)
--- a/spec/homes.py
+++ b/spec/homes.py
@@ -20,7 +20,7 @@
 
 from minicheck import Protocol
 
-from spec.checked_model import CheckedModel
+from spec.checked_model import checked_models
 
 SLOTS = 1
 LONGEST_DEADLINE = 2
@@ -502,22 +502,19 @@
 )
 
 
-def _models() -> tuple[CheckedModel, ...]:
-    models = []
-    for name, start in (
-        ("homes: two entries from the first table on", START),
-        ("homes: a running pair and a third entry", PAIR),
-    ):
-        right = protocol(name, start, Guards())
-        models.append(CheckedModel(name, right, expect_holds=True))
-    for guard, start in MUTANTS:
-        name = f"homes without: {guard}"
-        guards = Guards()._replace(**{guard: False})
-        mutant = protocol(name, start, guards)
-        models.append(
-            CheckedModel(name, mutant, expect_holds=False, guard=guard)
-        )
-    return tuple(models)
+def _build(name: str, start: State, without: str) -> Protocol:
+    guards = Guards()
+    if without:
+        guards = guards._replace(**{without: False})
+    return protocol(name, start, guards)
 
 
-MODELS = _models()
+MODELS = checked_models(
+    module="homes",
+    build=_build,
+    right=(
+        ("two entries from the first table on", START),
+        ("a running pair and a third entry", PAIR),
+    ),
+    mutants=MUTANTS,
+)
--- a/spec/reserve.py
+++ b/spec/reserve.py
@@ -16,7 +16,7 @@
 
 from minicheck import Protocol
 
-from spec.checked_model import CheckedModel
+from spec.checked_model import checked_models
 
 SLOTS = 2
 ORDINARY_SLOTS = 1
@@ -417,22 +417,19 @@
 )
 
 
-def _models() -> tuple[CheckedModel, ...]:
-    models = []
-    for name, plan in (
-        ("reserve: the successor moves", SUCCESSOR_MOVES),
-        ("reserve: the home moves", HOME_MOVES),
-    ):
-        right = protocol(name, plan, Guards())
-        models.append(CheckedModel(name, right, expect_holds=True))
-    for guard, plan in MUTANTS:
-        name = f"reserve without: {guard}"
-        guards = Guards()._replace(**{guard: False})
-        mutant = protocol(name, plan, guards)
-        models.append(
-            CheckedModel(name, mutant, expect_holds=False, guard=guard)
-        )
-    return tuple(models)
+def _build(name: str, plan: Plan, without: str) -> Protocol:
+    guards = Guards()
+    if without:
+        guards = guards._replace(**{without: False})
+    return protocol(name, plan, guards)
 
 
-MODELS = _models()
+MODELS = checked_models(
+    module="reserve",
+    build=_build,
+    right=(
+        ("the successor moves", SUCCESSOR_MOVES),
+        ("the home moves", HOME_MOVES),
+    ),
+    mutants=MUTANTS,
+)
