--- a/almondstair/operators.py
+++ b/almondstair/operators.py
@@ -147,9 +147,17 @@
                 kind=ErrorKind.BAD_REQUEST, detail=f"the body: {error}"
             ) from error
 
-    def answer(self, content: dict[str, Any], *, status: int = 200) -> None:
+    def answer(
+        self,
+        content: dict[str, Any],
+        *,
+        status: int = 200,
+        error: AlmondstairError | None = None,
+    ) -> None:
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
+        if error is not None:
+            self.set_problem_headers(error)
         self.finish(msgspec.json.encode(content))
 
     def answer_edit(self, edit: EditAnswer) -> None:
@@ -163,9 +171,13 @@
         content["version"] = edit.version
         content["lacking"] = list(edit.lacking)
         content["changed"] = list(edit.changed)
-        self.answer(content, status=status)
-        if edit.error is not None:
-            self.set_header("Content-Type", PROBLEM_CONTENT_TYPE)
+        self.answer(content, status=status, error=edit.error)
+
+    def set_problem_headers(self, error: AlmondstairError) -> None:
+        self.set_header("Content-Type", PROBLEM_CONTENT_TYPE)
+        if error.retry_after_ms is not None:
+            seconds = -(-error.retry_after_ms // 1000)
+            self.set_header("Retry-After", str(seconds))
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answers exceptions; the one place from exception to answer."""
@@ -178,10 +190,7 @@
                 log.event(log.Event.REQUEST_BROKEN, error=error)
             error = AlmondstairError(kind=kind, detail=self._reason)
         self.set_status(error.rule.http_status)
-        self.set_header("Content-Type", PROBLEM_CONTENT_TYPE)
-        if error.retry_after_ms is not None:
-            seconds = -(-error.retry_after_ms // 1000)
-            self.set_header("Retry-After", str(seconds))
+        self.set_problem_headers(error)
         problem: dict[str, Any] = dict(error.problem())
         faults = getattr(error, "faults", None)
         if faults:
