Ask the peers, not the platform, for the epoch at start

A starting entry took the table that its platform held, empty or rolled back, for the latest, and registered in it: it held homes under its own low epoch while their holders went on. It now waits for one peer's table, whatever it read from the platform; without an answer of any peer the wait stays bounded. An entry that is surely gone no longer blocks the repair of a lost table.

--- a/almondstair/core/membership.py
+++ b/almondstair/core/membership.py
@@ -222,9 +222,9 @@
         change made from its rows would drop entries that run and hold duties,
         under an epoch that they follow. So a change starts from the table in
         force here instead, and only when that is surely the latest: every
-        entry of it is heard, and none acts on a higher epoch. Otherwise a
-        silent entry may know a later one, and two tables under one epoch would
-        give one duty to two entries.
+        entry of it is heard or surely gone, and none acts on a higher epoch.
+        Otherwise a silent entry may know a later one, and two tables under one
+        epoch would give one duty to two entries.
 
         Args:
           table: the table as the platform has it now.
@@ -235,7 +235,7 @@
         """
         if table.epoch >= self.table.epoch:
             return table
-        if self.is_behind or self.silent(now_s=now_s):
+        if self.is_behind or not self.all_heard(now_s=now_s):
             return None
         return self.table
 
@@ -501,6 +501,10 @@
             rows.append(row)
         return tuple(rows)
 
+    def all_heard(self, *, now_s: float) -> bool:
+        """Returns whether each entry of the table is heard or surely gone."""
+        return set(self.silent(now_s=now_s)) <= self.gone_names()
+
     def silent(self, *, now_s: float) -> tuple[str, ...]:
         """Returns the names of the entries past the silence limit."""
         names = []
--- a/almondstair/document_exchange.py
+++ b/almondstair/document_exchange.py
@@ -24,10 +24,15 @@
 # Heartbeats of many peers show the same news; one question in this time is
 # enough, and the next one goes to another peer if the first is lost.
 ASK_AGAIN_S = 0.5
+ANY_EPOCH = -1
 
 
 class DocumentExchange:
-    """Asks peers for newer documents and answers such questions."""
+    """Asks peers for newer documents and answers such questions.
+
+    Attributes:
+      peer_epoch: highest epoch of a table that a peer sent, 0 before any.
+    """
 
     def __init__(
         self,
@@ -61,6 +66,7 @@
         self._clock = clock
         self._table_asked_s = float("-inf")
         self._configuration_asked_s = float("-inf")
+        self.peer_epoch = 0
         self._packed = b""
         self._packed_version = 0
 
@@ -72,7 +78,11 @@
         for address in addresses:
             if address == self._peer_address:
                 continue
-            self._peers.send_to_address(address, self._table_request())
+            # Answered whatever was read from the platform meanwhile: that the
+            # peers have nothing newer is an answer too.
+            self._peers.send_to_address(
+                address, TableRequest(self._peer_address, ANY_EPOCH)
+            )
             self._peers.send_to_address(address, self._configuration_request())
 
     def follow_heartbeat(self, *, name: str, heartbeat: Heartbeat) -> None:
@@ -96,6 +106,7 @@
         if isinstance(message, TableRequest):
             self._answer_table(message)
         elif isinstance(message, TableDocument):
+            self.peer_epoch = max(self.peer_epoch, message.table.epoch)
             self._on_table(message.table)
         elif isinstance(message, ConfigurationRequest):
             self._answer_configuration(message)
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -404,18 +404,22 @@
             await asyncio.sleep(START_POLL_S)
 
     async def _ask_peers(self) -> None:
-        """Asks the peers of the settings before anything is seeded.
+        """Asks the peers of the settings before anything is written.
 
         A platform that was wiped looks like one never used; a peer that runs
-        knows better.
+        knows better. Without an answer of any peer the wait is bounded.
         """
         addresses = self._settings.entry.peer_addresses
         until_s = time.monotonic() + START_ASK_S
         while addresses and time.monotonic() < until_s:
-            if self.configuration_keeper.configuration is not None:
-                return
             self._exchange.ask_addresses(addresses)
             await asyncio.sleep(START_POLL_S)
+            # A platform that was rolled back has a table as well. Only one
+            # that a peer has in force shows whether it is the latest.
+            if not self._exchange.peer_epoch:
+                continue
+            if self.configuration_keeper.configuration is not None:
+                return
             if await self._platform_has_one():
                 return
 
