Tell what an edit lost against, and never call an open edit undone

The loser of a race mostly had the winner's version in force when it was answered, its copy of the base was gone, and the changed keys came out empty: they are worked out from the history now. The fate of an edit whose answer was lost was told as not found, ran no, while its write could still take effect, or not at all while the platform was out.

--- a/almondstair/configuration_keeper.py
+++ b/almondstair/configuration_keeper.py
@@ -11,6 +11,7 @@
 from almondstair.core.configuration import ConfigurationState
 from almondstair.core.configuration import Edit
 from almondstair.core.configuration import EditFate
+from almondstair.core.configuration import EditNote
 from almondstair.core.configuration import EditResult
 from almondstair.core.configuration import Offer
 from almondstair.core.configuration import StoredConfiguration
@@ -20,6 +21,7 @@
 from almondstair.core.model import Configuration
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
+from almondstair.errors import Ran
 from almondstair.operators import EditAnswer
 from almondstair.operators import EditRequest
 from almondstair.settings import read_configuration
@@ -67,6 +69,8 @@
         self._on_configuration = on_configuration
         self._follower: Follower | None = None
         self._bad_version = 0
+        # Base of each edit whose write may take effect yet, by edit id.
+        self._unsettled: dict[str, int] = {}
         self.configuration: Configuration | None = None
 
     @property
@@ -186,7 +190,7 @@
             highest_version=self._membership.highest_version(
                 own_version=self._state.version
             ),
-            all_heard=not self._membership.silent(now_s=time.monotonic()),
+            all_heard=self._membership.all_heard(now_s=time.monotonic()),
         )
         log.event(
             log.Event.EDIT,
@@ -197,6 +201,8 @@
         )
         if result.fate is EditFate.PENDING:
             return await self._until_accepted(result)
+        if result.fate is EditFate.UNKNOWN:
+            self._unsettled[edit.edit_id] = edit.base_version
         return await self._answer(result, request.base_version, before)
 
     async def fate(self, edit_id: str) -> EditAnswer:
@@ -205,19 +211,33 @@
         Raises:
           AlmondstairError: `platform_unavailable`, `not_found`.
         """
-        stored = await self._store.read()
-        note = None
-        if stored is not None:
-            self.take(stored)
-            note = stored.find(edit_id=edit_id)
-        if note is None:
-            raise AlmondstairError(
-                kind=ErrorKind.NOT_FOUND,
-                detail=f"no edit {edit_id} among the latest; it was not "
-                "applied, or is older than those remembered",
+        # Before it is looked up among the edits in force: those do not go
+        # away, and the platform may be out when an operator asks.
+        note = self._note_in_force(edit_id)
+        if note is None and edit_id in self._unsettled:
+            result = await self._store.fate(
+                edit_id=edit_id, base_version=self._unsettled[edit_id]
             )
-        result = EditResult(EditFate.PENDING, edit_id, note.version)
-        return await self._answer(self._judged(result), 0, None)
+            return await self._answer(self._judged(result), 0, None)
+        if note is None:
+            stored = await self._store.read()
+            if stored is not None:
+                self.take(stored)
+                note = stored.find(edit_id=edit_id)
+        if note is not None:
+            result = EditResult(EditFate.PENDING, edit_id, note.version)
+            return await self._answer(self._judged(result), 0, None)
+        raise AlmondstairError(
+            kind=ErrorKind.NOT_FOUND,
+            ran=Ran.UNKNOWN,
+            detail=f"no edit {edit_id} among the latest; it was not applied, "
+            "is older than those remembered, or its write is under way yet",
+        )
+
+    def _note_in_force(self, edit_id: str) -> EditNote | None:
+        if self._state.in_force is None:
+            return None
+        return self._state.in_force.find(edit_id=edit_id)
 
     async def history(self) -> list[dict[str, object]]:
         """Returns the latest edits, newest first."""
@@ -318,9 +338,22 @@
             return ()
         self.take(stored)
         if before is None or before.version != base_version:
+            before = await self._past_quietly(base_version)
+        if before is None:
             return ()
         return tuple(documents.describe_changes(before.text, stored.text))
 
+    async def _past_quietly(self, version: int) -> StoredConfiguration | None:
+        """Returns the version an edit was made on, if it is still kept.
+
+        The loser of a race often has the winner's version in force already,
+        so its own copy of the base is gone.
+        """
+        try:
+            return await self._store.past(version=version)
+        except AlmondstairError:
+            return None
+
 
 def _conflict_detail(result: EditResult) -> str:
     winner = result.winner
