Keep the VM list's marks when a home starts without the list

A home that restarted while the VM list was out gave new work to an upstream that the list had marked. Entries tell the list's marks that they read themselves, and one that has read none yet goes by these. Marks heard are not told on, so none outlives its source.

--- a/almondstair/control.py
+++ b/almondstair/control.py
@@ -167,6 +167,9 @@
         row = self._parts.membership.table.row(name=name)
         assert row is not None
         self._parts.quarantine.merge(marks=heartbeat.detail.marks, now_s=now_s)
+        if self._table.list_described_s is None:
+            # Before the homes' report that follows may bring a duty.
+            self.set_leaving()
         for load in heartbeat.detail.loads:
             self._observe(row, load, now_s)
 
@@ -250,7 +253,11 @@
         return tuple(loads)
 
     def _own_leaving(self, now_s: float) -> set[str]:
-        names = set()
+        # The VM list's marks as read here, for entries that cannot read it.
+        names = set(self._table.vms_leaving)
+        configuration = self._configuration.configuration
+        if configuration is not None:
+            names &= set(configuration.upstreams)
         for row in self._parts.keeper.slots.status(now_s=now_s):
             if row.leaving:
                 names.add(row.name)
@@ -320,6 +327,11 @@
         one does not say undoes nothing.
         """
         names = set(self._table.vms_leaving)
+        if self._table.list_described_s is None:
+            # A new process that cannot read the VM list yet would send new
+            # work to an upstream that all others know to be leaving.
+            for heard in self._heartbeats.details.values():
+                names.update(heard.detail.leaving_upstreams)
         configuration = self._configuration.configuration
         if configuration is not None:
             names.update(configuration.marks.leaving)
