Hand over again until it holds, and finish while the platform is out

The mark in the table was tried once: after one lost call the stopping entry stayed home of its upstreams to its end. Stopped while the platform was out, it never said that it had finished, and the others held its slots back or never took its homes over. An entry that takes no work and holds no slot now says so, whatever its row says.

--- a/almondstair/core/homes.py
+++ b/almondstair/core/homes.py
@@ -361,6 +361,14 @@
         row = self._rows.get(self._name)
         if row is not None and not row.leaving:
             return False
+        return self.nothing_held(now_s=now_s)
+
+    def nothing_held(self, *, now_s: float) -> bool:
+        """Says whether no slot is taken by this entry's doing or knowledge.
+
+        An entry that takes no work any more and holds nothing may say that it
+        is finished even while the platform is out and its row is not marked.
+        """
         for token in self._tokens.values():
             if any(until_s > now_s for until_s in token.busy_until_s):
                 # Slots held for a lost entry are known to this one alone.
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -72,6 +72,7 @@
 READY_LIMIT_S = 5.0
 METRICS_INTERVAL_S = 1.0
 STOP_POLL_S = 0.05
+HAND_OVER_POLL_S = 0.2
 RELEASE_LIMIT_S = 3.0
 
 
@@ -468,9 +469,7 @@
         timing = self._settings.timing
         until_s = time.monotonic()
         until_s += (timing.lookup_ttl_ms + timing.drain_margin_ms) / 1000
-        await self.table_keeper.change(
-            lambda table: self.membership.plan_leaving(table=table)
-        )
+        await self._hand_over(until_s)
         await asyncio.sleep(max(0.0, until_s - time.monotonic()))
         self._refusing = True
         self._caller_door.stop_listening()
@@ -479,6 +478,22 @@
         await self._close()
         log.event(log.Event.STOPPED, entry=self.own.name)
 
+    async def _hand_over(self, until_s: float) -> None:
+        """Has the row marked as leaving, so that the duties go to others.
+
+        Tried until it holds: given up after one lost call, this entry would
+        stay the home of its upstreams until it is gone, and they would stand
+        idle meanwhile.
+        """
+        while True:
+            await self.table_keeper.change(
+                lambda table: self.membership.plan_leaving(table=table)
+            )
+            row = self.membership.table.row(name=self.own.name)
+            if row is None or row.leaving or time.monotonic() >= until_s:
+                return
+            await asyncio.sleep(HAND_OVER_POLL_S)
+
     async def _finish_running(self) -> None:
         limit_s = self._settings.timing.stop_limit_ms / 1000
         until_s = time.monotonic() + limit_s
@@ -497,8 +512,13 @@
         self._shares.release()
         while not self.homes.idle(now_s=time.monotonic()):
             if time.monotonic() > until_s:
-                return
+                break
             await asyncio.sleep(STOP_POLL_S)
+        if not self.homes.nothing_held(now_s=time.monotonic()):
+            return
+        # While the platform is out the row stays. The others drop it on the
+        # word `finished` once the platform is back; without that word they
+        # would hold its upstreams' slots back for the longest deadline.
         self._forward_door.stop_listening()
         await self.table_keeper.change(
             lambda table: self.membership.plan_release(table=table)
