--- /dev/null
+++ b/features/leaving.feature
@@ -0,0 +1,61 @@
+Feature: What leaves gets no new work, and nothing in flight is cut off
+  Every part is a process of its own: platform, upstreams, entries, callers.
+
+  Scenario: Upstreams leave by the operator, by the VM list, by their own word
+    # Symptom: a VM that is stopped after its drain takes requests along.
+    # Cause: one of the three sources was not heard, or outweighed by another.
+    Given a steady deployment of 2 entries and 4 upstreams in bkk
+    And look-ups arrive at 40 a second
+    When long work runs on upstream "bkk-u0", "bkk-u1" and "bkk-u2"
+    And "bkk-u0" is marked by the operator, "bkk-u1" by the VM list, "bkk-u2" by itself
+    And the platform goes out 1.5 s later
+    Then no work starts on those three from 3 s after the mark for 2 s
+    And the long work on them ended whole, and their drains are shown as done
+    When the platform is on again and the marks are taken back
+    Then work starts on those three again within 10 s
+    And no look-up failed
+
+  Scenario: A home starts while the VM list is out
+    # Symptom: a leaving VM gets work again from an entry that restarted.
+    # Sequence: the VM list marks an upstream, then goes out; its home restarts
+    # and cannot read the mark.
+    # Cause: the list's silence was taken for a list without marks.
+    Given a steady deployment of 2 entries and 1 upstreams in bkk
+    When the VM list marks "bkk-u0" and goes out, and its home restarts
+    Then requests through each entry are refused and "bkk-u0" starts no work
+
+  Scenario: Rolling restarts under load with callers that cache look-ups
+    # Symptom: a planned stop cuts requests off.
+    # Causes: callers still come to an entry that their cached look-up names;
+    # the entry ends before its requests; its upstreams stand idle.
+    Given a steady deployment of 3 entries and 3 upstreams in bkk
+    When callers send 60 requests a second while 4 entries restart in turn
+    Then each stop ended with exit code 0
+    And each request was answered 200, or refused as not run and done later
+    And no key ran twice, and no upstream had more than its slots
+
+  Scenario: Uploads and downloads are under way when their entry stops
+    # Symptom: an inspector's upload breaks off whenever an entry is replaced.
+    Given a steady deployment of 2 entries and 2 upstreams in bkk
+    When a slow upload, a slow download and long work run through "bkk-e0"
+    And "bkk-e0" is stopped
+    Then each of them ends whole
+    And "bkk-e0" ended with exit code 0 after them
+
+  Scenario: An entry stops while the platform is out
+    Given a steady deployment of 2 entries and 2 upstreams in bkk
+    And look-ups arrive at 40 a second
+    When the platform goes out and "bkk-e0" is stopped
+    Then "bkk-e0" ended with exit code 0 within 12 s
+    And no look-up was cut off
+    When the platform is on again
+    Then the homes of "bkk-e0" are taken over within 10 s
+
+  Scenario: An entry is killed and the VM list drops it
+    # Symptom: upstreams of a dead entry stay idle, or get more than their
+    # slots from its heir.
+    # Sequence: SIGKILL with work running; the list drops the VM later.
+    Given a steady deployment of 3 entries and 3 upstreams in bkk with short deadlines
+    When the home of "bkk-u0" is killed with work running, and the VM list drops it
+    Then "bkk-u0" takes work again within 12 s
+    And no upstream had more than its slots
--- /dev/null
+++ b/features/steps/leaving_steps.py
@@ -0,0 +1,379 @@
+"""Steps of leaving.feature: drains, stops and deaths of real processes."""
+
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support.deployment import Deployment
+from features.support.deployment import Shape
+from features.support.harness import get
+from features.support.harness import wait_until
+from features.support.leaving import APPROVE
+from features.support.leaving import BUSY_LOOK_UP
+from features.support.leaving import LOOK_UP
+from features.support.leaving import Background
+from features.support.leaving import keys_run_twice
+from features.support.leaving import long_work
+from features.support.leaving import read_ends
+from features.support.leaving import restart_in_turn
+from features.support.leaving import slow_download
+from features.support.leaving import slow_upload
+from features.support.leaving import start_load
+from features.support.leaving import starts_after
+from features.support.leaving import wait_running
+
+LONG_WORK_MS = 3000
+LEAVE_LIMIT_S = 3.0
+LONG_WORK_TRIES = 30
+# Deadline of uploads and statements where a scenario waits it out.
+SHORT_DEADLINE_MS = 4000
+DOWNLOAD_BYTES = 5_000_000
+MARKED = ("bkk-u0", "bkk-u1", "bkk-u2")
+
+
+@given(
+    "a steady deployment of {entries:d} entries and {upstreams:d} upstreams "
+    "in bkk"
+)
+def step_steady(context, entries, upstreams):
+    start_steady(context, Deployment, entries, upstreams)
+
+
+@given(
+    "a steady deployment of {entries:d} entries and {upstreams:d} upstreams "
+    "in bkk with short deadlines"
+)
+def step_steady_short(context, entries, upstreams):
+    start_steady(context, ShortDeployment, entries, upstreams)
+
+
+def start_steady(context, kind, entries, upstreams):
+    context.deployment = kind(
+        processes=context.processes,
+        shape=Shape(entries={"bkk": entries}, upstreams={"bkk": upstreams}),
+    )
+    context.deployment.start()
+    for addresses in context.deployment.entries.values():
+
+        def is_answered(address=addresses["caller"]):
+            return get(address, "/matching/orders/0").status == 200
+
+        wait_until(is_answered, what="the first answer")
+
+
+class ShortDeployment(Deployment):
+    """Its longest work is short: a dead home's slots are held for as long."""
+
+    def deployment_text(self):
+        text = super().deployment_text()
+        short = f"deadline_ms = {SHORT_DEADLINE_MS}"
+        return text.replace("deadline_ms = 20000", short)
+
+
+@given("look-ups arrive at {rate:d} a second")
+def step_look_ups(context, rate):
+    context.rate = rate
+    # More than a scenario takes; it ends the callers when it has seen enough.
+    context.load = start_load(
+        context.deployment, rate=rate, count=rate * 60, classes=[LOOK_UP]
+    )
+    time.sleep(0.5)
+
+
+def end_load(context):
+    context.load.terminate()
+    return read_ends(context.deployment)
+
+
+@when('long work runs on upstream "bkk-u0", "bkk-u1" and "bkk-u2"')
+def step_long_work(context):
+    context.works = []
+    address = context.deployment.callers()[0]
+    busy = set()
+    for number in range(LONG_WORK_TRIES):
+        work = Background(long_work, address, LONG_WORK_MS, f"long{number}")
+        found = wait_until(
+            lambda call=f"/long{number}?", work=work: (
+                work.end_s or ran_at(context.deployment, call)
+            ),
+            what="long work",
+        )
+        if isinstance(found, str):
+            context.works.append(work)
+            busy.add(found)
+        if busy >= set(MARKED):
+            return
+    raise AssertionError(f"long work runs only on {busy}")
+
+
+def ran_at(deployment, call):
+    """Returns the upstream that runs a call, empty while none does."""
+    for name in deployment.upstreams:
+        for run in deployment.journal(name)["runs"]:
+            if call in run["path"]:
+                return name
+    return ""
+
+
+@when(
+    '"bkk-u0" is marked by the operator, "bkk-u1" by the VM list, '
+    '"bkk-u2" by itself'
+)
+def step_marks(context):
+    deployment = context.deployment
+    context.marked_s = time.monotonic()
+    deployment.publish_vms(leaving=("bkk-u1",))
+    deployment.control("bkk-u2", draining=True)
+    told = deployment.mark("bkk-e0", "bkk-u0", leaving=True)
+    assert told.status == 200, told
+    context.mark_accepted_s = time.monotonic() - context.marked_s
+
+
+@when("the platform goes out {time_s:f} s later")
+def step_platform_out_later(context, time_s):
+    time.sleep(max(0.0, context.marked_s + time_s - time.monotonic()))
+    context.deployment.faults(down=True, vm_list_down=True)
+
+
+@then("no work starts on those three from 3 s after the mark for 2 s")
+def step_no_new_work(context):
+    limit_s = context.marked_s + LEAVE_LIMIT_S
+    time.sleep(limit_s + 2.0 - time.monotonic())
+    context.last_start_s = {}
+    for name in MARKED:
+        assert not starts_after(context.deployment, name, limit_s), name
+        late = starts_after(context.deployment, name, context.marked_s)
+        last_s = max([run["start"] for run in late], default=None)
+        if last_s is not None:
+            context.last_start_s[name] = round(last_s - context.marked_s, 3)
+    others = starts_after(context.deployment, "bkk-u3", limit_s)
+    assert others, "no load went on"
+
+
+@then("the long work on them ended whole, and their drains are shown as done")
+def step_drained(context):
+    for work in context.works:
+        assert work.wait().status == 200
+    operator = context.deployment.entries["bkk-e0"]["operator"]
+    for name in MARKED:
+
+        def is_done(name=name):
+            shown = get(operator, f"/v1/drains/{name}").json()
+            home = get(shown["home_address"], f"/v1/drains/{name}").json()
+            return home["leaving"] and home["in_flight"] == 0
+
+        wait_until(is_done, what=f"the drain of {name}")
+
+
+@when("the platform is on again and the marks are taken back")
+def step_marks_back(context):
+    deployment = context.deployment
+    deployment.faults(down=False, vm_list_down=False)
+    deployment.publish_vms()
+    deployment.control("bkk-u2", draining=False)
+    told = deployment.mark("bkk-e1", "bkk-u0", leaving=False)
+    assert told.status == 200, told
+    context.back_s = time.monotonic()
+    start_load(
+        deployment,
+        rate=40,
+        count=40 * 20,
+        classes=[BUSY_LOOK_UP],
+        name="more",
+    )
+
+
+@then("work starts on those three again within {limit_s:d} s")
+def step_work_again(context, limit_s):
+    for name in MARKED:
+
+        def has_work(name=name):
+            return starts_after(context.deployment, name, context.back_s)
+
+        wait_until(has_work, limit_s=limit_s, what=f"work on {name}")
+
+
+@then("no look-up failed")
+@then("no look-up was cut off")
+def step_no_failure(context):
+    ends = end_load(context)
+    assert ends.answered > context.rate, ends
+    assert not ends.failed, (len(ends.failed), ends.failed[:3])
+
+
+@when('the VM list marks "{name}" and goes out, and its home restarts')
+def step_list_out(context, name):
+    deployment = context.deployment
+    deployment.publish_vms(leaving=(name,))
+    for entry in deployment.entries:
+
+        def is_known(entry=entry):
+            [row] = deployment.status(entry)["upstreams"]
+            return row["state"] == "leaving"
+
+        wait_until(is_known, what=f"the mark on {entry}")
+    deployment.faults(vm_list_down=True)
+    home = deployment.home_of(name, asked="bkk-e0")
+    deployment.processes.children[home].terminate()
+    deployment.start_entry(home)
+
+    def is_home():
+        status = deployment.status(home)
+        return status and len(status["entries"]) == 2
+
+    wait_until(is_home, what="the restarted home in the table")
+    wait_until(
+        lambda: deployment.home_of(name, asked=home) == home, what="its home"
+    )
+    context.restarted_s = time.monotonic()
+
+
+@then('requests through each entry are refused and "{name}" starts no work')
+def step_refused(context, name):
+    deployment = context.deployment
+    until_s = time.monotonic() + 2.0
+    while time.monotonic() < until_s:
+        for address in deployment.callers():
+            answer = get(address, "/matching/orders/1")
+            assert answer.status == 503, answer
+            assert answer.json()["ran"] == "no", answer
+        time.sleep(0.05)
+    assert not starts_after(deployment, name, context.restarted_s)
+
+
+@when(
+    "callers send {rate:d} requests a second while {count:d} entries "
+    "restart in turn"
+)
+def step_rolling(context, rate, count):
+    context.rate = rate
+    context.load = start_load(
+        context.deployment,
+        rate=rate,
+        count=rate * 120,
+        classes=[LOOK_UP, APPROVE],
+    )
+    context.codes = restart_in_turn(context.deployment, count)
+
+
+@then("each stop ended with exit code 0")
+def step_codes(context):
+    assert not any(context.codes), context.codes
+
+
+@then("each request was answered 200, or refused as not run and done later")
+def step_all_answered(context):
+    step_no_failure(context)
+
+
+@then("no key ran twice, and no upstream had more than its slots")
+def step_keys(context):
+    assert not keys_run_twice(context.deployment)
+    step_slots(context)
+
+
+@then("no upstream had more than its slots")
+def step_slots(context):
+    deployment = context.deployment
+    for name in deployment.upstreams:
+        journal = deployment.journal(name)
+        assert journal["max_in_flight"] <= deployment.shape.slots, name
+        assert not journal["refused"]["over_slots"], journal["refused"]
+
+
+@when('a slow upload, a slow download and long work run through "{name}"')
+def step_streams(context, name):
+    address = context.deployment.entries[name]["caller"]
+    context.works = [
+        Background(slow_upload, address, 50, 0.1),
+        Background(slow_download, address, DOWNLOAD_BYTES, 0.5),
+        Background(long_work, address, 5000, "long"),
+    ]
+    time.sleep(1.0)
+
+
+@when('"{name}" is stopped')
+def step_stop(context, name):
+    context.stop_s = time.monotonic()
+    context.codes = [context.processes.children[name].terminate()]
+    context.stopped_s = time.monotonic()
+
+
+@then("each of them ends whole")
+def step_whole(context):
+    upload, download, work = context.works
+    told = upload.wait()
+    assert told.status == 200, told
+    assert told.headers["Body-Length"] == "500000", told.headers
+    assert len(download.wait().body) == DOWNLOAD_BYTES
+    assert work.wait().status == 200
+
+
+@then('"{name}" ended with exit code 0 after them')
+def step_ended_after(context, name):
+    del name
+    assert context.codes == [0], context.codes
+    for work in context.works:
+        assert work.end_s > context.stop_s, "it ended before the stop"
+        # The last bytes may wait in the caller's own buffer.
+
+
+@when('the platform goes out and "{name}" is stopped')
+def step_out_and_stop(context, name):
+    context.deployment.faults(down=True, vm_list_down=True)
+    step_stop(context, name)
+
+
+@then('"{name}" ended with exit code 0 within {limit_s:d} s')
+def step_ended_within(context, name, limit_s):
+    del name
+    assert context.codes == [0], context.codes
+    took_s = context.stopped_s - context.stop_s
+    assert took_s < limit_s, took_s
+
+
+@when("the platform is on again")
+def step_on_again(context):
+    context.deployment.faults(down=False, vm_list_down=False)
+
+
+@then('the homes of "{name}" are taken over within {limit_s:d} s')
+def step_taken_over(context, name, limit_s):
+    deployment = context.deployment
+    deployment.entries.pop(name)
+    wait_until(deployment.is_ready, limit_s=limit_s, what="the homes")
+
+
+@when(
+    'the home of "{name}" is killed with work running, and the VM list drops it'
+)
+def step_kill_home(context, name):
+    deployment = context.deployment
+    home = deployment.home_of(name, asked="bkk-e0")
+    other = next(entry for entry in deployment.entries if entry != home)
+    address = deployment.entries[other]["caller"]
+    works = []
+    while not deployment.journal(name)["busy"]:
+        works.append(Background(long_work, address, 1500, f"k{len(works)}"))
+        assert len(works) < 12, "no work came to it"
+        time.sleep(0.1)
+    wait_running(deployment, name)
+    deployment.processes.children[home].kill()
+    deployment.entries.pop(home)
+    deployment.publish_vms()
+    context.killed_s = time.monotonic()
+    context.load = start_load(
+        deployment, rate=40, count=40 * 60, classes=[BUSY_LOOK_UP]
+    )
+
+
+@then('"{name}" takes work again within {limit_s:d} s')
+def step_takes_work(context, name, limit_s):
+    def has_work():
+        return starts_after(context.deployment, name, context.killed_s)
+
+    runs = wait_until(has_work, limit_s=limit_s, what=f"work on {name}")
+    print("idle for", round(runs[0]["start"] - context.killed_s, 2), "s")
+    context.load.terminate()
--- /dev/null
+++ b/features/steps/operating_steps.py
@@ -0,0 +1,346 @@
+"""Steps of operating.feature: edits against real processes."""
+
+from concurrent.futures import ThreadPoolExecutor
+import json
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support.deployment import Deployment
+from features.support.deployment import Shape
+from features.support.harness import get
+from features.support.harness import wait_until
+from features.support.operating import CONFIGURATION_KEY
+from features.support.operating import TABLE_KEY
+from features.support.operating import Operator
+from features.support.operating import platform_value
+from features.support.operating import put_platform_value
+from features.support.operating import restart_killed
+from features.support.operating import restart_platform_empty
+from features.support.operating import set_ramp
+from features.support.operating import wait_answers
+
+LOST = {"lose_prefix": CONFIGURATION_KEY}
+WELL = {"down": False, "down_after_loss": False}
+SETTLE_LIMIT_S = 10.0
+BETWEEN_S = 0.02
+
+
+@given("an operated deployment of two entries in bkk and one in cnx")
+def step_operated(context):
+    context.deployment = Deployment(
+        processes=context.processes,
+        shape=Shape(
+            entries={"bkk": 2, "cnx": 1}, upstreams={"bkk": 2, "cnx": 1}
+        ),
+    )
+    context.deployment.start()
+    context.operator = Operator(deployment=context.deployment)
+    context.fraction = 0.5
+
+
+def change(context, entry="bkk-e0"):
+    """Makes an edit that no earlier one made."""
+    context.fraction = round(context.fraction - 0.01, 2)
+    shown = context.operator.read(entry)
+    text = set_ramp(shown["text"], context.fraction)
+    return context.operator.put(entry, text, shown["version"])
+
+
+@when(
+    "two operators edit profile local through two entries at once, "
+    "{count:d} times"
+)
+def step_race(context, count):
+    context.races = []
+    entries = ("bkk-e0", "cnx-e0")
+    for number in range(count):
+        shown = context.operator.read("bkk-e1")
+        texts = [
+            set_ramp(shown["text"], 0.1 + number / 100 + k) for k in (0, 0.2)
+        ]
+        operators = [Operator(deployment=context.deployment) for _ in entries]
+        with ThreadPoolExecutor(2) as pool:
+            told = []
+            for operator, entry, text in zip(
+                operators, entries, texts, strict=True
+            ):
+                told.append(
+                    pool.submit(operator.put, entry, text, shown["version"])
+                )
+            answers = [one.result() for one in told]
+        context.races.append((operators, answers))
+        wait_answers(context.operator, "bkk-e1", shown["version"] + 1)
+
+
+def parts(race):
+    """Returns the winner, and the answers of the winner and the loser."""
+    operators, answers = race
+    if answers[0].status == 200:
+        return operators[0], answers[0], answers[1]
+    return operators[1], answers[1], answers[0]
+
+
+@then("each time one edit was accepted and one told edit_conflict")
+def step_one_winner(context):
+    for race in context.races:
+        _, won, lost = parts(race)
+        assert won.json()["state"] == "accepted", won
+        assert lost.status == 409, lost
+        assert lost.json()["kind"] == "edit_conflict", lost
+        assert lost.json()["ran"] == "no", lost
+        kind = lost.headers["Content-Type"]
+        assert kind == "application/problem+json", kind
+
+
+@then('each loser was told that "{key}" changed')
+def step_told_changes(context, key):
+    for race in context.races:
+        winner, _, lost = parts(race)
+        assert lost.json()["changed"] == [key], lost.json()
+        assert winner.edit_id in lost.json()["detail"], lost.json()
+
+
+@then("the history holds the winners alone, each as a version of its own")
+def step_winners(context):
+    winners = [parts(race)[0].edit_id for race in context.races]
+    kept = context.operator.history("bkk-e1")
+    assert [note["edit_id"] for note in kept][:-1] == winners[::-1], kept
+    assert [note["version"] for note in kept] == [4, 3, 2, 1], kept
+
+
+@when("an operator edits while the platform loses 1 answer")
+def step_lost_answer(context):
+    context.deployment.faults(lose_answers=1, **LOST)
+    change(context)
+
+
+@when("an operator edits and the platform goes out after the lost {what}")
+def step_lost_then_out(context, what):
+    context.deployment.faults(
+        **{f"lose_{what}s": 1}, down_after_loss=True, **LOST
+    )
+    change(context)
+
+
+@then("the edit is told as edit_unknown, also when asked by its id")
+def step_unknown(context):
+    told = context.operator.told
+    assert told.status == 503, told
+    assert told.json()["kind"] == "edit_unknown", told
+    assert told.json()["ran"] == "unknown", told
+    step_fate_kind(context, "edit_unknown")
+
+
+@when("the platform answers again")
+def step_platform_back(context):
+    context.deployment.faults(**WELL)
+
+
+@then("the edit asked by its id through every entry becomes accepted")
+def step_accepted_later(context):
+    for entry in context.deployment.entries:
+
+        def is_accepted(entry=entry):
+            return context.operator.fate(entry).get("state") == "accepted"
+
+        wait_until(is_accepted, limit_s=SETTLE_LIMIT_S, what=entry)
+
+
+@then("the edit asked by its id is {kind}")
+def step_fate_kind(context, kind):
+    fate = context.operator.fate("bkk-e0")
+    assert fate["kind"] == kind, fate
+
+
+@when("another edit is accepted")
+def step_another(context):
+    first = context.operator
+    context.operator = Operator(deployment=context.deployment)
+    step_accept(context)
+    context.operator = first
+
+
+@when("an edit is accepted")
+def step_accept(context):
+    # What the platform held before; it is rolled back to this.
+    context.before = {
+        key: platform_value(context.deployment, key)
+        for key in (CONFIGURATION_KEY, TABLE_KEY)
+    }
+    change(context)
+    step_is_accepted(context)
+
+
+@then("the edit is accepted")
+def step_is_accepted(context):
+    told = context.operator.told
+    assert told.status == 200, told
+    assert told.json()["state"] == "accepted", told
+    context.version = told.json()["version"]
+    # Not a moment later: accepted means in force on all of them now.
+    step_in_force(context)
+
+
+@then("every entry has the edit in force")
+def step_in_force(context):
+    for entry in context.deployment.entries:
+        shown = context.operator.read(entry)
+        assert shown["edit_id"] == context.operator.edit_id, (entry, shown)
+
+
+@then("the history has the edit once")
+def step_once(context):
+    ids = [note["edit_id"] for note in context.operator.history("cnx-e0")]
+    assert ids.count(context.operator.edit_id) == 1, ids
+    assert len(ids) == 2, ids
+
+
+@when('an operator edits while entry "{name}" is frozen')
+def step_edit_frozen(context, name):
+    context.frozen = context.processes.children[name]
+    context.frozen.freeze()
+    change(context)
+
+
+@then('the edit is told as edit_pending, lacking "{name}"')
+def step_pending(context, name):
+    told = context.operator.told
+    assert told.status == 202, told
+    assert told.json()["kind"] == "edit_pending", told
+    assert told.json()["lacking"] == [name], told
+    fate = context.operator.fate("cnx-e0")
+    assert fate["kind"] == "edit_pending", fate
+    assert fate["lacking"] == [name], fate
+
+
+@when("the frozen entry goes on")
+def step_thaw(context):
+    context.frozen.thaw()
+
+
+@when(
+    'the platform is restarted empty, and entry "{name}" is killed and started'
+)
+def step_wiped(context, name):
+    restart_platform_empty(context.deployment)
+    restart_killed(context.deployment, name)
+
+
+@when(
+    "the platform is rolled back to its old state, and "
+    'entry "{name}" is killed and started'
+)
+def step_rolled_back(context, name):
+    deployment = context.deployment
+    table = json.loads(context.before[TABLE_KEY])
+    # A table from before the last entry registered.
+    table = older_table(table, lacking="cnx-e0")
+    value = json.dumps(table).encode()
+    put_platform_value(deployment, TABLE_KEY, value)
+    put_platform_value(
+        deployment, CONFIGURATION_KEY, context.before[CONFIGURATION_KEY]
+    )
+    restart_killed(deployment, name)
+
+
+def older_table(table, *, lacking):
+    """Returns a stored table with a lower epoch and without an entry."""
+    epoch, rows, lost_epoch = table
+    rows = [row for row in rows if row[0] != lacking]
+    assert len(rows) == len(table[1]) - 1, table
+    return [epoch - 1, rows, lost_epoch]
+
+
+@when('the platform is out, and entry "{name}" is killed and started')
+def step_out_and_start(context, name):
+    context.deployment.faults(down=True)
+    restart_killed(context.deployment, name)
+    wait_answers(context.operator, name, context.version)
+
+
+@then("the edit stays in force on every entry for {time_s:d} s")
+def step_stays(context, time_s):
+    for entry in context.deployment.entries:
+        wait_answers(context.operator, entry, context.version)
+    until_s = time.monotonic() + time_s
+    while time.monotonic() < until_s:
+        step_in_force(context)
+        time.sleep(BETWEEN_S)
+
+
+@then("no entry left the table of the others")
+def step_table_stands(context):
+    names = set(context.deployment.entries)
+    for entry in names:
+        status = context.deployment.status(entry)
+        assert {row["name"] for row in status["entries"]} == names, status
+
+
+@when("an operator edits the version in force")
+def step_repair(context):
+    change(context)
+
+
+@then("the platform holds it, and the table with all {count:d} entries")
+def step_platform_holds(context, count):
+    stored = json.loads(platform_value(context.deployment, CONFIGURATION_KEY))
+    assert stored[1] == context.operator.edit_id, stored
+
+    def is_whole():
+        value = platform_value(context.deployment, TABLE_KEY)
+        return value and len(json.loads(value)[1]) == count
+
+    wait_until(is_whole, limit_s=SETTLE_LIMIT_S, what="the table")
+
+
+@then("every home is held again")
+def step_ready(context):
+    context.deployment.wait_ready()
+
+
+@then('a request through "{name}" is answered')
+def step_answered(context, name):
+    address = context.deployment.entries[name]["caller"]
+
+    def is_answered():
+        return get(address, "/matching/orders/1").status == 200
+
+    wait_until(is_answered, limit_s=SETTLE_LIMIT_S, what="an answer")
+
+
+@when('{count:d} requests are sent through "{name}"')
+def step_send(context, count, name):
+    address = context.deployment.entries[name]["caller"]
+    context.ran = []
+    # Load reports of peers that just started may be a moment away.
+    step_answered(context, name)
+    for number in range(count):
+        answer = get(address, f"/matching/orders/{number}")
+        assert answer.status == 200, answer
+        context.ran.append(answer.json()["upstream"])
+        time.sleep(BETWEEN_S)
+
+
+def far(context):
+    return [name for name in context.ran if name.startswith("cnx")]
+
+
+@then("no request ran in cnx")
+def step_none_far(context):
+    assert not far(context), context.ran
+
+
+@then("more than {count:d} requests ran in cnx")
+def step_many_far(context, count):
+    assert len(far(context)) > count, len(far(context))
+
+
+@when('the service is put on profile "{profile}"')
+def step_assign(context, profile):
+    told = context.operator.edit(
+        "cnx-e0", 'profile = "local"', f'profile = "{profile}"'
+    )
+    assert told.json()["state"] == "accepted", told
--- a/features/support/platform_standin.py
+++ b/features/support/platform_standin.py
@@ -303,6 +303,7 @@
             "delay_ms": 0,  # waits before a call takes effect
             "lose_answers": 0,  # so many next writes hold without an answer
             "lose_calls": 0,  # so many next writes are lost before they hold
+            "down_after_loss": False,  # is down once an answer or call is lost
             "lose_prefix": "",  # losses meet only writes that name such keys
             "vm_list_lag_ms": 0,
             "vm_list_down": False,
@@ -316,6 +317,7 @@
         if self.faults[fault] <= 0 or not names_prefix(request, prefix):
             return False
         self.faults[fault] -= 1
+        self.faults["down"] |= self.faults["down_after_loss"]
         return True
 
     def list_vms(self) -> Message:
