Say "not run" only of what no upstream may have run

Cause: the refusal cleared the mark of every dispatch. Now it clears the mark of the last one alone; the answer keeps its kind and time to come back, with `ran: unknown`.

A repeat of a key that had run was told `no_slot` or `entry_lost`, `ran: no`, when it was refused before anybody looked its key up. The entry that was asked now looks the key up (one read, 250 ms at most, none while the platform is taken to be out) before such an answer, so the repeat gets the recorded answer, or the word that its key is in flight or unknown. Ruled out: claiming before taking a slot, which costs two writes for each refusal.

--- a/almondstair/claims.py
+++ b/almondstair/claims.py
@@ -24,6 +24,7 @@
 MAX_FIRST_SEEN = 10_000
 MAX_SETTLED_AT_ONCE = base.MAX_BATCH
 SETTLE_TIMEOUT_S = 5.0
+LOOK_TIMEOUT_S = 0.25
 RETRY_FIRST_S = 0.2
 RETRY_LAST_S = 5.0
 NONCE_BYTES = 16
@@ -141,15 +142,7 @@
             `outcome_unknown` or `key_reused` for a repeat.
         """
         place = ledger.service_key(service=service, key=key)
-        wanted = ledger.ClaimRecord(
-            format=ledger.RECORD_FORMAT,
-            nonce=secrets.token_bytes(NONCE_BYTES),
-            print=ledger.claim_print(key=key, fingerprint=fingerprint),
-            entry=self._entry_name,
-            incarnation=self._incarnation,
-            time_left_ms=max(int((deadline_s - self._now()) * 1000), 0),
-            state=ledger.RecordState.CLAIMED,
-        )
+        wanted = self._wanted(key, fingerprint, deadline_s)
         answer = self._look_here(place, wanted)
         if answer is not None:
             return answer
@@ -178,6 +171,62 @@
             )
         return self._refuse(claiming, deadline_s)
 
+    def _wanted(
+        self, key: str, fingerprint: bytes, deadline_s: float
+    ) -> ledger.ClaimRecord:
+        return ledger.ClaimRecord(
+            format=ledger.RECORD_FORMAT,
+            nonce=secrets.token_bytes(NONCE_BYTES),
+            print=ledger.claim_print(key=key, fingerprint=fingerprint),
+            entry=self._entry_name,
+            incarnation=self._incarnation,
+            time_left_ms=max(int((deadline_s - self._now()) * 1000), 0),
+            state=ledger.RecordState.CLAIMED,
+        )
+
+    async def look(
+        self, *, service: str, key: str, fingerprint: bytes, deadline_s: float
+    ) -> ledger.RecordedAnswer | None:
+        """Looks a key up without claiming it.
+
+        Args:
+          service: name of the service that the request is for.
+          key: the caller's idempotency key.
+          fingerprint: see `ledger.request_fingerprint`.
+          deadline_s: the request's deadline, in monotonic seconds.
+
+        Returns:
+          The recorded answer of the first request with this key; None when
+          the key is free, or when the service does not say.
+
+        Raises:
+          AlmondstairError: `claim_in_flight`, `outcome_unknown` or
+            `key_reused`, for a key that is not free.
+        """
+        place = ledger.service_key(service=service, key=key)
+        wanted = self._wanted(key, fingerprint, deadline_s)
+        answer = self._look_here(place, wanted)
+        if answer is not None:
+            return answer
+        if not self._gate.lets_through(now_s=self._now()):
+            return None
+        until_s = min(deadline_s, self._now() + LOOK_TIMEOUT_S)
+        try:
+            current = await self._read(place, until_s)
+        except base.PlatformError:
+            self._gate.failed(now_s=self._now())
+            return None
+        if current is None:
+            return None
+        record = ledger.decode_record(current.value)
+        seen = ledger.Bystander(False, False, False)
+        if record is not None:
+            seen = self._look_beside(record)
+        verdict = ledger.judge(record=record, wanted=wanted, seen=seen)
+        if verdict is ledger.Verdict.CLAIMABLE:
+            return None
+        return _answer_or_raise(verdict, record)
+
     async def record(
         self, claim: ledger.Claim, answer: ledger.RecordedAnswer
     ) -> None:
--- a/almondstair/core/requests.py
+++ b/almondstair/core/requests.py
@@ -52,18 +52,25 @@
     later. One would notice a journal entry at an upstream for an answer with
     `ran: no`. Every answer passes `answer()` before it is written and every
     dispatch passes `dispatch()` before its first byte, so one of them loses.
+
+    A refusal speaks of the last dispatch alone. An idempotent request whose
+    first dispatch was lost may have run there, also when the next one is
+    refused for sure: were the refusal to clear it all, the caller would be told
+    "not run" of a request that an upstream has in its journal.
     """
 
     def __init__(self) -> None:
         """Starts open."""
         self.state = Progress.OPEN
         self.may_have_run = False
+        self._earlier_may_have_run = False
 
     def dispatch(self) -> bool:
         """Asks to write the first byte to an upstream or another entry."""
         if self.state is Progress.ANSWERED:
             return False
         self.state = Progress.DISPATCHED
+        self._earlier_may_have_run = self.may_have_run
         self.may_have_run = True
         return True
 
@@ -71,7 +78,7 @@
         """Records the other side's certain refusal of the last dispatch."""
         if self.state is Progress.DISPATCHED:
             self.state = Progress.OPEN
-            self.may_have_run = False
+            self.may_have_run = self._earlier_may_have_run
 
     def answer(self) -> bool:
         """Closes the request; False when it was answered before."""
--- a/almondstair/running.py
+++ b/almondstair/running.py
@@ -136,16 +136,11 @@
         return frozenset(names)
 
     async def _claim(self, call: Call) -> ledger.Claim | ledger.RecordedAnswer:
-        fingerprint = ledger.request_fingerprint(
-            method=call.head.method,
-            path=call.head.path,
-            body_digest=call.body.digest().encode(),
-        )
         try:
             found = await self._claims.claim(
                 service=call.head.service,
                 key=call.head.key,
-                fingerprint=fingerprint,
+                fingerprint=_claim_fingerprint(call),
                 deadline_s=call.head.deadline_s,
             )
         except AlmondstairError as error:
@@ -154,6 +149,28 @@
         self._metrics.count(Metric.CLAIMS, "claimed")
         return found
 
+    async def answer_repeat(self, call: Call) -> bool:
+        """Answers a call that was refused, if it repeats one that is known.
+
+        Returns:
+          Whether it was answered; False for a key that nobody used, or when
+          the platform does not say.
+
+        Raises:
+          AlmondstairError: `claim_in_flight`, `outcome_unknown` or
+            `key_reused`.
+        """
+        found = await self._claims.look(
+            service=call.head.service,
+            key=call.head.key,
+            fingerprint=_claim_fingerprint(call),
+            deadline_s=call.head.deadline_s,
+        )
+        if found is None:
+            return False
+        await self._replay(call, found)
+        return True
+
     async def _replay(self, call: Call, found: ledger.RecordedAnswer) -> None:
         headers = httputil.HTTPHeaders()
         for name, value in found.headers:
@@ -327,6 +344,14 @@
 }
 
 
+def _claim_fingerprint(call: Call) -> bytes:
+    return ledger.request_fingerprint(
+        method=call.head.method,
+        path=call.head.path,
+        body_digest=call.body.digest().encode(),
+    )
+
+
 def read_load(value: str) -> UpstreamReport | None:
     """Reads an upstream's in-band report, `slots=4;busy=1;draining=0`.
 
@@ -352,4 +377,13 @@
     """Returns the error with the word that fits how far the call came."""
     if error.ran is not Ran.NO or not call.progress.may_have_run:
         return error
+    if not call.head.key:
+        # It may run twice without harm, so the caller is told when to come
+        # back as well.
+        return AlmondstairError(
+            kind=error.kind,
+            detail=error.detail,
+            ran=Ran.UNKNOWN,
+            retry_after_ms=error.retry_after_ms,
+        )
     return AlmondstairError(kind=ErrorKind.OUTCOME_UNKNOWN, detail=error.detail)
--- a/almondstair/serving.py
+++ b/almondstair/serving.py
@@ -44,6 +44,17 @@
         ErrorKind.ENTRY_LOST,
     )
 )
+# Refusals that may come before anybody has looked the key up.
+_BEFORE_CLAIM = frozenset(
+    (
+        ErrorKind.NO_SLOT,
+        ErrorKind.LINK_FULL,
+        ErrorKind.NO_UPSTREAM,
+        ErrorKind.QUARANTINED,
+        ErrorKind.ENTRY_LEAVING,
+        ErrorKind.ENTRY_LOST,
+    )
+)
 _FAILURES = frozenset(
     (
         ErrorKind.ENTRY_LOST,
@@ -149,7 +160,33 @@
         error = unknown_if_run(error, call=call)
         # Closed before the answer is written: nothing dispatches it after.
         call.progress.answer()
-        call.answer.problem(error)
+        error = await self._answer_repeat(call, error)
+        if error is not None:
+            call.answer.problem(error)
+        return error
+
+    async def _answer_repeat(
+        self, call: Call, error: AlmondstairError
+    ) -> AlmondstairError | None:
+        """Answers a refused repeat with what is known of its key.
+
+        What goes wrong without it: an approval runs and its answer is lost,
+        the caller repeats it, finds every slot taken and is told "not run".
+        It would take that for the fate of the approval and send it once more
+        under a new key. So the key is looked up before such an answer.
+        """
+        if not call.head.key or call.from_entry:
+            return error
+        if error.ran is not Ran.NO or error.kind not in _BEFORE_CLAIM:
+            return error
+        try:
+            async with asyncio.timeout_at(call.head.deadline_s):
+                if await self._parts.runner.answer_repeat(call):
+                    return None
+        except TimeoutError:
+            return error
+        except AlmondstairError as known:
+            return known
         return error
 
     async def _answer(self, call: Call) -> AlmondstairError | None:
