--- /dev/null
+++ b/features/steps/at_most_once_steps.py
@@ -0,0 +1,423 @@
+"""Steps for work that runs at most once, against real processes."""
+
+import base64
+import functools
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from almondstair.core import ledger
+from features.support.deployment import SERVICE
+from features.support.deployment import Deployment
+from features.support.deployment import Shape
+from features.support.harness import get
+from features.support.harness import post
+from features.support.harness import wait_until
+from features.support.sendings import Sendings
+
+STEP_LIMIT_S = 10.0
+SETTLE_S = 0.5
+REPEAT_INTERVAL_S = 0.1
+COMMIT_MS = 4000
+
+
+def _start(context, slots, regions=("bkk", "dmk")):
+    shape = Shape(
+        entries={"bkk": 1, "cnx": 1, "dmk": 1},
+        upstreams=dict.fromkeys(regions, 1),
+        slots=slots,
+        commit_ms=COMMIT_MS,
+    )
+    context.deployment = Deployment(processes=context.processes, shape=shape)
+    context.deployment.start()
+    context.sendings = Sendings(deployment=context.deployment)
+    context.by_key = {}
+    for entry in context.deployment.entries:
+        # The first claim of an entry asks for its lease; from here on the
+        # platform's next write is the claim that a scenario is about.
+        key = f"first-{entry}"
+        wait_until(
+            functools.partial(_is_answered, context, entry, key),
+            limit_s=STEP_LIMIT_S,
+            what=f"{entry} to take work",
+        )
+        _wait_recorded(context, key)
+    context.sendings.all.clear()
+    context.writes = _counts(context)["writes"]
+
+
+def _is_answered(context, entry, key):
+    return context.sendings.approve(entry=entry, key=key).wait().status == 200
+
+
+def _counts(context):
+    return get(context.deployment.platform, "/counts").json()
+
+
+def _send(context, key, region, *, query="", deadline_ms=0, content=b"a"):
+    sending = context.sendings.approve(
+        entry=f"{region}-e0",
+        key=key,
+        query=query,
+        deadline_ms=deadline_ms,
+        content=content,
+    )
+    context.by_key.setdefault(key, []).append(sending)
+    context.last = sending
+    return sending
+
+
+def _record_of(context, key):
+    """Returns the platform's record of a key, None when there is none."""
+    place = ledger.service_key(service=SERVICE, key=key).encode()
+    request = {"key": base64.b64encode(place).decode()}
+    answer = post(context.deployment.platform, "/v3/kv/range", request).json()
+    for item in answer.get("kvs", []):
+        return ledger.decode_record(base64.b64decode(item["value"]))
+    return None
+
+
+def _wait_recorded(context, key):
+    def is_done():
+        record = _record_of(context, key)
+        return record is not None and record.state is ledger.RecordState.DONE
+
+    wait_until(is_done, limit_s=STEP_LIMIT_S, what=f"the outcome of {key}")
+
+
+def _first(context):
+    return context.sendings.all[0].wait()
+
+
+def _repeat_of(context, key):
+    """Returns the query of the first sending of a key, for its repeats."""
+    first = context.by_key[key][0]
+    return first.path.partition("?")[2]
+
+
+@given("a deployment for work that runs at most once")
+def step_deployment(context):
+    _start(context, slots=3)
+
+
+@given("a deployment for work that runs at most once, with {slots:d} slots")
+def step_deployment_slots(context, slots):
+    _start(context, slots=slots)
+
+
+@given("the platform takes {delay_ms:d} ms for a call and loses the next claim")
+def step_slow_and_lost(context, delay_ms):
+    context.deployment.faults(
+        delay_ms=delay_ms, lose_calls=1, lose_prefix=ledger.KEY_PREFIX
+    )
+
+
+@given(
+    "the platform takes {delay_ms:d} ms for a call and loses the next "
+    "claim's answer"
+)
+def step_slow_and_lost_answer(context, delay_ms):
+    context.deployment.faults(
+        delay_ms=delay_ms, lose_answers=1, lose_prefix=ledger.KEY_PREFIX
+    )
+
+
+@when("the platform loses the next claim's answer")
+def step_lose_answer(context):
+    context.deployment.faults(lose_answers=1, lose_prefix=ledger.KEY_PREFIX)
+
+
+@when("the platform loses the next claim")
+def step_lose_call(context):
+    context.deployment.faults(lose_calls=1, lose_prefix=ledger.KEY_PREFIX)
+
+
+@when("the platform is out")
+def step_out(context):
+    context.deployment.faults(down=True)
+
+
+@when("the platform takes {delay_ms:d} ms for a call")
+def step_slow(context, delay_ms):
+    context.deployment.faults(delay_ms=delay_ms)
+
+
+@when("the platform is well again")
+def step_well(context):
+    context.deployment.faults(
+        down=False, delay_ms=0, lose_answers=0, lose_calls=0
+    )
+
+
+@when('"{key}" is sent through {region:w}')
+def step_send(context, key, region):
+    if key in context.by_key:
+        _send(context, key, region, query=_repeat_of(context, key)).wait()
+        return
+    _send(context, key, region)
+    faults = get(context.deployment.platform, "/faults").json()
+    if not faults["delay_ms"]:
+        context.last.wait()
+
+
+@when('"{key}" is sent through {region:w} and takes {work_ms:d} ms')
+def step_send_long(context, key, region, work_ms):
+    _send(context, key, region, query=f"work_ms={work_ms}")
+
+
+@when('"{key}" is sent through {region:w} with {deadline_ms:d} ms left')
+def step_send_deadline(context, key, region, deadline_ms):
+    _send(context, key, region, deadline_ms=deadline_ms)
+
+
+@when(
+    '"{key}" is sent through {region:w} with {deadline_ms:d} ms left and '
+    "takes {work_ms:d} ms"
+)
+def step_send_deadline_long(context, key, region, deadline_ms, work_ms):
+    query = f"work_ms={work_ms}"
+    _send(context, key, region, query=query, deadline_ms=deadline_ms)
+
+
+@when('"{key}" is sent through {region:w} and answers {size_bytes:d} bytes')
+def step_send_large(context, key, region, size_bytes):
+    _send(context, key, region, query=f"answer_bytes={size_bytes}").wait()
+
+
+@when('another request is sent under "{key}" through {region:w}')
+def step_send_other(context, key, region):
+    _send(context, key, region, content=b"another").wait()
+
+
+@when("{count:d} keys are each sent through all entries at once")
+def step_send_to_all(context, count):
+    for number in range(count):
+        sendings = []
+        for region in ("bkk", "cnx", "dmk"):
+            sendings.append(_send(context, f"key-{number}", region))
+        for sending in sendings:
+            sending.wait()
+
+
+@when("the claim has arrived at the platform")
+def step_claim_arrived(context):
+    wait_until(
+        lambda: _counts(context)["writes"] > context.writes,
+        limit_s=STEP_LIMIT_S,
+        what="a claim",
+    )
+
+
+@when("the claim holds at the platform")
+def step_claim_holds(context):
+    def is_lost():
+        faults = get(context.deployment.platform, "/faults").json()
+        return faults["lose_answers"] == 0
+
+    wait_until(is_lost, limit_s=STEP_LIMIT_S, what="a claim that holds")
+
+
+@when('an upstream has "{key}"')
+def step_upstream_has(context, key):
+    runs = wait_until(
+        lambda: context.sendings.runs_of(key),
+        limit_s=STEP_LIMIT_S,
+        what=f"a run of {key}",
+    )
+    context.upstream = runs[0]["upstream"]
+
+
+@when('the outcome of "{key}" has been recorded')
+def step_recorded(context, key):
+    _wait_recorded(context, key)
+
+
+@when("{entry:S} is killed")
+def step_kill(context, entry):
+    context.processes.children[entry].kill()
+
+
+@when("the home of that upstream is killed")
+def step_kill_home(context):
+    home = context.deployment.home_of(context.upstream, asked="cnx-e0")
+    context.processes.children[home].kill()
+
+
+@when("{entry:S} is frozen")
+def step_freeze(context, entry):
+    context.processes.children[entry].freeze()
+
+
+@when("{entry:S} is thawed")
+def step_thaw(context, entry):
+    context.processes.children[entry].thaw()
+
+
+@when("{delay_ms:d} ms pass")
+def step_pass(context, delay_ms):
+    del context
+    time.sleep(delay_ms / 1000)
+
+
+@when("its caller leaves")
+def step_leave(context):
+    context.last.leave()
+
+
+@when("upstreams cut their next answer after {size_bytes:d} bytes")
+def step_cut(context, size_bytes):
+    for upstream in context.deployment.upstreams:
+        context.deployment.control(upstream, cut=1, cut_after_bytes=size_bytes)
+
+
+@when("every slot is taken for {work_ms:d} ms")
+def step_fill(context, work_ms):
+    count = 0
+    for region in ("bkk", "dmk"):
+        for _ in range(context.deployment.shape.slots):
+            query = f"work_ms={work_ms}"
+            context.sendings.look_up(entry=f"{region}-e0", query=query)
+            count += 1
+
+    def are_busy():
+        busy = 0
+        for upstream in context.deployment.upstreams:
+            busy += context.deployment.journal(upstream)["busy"]
+        return busy == count
+
+    wait_until(are_busy, limit_s=STEP_LIMIT_S, what="busy slots")
+
+
+@then("the answer is from an upstream")
+def step_from_upstream(context):
+    first = _first(context)
+    assert first.ran == "yes" and first.status == 200, first.told
+
+
+@then("the last answer is from an upstream")
+def step_last_from_upstream(context):
+    last = context.last.wait()
+    assert last.ran == "yes" and last.status == 200, last.told
+
+
+@then("the last answer is the same as the first")
+def step_same(context):
+    last = context.last.wait()
+    first = _first(context)
+    assert last.status == first.status == 200, last.told
+    assert last.body == first.body, (last.told, first.told)
+    for name in ("Content-Type", "Content-Length"):
+        assert last.headers[name] == first.headers[name], name
+
+
+@then("the answer is {kind:w} with ran {ran:w}")
+def step_answer(context, kind, ran):
+    first = _first(context)
+    assert (first.kind, first.ran) == (kind, ran), first.told
+
+
+@then("the last answer is {kind:w} with ran {ran:w}")
+def step_last_answer(context, kind, ran):
+    last = context.last.wait()
+    assert (last.kind, last.ran) == (kind, ran), last.told
+
+
+@then("each answer is {kind:w} with ran {ran:w} within {limit_ms:d} ms")
+def step_each(context, kind, ran, limit_ms):
+    for sending in context.sendings.all:
+        sending.wait()
+        assert (sending.kind, sending.ran) == (kind, ran), sending.told
+        assert sending.latency_s < limit_ms / 1000, sending.latency_s
+
+
+@then("each answer says when to come back")
+def step_retry_after(context):
+    for sending in context.sendings.all:
+        sending.wait()
+        assert int(sending.headers["Retry-After"]) > 0, sending.told
+
+
+@then("the answer may have run")
+def step_may_have_run(context):
+    first = _first(context)
+    assert first.ran in ("unknown", "yes"), first.told
+
+
+@then("the last answer was not run")
+def step_was_not_run(context):
+    last = context.last.wait()
+    assert last.ran == "no", last.told
+
+
+@then("the last answer is cut")
+def step_is_cut(context):
+    last = context.last.wait()
+    assert (last.status, last.ran) == (0, "unknown"), last.told
+
+
+def _repeat_until(context, key, region, is_wanted):
+    """Repeats a key while it is in flight or refused, for a bounded time."""
+    end_s = time.monotonic() + STEP_LIMIT_S
+    query = _repeat_of(context, key)
+    while True:
+        sending = _send(context, key, region, query=query).wait()
+        if is_wanted(sending):
+            return
+        assert sending.status in (409, 503), sending.told
+        assert time.monotonic() < end_s, sending.told
+        time.sleep(REPEAT_INTERVAL_S)
+
+
+@then('repeats of "{key}" through {region:w} come to outcome_unknown')
+def step_repeats_unknown(context, key, region):
+    _repeat_until(
+        context, key, region, lambda sent: sent.kind == "outcome_unknown"
+    )
+
+
+@then('repeats of "{key}" through {region:w} come to the recorded answer')
+def step_repeats_recorded(context, key, region):
+    _repeat_until(context, key, region, lambda sent: sent.status == 200)
+
+
+@then('repeats of "{key}" through {region:w} are never run')
+def step_repeats_not_run(context, key, region):
+    count = len(context.sendings.runs_of(key))
+    _repeat_until(
+        context,
+        key,
+        region,
+        lambda sent: sent.status == 200 or sent.kind == "outcome_unknown",
+    )
+    assert len(context.sendings.runs_of(key)) == count == 1, key
+
+
+@then('"{key}" ran once')
+def step_ran_once(context, key):
+    assert len(context.sendings.runs_of(key)) == 1, context.sendings.runs_of(
+        key
+    )
+
+
+@then('"{key}" never ran')
+def step_never_ran(context, key):
+    time.sleep(SETTLE_S)
+    assert not context.sendings.runs_of(key), context.sendings.runs_of(key)
+
+
+@then("each key ran once")
+def step_each_once(context):
+    for key in context.by_key:
+        assert len(context.sendings.runs_of(key)) == 1, key
+
+
+@then("what ran agrees with every answer")
+def step_agrees(context):
+    for sending in context.sendings.all:
+        sending.wait()
+    assert not context.sendings.faults_found(), context.sendings.faults_found()
+    # Whatever still waited somewhere would have run by now.
+    time.sleep(SETTLE_S)
+    assert not context.sendings.faults_found(), context.sendings.faults_found()
--- /dev/null
+++ b/features/steps/not_run_steps.py
@@ -0,0 +1,174 @@
+"""Steps for the word "not run", against real processes."""
+
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from almondstair.core.requests import RequestProgress
+from features.support.harness import wait_until
+from features.support.random_faults import RandomFaults
+
+STEP_LIMIT_S = 10.0
+DEADLINES_MS = (60, 200, 1000)
+KEYED_PART = 4
+TURN_S = 0.5
+
+
+def _answered(sending):
+    return sending.ran == "yes" and sending.status == 200
+
+
+@given(
+    "{count:d} look-ups through {region:w} and through {other:w}, which leave "
+    "room for retries"
+)
+def step_first_tries(context, count, region, other):
+    """Retries are a fraction of first tries; so there must be some."""
+    for _ in range(count):
+        for name in (region, other):
+            context.sendings.look_up(entry=f"{name}-e0").wait()
+
+
+@when("the slot of {upstream:S} is taken for {work_ms:d} ms")
+def step_take_slot(context, upstream, work_ms):
+    region = upstream.partition("-")[0]
+    query = f"work_ms={work_ms}"
+    sendings = []
+
+    def is_busy():
+        # An upstream that has just been found well takes little at first.
+        if not sendings or sendings[-1].body:
+            sending = context.sendings.look_up(
+                entry=f"{region}-e0", query=query
+            )
+            sendings.append(sending)
+        return context.deployment.journal(upstream)["busy"]
+
+    wait_until(is_busy, limit_s=STEP_LIMIT_S, what="a busy slot")
+
+
+@when("{upstream:S} cuts its next answer")
+def step_cut_one(context, upstream):
+    context.deployment.control(upstream, cut=1, cut_after_bytes=0)
+
+
+@when("a look-up is sent through {region:w}")
+def step_look_up(context, region):
+    context.last = context.sendings.look_up(entry=f"{region}-e0")
+
+
+@when("a look-up that takes {work_ms:d} ms is sent through {region:w}")
+def step_long_look_up(context, work_ms, region):
+    context.last = context.sendings.look_up(
+        entry=f"{region}-e0", query=f"work_ms={work_ms}"
+    )
+
+
+@when("an upstream runs {count:d} requests")
+def step_runs(context, count):
+    """Waits until so many requests run, over all upstreams."""
+
+    def are_running():
+        busy = 0
+        for upstream in context.deployment.upstreams:
+            busy += context.deployment.journal(upstream)["busy"]
+        return busy == count
+
+    wait_until(are_running, limit_s=STEP_LIMIT_S, what="running requests")
+
+
+@when("upstreams drain and cut answers by turns")
+def step_turns(context):
+    ended = threading.Event()
+
+    def turn():
+        names = sorted(context.deployment.upstreams)
+        while not ended.wait(TURN_S):
+            names.reverse()
+            context.deployment.control(names[0], draining=True)
+            context.deployment.control(
+                names[1], draining=False, cut=2, cut_after_bytes=0
+            )
+
+    thread = threading.Thread(target=turn)
+    thread.start()
+
+    def stop():
+        ended.set()
+        thread.join()
+
+    context.add_cleanup(stop)
+
+
+@when(
+    "{count:d} requests that take {work_ms:d} ms are sent through all entries "
+    "in {duration_ms:d} ms"
+)
+def step_overload(context, count, work_ms, duration_ms):
+    entries = sorted(context.deployment.entries)
+    query = f"work_ms={work_ms}"
+    for number in range(count):
+        entry = entries[number % len(entries)]
+        deadline_ms = DEADLINES_MS[number // len(entries) % len(DEADLINES_MS)]
+        if number % KEYED_PART:
+            context.sendings.look_up(
+                entry=entry, query=query, deadline_ms=deadline_ms
+            )
+        else:
+            context.sendings.approve(
+                entry=entry,
+                key=f"key-{number}",
+                query=query,
+                deadline_ms=deadline_ms,
+            )
+        time.sleep(duration_ms / 1000 / count)
+
+
+@when(
+    "keys are sent and repeated for {duration_s:d} s under random faults of "
+    "seed {seed:d}"
+)
+def step_random(context, duration_s, seed):
+    faults = RandomFaults(sendings=context.sendings, seed=seed)
+    faults.run(duration_s=duration_s)
+
+
+@then("the last answer is not from an upstream and may have run")
+def step_unknown(context):
+    last = context.last.wait()
+    assert last.ran == "unknown", last.told
+    assert last.status != 200, last.told
+
+
+@then(
+    "at least {refused:d} were not run and at least {answered:d} were answered"
+)
+def step_counts(context, refused, answered):
+    not_run = 0
+    whole = 0
+    for sending in context.sendings.all:
+        sending.wait()
+        not_run += sending.ran == "no"
+        whole += _answered(sending)
+    assert not_run >= refused, f"{not_run} were not run"
+    assert whole >= answered, f"{whole} were answered"
+
+
+@given("a request that was dispatched and lost")
+def step_dispatched(context):
+    context.progress = RequestProgress()
+    assert context.progress.dispatch()
+
+
+@when("it is dispatched again and refused")
+def step_refused(context):
+    assert context.progress.dispatch()
+    context.progress.not_run()
+
+
+@then("it may have run")
+def step_progress_unknown(context):
+    assert context.progress.may_have_run
--- /dev/null
+++ b/features/support/sendings.py
@@ -0,0 +1,184 @@
+"""Sends requests to entries and compares what was told with what ran."""
+
+import http.client
+import json
+import secrets
+import threading
+import time
+from typing import Any
+
+from features.support.deployment import SERVICE
+from features.support.deployment import Deployment
+from features.support.harness import connect
+
+SEND_LIMIT_S = 20.0
+PROBLEM = "application/problem+json"
+
+
+class Sending:
+    """One request as it was sent once, and what came back.
+
+    Attributes:
+      trace: W3C trace id, which no other sending has; upstreams journal it.
+      key: Idempotency-Key, or empty.
+      status: HTTP status; 0 when no whole answer came.
+      ran: the system's word, `yes` for an upstream's answer, and `unknown`
+        when no whole answer came.
+      body: body of the answer.
+      headers: of the answer.
+      latency_s: time to the end of the answer.
+    """
+
+    def __init__(self, *, address: str, method: str, path: str, key: str):
+        """Prepares a sending to the callers' address of an entry."""
+        self.address = address
+        self.method = method
+        self.path = path
+        self.key = key
+        self.trace = secrets.token_hex(16)
+        self.status = 0
+        self.ran = "unknown"
+        self.kind = ""
+        self.body = b""
+        self.headers: Any = {}
+        self.latency_s = 0.0
+        self._content = b""
+        self._deadline_ms = 0
+        self._connection: http.client.HTTPConnection | None = None
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self, *, content: bytes, deadline_ms: int) -> None:
+        """Sends; `deadline_ms` 0 leaves the deadline to the class."""
+        self._content = content
+        self._deadline_ms = deadline_ms
+        self._connection = connect(self.address, timeout_s=SEND_LIMIT_S)
+        self._thread.start()
+
+    def wait(self) -> "Sending":
+        """Waits for the end of the answer."""
+        self._thread.join(SEND_LIMIT_S)
+        assert not self._thread.is_alive(), f"no answer to {self.path}"
+        return self
+
+    def leave(self) -> None:
+        """Closes the connection as a caller that gives up does."""
+        assert self._connection is not None
+        assert self._connection.sock is not None
+        # Shutting down wakes the thread that reads, which a close does not.
+        self._connection.sock.shutdown(2)
+        self.wait()
+
+    @property
+    def told(self) -> str:
+        """One line for failures."""
+        return (
+            f"{self.path} key={self.key!r}: {self.status} {self.body[:300]!r}"
+        )
+
+    def _run(self) -> None:
+        assert self._connection is not None
+        headers = {"traceparent": f"00-{self.trace}-{self.trace[:16]}-01"}
+        if self.key:
+            headers["Idempotency-Key"] = self.key
+        if self._deadline_ms:
+            headers["Deadline-Ms"] = str(self._deadline_ms)
+        started_s = time.monotonic()
+        try:
+            self._connection.request(
+                self.method, self.path, body=self._content, headers=headers
+            )
+            answer = self._connection.getresponse()
+            self.body = answer.read()
+        except (OSError, http.client.HTTPException):
+            return
+        finally:
+            self.latency_s = time.monotonic() - started_s
+            self._connection.close()
+        self.headers = answer.headers
+        self.ran = "yes"
+        if answer.headers.get("Content-Type", "") == PROBLEM:
+            problem = json.loads(self.body)
+            self.ran = problem["ran"]
+            self.kind = problem["kind"]
+        self.status = answer.status
+
+
+class Sendings:
+    """Every sending of a scenario."""
+
+    def __init__(self, *, deployment: Deployment) -> None:
+        """Starts with none."""
+        self.deployment = deployment
+        self.all: list[Sending] = []
+        self._count = 0
+
+    def approve(
+        self,
+        *,
+        entry: str,
+        key: str,
+        content: bytes = b"approve",
+        query: str = "",
+        deadline_ms: int = 0,
+    ) -> Sending:
+        """Sends work that runs at most once; does not wait."""
+        path = f"/{SERVICE}/approvals"
+        if query:
+            path += f"?{query}"
+        sending = self._make(entry=entry, method="POST", path=path, key=key)
+        sending.start(content=content, deadline_ms=deadline_ms)
+        return sending
+
+    def look_up(
+        self, *, entry: str, query: str = "", deadline_ms: int = 0
+    ) -> Sending:
+        """Sends idempotent work on a path of its own; does not wait."""
+        self._count += 1
+        path = f"/{SERVICE}/orders/{self._count}"
+        if query:
+            path += f"?{query}"
+        sending = self._make(entry=entry, method="GET", path=path, key="")
+        sending.start(content=b"", deadline_ms=deadline_ms)
+        return sending
+
+    def _make(self, *, entry: str, method: str, path: str, key: str) -> Sending:
+        address = self.deployment.entries[entry]["caller"]
+        sending = Sending(address=address, method=method, path=path, key=key)
+        self.all.append(sending)
+        return sending
+
+    def runs_of(self, key: str) -> list[dict[str, Any]]:
+        """Returns the runs of a key at all upstreams."""
+        found = []
+        for run in self.deployment.journals():
+            if run["key"] == key:
+                found.append(run)
+        return found
+
+    def faults_found(self) -> list[str]:
+        """Compares every answer with the journals of all upstreams.
+
+        Returns:
+          One line for each key that ran more than once, each sending that
+          was told "not run" and ran, and each key of which every sending was
+          told so and that ran.
+        """
+        traces = set()
+        keys: dict[str, int] = {}
+        for run in self.deployment.journals():
+            traces.add(run["trace"].split("-")[1])
+            if run["key"]:
+                keys[run["key"]] = keys.get(run["key"], 0) + 1
+        faults = []
+        for key, count in keys.items():
+            if count > 1:
+                faults.append(f"{key} ran {count} times")
+        words: dict[str, set[str]] = {}
+        for sending in self.all:
+            if sending.ran == "no" and sending.trace in traces:
+                faults.append(f"told not run, and ran: {sending.told}")
+            words.setdefault(sending.key, set()).add(sending.ran)
+        for key, said in words.items():
+            if key in keys and said == {"no"}:
+                faults.append(f"{key} ran; every answer said that it did not")
+        return faults
