Give the step of the waiting queue words of its own

Cause: "{milliseconds:d} ms pass" of the admission steps also matched the ledger's "600 ms pass" and was found first, so three scenarios of ledger.feature ended in an error. Ruled out: the claims themselves, which had not changed.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -110,5 +110,5 @@
     Then some wait and the others are refused at once with a time to come back
     When a slot is given back
     Then the first of the highest priority gets it
-    When 300 ms pass
+    When the queue has waited for 300 ms
     Then all that waited are refused
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -466,7 +466,7 @@
     assert isinstance(decisions[0].result, Admission)
 
 
-@when("{milliseconds:d} ms pass")
+@when("the queue has waited for {milliseconds:d} ms")
 def some_time(context, milliseconds):
     context.bench.now_s += milliseconds / 1000
 
