--- a/features/operating.feature
+++ b/features/operating.feature
@@ -11,6 +11,7 @@
     When two operators edit profile local through two entries at once, 3 times
     Then each time one edit was accepted and one told edit_conflict
     And each loser was told that "profiles.local.ramp_fraction_per_s" changed
+    And one who edits the version before all that later is told the same
     And the history holds the winners alone, each as a version of its own
 
   Scenario: The answer to an edit is lost
@@ -19,8 +20,6 @@
     When an operator edits while the platform loses 1 answer
     Then the edit is accepted
     And the history has the edit once
-
-  Scenario: The answer to an edit is lost, and then the platform is out
     # Symptom: an edit told to be undone is in force later.
     # Sequence: as before, but nobody can read back what became of the write.
     When an operator edits and the platform goes out after the lost answer
@@ -28,8 +27,6 @@
     When the platform answers again
     Then the edit asked by its id through every entry becomes accepted
     And the history has the edit once
-
-  Scenario: An edit that never reached the platform, which is out then
     # Symptom: an edit is told to be surely undone while its write is on its
     # way.
     # Sequence: the call is lost. Until another edit takes its base away it
@@ -77,6 +74,7 @@
     # configuration or none.
     When an edit is accepted
     And the platform is out, and entry "bkk-e1" is killed and started
+    And an entry "bkk-e2" that the table lacks is started as well
     Then every entry has the edit in force
     And a request through "bkk-e1" is answered
     When the platform answers again
@@ -87,4 +85,4 @@
     Then no request ran in cnx
     When the service is put on profile "round_robin"
     And 120 requests are sent through "bkk-e0"
-    Then more than 40 requests ran in cnx
+    Then more than 20 requests ran in cnx
