--- a/almondstair/configuration_keeper.py
+++ b/almondstair/configuration_keeper.py
@@ -16,7 +16,6 @@
 from almondstair.core.configuration import Offer
 from almondstair.core.configuration import StoredConfiguration
 from almondstair.core.configuration import applied_result
-from almondstair.core.heartbeats import holds_watch
 from almondstair.core.membership import Membership
 from almondstair.core.model import Configuration
 from almondstair.errors import AlmondstairError
@@ -26,7 +25,7 @@
 from almondstair.operators import EditRequest
 from almondstair.settings import read_configuration
 from almondstair.store import ConfigurationStore
-from almondstair.store import Follower
+from almondstair.watch_turns import WatchTurns
 
 # How long an edit is waited for before its operator is told `edit_pending`.
 ACCEPT_WAIT_S = 5.0
@@ -67,7 +66,10 @@
         self._store = store
         self._fresh_limit_s = fresh_limit_s
         self._on_configuration = on_configuration
-        self._follower: Follower | None = None
+        self._turns = WatchTurns(
+            membership=membership,
+            make=lambda: self._store.follower(on_configuration=self.take),
+        )
         self._bad_version = 0
         # Base of each edit whose write may take effect yet, by edit id.
         self._unsettled: dict[str, int] = {}
@@ -120,20 +122,11 @@
 
     def follow(self) -> None:
         """Holds a watch while it is this entry's turn to."""
-        live = self._membership.live(now_s=time.monotonic())
-        wanted = holds_watch(own=self._membership.own, live=live)
-        if wanted and self._follower is None:
-            self._follower = self._store.follower(on_configuration=self.take)
-            self._follower.start()
-        if not wanted and self._follower is not None:
-            self._follower.stop()
-            self._follower = None
+        self._turns.update()
 
     def stop(self) -> None:
         """Follows nothing more."""
-        if self._follower is not None:
-            self._follower.stop()
-            self._follower = None
+        self._turns.stop()
 
     async def read(self) -> bool:
         """Reads the platform's configuration; returns whether there is one.
--- a/almondstair/table_keeper.py
+++ b/almondstair/table_keeper.py
@@ -6,14 +6,13 @@
 
 from almondstair import log
 from almondstair.core.entry_table import EntryTable
-from almondstair.core.heartbeats import holds_watch
 from almondstair.core.membership import Membership
 from almondstair.core.membership import VmObservation
 from almondstair.errors import AlmondstairError
 from almondstair.platform.base import VmList
 from almondstair.platform.base import VmState
 from almondstair.store import EntryTableStore
-from almondstair.store import Follower
+from almondstair.watch_turns import WatchTurns
 
 # An entry whose turn is the n-th waits this long for each before it.
 TURN_S = 0.5
@@ -44,7 +43,12 @@
         self._store = store
         self._vm_list = vm_list
         self._on_table = on_table
-        self._follower: Follower | None = None
+        self._turns = WatchTurns(
+            membership=membership,
+            make=lambda: self._store.follower(
+                on_table=lambda table: self.take(table, from_platform=True)
+            ),
+        )
         self._planned_since_s: float | None = None
         self._changing = False
         self._list_failed = False
@@ -118,22 +122,11 @@
 
     def follow(self) -> None:
         """Holds a watch on the table while it is this entry's turn to."""
-        live = self._membership.live(now_s=time.monotonic())
-        wanted = holds_watch(own=self._membership.own, live=live)
-        if wanted and self._follower is None:
-            self._follower = self._store.follower(
-                on_table=lambda table: self.take(table, from_platform=True)
-            )
-            self._follower.start()
-        if not wanted and self._follower is not None:
-            self._follower.stop()
-            self._follower = None
+        self._turns.update()
 
     def stop(self) -> None:
         """Follows nothing more."""
-        if self._follower is not None:
-            self._follower.stop()
-            self._follower = None
+        self._turns.stop()
 
     async def observe_vms(self) -> None:
         """Reads the VM list once; while it is out the last one holds."""
