Keep a lost entry's slots taken whatever an earlier holder reports

Cause: a home that starts after an entry was lost holds every slot until the longest deadline has passed. It kept the name of the last known holder as the source of that, so the next report of that holder, which had long handed the duty on and has nothing in flight, freed every slot at once.

Seen: an entry killed and started again at once dispatched 1.8 s to 2.0 s after the kill, while the dead process's requests could run for 3.25 s.

Ruled out: the successor's reserve (its T2 is 3.25 s) and the report of the upstream, which only lowers what is used.

Change: slots held for a lost entry have no source. The scenario 'The home of an upstream is killed and starts again at once' fails without it and passes with it; work starts again 4.9 s after the kill.

--- a/almondstair/core/homes.py
+++ b/almondstair/core/homes.py
@@ -532,9 +532,13 @@
         if best is None:
             return
         busy = best.busy_until_s
+        source = best.entry
         if not self._accounts_for_lost(holder=best):
             busy = self._all_busy(upstream=upstream, now_s=now_s)
-        token = _Token(self._table.epoch, busy, best.entry)
+            # What an earlier holder goes on telling is not about the lost
+            # one's work: taken for it, it would free every slot at once.
+            source = ""
+        token = _Token(self._table.epoch, busy, source)
         self._tokens[upstream.name] = token
         self._pending.discard(upstream.name)
 
