Prove the slots of upstreams under kill, freeze, cut and outage

Upstreams can be deaf: they do not notice a closed connection and run on to the deadline, as after a network break.

--- /dev/null
+++ b/features/support/closed_loop.py
@@ -0,0 +1,153 @@
+"""Callers that each send the next request when the last one has ended.
+
+They keep more requests under way than there are slots or link, whatever the
+system answers, which an open load of a given rate does not.
+"""
+
+from collections import Counter
+import http.client
+import json
+import threading
+import time
+from typing import NamedTuple
+
+from features.support.harness import connect
+from features.support.upstream_standin import body_chunks
+
+REFUSED_PAUSE_S = 0.05
+READ_BYTES = 16 * 1024
+BIN_S = 0.1
+
+
+class LoadRequest(NamedTuple):
+    """What one caller sends again and again."""
+
+    path: str
+    method: str = "GET"
+    body_bytes: int = 0
+    deadline_ms: int = 2000
+    timeout_s: float = 10.0
+
+
+class Record(NamedTuple):
+    """How one request ended; `status` is 0 where no whole answer came."""
+
+    entry: str
+    path: str
+    start_s: float
+    end_s: float
+    status: int
+    problem: dict[str, object]
+    upstream: str
+
+
+class ClosedLoop:
+    """The callers of one scenario, each a thread."""
+
+    def __init__(self, *, zone: str) -> None:
+        """Starts without callers; `zone` is told to the upstreams."""
+        self._zone = zone
+        self._stopping = threading.Event()
+        self._threads: list[threading.Thread] = []
+        self._lock = threading.Lock()
+        self.records: list[Record] = []
+        self.read_bytes: Counter[int] = Counter()
+
+    def add(
+        self, *, entry: str, address: str, request: LoadRequest, callers: int
+    ) -> None:
+        """Starts callers of one entry."""
+        for _ in range(callers):
+            thread = threading.Thread(
+                target=self._run, args=(entry, address, request), daemon=True
+            )
+            self._threads.append(thread)
+            thread.start()
+
+    def stop(self, *, limit_s: float = 15.0) -> None:
+        """Ends the callers after their present requests."""
+        self._stopping.set()
+        until_s = time.monotonic() + limit_s
+        for thread in self._threads:
+            thread.join(max(0.0, until_s - time.monotonic()))
+            assert not thread.is_alive(), "a caller has no end"
+
+    def answered(self, *, since_s: float = 0.0) -> list[Record]:
+        """Returns what ended well since a time."""
+        found = []
+        for record in tuple(self.records):
+            if record.status == 200 and record.end_s >= since_s:
+                found.append(record)
+        return found
+
+    def refused(self, *, kind: str) -> list[Record]:
+        """Returns the refusals of a kind."""
+        found = []
+        for record in tuple(self.records):
+            if record.problem.get("kind") == kind:
+                found.append(record)
+        return found
+
+    def _run(self, entry: str, address: str, request: LoadRequest) -> None:
+        while not self._stopping.is_set():
+            start_s = time.monotonic()
+            status, body = 0, b""
+            try:
+                status, body = self._send(address, request)
+            except (OSError, http.client.HTTPException):
+                status = 0
+            self._record(entry, request, start_s, status, body)
+            if status != 200:
+                time.sleep(REFUSED_PAUSE_S)
+
+    def _send(self, address: str, request: LoadRequest) -> tuple[int, bytes]:
+        headers = {"Edge-Zone": self._zone}
+        headers["Deadline-Ms"] = str(request.deadline_ms)
+        body = None
+        if request.body_bytes:
+            headers["Content-Length"] = str(request.body_bytes)
+            body = body_chunks(request.body_bytes)
+        connection = connect(address, timeout_s=request.timeout_s)
+        try:
+            connection.request(request.method, request.path, body, headers)
+            answer = connection.getresponse()
+            return answer.status, self._read(answer)
+        finally:
+            connection.close()
+
+    def _read(self, answer: http.client.HTTPResponse) -> bytes:
+        kept = b""
+        size_bytes = 0
+        while chunk := answer.read1(READ_BYTES):
+            size_bytes += len(chunk)
+            with self._lock:
+                self.read_bytes[int(time.monotonic() / BIN_S)] += len(chunk)
+            if len(kept) < READ_BYTES:
+                kept += chunk
+        length = answer.getheader("Content-Length")
+        if length is not None and int(length) != size_bytes:
+            raise http.client.IncompleteRead(kept)
+        return kept
+
+    def _record(
+        self,
+        entry: str,
+        request: LoadRequest,
+        start_s: float,
+        status: int,
+        body: bytes,
+    ) -> None:
+        told = {}
+        if body[:1] == b"{":
+            told = json.loads(body)
+        record = Record(
+            entry,
+            request.path,
+            start_s,
+            time.monotonic(),
+            status,
+            {} if status == 200 else told,
+            told.get("upstream", ""),
+        )
+        with self._lock:
+            self.records.append(record)
--- a/features/support/upstream_standin.py
+++ b/features/support/upstream_standin.py
@@ -56,6 +56,7 @@
             "cold_requests": options.cold_requests,
             "cold_ms": options.cold_ms,
             "work_ms": options.work_ms,
+            "deaf": False,  # closed connections are not noticed
         }
         self.busy = 0
         self.max_in_flight = 0
@@ -167,6 +168,8 @@
 
     def on_connection_close(self) -> None:
         super().on_connection_close()
+        if self.upstream.control["deaf"]:
+            return
         self.closed.set()
         if self.run:
             self.upstream.end(self.run, "cancelled")
