Look for a slot among this entry's own duties only

Cause: each choice of an upstream looked through every upstream of the service, and each duty through the rows of the entry table; each new table ranked every entry of a region anew for every upstream.

Change: a list of the upstreams that this entry is home or successor of, made once per table and configuration; rows kept by region; of each rank only home and successor are kept, and a table that differs by a few entries only compares those. An edit keeps the ranks of upstreams it leaves alone.

The first table still ranks all, once.

--- a/almondstair/core/admission.py
+++ b/almondstair/core/admission.py
@@ -139,6 +139,9 @@
         self._kept_fraction = kept_fraction or KEPT_FRACTION
         self._states: dict[str, _UpstreamState] = {}
         self._by_service: dict[str, list[str]] = {}
+        # Of these, the ones that this entry has a duty at.
+        self._mine: dict[str, list[str]] = {}
+        self._mine_number = -1
         self._leaving: frozenset[str] = frozenset()
         self._usual = UsualLatency()
         self._service_time_s: dict[str, float] = {}
@@ -162,6 +165,7 @@
             for service in upstream.services:
                 self._by_service.setdefault(service, []).append(name)
         self._states = states
+        self._mine_number = -1
 
     def set_leaving(self, *, names: frozenset[str]) -> None:
         """Takes the upstreams that operators or the VM list call leaving."""
@@ -204,7 +208,7 @@
         """
         best_name = ""
         best_free = 0
-        for name in self._by_service.get(service, []):
+        for name in self._my_upstreams(service):
             if name in avoid:
                 continue
             free = self._free(upstream=name, deadline_s=deadline_s, now_s=now_s)
@@ -309,14 +313,14 @@
     def free_slots(self, *, service: str, now_s: float) -> int:
         """Returns the slots that interactive work could take now."""
         free = 0
-        for name in self._by_service.get(service, []):
+        for name in self._my_upstreams(service):
             free += self._free(upstream=name, deadline_s=now_s, now_s=now_s)
         return free
 
     def usable_slots(self, *, service: str, now_s: float) -> int:
         """Returns the slots of a service that this entry may fill."""
         usable = 0
-        for name in self._by_service.get(service, []):
+        for name in self._my_upstreams(service):
             usable += self._usable(upstream=name, now_s=now_s)
         return usable
 
@@ -340,7 +344,12 @@
     def status(self, *, now_s: float) -> tuple[UpstreamStatus, ...]:
         """Returns the upstreams that this entry has a duty at."""
         rows = []
-        for name, state in self._states.items():
+        names = dict.fromkeys(self._homes.duties())
+        names.update(dict.fromkeys(self._book.upstreams()))
+        for name in names:
+            state = self._states.get(name)
+            if state is None:
+                continue
             duty = self._homes.duty(upstream=name, now_s=now_s)
             in_flight = len(self._book.running(upstream=name))
             if duty.allowed_slots < 1 and in_flight == 0:
@@ -361,6 +370,18 @@
             )
         return tuple(rows)
 
+    def _my_upstreams(self, service: str) -> list[str]:
+        if self._mine_number != self._homes.duties_number:
+            self._mine = {}
+            for name in self._homes.duties():
+                state = self._states.get(name)
+                if state is None:
+                    continue
+                for served in state.services:
+                    self._mine.setdefault(served, []).append(name)
+            self._mine_number = self._homes.duties_number
+        return self._mine.get(service, [])
+
     def _is_leaving(self, *, upstream: str) -> bool:
         return upstream in self._leaving or self._states[upstream].draining
 
@@ -451,7 +472,7 @@
     def _wait_for_duty_s(self, *, now_s: float) -> float:
         """Returns the time until the first slot held for others is free."""
         soonest_s = now_s + FIRST_SERVICE_TIME_S * 5
-        for name in self._states:
+        for name in self._homes.duties():
             duty = self._homes.duty(upstream=name, now_s=now_s)
             for until_s in duty.busy_until_s:
                 soonest_s = min(soonest_s, until_s)
--- a/almondstair/core/homes.py
+++ b/almondstair/core/homes.py
@@ -24,12 +24,15 @@
 
 import xxhash
 
+from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.model import Configuration
 from almondstair.core.slot_book import SlotBook
 
 RESERVE_SLOTS = 1
 LEAST_SLOTS_WITH_RESERVE = 2
+# Home and successor.
+RANKS_KEPT = 2
 NEVER_S = float("-inf")
 
 
@@ -216,7 +219,12 @@
         self._table = EntryTable()
         self._applied_s = NEVER_S
         self._lost_s = NEVER_S
+        self._in_table = False
+        self._names: dict[str, tuple[str, ...]] = {}
+        self._rows: dict[str, list[EntryRow]] = {}
         self._ranks: dict[str, tuple[str, ...]] = {}
+        self._duties: tuple[str, ...] | None = None
+        self._duties_number = 0
         self._tokens: dict[str, _Token] = {}
         self._offers: dict[str, dict[str, _Offer]] = {}
         self._peers: dict[str, _Peer] = {}
@@ -234,12 +242,36 @@
 
     def set_upstreams(self, *, upstreams: tuple[HomedUpstream, ...]) -> None:
         """Takes the upstreams of the configuration in force."""
+        before = self._upstreams
         self._upstreams = {}
         for upstream in upstreams:
             self._upstreams[upstream.name] = upstream
-        self._ranks.clear()
+        for name in tuple(self._ranks):
+            known = self._upstreams.get(name)
+            if known is None or known.region != before[name].region:
+                del self._ranks[name]
+        self._forget_duties()
         self._list_pending()
 
+    @property
+    def duties_number(self) -> int:
+        """Another number whenever `duties` may give another answer."""
+        return self._duties_number
+
+    def duties(self) -> tuple[str, ...]:
+        """Returns the upstreams that this entry is home or successor of.
+
+        A request is admitted at one of these. Looked for among all upstreams
+        on each request, they would cost as much as the whole system is large.
+        """
+        if self._duties is None:
+            names = []
+            for name in self._upstreams:
+                if self._name in self._rank(upstream=name):
+                    names.append(name)
+            self._duties = tuple(names)
+        return self._duties
+
     def home_of(self, *, upstream: str) -> str | None:
         """Returns the home of an upstream, None when there is none."""
         rank = self._rank(upstream=upstream)
@@ -263,7 +295,7 @@
             self._lost_s = now_s
         self._table = table
         self._applied_s = now_s
-        self._ranks.clear()
+        self._read_table()
         self._offers.clear()
         if self._was_dropped(since_epoch=old_epoch):
             # The others counted this process as lost and others hold its
@@ -316,7 +348,7 @@
     def duty(self, *, upstream: str, now_s: float) -> Duty:
         """Returns what this entry may do at an upstream now."""
         known = self._upstreams.get(upstream)
-        if known is None or not self._in_table():
+        if known is None or not self._in_table:
             return NO_DUTY
         if self.home_of(upstream=upstream) == self._name:
             return self._home_duty(upstream=known, now_s=now_s)
@@ -337,9 +369,50 @@
             self._book.expire(upstream=name, now_s=now_s)
         return not self._book.upstreams()
 
-    def _in_table(self) -> bool:
+    def _read_table(self) -> None:
+        """Keeps what each question about a duty needs of the table."""
+        self._rows = {}
+        names: dict[str, list[str]] = {}
+        for entry in self._table.entries:
+            self._rows.setdefault(entry.region, []).append(entry)
+            if not entry.leaving:
+                names.setdefault(entry.region, []).append(entry.name)
         row = self._table.row(name=self._name)
-        return row is not None and row.incarnation == self._incarnation
+        self._in_table = (
+            row is not None and row.incarnation == self._incarnation
+        )
+        before = self._names
+        self._names = {}
+        for region, listed in names.items():
+            self._names[region] = tuple(listed)
+        for region in before.keys() | names.keys():
+            self._change_ranks(region, before.get(region, ()))
+        self._forget_duties()
+
+    def _change_ranks(self, region: str, before: tuple[str, ...]) -> None:
+        """Brings the ranks of a region's upstreams up to date.
+
+        A table mostly differs by one entry from the one before. Ranking all
+        entries anew for each upstream would stall the loop.
+        """
+        now = self._names.get(region, ())
+        removed = frozenset(before) - frozenset(now)
+        added = tuple(frozenset(now) - frozenset(before))
+        if not added and not removed:
+            return
+        for name, rank in tuple(self._ranks.items()):
+            if self._upstreams[name].region != region:
+                continue
+            if removed.intersection(rank):
+                del self._ranks[name]
+                continue
+            if added:
+                candidates = ranked(upstream=name, names=rank + added)
+                self._ranks[name] = candidates[:RANKS_KEPT]
+
+    def _forget_duties(self) -> None:
+        self._duties = None
+        self._duties_number += 1
 
     def _was_dropped(self, *, since_epoch: int) -> bool:
         row = self._table.row(name=self._name)
@@ -362,12 +435,8 @@
         known = self._upstreams.get(upstream)
         if known is None:
             return ()
-        names = []
-        for row in self._table.entries:
-            if row.region != known.region or row.leaving:
-                continue
-            names.append(row.name)
-        rank = ranked(upstream=upstream, names=tuple(names))
+        names = self._names.get(known.region, ())
+        rank = ranked(upstream=upstream, names=names)[:RANKS_KEPT]
         self._ranks[upstream] = rank
         return rank
 
@@ -471,8 +540,8 @@
         table that this entry has not seen.
         """
         latest_s = self._applied_s
-        for row in self._table.entries:
-            if row.region != region or row.name == self._name:
+        for row in self._rows.get(region, ()):
+            if row.name == self._name:
                 continue
             peer = self._peers.get(row.name)
             if peer is None or peer.incarnation != row.incarnation:
@@ -510,7 +579,7 @@
     def _list_pending(self) -> None:
         """Lists the duties that are this entry's but not yet taken over."""
         self._pending.clear()
-        if not self._in_table():
+        if not self._in_table:
             return
         for name in self._upstreams:
             if self.home_of(upstream=name) != self._name:
--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -122,7 +122,9 @@
     tracemalloc.stop()
     started_s = time.process_time()
     for epoch in range(2, 2 + TABLES):
-        homes.update_table(table=EntryTable(epoch, tuple(rows)), now_s=0.0)
+        # Each table drops one entry and takes the one before back.
+        changed = tuple(rows[: epoch - 2] + rows[epoch - 1 :])
+        homes.update_table(table=EntryTable(epoch, changed), now_s=0.0)
     table_ms = (time.process_time() - started_s) / TABLES * 1e3
     started_s = time.process_time()
     for number in range(QUESTIONS):
