--- a/almondstair/core/links.py
+++ b/almondstair/core/links.py
@@ -287,7 +287,8 @@
         """Returns the requests to send now, often none.
 
         Call it a few times a second. Lenders of present loans are asked first,
-        which renews those loans before they end.
+        many of them only from half of the term on, which renews those loans
+        before they end.
         """
         self._settle(now_s=now_s)
         if self._released or self._entry_name not in self._entries:
@@ -299,7 +300,7 @@
             return ()
         self._asked_s = now_s
         requests = []
-        for lender in self._peers_to_ask():
+        for lender in self._peers_to_ask(now_s=now_s):
             sequence = self._borrowed.next_sequence(lender=lender, now_s=now_s)
             request = LoanRequest(
                 link=self._link,
@@ -461,7 +462,7 @@
         used = self._meter.used_bytes_per_s(now_s=now_s)
         return int(used * ROOM_FACTOR) - max(0, own)
 
-    def _peers_to_ask(self) -> tuple[str, ...]:
+    def _peers_to_ask(self, *, now_s: float) -> tuple[str, ...]:
         """Returns present lenders, then others in turn."""
         lenders = self._borrowed.lenders
         others = []
@@ -469,6 +470,8 @@
             if entry != self._entry_name and entry not in lenders:
                 others.append(entry)
         chosen = list(lenders)
+        if len(lenders) > ASKED_PEERS:
+            chosen = list(self._borrowed.due_lenders(now_s=now_s))
         for step in range(min(ASKED_PEERS, len(others))):
             chosen.append(others[(self._next_peer + step) % len(others)])
         self._next_peer += ASKED_PEERS
--- a/almondstair/core/loans.py
+++ b/almondstair/core/loans.py
@@ -241,6 +241,18 @@
         """Entries whose share is held now."""
         return tuple(self._held)
 
+    def due_lenders(self, *, now_s: float) -> tuple[str, ...]:
+        """Returns the lenders whose loans have spent half of their term.
+
+        Asked sooner, every lender of a large zone would get and send messages
+        in each round; asked later, one lost message would end the loan.
+        """
+        due = []
+        for lender, held in self._held.items():
+            if held.until_s - now_s <= self._timing.term_s / 2:
+                due.append(lender)
+        return tuple(due)
+
     def drop_all(self) -> None:
         """Forgets every loan and request; done with each new epoch.
 
