Count a far zone once, for as long as its digest counts

Cause: the digest of a zone was shared out over its entries, rounding its free slots down and its slots up, under a limit of 3 s though digests may be 15 s old. A zone with fewer free slots than entries seemed full, and between two digests it was unknown. Change: steering takes the zone as one source with the limit of far words, and forgets it when no digest is left or the zone is heard in detail; free slots are shared out to the last one among the entries to send to.

--- a/almondstair/control.py
+++ b/almondstair/control.py
@@ -10,6 +10,7 @@
 from almondstair.configuration_keeper import ConfigurationKeeper
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
+from almondstair.core.heartbeats import FAR_SILENCE_S
 from almondstair.core.heartbeats import ServiceLoad
 from almondstair.core.heartbeats import StatusDetail
 from almondstair.core.homes import Homes
@@ -72,6 +73,7 @@
         self._lost_regions: frozenset[str] = frozenset()
         self._homes_seen: dict[str, str | None] = {}
         self._leaving_upstreams: frozenset[str] = frozenset()
+        self._far_sources: set[str] = set()
         self._heartbeats: Heartbeats
         self._exchange: DocumentExchange
         self._table: TableKeeper
@@ -344,29 +346,59 @@
 
     def _observe_zones(self, now_s: float) -> None:
         """Takes the load of far zones from their digests."""
-        membership = self._parts.membership
-        by_zone: dict[str, list[EntryRow]] = {}
-        for row in membership.live(now_s=now_s):
-            if row.name in self._heartbeats.details:
-                continue
-            if row.name == self._parts.own.name:
-                continue
-            by_zone.setdefault(row.availability_zone, []).append(row)
-        for zone, rows in by_zone.items():
+        known = set()
+        for zone, rows in self._far_zones(now_s).items():
             digest = self._heartbeats.digests.get(
                 availability_zone=zone, now_s=now_s
             )
             if digest is None:
                 continue
+            known.add(zone)
             for load in digest.loads:
-                # The digest sums over the zone; each entry gets its part.
-                part = load._replace(
-                    slots=-(-load.slots // len(rows)),
-                    free_slots=load.free_slots // len(rows),
-                    age_ms=load.age_ms + digest.age_ms,
-                )
-                for row in rows:
-                    self._observe(row, part, now_s)
+                aged = load._replace(age_ms=load.age_ms + digest.age_ms)
+                self._observe_zone(zone, rows, aged, now_s)
+        # Counted beside the words of its entries, or for ever after the last
+        # digest, a zone would have more free slots than there are.
+        for zone in self._far_sources - known:
+            self._parts.steering.forget_source(source=zone)
+        self._far_sources = known
+
+    def _far_zones(self, now_s: float) -> dict[str, list[EntryRow]]:
+        by_zone: dict[str, list[EntryRow]] = {}
+        near = set()
+        for row in self._parts.membership.live(now_s=now_s):
+            zone = row.availability_zone
+            if row.name in self._heartbeats.details:
+                near.add(zone)
+            by_zone.setdefault(zone, []).append(row)
+        near.add(self._parts.own.availability_zone)
+        for zone in near:
+            by_zone.pop(zone, None)
+        return by_zone
+
+    def _observe_zone(
+        self, zone: str, rows: list[EntryRow], load: ServiceLoad, now_s: float
+    ) -> None:
+        self._parts.steering.observe(
+            region=rows[0].region,
+            service=load.service,
+            source=zone,
+            slots=load.slots,
+            free_slots=load.free_slots,
+            age_s=load.age_ms / 1000,
+            now_s=now_s,
+            limit_s=FAR_SILENCE_S,
+        )
+        # Shared out to the last slot: rounded down, a zone with fewer free
+        # slots than entries would seem full.
+        each, left = divmod(load.free_slots, len(rows))
+        for place, row in enumerate(rows):
+            self._parts.hops.heard(
+                entry=row.name,
+                service=load.service,
+                free_slots=each + (place < left),
+                now_s=now_s,
+            )
 
     def _note_silence(self, now_s: float) -> None:
         silent = frozenset(self._parts.membership.silent(now_s=now_s))
