--- a/almondstair/core/homes.py
+++ b/almondstair/core/homes.py
@@ -22,11 +22,10 @@
 
 from typing import NamedTuple
 
-import xxhash
-
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.model import Configuration
+from almondstair.core.ranks import Ranks
 from almondstair.core.slot_book import SlotBook
 
 RESERVE_SLOTS = 1
@@ -168,19 +167,6 @@
     echo_sent_s: float = NEVER_S
 
 
-def ranked(*, upstream: str, names: tuple[str, ...]) -> tuple[str, ...]:
-    """Returns entries in their rendezvous order for an upstream."""
-    scored = []
-    for name in names:
-        score = xxhash.xxh3_64_intdigest(f"{upstream}\0{name}".encode())
-        scored.append((score, name))
-    scored.sort(reverse=True)
-    ordered = []
-    for _, name in scored:
-        ordered.append(name)
-    return tuple(ordered)
-
-
 def homed_upstreams(
     *, configuration: Configuration
 ) -> tuple[HomedUpstream, ...]:
@@ -236,7 +222,7 @@
         self._table = EntryTable()
         self._applied_s = NEVER_S
         self._lost_s = NEVER_S
-        self._ranks: dict[str, tuple[str, ...]] = {}
+        self._ranks = Ranks()
         self._tokens: dict[str, _Token] = {}
         self._peers: dict[str, _Peer] = {}
         self._pending: set[str] = set()
@@ -257,9 +243,11 @@
     def set_upstreams(self, *, upstreams: tuple[HomedUpstream, ...]) -> None:
         """Takes the upstreams of the configuration in force."""
         self._upstreams = {}
+        regions = {}
         for upstream in upstreams:
             self._upstreams[upstream.name] = upstream
-        self._ranks.clear()
+            regions[upstream.name] = upstream.region
+        self._ranks.set_regions(regions=regions)
         self._mine = None
         self._list_pending()
 
@@ -289,7 +277,7 @@
         self._rows = {}
         for row in table.entries:
             self._rows[row.name] = row
-        self._ranks.clear()
+        self._ranks.set_table(table=table)
         self._settled_cache.clear()
         self._mine = None
         if self._was_dropped(since_epoch=old_epoch):
@@ -396,20 +384,7 @@
             self._tokens[name] = token._replace(held_epoch=self._table.epoch)
 
     def _rank(self, *, upstream: str) -> tuple[str, ...]:
-        cached = self._ranks.get(upstream)
-        if cached is not None:
-            return cached
-        known = self._upstreams.get(upstream)
-        if known is None:
-            return ()
-        names = []
-        for row in self._table.entries:
-            if row.region != known.region or row.leaving:
-                continue
-            names.append(row.name)
-        rank = ranked(upstream=upstream, names=tuple(names))
-        self._ranks[upstream] = rank
-        return rank
+        return self._ranks.first(upstream=upstream)
 
     def _peer(self, *, report: HomesReport, now_s: float) -> _Peer:
         """Returns what is known of a sender, the report's word included.
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -18,13 +18,12 @@
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.health import HealthTable
-from almondstair.core.homes import HomedUpstream
 from almondstair.core.homes import Homes
+from almondstair.core.homes import homed_upstreams
 from almondstair.core.hops import HopTable
 from almondstair.core.membership import Membership
 from almondstair.core.membership import incarnation_text
 from almondstair.core.model import Configuration
-from almondstair.core.model import Upstream
 from almondstair.core.quarantine import Quarantine
 from almondstair.core.slot_book import SlotBook
 from almondstair.core.steering import Steering
@@ -441,10 +440,8 @@
             self._control.flush_metrics()
 
     def _on_configuration(self, configuration: Configuration) -> None:
-        homed = []
-        for name, upstream in configuration.upstreams.items():
-            homed.append(_homed(configuration, name, upstream))
-        self.homes.set_upstreams(upstreams=tuple(homed))
+        homed = homed_upstreams(configuration=configuration)
+        self.homes.set_upstreams(upstreams=homed)
         self.slots.set_configuration(configuration=configuration)
         self.steering.configure(configuration=configuration)
         self._shares.configure(configuration=configuration)
@@ -556,21 +553,3 @@
         operator_address=entry.operator_address,
         incarnation=incarnation_text(incarnation),
     )
-
-
-def _homed(
-    configuration: Configuration, name: str, upstream: Upstream
-) -> HomedUpstream:
-    longest_ms = 0
-    for service in upstream.services:
-        for request_class in configuration.services[service].classes:
-            longest_ms = max(longest_ms, request_class.deadline_ms)
-    region = configuration.region_of(
-        availability_zone=upstream.availability_zone
-    )
-    return HomedUpstream(
-        name=name,
-        region=region or "",
-        slots=upstream.slots,
-        longest_deadline_s=longest_ms / 1000,
-    )
