Tell bytes and messages of the control sockets each way

Cause: peer_bytes summed both ways, so an operator could not hold it against a budget for sending, and headers could not be worked out without the messages. Change: peer_bytes.sent, peer_bytes.received, and the same of peer_messages.*.

--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -45,6 +45,7 @@
 from almondstair.operator_views import ViewParts
 from almondstair.operators import OperatorServer
 from almondstair.pacing import LinkPacers
+from almondstair.peers import PeerCounts
 from almondstair.peers import Peers
 from almondstair.platform.etcd import EtcdService
 from almondstair.platform.etcd import HttpVmList
@@ -430,15 +431,25 @@
             return False
 
     async def _flush_metrics(self) -> None:
-        counted_bytes = 0
+        counted = self._peers.counts
         while True:
             await asyncio.sleep(METRICS_INTERVAL_S)
             counts = self._peers.counts
-            sum_bytes = counts.sent_bytes + counts.received_bytes
-            self.metrics.count(Metric.PEER_BYTES, by=sum_bytes - counted_bytes)
-            counted_bytes = sum_bytes
+            self._count_peers(counts, counted)
+            counted = counts
             self._control.flush_metrics()
 
+    def _count_peers(self, counts: PeerCounts, before: PeerCounts) -> None:
+        sent_bytes = counts.sent_bytes - before.sent_bytes
+        received_bytes = counts.received_bytes - before.received_bytes
+        sent = counts.sent_messages - before.sent_messages
+        received = counts.received_messages - before.received_messages
+        metrics = self.metrics
+        metrics.count(Metric.PEER_BYTES, "sent", by=sent_bytes)
+        metrics.count(Metric.PEER_BYTES, "received", by=received_bytes)
+        metrics.count(Metric.PEER_MESSAGES, "sent", by=sent)
+        metrics.count(Metric.PEER_MESSAGES, "received", by=received)
+
     def _on_configuration(self, configuration: Configuration) -> None:
         homed = homed_upstreams(configuration=configuration)
         self.homes.set_upstreams(upstreams=homed)
--- a/almondstair/metrics.py
+++ b/almondstair/metrics.py
@@ -26,7 +26,8 @@
     SLOTS_FREE = "slots_free.*"
     LINK_BYTES_PER_S = "link_bytes_per_s.*"
     PLATFORM_ERRORS = "platform_errors"
-    PEER_BYTES = "peer_bytes"
+    PEER_BYTES = "peer_bytes.*"
+    PEER_MESSAGES = "peer_messages.*"
     CONFIGURATION_VERSION = "configuration_version"
 
 
