Send a heartbeat and what goes with it as one packet

Cause: a heartbeat, the homes' report and the word on link shares were three messages; each cost the receiver a wake-up and a pass through the loop. Change: they are the frames of one ZeroMQ message, so they also arrive together or not at all. A message that cannot be read does not spoil those beside it.

--- a/almondstair/heartbeats.py
+++ b/almondstair/heartbeats.py
@@ -175,9 +175,7 @@
             view=view,
             digests=digests,
         )
-        self._peers.send(name, heartbeat)
-        for message in self._companions(name):
-            self._peers.send(name, message)
+        self._peers.send(name, heartbeat, *self._companions(name))
 
     def _zone_words(self, now_s: float) -> list[MemberWord]:
         membership = self._membership
--- a/almondstair/peers.py
+++ b/almondstair/peers.py
@@ -49,9 +49,10 @@
 
     Attributes:
       sent_bytes: bytes handed to connections.
-      sent_messages: messages handed to connections.
+      sent_messages: messages handed to connections; what goes together with
+        a heartbeat counts as one message with it.
       received_bytes: bytes received.
-      received_messages: messages received.
+      received_messages: messages received, counted likewise.
       dropped_messages: messages not sent, for want of a connection or room.
       unreadable_messages: received messages that could not be decoded.
     """
@@ -144,31 +145,35 @@
             if address not in kept:
                 self._disconnect(address)
 
-    def send(self, name: str, message: NamedTuple) -> bool:
+    def send(self, name: str, *parts: NamedTuple) -> bool:
         """Sends to an entry of the table.
 
         Args:
           name: name of the receiver.
-          message: a message of a registered type.
+          *parts: messages of registered types. They go as the frames of one
+            packet and arrive in this order, or none of them does.
 
         Returns:
-          Whether a connection took it; it may still be lost on the way.
+          Whether a connection took them; they may still be lost on the way.
         """
         address = self._addresses.get(name)
         if address is None:
             return False
-        return self._send_frame(address, messages.encode(message))
+        frames = []
+        for message in parts:
+            frames.append(messages.encode(message))
+        return self._send_frames(address, frames)
 
     def send_to_address(self, address: str, message: NamedTuple) -> bool:
         """Sends to an `ip:port` that may not be in the entry table."""
-        return self._send_frame(address, messages.encode(message))
+        return self._send_frames(address, [messages.encode(message)])
 
     def broadcast(self, message: NamedTuple) -> int:
         """Sends to every entry of the table and returns how many took it."""
-        frame = messages.encode(message)
+        frames = [messages.encode(message)]
         taken = 0
         for address in self._addresses.values():
-            if self._send_frame(address, frame):
+            if self._send_frames(address, frames):
                 taken += 1
         return taken
 
@@ -198,10 +203,10 @@
         self._links[address] = socket
         return socket
 
-    def _send_frame(self, address: str, frame: bytes) -> bool:
+    def _send_frames(self, address: str, frames: list[bytes]) -> bool:
         counts = self._counts
         try:
-            self._link(address).send(frame, zmq.NOBLOCK)
+            self._link(address).send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError:
             # No connection yet, or its queue is full: the peer is dead, slow
             # or cut off. Waiting would stall every other peer. Out of file
@@ -211,7 +216,7 @@
             )
             return False
         self._counts = counts._replace(
-            sent_bytes=counts.sent_bytes + len(frame),
+            sent_bytes=counts.sent_bytes + _size_bytes(frames),
             sent_messages=counts.sent_messages + 1,
         )
         return True
@@ -219,19 +224,24 @@
     def _receive(self, frames: list[bytes]) -> None:
         counts = self._counts
         self._counts = counts._replace(
-            received_bytes=counts.received_bytes + len(frames[-1]),
+            received_bytes=counts.received_bytes + _size_bytes(frames[1:]),
             received_messages=counts.received_messages + 1,
         )
         try:
             name, incarnation = _sender(frames)
-            message = messages.decode(frames[-1])
-        except (AlmondstairError, ValueError) as error:
+        except ValueError as error:
             self._count_unreadable(error)
             return
+        for frame in frames[1:]:
+            self._take(name, incarnation, frame)
+
+    def _take(self, name: str, incarnation: int, frame: bytes) -> None:
         try:
+            message = messages.decode(frame)
             self._on_message(name, incarnation, message)
         except AlmondstairError as error:
-            # The document inside is damaged or of another release.
+            # The message, or a document inside, is damaged or of another
+            # release; the frames beside it may be sound.
             self._count_unreadable(error)
 
     def _count_unreadable(self, error: Exception) -> None:
@@ -252,12 +262,19 @@
 
 
 def _sender(frames: list[bytes]) -> tuple[str, int]:
-    if len(frames) != 2:
-        raise ValueError(f"{len(frames)} frames in place of 2")
+    if len(frames) < 2:
+        raise ValueError("no message after the identity")
     name, _, incarnation = frames[0].decode().rpartition(_IDENTITY_SEPARATOR)
     return name, int(incarnation)
 
 
+def _size_bytes(frames: list[bytes]) -> int:
+    size_bytes = 0
+    for frame in frames:
+        size_bytes += len(frame)
+    return size_bytes
+
+
 def _set_options(socket: zmq.Socket[bytes]) -> None:
     socket.set(zmq.LINGER, 0)
     socket.set(zmq.TCP_MAXRT, UNACKNOWLEDGED_LIMIT_MS)
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -494,9 +494,10 @@
     def connect(self, name):
         """Needs no connection."""
 
-    def send(self, name, message):
-        """Keeps a message."""
-        self.sent.append((name, messages.decode(messages.encode(message))))
+    def send(self, name, *parts):
+        """Keeps messages."""
+        for message in parts:
+            self.sent.append((name, messages.decode(messages.encode(message))))
         return True
 
 
--- a/features/support/cut_daemon.py
+++ b/features/support/cut_daemon.py
@@ -12,7 +12,7 @@
 from almondstair.peers import Peers
 
 _CUT = Path(sys.argv[-1] + ".cut")
-_send_frame = Peers._send_frame
+_send_frames = Peers._send_frames
 _connect = HttpClient.connect
 
 
@@ -23,10 +23,12 @@
         return False
 
 
-def _send_frame_unless_cut(self: Peers, address: str, frame: bytes) -> bool:
+def _send_frames_unless_cut(
+    self: Peers, address: str, frames: list[bytes]
+) -> bool:
     if _is_cut(address):
         return True
-    return _send_frame(self, address, frame)
+    return _send_frames(self, address, frames)
 
 
 async def _connect_unless_cut(self, address: str, *, fresh: bool):
@@ -35,6 +37,6 @@
     return await _connect(self, address, fresh=fresh)
 
 
-Peers._send_frame = _send_frame_unless_cut
+Peers._send_frames = _send_frames_unless_cut
 HttpClient.connect = _connect_unless_cut
 daemon.main()
--- a/features/support/heartbeat_entries.py
+++ b/features/support/heartbeat_entries.py
@@ -155,9 +155,11 @@
         """Needs no connection."""
         del name
 
-    def send(self, name: str, message) -> bool:
+    def send(self, name: str, *parts) -> bool:
         """Delivers at once and counts the bytes."""
-        frame = messages.encode(message)
-        self.steps.sent_bytes += len(frame) + PACKET_OVERHEAD_BYTES
-        self.steps.deliver(self.name, name, frame)
+        self.steps.sent_bytes += PACKET_OVERHEAD_BYTES
+        for message in parts:
+            frame = messages.encode(message)
+            self.steps.sent_bytes += len(frame)
+            self.steps.deliver(self.name, name, frame)
         return True
