Work out this entry's loads once a tick, over its own duties only

Cause: cProfile of an idle entry (10 entries, 28 upstreams): `SlotTable.status` looked through every upstream nine times a second, and the loads were worked out twice a tick, twice a heartbeat round and again for each gauge. Change: one pass a tick gives usable and free slots; heartbeats say how old that is; metrics reuse it. The status and the wait for a duty go over the upstreams that this entry is home or successor of, or has a request at.

--- a/almondstair/control.py
+++ b/almondstair/control.py
@@ -74,6 +74,8 @@
         self._homes_seen: dict[str, str | None] = {}
         self._leaving_upstreams: frozenset[str] = frozenset()
         self._far_sources: set[str] = set()
+        self._loads: tuple[ServiceLoad, ...] = ()
+        self._loads_s = float("-inf")
         self._heartbeats: Heartbeats
         self._exchange: DocumentExchange
         self._table: TableKeeper
@@ -241,17 +243,11 @@
         )
 
     def _own_loads(self, now_s: float) -> tuple[ServiceLoad, ...]:
-        configuration = self._configuration.configuration
-        if configuration is None:
-            return ()
         loads = []
-        slots = self._parts.keeper.slots
-        for service in configuration.services:
-            usable = slots.usable_slots(service=service, now_s=now_s)
-            if not usable:
-                continue
-            free = slots.free_slots(service=service, now_s=now_s)
-            loads.append(ServiceLoad(service, usable, free, 0))
+        for load in self._loads:
+            if load.slots:
+                age_ms = int((now_s - self._loads_s) * 1000)
+                loads.append(load._replace(age_ms=age_ms))
         return tuple(loads)
 
     def _own_leaving(self, now_s: float) -> set[str]:
@@ -346,15 +342,21 @@
         self._leaving_upstreams = leaving
 
     def _observe_own(self, now_s: float) -> None:
+        """Takes this entry's own load, for heartbeats and metrics as well.
+
+        Each of them would go through all duties again.
+        """
         configuration = self._configuration.configuration
         if configuration is None:
             return
-        slots = self._parts.keeper.slots
+        loads = []
         for service in configuration.services:
-            usable = slots.usable_slots(service=service, now_s=now_s)
-            free = slots.free_slots(service=service, now_s=now_s)
-            load = ServiceLoad(service, usable, free, 0)
+            room = self._parts.keeper.slots.room(service=service, now_s=now_s)
+            load = ServiceLoad(service, room.usable, room.free, 0)
             self._observe(self._parts.own, load, now_s)
+            loads.append(load)
+        self._loads = tuple(loads)
+        self._loads_s = now_s
 
     def _observe_zones(self, now_s: float) -> None:
         """Takes the load of far zones from their digests."""
@@ -458,15 +460,10 @@
         metrics.flush()
 
     def _gauge_services(self) -> None:
-        configuration = self._configuration.configuration
-        if configuration is None:
-            return
-        now_s = time.monotonic()
-        for service in configuration.services:
-            free = self._parts.keeper.slots.free_slots(
-                service=service, now_s=now_s
+        for load in self._loads:
+            self._parts.metrics.gauge(
+                Metric.SLOTS_FREE, load.free_slots, load.service
             )
-            self._parts.metrics.gauge(Metric.SLOTS_FREE, free, service)
 
     def _gauge_links(self) -> None:
         now_s = time.monotonic()
--- a/almondstair/core/admission.py
+++ b/almondstair/core/admission.py
@@ -94,6 +94,18 @@
     report_age_s: float | None
 
 
+class ServiceRoom(NamedTuple):
+    """Slots of one service at the upstreams that this entry has a duty at.
+
+    Attributes:
+      usable: slots that this entry may fill.
+      free: those of them that interactive work could take now.
+    """
+
+    usable: int
+    free: int
+
+
 class _Room(NamedTuple):
     """What one upstream can take now.
 
@@ -330,19 +342,22 @@
         used = self._used(upstream=admission.upstream, duty=duty, now_s=now_s)
         return used <= duty.allowed_slots
 
-    def free_slots(self, *, service: str, now_s: float) -> int:
-        """Returns the slots that interactive work could take now."""
+    def room(self, *, service: str, now_s: float) -> ServiceRoom:
+        """Returns the slots of a service that this entry may fill."""
+        usable = 0
         free = 0
         for room in self._rooms(service=service, now_s=now_s):
+            usable += room.usable
             free += room.free
-        return free
+        return ServiceRoom(usable, free)
+
+    def free_slots(self, *, service: str, now_s: float) -> int:
+        """Returns the slots that interactive work could take now."""
+        return self.room(service=service, now_s=now_s).free
 
     def usable_slots(self, *, service: str, now_s: float) -> int:
         """Returns the slots of a service that this entry may fill."""
-        usable = 0
-        for room in self._rooms(service=service, now_s=now_s):
-            usable += room.usable
-        return usable
+        return self.room(service=service, now_s=now_s).usable
 
     def service_time_s(self, *, service: str) -> float:
         """Returns the measured mean time that a request holds a slot."""
@@ -364,7 +379,10 @@
     def status(self, *, now_s: float) -> tuple[UpstreamStatus, ...]:
         """Returns the upstreams that this entry has a duty at."""
         rows = []
-        for name, state in self._states.items():
+        for name in self._concerned():
+            state = self._states.get(name)
+            if state is None:
+                continue
             duty = self._homes.duty(upstream=name, now_s=now_s)
             in_flight = len(self._book.running(upstream=name))
             if duty.allowed_slots < 1 and in_flight == 0:
@@ -385,6 +403,12 @@
             )
         return tuple(rows)
 
+    def _concerned(self) -> list[str]:
+        """Returns the upstreams with a duty, or a request in flight, here."""
+        names = dict.fromkeys(self._homes.mine())
+        names.update(dict.fromkeys(self._book.upstreams()))
+        return list(names)
+
     def _is_leaving(self, *, upstream: str) -> bool:
         return upstream in self._leaving or self._states[upstream].draining
 
@@ -477,7 +501,7 @@
     def _wait_for_duty_s(self, *, now_s: float) -> float:
         """Returns the time until the first slot held for others is free."""
         soonest_s = now_s + FIRST_SERVICE_TIME_S * 5
-        for name in self._states:
+        for name in self._homes.mine():
             duty = self._homes.duty(upstream=name, now_s=now_s)
             for until_s in duty.busy_until_s:
                 soonest_s = min(soonest_s, until_s)
