Let digests end what an entry said of itself while it joined

Cause: an entry that joins sends heartbeats that say it takes no work yet. While the table has 16 entries or fewer they go to all. Beyond that it speaks to its own availability zone, and the others learn of it from digests, which undid nothing: to them it was leaving for ever. Seen first as a fleet of 32 daemons that never got ready: 73 of 1024 pairs had the other as leaving, unchanged from 11 s to 37 s after the start. They were left out of look-ups beyond their zone. Ruled out: a table that differs (all had 32 rows), silence (none unheard). Change: beyond the group, an entry's own word that it takes no work holds for the far silence limit (25 s) against a relay's later word that it does. Within the group, where it goes on speaking for itself, it holds as before, and so do the marks of operators and of the VM list. Shown: the scenario fails without the change (run before it) and passes with it.

--- a/almondstair/core/membership.py
+++ b/almondstair/core/membership.py
@@ -94,6 +94,7 @@
         self._near_limit_s = silence_limit_s
         self._far_limit_s = silence_limit_s
         self._heard: dict[str, Heard] = {}
+        self._own_word_s: dict[str, float] = {}
         self._replaced: dict[str, int] = {}
         self._relayed_down: set[str] = set()
         self._row_first_seen_s: dict[str, float] = {}
@@ -129,6 +130,7 @@
         self._row_first_seen_s.pop(name, None)
         self._lacking_count.pop(name, None)
         self._heard.pop(name, None)
+        self._own_word_s.pop(name, None)
         self._replaced.pop(name, None)
         self._relayed_down.discard(name)
         self._listed_leaving -= {name}
@@ -340,6 +342,7 @@
             elif heard.sequence <= known.sequence:
                 return False
         self._heard[heard.name] = heard
+        self._own_word_s[heard.name] = heard.heard_s
         self._relayed_down.discard(heard.name)
         self._lacking_count.pop(heard.name, None)
         return True
@@ -349,8 +352,9 @@
     ) -> None:
         """Notes that a relay heard an entry and which version it had.
 
-        A relay's word shows that an entry runs. It acknowledges nothing and
-        does not undo what the entry said of itself.
+        A relay's word shows that an entry runs and takes work. It acknowledges
+        nothing, and undoes what the entry said of itself only once that is too
+        old to count.
 
         Args:
           name: the entry.
@@ -375,9 +379,23 @@
             return
         self._relayed_down.discard(name)
         self._heard[name] = known._replace(
-            heard_s=heard_s, configuration_version=configuration_version
+            heard_s=heard_s,
+            configuration_version=configuration_version,
+            leaving=known.leaving and self._word_counts(name, heard_s),
         )
 
+    def _word_counts(self, name: str, relayed_s: float) -> bool:
+        """Says whether an entry's own word outweighs a relay's later one.
+
+        An entry that joins tells so to all while the table is small. Once the
+        table has grown it speaks to its own zone only, and beyond it would be
+        taken to be joining for ever, though every digest has it as live.
+        """
+        if name in self._near_names:
+            return True
+        own_word_s = self._own_word_s.get(name, float("-inf"))
+        return relayed_s - own_word_s <= self._far_limit_s
+
     def not_live(self, *, name: str) -> None:
         """Notes that a relay says that an entry is unheard or leaving.
 
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -94,6 +94,24 @@
     Then the live entries are "a, c"
     And "a" plans no change
 
+  Scenario: What an entry said while it joined does not stand for ever
+    # Symptom: with 32 entries some were never named in look-ups of other
+    #   availability zones.
+    # Sequence: an entry sent its first heartbeats to all, since the table was
+    #   still small; they said that it takes no work yet. The table grew, and
+    #   its later heartbeats went to its own zone only.
+    # Cause: relayed digests, all that came from then on, undid nothing.
+    When "b" says that it is leaving
+    And "b" is heard through digests only for 4 seconds
+    Then the live entries are "a, c"
+    When "b" is heard through digests only for 30 seconds
+    Then the live entries are "a, b, c"
+
+  Scenario: What an entry of the group says of itself is not undone by relays
+    When "b" says that it is leaving
+    And "b", of the same group, is heard through relays for 30 seconds
+    Then the live entries are "a, c"
+
   Scenario: A mark of one source is not undone by the silence of another
     When the operators mark "b" as leaving
     And "b" is heard again
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -173,6 +173,32 @@
     heard(context, name, leaving=True)
 
 
+def pass_time_relayed(context, name, seconds, near_names):
+    context.membership.set_silence_limits(
+        near_names=frozenset(near_names), near_s=2.0, far_s=25.0
+    )
+    for _ in range(seconds):
+        pass_time(context, 1, silent=[name])
+        context.membership.heard_of(
+            name=name,
+            heard_s=context.now_s - 0.5,
+            configuration_version=1,
+        )
+
+
+@when('"{name}" is heard through digests only for {seconds:d} seconds')
+def step_heard_far(context, name, seconds):
+    pass_time_relayed(context, name, seconds, ["c"])
+
+
+@when(
+    '"{name}", of the same group, is heard through relays for {seconds:d} '
+    "seconds"
+)
+def step_heard_relayed(context, name, seconds):
+    pass_time_relayed(context, name, seconds, ["b", "c"])
+
+
 @when('"{name}" restarts and its last frame is read after the new first')
 def step_restart(context, name):
     heard(context, name, leaving=True, finished=False)
