Pay for the beginning of an answer before it crosses a link

Cause: an entry paid for an answer when it read it. What another entry had written lay unpaid in the kernel's buffers, 128 KiB asked and twice that given, for each connection. Downloads over a link of 4 MB/s, sampled at the sockets between two entries in 1 s windows: 139% of the cap with 8 answers under way, 118% with 16 short ones.

Ruled out: small buffers alone, which still gave 132% with 32 answers. Paying ahead in turns: all were paid for at one moment (130%).

Change: a try pays for the first 96 KiB of the answer, or for the size that answers of its class have, before it is sent, one try after the other; the receive buffer is 16 KiB. Cost: a connection moves 16 to 32 KiB in each round trip.

Bodies: an upload that its link cannot move before the deadline, behind what was accepted before it, is refused at once with link_full. Pieces move by priority, then deadline: bodies that share a full link would all end late.

A request that no region has room for is refused as no_slot; it was called no_upstream, which means that none takes work at all.

--- a/almondstair/dispatch.py
+++ b/almondstair/dispatch.py
@@ -56,7 +56,10 @@
         """Makes the clients for upstreams and for entries."""
         self._tracing = tracing
         self._own_zone = own_zone
-        self.upstreams = HttpClient(connect_timeout_s=CONNECT_TIMEOUT_S)
+        self.upstreams = HttpClient(
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
+        )
         self.entries = HttpClient(
             connect_timeout_s=CONNECT_TIMEOUT_S,
             receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
--- a/almondstair/frontend.py
+++ b/almondstair/frontend.py
@@ -60,6 +60,7 @@
       traceparent: W3C trace header, or empty.
       caller_zone: availability zone of the entry that the caller asked.
       from_entry: whether another entry sent it.
+      body_bytes: size of its body by its head, 0 if that does not say.
     """
 
     head: RequestHead
@@ -70,6 +71,7 @@
     traceparent: str
     caller_zone: str
     from_entry: bool
+    body_bytes: int = 0
 
 
 class CallHandler(abc.ABC):
@@ -261,6 +263,7 @@
             traceparent=headers.get(TRACE_HEADER, ""),
             caller_zone=zone,
             from_entry=self._door.for_entries,
+            body_bytes=length or 0,
         )
         if length == 0:
             self._body.end()
--- a/almondstair/http_client.py
+++ b/almondstair/http_client.py
@@ -29,9 +29,13 @@
 CHUNK_BYTES = 64 * 1024
 MAX_BUFFER_BYTES = 1 << 20
 MAX_BODY_BYTES = 1 << 50
-# Bounds what lies in the kernel between two entries, so that pacing the reader
-# paces the link too.
-RECEIVE_BUFFER_BYTES = 128 * 1024
+# Bounds what lies in the kernel before it is paid for, so that pacing the
+# reader paces the link too. The kernel doubles it. A connection moves at most
+# this much in each round trip.
+RECEIVE_BUFFER_BYTES = 16 * 1024
+# What of an answer may have come over a link before any of it is read.
+ANSWER_AHEAD_BYTES = 96 * 1024
+READ_CHUNK_BYTES = 16 * 1024
 CONTINUE = 100
 # Start line and headers of a small message, counted against a link with it.
 HEAD_BYTES = 512
@@ -213,7 +217,11 @@
                 socket.SO_RCVBUF,
                 self._receive_buffer_bytes,
             )
-        stream = iostream.IOStream(raw, max_buffer_size=MAX_BUFFER_BYTES)
+        stream = iostream.IOStream(
+            raw,
+            max_buffer_size=MAX_BUFFER_BYTES,
+            read_chunk_size=READ_CHUNK_BYTES,
+        )
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 await stream.connect((ip, int(port)))
--- a/almondstair/pacing.py
+++ b/almondstair/pacing.py
@@ -10,28 +10,37 @@
 from almondstair.core.model import Priority
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
-from almondstair.http_client import Pace
+from almondstair.http_client import ANSWER_AHEAD_BYTES
 
 # A request that would wait longer for its link is refused at once.
 LONGEST_QUEUE_S = 1.0
 LONGEST_RETRY_S = 60.0
+LEAST_RETRY_MS = 100
 FIRST_WAIT_S = 0.001
+# How fast the expected size of an answer rises to larger ones; it falls at
+# once, so that little is paid for bytes that do not come.
+SIZE_WEIGHT = 0.2
+# Part of its share that an entry surely moves; see DEPTH_FRACTION of links.
+REACHED_FRACTION = 0.9
 
 
 class _Waiting(NamedTuple):
     """A piece in the queue, in the order in which pieces move."""
 
     rank: int
+    deadline_s: float
     number: int
     size_bytes: int
     future: "asyncio.Future[int]"
+    whole: bool
 
 
 class LinkPacer:
     """The queue before one link in one direction.
 
-    Pieces move by priority, then in order. Without an order a stream of large
-    pieces would take the tokens that small ones wait for.
+    Pieces move by priority, then by the deadline of their request, then in
+    order. Without an order a stream of large pieces would take the tokens that
+    small ones wait for; and bodies that share a full link would all end late.
     """
 
     def __init__(self, *, share: LinkShare) -> None:
@@ -41,13 +50,17 @@
         self._queued_bytes = 0
         self._number = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._promised_bytes = dict.fromkeys(RANKS.values(), 0)
 
-    async def move(self, size_bytes: int, priority: Priority) -> int:
+    async def move(
+        self, size_bytes: int, priority: Priority, deadline_s: float
+    ) -> int:
         """Waits until bytes may move.
 
         Args:
           size_bytes: size of the piece.
           priority: of the request's class.
+          deadline_s: of the request.
 
         Returns:
           How many of its bytes may move now; at least 1.
@@ -59,9 +72,37 @@
             if part.size_bytes:
                 return part.size_bytes
             self._wake_in(part.wait_s)
+        return await self._wait(size_bytes, priority, deadline_s, whole=False)
+
+    async def pay_ahead(
+        self, size_bytes: int, priority: Priority, deadline_s: float
+    ) -> None:
+        """Waits until a piece is paid for that will move soon, as a whole.
+
+        Several that are paid for in turns would all be whole at one moment,
+        and what was paid for over a second would move in an instant.
+        """
+        self._wake_in(FIRST_WAIT_S)
+        await self._wait(size_bytes, priority, deadline_s, whole=True)
+
+    async def _wait(
+        self,
+        size_bytes: int,
+        priority: Priority,
+        deadline_s: float,
+        *,
+        whole: bool,
+    ) -> int:
         self._number += 1
         future = asyncio.get_running_loop().create_future()
-        waiting = _Waiting(RANKS[priority], self._number, size_bytes, future)
+        waiting = _Waiting(
+            RANKS[priority],
+            deadline_s,
+            self._number,
+            size_bytes,
+            future,
+            whole,
+        )
         heapq.heappush(self._queue, waiting)
         self._queued_bytes += size_bytes
         return await future
@@ -70,21 +111,42 @@
         """Returns how long a new piece would wait, roughly."""
         if not self._queued_bytes:
             return 0.0
-        status = self.share.status(now_s=now_s)
-        rate = status.allowance_bytes_per_s + status.borrowed_bytes_per_s
-        rate -= status.lent_bytes_per_s
+        rate = self._own_bytes_per_s(now_s)
         if rate <= 0:
             return float("inf")
         return self._queued_bytes / rate
 
+    def promise(self, *, size_bytes: int, priority: Priority) -> None:
+        """Counts bytes that an accepted request will move; negative: moved."""
+        self._promised_bytes[RANKS[priority]] += size_bytes
+
+    def carry_s(
+        self, *, size_bytes: int, priority: Priority, now_s: float
+    ) -> float:
+        """Returns how long a body takes behind all that goes before it."""
+        ahead_bytes = size_bytes
+        for rank, promised_bytes in self._promised_bytes.items():
+            if rank <= RANKS[priority]:
+                ahead_bytes += promised_bytes
+        status = self.share.status(now_s=now_s)
+        # What is lent comes back within a term once this entry is busy.
+        rate = max(status.allowance_bytes_per_s, self._own_bytes_per_s(now_s))
+        if rate <= 0:
+            return float("inf")
+        return ahead_bytes / (rate * REACHED_FRACTION)
+
+    def _own_bytes_per_s(self, now_s: float) -> int:
+        status = self.share.status(now_s=now_s)
+        rate = status.allowance_bytes_per_s + status.borrowed_bytes_per_s
+        return rate - status.lent_bytes_per_s
+
     def headroom(self, *, now_s: float) -> float:
         """Returns the unused part of this entry's share, 0 to 1."""
-        status = self.share.status(now_s=now_s)
-        own = status.allowance_bytes_per_s - status.lent_bytes_per_s
-        own += status.borrowed_bytes_per_s
+        own = self._own_bytes_per_s(now_s)
         if own <= 0:
             return 0.0
-        return max(0.0, 1.0 - status.used_bytes_per_s / own)
+        used = self.share.status(now_s=now_s).used_bytes_per_s
+        return max(0.0, 1.0 - used / own)
 
     def _wake_in(self, wait_s: float) -> None:
         if self._timer is None:
@@ -108,6 +170,13 @@
                 self._wake_in(part.wait_s)
                 return
             self._drop_first()
+            left_bytes = waiting.size_bytes - part.size_bytes
+            if waiting.whole and left_bytes:
+                self._queued_bytes += left_bytes
+                heapq.heappush(
+                    self._queue, waiting._replace(size_bytes=left_bytes)
+                )
+                continue
             waiting.future.set_result(part.size_bytes)
 
     def _drop_first(self) -> None:
@@ -115,6 +184,82 @@
         self._queued_bytes -= waiting.size_bytes
 
 
+class Transfer:
+    """The bytes of one attempt over one link, both ways."""
+
+    def __init__(
+        self,
+        *,
+        pacers: tuple[LinkPacer, ...],
+        priority: Priority,
+        deadline_s: float,
+        body_bytes: int,
+        answer_bytes: int,
+    ) -> None:
+        """Counts the body as promised until `end`.
+
+        Args:
+          pacers: outward and inward, or none where there is no link.
+          priority: of the request's class.
+          deadline_s: when it is given up.
+          body_bytes: size of the request's body, 0 if it is not known.
+          answer_bytes: expected size of the answer.
+        """
+        self._pacers = pacers
+        self._priority = priority
+        self._deadline_s = deadline_s
+        self._promised_bytes = 0
+        self._paid_bytes = min(answer_bytes, ANSWER_AHEAD_BYTES)
+        self.answer_bytes = 0
+        if pacers:
+            self._promise(body_bytes)
+
+    async def start(self) -> None:
+        """Pays for the first bytes of the answer, before it is asked for.
+
+        They cross the link as soon as the other side writes them, and lie in
+        the buffers of this one. Paid for when they are read, many answers
+        that begin at once would take the link over its cap.
+        """
+        if self._pacers and self._paid_bytes:
+            await self._pacers[1].pay_ahead(
+                self._paid_bytes, self._priority, self._deadline_s
+            )
+
+    async def request(self, size_bytes: int) -> int:
+        """Waits until bytes of the request may move; see `Pace`."""
+        if not self._pacers:
+            return size_bytes
+        moved_bytes = await self._pacers[0].move(
+            size_bytes, self._priority, self._deadline_s
+        )
+        self._promise(-min(moved_bytes, self._promised_bytes))
+        return moved_bytes
+
+    async def answer(self, size_bytes: int) -> int:
+        """Waits until bytes of the answer may move; see `Pace`."""
+        moved_bytes = min(size_bytes, self._paid_bytes)
+        self._paid_bytes -= moved_bytes
+        if not moved_bytes:
+            moved_bytes = size_bytes
+            if self._pacers:
+                moved_bytes = await self._pacers[1].move(
+                    size_bytes, self._priority, self._deadline_s
+                )
+        self.answer_bytes += moved_bytes
+        return moved_bytes
+
+    def end(self) -> None:
+        """Takes back what was promised and did not move."""
+        self._promise(-self._promised_bytes)
+
+    def _promise(self, size_bytes: int) -> None:
+        if not size_bytes:
+            return
+        self._promised_bytes += size_bytes
+        self._pacers[0].promise(size_bytes=size_bytes, priority=self._priority)
+
+
 class LinkPacers:
     """The links from this entry's availability zone, both directions."""
 
@@ -122,6 +267,7 @@
         """Starts without a link."""
         self._out: dict[str, LinkPacer] = {}
         self._in: dict[str, LinkPacer] = {}
+        self._answer_bytes: dict[str, float] = {}
 
     def add(
         self, *, region: str, outward: LinkPacer, inward: LinkPacer
@@ -156,39 +302,85 @@
             smallest = min(smallest, pacer.headroom(now_s=now_s))
         return smallest
 
-    def check(self, *, region: str, deadline_s: float, now_s: float) -> None:
+    def check(
+        self,
+        *,
+        region: str,
+        priority: Priority,
+        body_bytes: int,
+        deadline_s: float,
+        now_s: float,
+    ) -> None:
         """Refuses a request that its link could not carry in time.
 
+        Args:
+          region: where the request goes.
+          priority: of its class.
+          body_bytes: size of its body, 0 if it is not known.
+          deadline_s: when it is given up.
+          now_s: monotonic time.
+
         Raises:
           AlmondstairError: `link_full`.
         """
-        limit_s = min(LONGEST_QUEUE_S, deadline_s - now_s)
-        for pacer in self.pacers(region=region):
+        left_s = deadline_s - now_s
+        limit_s = min(LONGEST_QUEUE_S, left_s)
+        pacers = self.pacers(region=region)
+        for pacer in pacers:
             queue_s = pacer.queue_s(now_s=now_s)
-            if queue_s <= limit_s:
-                continue
-            if queue_s > LONGEST_RETRY_S:
-                # No share at all yet, or any more: a loan takes a moment.
-                queue_s = LONGEST_QUEUE_S
-            raise AlmondstairError(
-                kind=ErrorKind.LINK_FULL,
-                detail=f"the link to {region} has work for {queue_s:.1f} s",
-                retry_after_ms=int(queue_s * 1000),
-            )
-
-    def outward(self, *, region: str, priority: Priority) -> Pace:
-        """Returns what paces a request's bytes to a region."""
-        return _pace(self._out.get(region), priority)
-
-    def inward(self, *, region: str, priority: Priority) -> Pace:
-        """Returns what paces an answer's bytes from a region."""
-        return _pace(self._in.get(region), priority)
+            if queue_s > limit_s:
+                raise _link_full(region, queue_s, queue_s)
+        if not pacers or not body_bytes:
+            return
+        # Accepted, a body that ends after its deadline would take the link
+        # from others all that time and be for nothing.
+        carry_s = pacers[0].carry_s(
+            size_bytes=body_bytes, priority=priority, now_s=now_s
+        )
+        if carry_s > left_s:
+            raise _link_full(region, carry_s, carry_s - left_s)
+
+    def transfer(
+        self,
+        *,
+        region: str,
+        priority: Priority,
+        deadline_s: float,
+        body_bytes: int,
+        kind: str,
+    ) -> Transfer:
+        """Returns what paces an attempt's bytes to and from a region.
 
-
-def _pace(pacer: LinkPacer | None, priority: Priority) -> Pace:
-    async def move(size_bytes: int) -> int:
-        if pacer is None:
-            return size_bytes
-        return await pacer.move(size_bytes, priority)
-
-    return move
+        Args:
+          region: where the request goes.
+          priority: of its class.
+          deadline_s: when it is given up.
+          body_bytes: size of its body, 0 if it is not known.
+          kind: requests of one kind have answers of like size.
+        """
+        return Transfer(
+            pacers=self.pacers(region=region),
+            priority=priority,
+            deadline_s=deadline_s,
+            body_bytes=body_bytes,
+            answer_bytes=int(self._answer_bytes.get(kind, ANSWER_AHEAD_BYTES)),
+        )
+
+    def note_answer(self, *, kind: str, size_bytes: int) -> None:
+        """Learns the size of the answers of a kind."""
+        known = self._answer_bytes.get(kind)
+        if known is None or size_bytes < known:
+            self._answer_bytes[kind] = size_bytes
+            return
+        self._answer_bytes[kind] += (size_bytes - known) * SIZE_WEIGHT
+
+
+def _link_full(region: str, work_s: float, retry_s: float) -> AlmondstairError:
+    if retry_s > LONGEST_RETRY_S:
+        # No share at all yet, or any more: a loan takes a moment.
+        retry_s = LONGEST_QUEUE_S
+    return AlmondstairError(
+        kind=ErrorKind.LINK_FULL,
+        detail=f"the link to {region} has work for {work_s:.1f} s",
+        retry_after_ms=max(LEAST_RETRY_MS, int(retry_s * 1000)),
+    )
--- a/almondstair/serving.py
+++ b/almondstair/serving.py
@@ -224,6 +224,9 @@
         error = AlmondstairError(kind=ErrorKind.NO_UPSTREAM)
         for _ in range(MAX_TRIES):
             hop = self._next_hop(call, tried)
+            if hop is None and not tried and self._has_region(call):
+                # Some region serves this, but has no room for its priority.
+                error = AlmondstairError(kind=ErrorKind.NO_SLOT)
             if hop is None:
                 break
             tried = tried | {hop.row.name}
@@ -238,6 +241,15 @@
             verdict = self._verdict(fingerprint)
         return _spread(error)
 
+    def _has_region(self, call: Call) -> bool:
+        weights = self._parts.steering.weights(
+            service=call.head.service,
+            availability_zone=self._parts.own.availability_zone,
+            now_s=time.monotonic(),
+            priority=call.head.request_class.priority,
+        )
+        return bool(weights)
+
     def _next_hop(self, call: Call, tried: frozenset[str]) -> _Hop | None:
         """Returns the best entry of the best region not tried yet."""
         now_s = time.monotonic()
@@ -277,23 +289,38 @@
         priority = call.head.request_class.priority
         pacers = self._parts.pacers
         pacers.check(
-            region=hop.region, deadline_s=call.head.deadline_s, now_s=started_s
+            region=hop.region,
+            priority=priority,
+            body_bytes=call.body_bytes,
+            deadline_s=call.head.deadline_s,
+            now_s=started_s,
+        )
+        kind = f"{service}/{call.head.request_class.name}"
+        transfer = pacers.transfer(
+            region=hop.region,
+            priority=priority,
+            deadline_s=call.head.deadline_s,
+            body_bytes=call.body_bytes,
+            kind=kind,
         )
-        call.answer.pace = pacers.inward(region=hop.region, priority=priority)
-        pace = pacers.outward(region=hop.region, priority=priority)
+        call.answer.pace = transfer.answer
         self._parts.hops.sent(entry=hop.row.name, service=service)
         self._parts.steering.sent(region=hop.region, service=service)
         error: AlmondstairError | None = AlmondstairError(
             kind=ErrorKind.UPSTREAM_TIMEOUT
         )
         try:
+            await transfer.start()
             if hop.row.name == self._parts.own.name:
-                work = Work(call, fingerprint, verdict, pace)
+                work = Work(call, fingerprint, verdict, transfer.request)
                 error = await self._run_here(work)
             else:
                 self._parts.metrics.count(Metric.FORWARDS, hop.region)
-                error = await self._forward(call, hop, pace)
+                error = await self._forward(call, hop, transfer.request)
+            if error is None:
+                pacers.note_answer(kind=kind, size_bytes=transfer.answer_bytes)
         finally:
+            transfer.end()
             self._parts.hops.returned(entry=hop.row.name, service=service)
             self._tell_steering(call, hop, error, started_s)
         return error
