--- a/features/support/closed_loop.py
+++ b/features/support/closed_loop.py
@@ -51,7 +51,7 @@
         self._threads: list[threading.Thread] = []
         self._lock = threading.Lock()
         self.records: list[Record] = []
-        self.read_bytes: Counter[int] = Counter()
+        self.read_bytes: dict[str, Counter[int]] = {}
 
     def add(
         self, *, entry: str, address: str, request: LoadRequest, callers: int
@@ -118,10 +118,14 @@
     def _read(self, answer: http.client.HTTPResponse) -> bytes:
         kept = b""
         size_bytes = 0
+        with self._lock:
+            bins = self.read_bytes.setdefault(
+                answer.getheader("Served-By", ""), Counter()
+            )
         while chunk := answer.read1(READ_BYTES):
             size_bytes += len(chunk)
             with self._lock:
-                self.read_bytes[int(time.monotonic() / BIN_S)] += len(chunk)
+                bins[int(time.monotonic() / BIN_S)] += len(chunk)
             if len(kept) < READ_BYTES:
                 kept += chunk
         length = answer.getheader("Content-Length")
--- a/features/support/upstream_standin.py
+++ b/features/support/upstream_standin.py
@@ -216,6 +216,7 @@
         self.set_status(status)
         self.set_header("Body-Sha256", self.digest.hexdigest())
         self.set_header("Body-Length", str(self.received_bytes))
+        self.set_header("Served-By", self.upstream.options.name)
         self.report_load()
         size_bytes, chunks = self.make_body(outcome)
         if status in (204, 304) or self.request.method == "HEAD":
