--- a/features/links_path.feature
+++ b/features/links_path.feature
@@ -27,8 +27,8 @@
     Given two entries of bkk-1 with links of 4 MB/s
     And callers of bkk-e0 and bkk-e1 keep both ways busy
     When the upstream of bkk is marked as leaving
-    And <what> for 2 s
-    And the traffic has gone to cnx for 2 s
+    And <what> for 1.5 s
+    And the traffic has gone to cnx for 1.5 s
     Then no window of a link was above its cap
     And bytes still move to cnx
 
@@ -45,7 +45,7 @@
     # bkk-e1 gets work of its own as soon as it can.
     # Cause: a borrower that goes on, or a lender that takes back too early.
     Given two entries of bkk-1 with links of 4 MB/s
-    And callers of bkk-e0 keep uploads under way for 2 s
+    And callers of bkk-e0 keep uploads under way for 1 s
     When <who> is frozen for 1.5 s as bkk-e1 gets callers of its own
     Then no window of a link was above its cap
 
--- a/features/steps/links_path_steps.py
+++ b/features/steps/links_path_steps.py
@@ -28,6 +28,7 @@
 LONG_MS = 20000
 ZONE = "bkk-1"
 SETTLE_S = 1.0
+WARM_SLOTS = 6
 LOADS = {
     "uploads": LoadRequest(
         path="/matching/batches/1",
@@ -82,7 +83,7 @@
 
     def warm():
         for upstream in context.deployment.upstreams:
-            if context.deployment.journal(upstream)["busy"] < 8:
+            if context.deployment.journal(upstream)["busy"] < WARM_SLOTS:
                 return False
         return True
 
@@ -238,7 +239,7 @@
     _add(context, "bkk-e1", "uploads")
     time.sleep(seconds)
     child.thaw()
-    time.sleep(2.5)
+    time.sleep(2.0)
 
 
 @then("bytes still move to cnx")
