--- a/almondstair/control.py
+++ b/almondstair/control.py
@@ -168,6 +168,7 @@
         if not counts or heartbeat.detail is None:
             return
         now_s = time.monotonic()
+        self._note_return(name, now_s)
         row = self._parts.membership.table.row(name=name)
         assert row is not None
         self._parts.quarantine.merge(marks=heartbeat.detail.marks, now_s=now_s)
@@ -422,6 +423,16 @@
             log.event(log.Event.ENTRY_HEARD, entry=name)
         self._silent = silent
 
+    def _note_return(self, name: str, now_s: float) -> None:
+        """Lets a lost region take work as soon as one of its entries does."""
+        row = self._parts.membership.table.row(name=name)
+        if row is not None and row.region in self._lost_regions:
+            self._note_regions(now_s)
+
+    def note_live(self) -> None:
+        """Looks anew at who is live, as when this entry begins to take work."""
+        self._note_regions(time.monotonic())
+
     def _note_regions(self, now_s: float) -> None:
         configuration = self._configuration.configuration
         if configuration is None:
--- a/almondstair/dispatch.py
+++ b/almondstair/dispatch.py
@@ -115,8 +115,16 @@
         call: Call,
         entry: EntryRow,
         pace: Pace,
+        window_bytes: int,
     ) -> Attempt:
-        """Forwards a call to another entry."""
+        """Forwards a call to another entry.
+
+        Args:
+          call: the call.
+          entry: where it goes.
+          pace: awaited before bytes of the request's body move.
+          window_bytes: receive buffer of a new connection to it.
+        """
         with self._tracing.span(
             "forward",
             traceparent=call.traceparent,
@@ -134,6 +142,7 @@
                 may_write=lambda: True,
                 pace=pace,
                 to_entry=True,
+                window_bytes=window_bytes,
             )
             span.set_attribute("sent", exchange.sent.value)
         return Attempt(exchange, _entry_error(exchange, entry.name))
@@ -149,10 +158,13 @@
         may_write: Callable[[], bool],
         pace: Pace,
         to_entry: bool = False,
+        window_bytes: int = 0,
     ) -> Exchange:
         fresh = not call.head.request_class.idempotent
         try:
-            stream = await client.connect(address, fresh=fresh)
+            stream = await client.connect(
+                address, fresh=fresh, receive_buffer_bytes=window_bytes
+            )
         except (OSError, TimeoutError):
             return Exchange(sent=Sent.NOT_SENT)
         # A process that was frozen since its last look at the clock must not
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -390,6 +390,7 @@
         await self.table_keeper.register()
         await self._until_ready()
         self.membership.joining = False
+        self._control.note_live()
         self.heartbeats.announce()
         log.event(log.Event.STARTED, entry=self.own.name)
 
--- a/almondstair/errors.py
+++ b/almondstair/errors.py
@@ -106,7 +106,7 @@
         2003, 503, Ran.NO, 1000, 4, "The link to the region is at its cap"
     ),
     ErrorKind.NO_UPSTREAM: ErrorRule(
-        2004, 503, Ran.NO, 5000, 4, "No upstream of the service takes work"
+        2004, 503, Ran.NO, 1000, 4, "No upstream of the service takes work"
     ),
     ErrorKind.QUARANTINED: ErrorRule(
         2005, 503, Ran.NO, 300_000, 4, "This request crashed upstreams before"
--- a/almondstair/http_client.py
+++ b/almondstair/http_client.py
@@ -31,10 +31,8 @@
 MAX_BODY_BYTES = 1 << 50
 # Bounds what lies in the kernel before it is paid for, so that pacing the
 # reader paces the link too. The kernel doubles it. A connection moves at most
-# this much in each round trip.
+# this much in each round trip, so far regions take larger ones.
 RECEIVE_BUFFER_BYTES = 16 * 1024
-# What of an answer may have come over a link before any of it is read.
-ANSWER_AHEAD_BYTES = 96 * 1024
 READ_CHUNK_BYTES = 16 * 1024
 CONTINUE = 100
 # Start line and headers of a small message, counted against a link with it.
@@ -208,14 +206,14 @@
             return stream
         return None
 
-    async def _connect(self, address: str) -> iostream.IOStream:
+    async def _connect(
+        self, address: str, receive_buffer_bytes: int
+    ) -> iostream.IOStream:
         ip, _, port = address.rpartition(":")
         raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        if self._receive_buffer_bytes:
+        if receive_buffer_bytes:
             raw.setsockopt(
-                socket.SOL_SOCKET,
-                socket.SO_RCVBUF,
-                self._receive_buffer_bytes,
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
             )
         stream = iostream.IOStream(
             raw,
@@ -232,7 +230,9 @@
         self.connections_made += 1
         return stream
 
-    async def connect(self, address: str, *, fresh: bool) -> iostream.IOStream:
+    async def connect(
+        self, address: str, *, fresh: bool, receive_buffer_bytes: int = 0
+    ) -> iostream.IOStream:
         """Returns a connection to `address`, kept or new.
 
         A kept connection may have been closed by the other side a moment ago;
@@ -240,6 +240,12 @@
         can know. Work that must not repeat therefore asks for a `fresh` one:
         just used or new.
 
+        Args:
+          address: `ip:port`.
+          fresh: whether a connection that was idle for longer is passed over.
+          receive_buffer_bytes: kernel buffer of a new connection; 0 for the
+            client's own choice.
+
         Raises:
           OSError: the connection could not be made.
           TimeoutError: it took too long.
@@ -249,7 +255,9 @@
         if stream is not None:
             return stream
         try:
-            return await self._connect(address)
+            return await self._connect(
+                address, receive_buffer_bytes or self._receive_buffer_bytes
+            )
         except iostream.StreamClosedError as error:
             raise OSError(f"{address} refused the connection") from error
 
--- a/almondstair/link_shares.py
+++ b/almondstair/link_shares.py
@@ -14,6 +14,7 @@
 from almondstair.messages import LinkEpoch
 from almondstair.pacing import LinkPacer
 from almondstair.pacing import LinkPacers
+from almondstair.pacing import window_bytes
 
 OUTWARD = ">"
 INWARD = "<"
@@ -58,6 +59,13 @@
             if region not in links:
                 self._remove(region)
         for region, link in links.items():
+            self._pacers.set_window(
+                region=region,
+                size_bytes=window_bytes(
+                    cap_bytes_per_s=link.cap_bytes_per_s,
+                    latency_ms=link.latency_ms,
+                ),
+            )
             if region in self._links:
                 self._set_cap(link)
                 continue
--- a/almondstair/pacing.py
+++ b/almondstair/pacing.py
@@ -10,13 +10,18 @@
 from almondstair.core.model import Priority
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
-from almondstair.http_client import ANSWER_AHEAD_BYTES
+from almondstair.http_client import RECEIVE_BUFFER_BYTES
 
 # A request that would wait longer for its link is refused at once.
 LONGEST_QUEUE_S = 1.0
 LONGEST_RETRY_S = 60.0
 LEAST_RETRY_MS = 100
 FIRST_WAIT_S = 0.001
+# Part of a link's cap that one connection should reach, whatever the distance.
+CONNECTION_FRACTION = 0.125
+MOST_WINDOW_BYTES = 1 << 20
+# What is read at once comes on top of what lies in the kernel.
+READ_AHEAD_BYTES = 64 * 1024
 # How fast the expected size of an answer rises to larger ones; it falls at
 # once, so that little is paid for bytes that do not come.
 SIZE_WEIGHT = 0.2
@@ -24,6 +29,22 @@
 REACHED_FRACTION = 0.9
 
 
+def window_bytes(*, cap_bytes_per_s: int, latency_ms: float) -> int:
+    """Returns the receive buffer of a connection over a link.
+
+    A connection moves one buffer in each round trip. With one size for all, a
+    region 55 ms away would get a few hundred kilobytes a second, and a long
+    statement would miss its deadline on an idle link.
+
+    Args:
+      cap_bytes_per_s: cap of the link.
+      latency_ms: one way.
+    """
+    round_trip_s = 2 * latency_ms / 1000
+    wanted = int(cap_bytes_per_s * CONNECTION_FRACTION * round_trip_s)
+    return max(RECEIVE_BUFFER_BYTES, min(MOST_WINDOW_BYTES, wanted))
+
+
 class _Waiting(NamedTuple):
     """A piece in the queue, in the order in which pieces move."""
 
@@ -203,13 +224,13 @@
           priority: of the request's class.
           deadline_s: when it is given up.
           body_bytes: size of the request's body, 0 if it is not known.
-          answer_bytes: expected size of the answer.
+          answer_bytes: what of the answer may cross before any of it is read.
         """
         self._pacers = pacers
         self._priority = priority
         self._deadline_s = deadline_s
         self._promised_bytes = 0
-        self._paid_bytes = min(answer_bytes, ANSWER_AHEAD_BYTES)
+        self._paid_bytes = answer_bytes
         self.answer_bytes = 0
         if pacers:
             self._promise(body_bytes)
@@ -267,6 +288,7 @@
         """Starts without a link."""
         self._out: dict[str, LinkPacer] = {}
         self._in: dict[str, LinkPacer] = {}
+        self._windows: dict[str, int] = {}
         self._answer_bytes: dict[str, float] = {}
 
     def add(
@@ -276,10 +298,25 @@
         self._out[region] = outward
         self._in[region] = inward
 
+    def set_window(self, *, region: str, size_bytes: int) -> None:
+        """Sets the receive buffer of connections to a region."""
+        self._windows[region] = size_bytes
+
+    def window_bytes(self, *, region: str) -> int:
+        """Returns the receive buffer of connections to a region."""
+        return self._windows.get(region, RECEIVE_BUFFER_BYTES)
+
+    def _ahead_bytes(self, region: str, kind: str) -> int:
+        """Returns what of an answer may cross a link before any is read."""
+        buffered = 2 * self.window_bytes(region=region) + READ_AHEAD_BYTES
+        expected = self._answer_bytes.get(kind, buffered)
+        return int(min(expected, buffered))
+
     def remove(self, *, region: str) -> None:
         """Drops a link that is no longer configured."""
         self._out.pop(region, None)
         self._in.pop(region, None)
+        self._windows.pop(region, None)
 
     def regions(self) -> tuple[str, ...]:
         """Returns the regions with a link."""
@@ -363,7 +400,7 @@
             priority=priority,
             deadline_s=deadline_s,
             body_bytes=body_bytes,
-            answer_bytes=int(self._answer_bytes.get(kind, ANSWER_AHEAD_BYTES)),
+            answer_bytes=self._ahead_bytes(region, kind),
         )
 
     def note_answer(self, *, kind: str, size_bytes: int) -> None:
--- a/almondstair/serving.py
+++ b/almondstair/serving.py
@@ -338,6 +338,7 @@
             call=call,
             entry=hop.row,
             pace=pace,
+            window_bytes=self._parts.pacers.window_bytes(region=hop.region),
         )
         if attempt.error is not None:
             return attempt.error
