--- a/almondstair/pacing.py
+++ b/almondstair/pacing.py
@@ -165,7 +165,8 @@
         limit_s = min(LONGEST_QUEUE_S, deadline_s - now_s)
         for pacer in self.pacers(region=region):
             queue_s = pacer.queue_s(now_s=now_s)
-            if queue_s <= limit_s:
+            # Without a queue the link is not what is in the way.
+            if not queue_s or queue_s <= limit_s:
                 continue
             if queue_s > LONGEST_RETRY_S:
                 # No share at all yet, or any more: a loan takes a moment.
