Let admission judge low priority work in a full region

Cause: work of low priority was refused by the first entry on the ground of a load report up to a heartbeat old, although slots came free meanwhile; at half of capacity nearly each statement was refused once (97 refusals to 100 requests). Change: it is sent to the region drawn and only there; admission beside the slots holds the reserve back and queues for a moment. No fallback, so nothing lands on a cold region past its ramp. Tests: three scenarios fixed that the first entry refuses. What they guard is that the work does not start in a cold region and does not fall on a neighbour without room; they now require that it has the drawn region as its only choice. That a region takes work only up to its slots is proved by the processes themselves (features/silence.feature).

--- a/almondstair/core/steering.py
+++ b/almondstair/core/steering.py
@@ -278,8 +278,8 @@
 
         Returns:
           The chosen region, then those with room for work of this priority.
-          Empty when no region is live, or when the chosen one has no room for
-          work that is not always tried: the request is refused at once.
+          Only the chosen one when it has no room for work that is not always
+          tried. Empty when no region is live.
         """
         weights = self.weights(
             service=service,
@@ -300,7 +300,10 @@
             now_s=now_s,
         )
         if chosen not in room and priority not in ALWAYS_TRIED:
-            return ()
+            # Not refused here: a report is up to a heartbeat old, and slots
+            # come free meanwhile. Admission beside the upstreams holds the
+            # reserve back for what goes before, and queues for a moment.
+            return (chosen,)
         for region in room:
             if region != chosen:
                 order.append(region)
--- a/features/steering.feature
+++ b/features/steering.feature
@@ -51,7 +51,7 @@
     # Cause: a fallback was used as a place to start.
     When all regions report 15 free slots for 5 s
     And one report gives the free slots home 5, near 20, far 20
-    Then at most 0.03 of batch work goes to "near", the rest is refused
+    Then at most 0.03 of batch work goes to "near", the rest to "home" alone
     And interactive work goes to "home" first
 
   Scenario: Load reports stop
@@ -126,7 +126,7 @@
     And one report gives the free slots home 15, near 4, far 20
     And the region "home" is lost
     Then the weight of "home" is 0.00
-    And batch work is never sent to "near" first
+    And batch work sent to "near" is tried nowhere else
     And interactive work goes to "near" first
 
   Scenario: A process starts and hears the far region first
@@ -160,7 +160,7 @@
     When one report gives the free slots home 5, near 0, far 0
     Then upload work goes to "home" first
     When 3 requests are sent to "home"
-    Then upload work is refused at once
+    Then upload work has "home" as its only choice
 
   Scenario: A digest that takes long over its relays counts for its own limit
     # Symptom: in a large fleet no spilled work ever crosses to a far region.
