Put answers before claims, and stop crashing requests in time

Failing upstreams. Cause: a 5xx answer counted as an answer; an upstream that failed at once freed its slot at once and drew work. Change: the health of an upstream weighs in the choice among upstreams, one that fails most of its answers gets a request every 0.25 s, and regions count 5xx as failures. Equals take turns, since the first by name got all work at little load.

Crashing requests. Also: look-ups of one path were refused for 300 s after several upstreams were killed together. Strikes now count only if the request started after the one before, and a whole answer ends running alone. Ruled out: a shorter life of strikes (a slow resend would cost more upstreams); headers in the fingerprint (a request id would defeat it).

Low priority told of no upstream is told of no slot, with the shorter time.

--- a/almondstair/answers.py
+++ b/almondstair/answers.py
@@ -71,6 +71,11 @@
     def close_connection(self) -> None:
         """Closes without ending the body."""
 
+    @property
+    def status(self) -> int:
+        """Status of the answer, 0 while there is none."""
+        return self._head.status if self._head is not None else 0
+
     @property
     def untouched(self) -> bool:
         """Whether the caller has been sent no byte yet."""
--- a/almondstair/core/admission.py
+++ b/almondstair/core/admission.py
@@ -9,6 +9,7 @@
 import math
 from typing import NamedTuple
 
+from almondstair.core.health import HealthTable
 from almondstair.core.homes import Duty
 from almondstair.core.homes import Homes
 from almondstair.core.model import Configuration
@@ -153,6 +154,7 @@
         book: SlotBook,
         limits: SlowStartLimits = DEFAULT_LIMITS,
         kept_fraction: dict[Priority, float] | None = None,
+        health: HealthTable | None = None,
     ) -> None:
         """Makes a table without upstreams.
 
@@ -162,7 +164,10 @@
           limits: constants of slow start.
           kept_fraction: part of a service's slots that work of each priority
             leaves to the ones above it.
+          health: what answers tell of each upstream, which goes before what
+            it reports of itself.
         """
+        self._health = health or HealthTable()
         self._homes = homes
         self._book = book
         self._limits = limits
@@ -171,6 +176,8 @@
         self._by_service: dict[str, list[str]] = {}
         self._leaving: frozenset[str] = frozenset()
         self._usual = UsualLatency()
+        self._turn = 0
+        self._turns: dict[str, int] = {}
         self._service_time_s: dict[str, float] = {}
 
     def set_configuration(self, *, configuration: Configuration) -> None:
@@ -234,19 +241,13 @@
         """
         is_long = deadline_s - now_s > self._homes.reserve_deadline_s
         rooms = self._rooms(service=service, now_s=now_s)
-        best: _Room | None = None
-        best_free = 0
-        for room in rooms:
-            if room.upstream in avoid:
-                continue
-            free = room.free_long if is_long else room.free
-            if free > best_free:
-                best = room
-                best_free = free
+        best = self._best(rooms, is_long=is_long, avoid=avoid, now_s=now_s)
         if deadline_s <= now_s:
             return Refusal(ErrorKind.DEADLINE_PASSED, LEAST_RETRY_MS)
         if best is None or not self._may_take(best, rooms, priority):
             return self.refusal(service=service, now_s=now_s)
+        self._turn += 1
+        self._turns[best.upstream] = self._turn
         ticket = self._book.start(
             upstream=best.upstream,
             service=service,
@@ -275,6 +276,39 @@
             avoid=frozenset(others),
         )
 
+    def _best(
+        self,
+        rooms: list[_Room],
+        *,
+        is_long: bool,
+        avoid: frozenset[str],
+        now_s: float,
+    ) -> _Room | None:
+        """Returns the upstream with most free slots, weighed by its answers.
+
+        Equals take turns. Else the first by name would get all work at little
+        load, and the others would be cold when they are needed.
+        """
+        best: _Room | None = None
+        best_worth = 0.0
+        best_turn = 0
+        for room in rooms:
+            if room.upstream in avoid:
+                continue
+            free = room.free_long if is_long else room.free
+            if not free:
+                continue
+            worth = free * self._health.factor(name=room.upstream, now_s=now_s)
+            turn = self._turns.get(room.upstream, 0)
+            if worth < best_worth:
+                continue
+            if worth == best_worth and turn > best_turn:
+                continue
+            best = room
+            best_worth = worth
+            best_turn = turn
+        return best
+
     def _may_take(
         self, best: _Room, rooms: list[_Room], priority: Priority
     ) -> bool:
@@ -445,7 +479,12 @@
             return 0
         if self._is_leaving(upstream=upstream):
             return 0
-        usable = state.ramp.usable_slots(now_s=now_s)
+        usable = min(
+            state.ramp.usable_slots(now_s=now_s),
+            self._health.usable_slots(
+                name=upstream, slots=state.slots, now_s=now_s
+            ),
+        )
         if duty.reserve_only:
             return min(usable, duty.allowed_slots)
         # What others hold is counted as used, and is not cold start's matter.
--- a/almondstair/core/health.py
+++ b/almondstair/core/health.py
@@ -23,6 +23,15 @@
 MAX_STEP = 0.5
 # Latency up to this many times the usual one is taken as noise.
 STRETCH_TOLERATED = 2.0
+# A name that fails at least this part of its answers is failing. Below it the
+# fault is as likely one of some requests, which fail wherever they run, and
+# taking slots away would cost capacity for nothing.
+FAILING = 0.6
+# Least time between two requests to a failing upstream. One that fails at once
+# also frees its slot at once, and without a pause it would draw more work than
+# the upstreams that do theirs; one would see answers of that upstream alone
+# rise while its load report says idle.
+TRIAL_INTERVAL_S = 0.25
 # Something must be sent for a recovery to be seen.
 MIN_FACTOR = 0.02
 # A name that nothing was sent to for so long is as good as never seen. It
@@ -180,9 +189,22 @@
         )
 
     def usable_slots(self, *, name: str, slots: int, now_s: float) -> int:
-        """Returns how many slots of an upstream deserve work, at least one."""
-        usable = round(slots * self.view(name=name, now_s=now_s).factor)
-        return max(1, min(slots, usable))
+        """Returns how many slots of an upstream deserve work.
+
+        All of them while most of its answers are well. A failing one gets a
+        single request now and then, by which its recovery is noticed.
+        """
+        view = self.view(name=name, now_s=now_s)
+        if view.failed < FAILING:
+            return slots
+        record = self._records[name]
+        if now_s - record.failed.updated_s < TRIAL_INTERVAL_S:
+            return 0
+        return min(1, slots)
+
+    def factor(self, *, name: str, now_s: float) -> float:
+        """Returns by how much an upstream is preferred to its like, 0 to 1."""
+        return self.view(name=name, now_s=now_s).factor
 
     def forget(self, *, name: str) -> None:
         """Drops a name that is no longer configured."""
--- a/almondstair/core/hops.py
+++ b/almondstair/core/hops.py
@@ -7,6 +7,8 @@
 
 from typing import NamedTuple
 
+import xxhash
+
 from almondstair.core.entry_table import EntryRow
 
 # An entry that refused is not asked again before its next report, or this.
@@ -106,6 +108,39 @@
             ordered.append(RankedEntry(row, -negative))
         return tuple(ordered)
 
+    def owner(
+        self,
+        *,
+        rows: tuple[EntryRow, ...],
+        service: str,
+        fingerprint: int,
+        now_s: float,
+    ) -> EntryRow | None:
+        """Returns the entry that runs a request which may crash upstreams.
+
+        All entries name the same one, so that it knows at once of each
+        upstream that such a request has cost. Were it sent to any entry, a
+        caller that repeats it faster than word of its strikes spreads would
+        find a new entry, and cost an upstream, each time.
+
+        Args:
+          rows: live entries.
+          service: the service.
+          fingerprint: of the request.
+          now_s: monotonic time.
+        """
+        best: EntryRow | None = None
+        best_rank = -1
+        for row in rows:
+            load = self._loads.get((row.name, service))
+            if load is None or now_s - load.heard_s > self._report_limit_s:
+                continue
+            rank = xxhash.xxh3_64_intdigest(row.name.encode(), fingerprint)
+            if rank > best_rank:
+                best = row
+                best_rank = rank
+        return best
+
     def _free(self, entry: str, service: str, now_s: float) -> int:
         load = self._loads.get((entry, service))
         if load is None or now_s - load.heard_s > self._report_limit_s:
--- a/almondstair/core/quarantine.py
+++ b/almondstair/core/quarantine.py
@@ -6,6 +6,14 @@
 strike against the request, known by its fingerprint. After one strike it runs
 only where nothing else runs; after strikes on two different upstreams no entry
 dispatches it for some minutes.
+
+Upstreams also die of something else, and take along whatever ran there. When a
+rack is lost, several die at once, each running the most asked for paths, which
+must not be refused for minutes on that ground. A request that is sent again
+starts after the strike before; what a rack took along had started already. So a
+strike counts only if its request started after the last one that counts. And
+one strike no longer keeps a request alone once it was answered whole; the
+strike itself stays, and the next one at another upstream counts.
 """
 
 import enum
@@ -17,6 +25,9 @@
 DEFAULT_CAPACITY = 1024
 DEFAULT_DIGEST_LIMIT = 16
 STRIKES_TO_QUARANTINE = 2
+# Strikes learned from a peer look later than they were by the transit time. A
+# request that started this much before a strike still counts as sent after it.
+TRANSIT_S = 0.02
 # A mark on its last seconds is neither sent nor taken. Otherwise each entry
 # would learn it from a peer just after forgetting it, a little longer each
 # time by the transit time, and a mark could outlive its time without end.
@@ -38,20 +49,24 @@
       fingerprint: fingerprint of the request, 64 bits.
       upstream: hash of the upstream's name, 32 bits.
       remaining_s: time left; a span, since entries share no clock.
+      ran_s: how long the request had run at the upstream.
     """
 
     fingerprint: int
     upstream: int
-    remaining_s: int
+    remaining_s: float
+    ran_s: float = 0.0
 
 
 class _Strike:
     """A strike as this entry keeps it."""
 
-    __slots__ = ("expires_s", "times_sent")
+    __slots__ = ("answered", "expires_s", "ran_s", "times_sent")
 
-    def __init__(self, *, expires_s: float) -> None:
+    def __init__(self, *, expires_s: float, ran_s: float) -> None:
         self.expires_s = expires_s
+        self.ran_s = ran_s
+        self.answered = False
         self.times_sent = 0
 
 
@@ -94,14 +109,29 @@
         self._capacity = capacity
         self._strikes: dict[int, dict[int, _Strike]] = {}
 
-    def strike(self, *, fingerprint: int, upstream: str, now_s: float) -> None:
-        """Counts a connection to `upstream` lost without an answer."""
+    def strike(
+        self, *, fingerprint: int, upstream: str, ran_s: float, now_s: float
+    ) -> None:
+        """Counts a connection to `upstream` lost without an answer.
+
+        Args:
+          fingerprint: of the request.
+          upstream: name of the upstream.
+          ran_s: how long it had run there.
+          now_s: the time.
+        """
         self._add(
             fingerprint=fingerprint,
             upstream=xxhash.xxh32_intdigest(upstream.encode()),
             expires_s=now_s + self._strike_life_s,
+            ran_s=ran_s,
         )
 
+    def answered(self, *, fingerprint: int) -> None:
+        """Takes a whole answer: the strikes so far need no running alone."""
+        for strike in self._strikes.get(fingerprint, {}).values():
+            strike.answered = True
+
     def verdict(self, *, fingerprint: int, now_s: float) -> Verdict:
         """Returns how a request may be dispatched now."""
         by_upstream = self._strikes.get(fingerprint)
@@ -111,15 +141,18 @@
         if not by_upstream:
             del self._strikes[fingerprint]
             return Verdict.CLEAR
-        if len(by_upstream) < STRIKES_TO_QUARANTINE:
-            return Verdict.ALONE
-        return Verdict.QUARANTINED
+        if len(_counted(by_upstream=by_upstream)) >= STRIKES_TO_QUARANTINE:
+            return Verdict.QUARANTINED
+        for strike in by_upstream.values():
+            if not strike.answered:
+                return Verdict.ALONE
+        return Verdict.CLEAR
 
     def remaining_s(self, *, fingerprint: int, now_s: float) -> float:
         """Returns how long a request stays quarantined, 0 if it is not."""
         by_upstream = self._strikes.get(fingerprint, {})
         ends: list[float] = []
-        for strike in by_upstream.values():
+        for strike in _counted(by_upstream=by_upstream):
             ends.append(strike.expires_s)
         if len(ends) < STRIKES_TO_QUARANTINE:
             return 0.0
@@ -144,8 +177,8 @@
         for _, fingerprint, upstream in waiting[:limit]:
             strike = self._strikes[fingerprint][upstream]
             strike.times_sent += 1
-            remaining_s = int(strike.expires_s - now_s)
-            marks.append(Mark(fingerprint, upstream, remaining_s))
+            remaining_s = round(strike.expires_s - now_s, 3)
+            marks.append(Mark(fingerprint, upstream, remaining_s, strike.ran_s))
         return tuple(marks)
 
     def merge(self, *, marks: tuple[Mark, ...], now_s: float) -> None:
@@ -161,6 +194,7 @@
                 fingerprint=mark.fingerprint,
                 upstream=mark.upstream,
                 expires_s=now_s + life_s,
+                ran_s=mark.ran_s,
             )
 
     def expire(self, *, now_s: float) -> None:
@@ -173,7 +207,7 @@
         return len(self._strikes)
 
     def _add(
-        self, *, fingerprint: int, upstream: int, expires_s: float
+        self, *, fingerprint: int, upstream: int, expires_s: float, ran_s: float
     ) -> None:
         by_upstream = self._strikes.get(fingerprint)
         if by_upstream is None:
@@ -182,7 +216,23 @@
                 del self._strikes[oldest]
             by_upstream = {}
             self._strikes[fingerprint] = by_upstream
-        by_upstream[upstream] = _Strike(expires_s=expires_s)
+        by_upstream[upstream] = _Strike(expires_s=expires_s, ran_s=ran_s)
+
+
+def _counted(*, by_upstream: dict[int, _Strike]) -> list[_Strike]:
+    """Returns the strikes that count, oldest first."""
+    strikes = sorted(by_upstream.values(), key=_end)
+    counted: list[_Strike] = []
+    for strike in strikes:
+        started_s = strike.expires_s - strike.ran_s
+        if counted and started_s < counted[-1].expires_s - TRANSIT_S:
+            continue
+        counted.append(strike)
+    return counted
+
+
+def _end(strike: _Strike) -> float:
+    return strike.expires_s
 
 
 def _drop_expired(*, by_upstream: dict[int, _Strike], now_s: float) -> None:
--- a/almondstair/dispatch.py
+++ b/almondstair/dispatch.py
@@ -24,6 +24,7 @@
 from almondstair.http_client import HttpClient
 from almondstair.http_client import Pace
 from almondstair.http_client import Sent
+from almondstair.http_messages import ALONE_HEADER
 from almondstair.http_messages import ANSWER_HEADER
 from almondstair.http_messages import CALLER_ZONE_HEADER
 from almondstair.http_messages import DEADLINE_HEADER
@@ -43,10 +44,12 @@
     Attributes:
       exchange: how the exchange ended.
       error: what to answer when there is no whole answer, else None.
+      started_s: when it started.
     """
 
     exchange: Exchange
     error: AlmondstairError | None
+    started_s: float = 0.0
 
 
 class Sender:
@@ -166,6 +169,8 @@
             headers[KEY_HEADER] = call.head.key
         if to_entry:
             headers[CALLER_ZONE_HEADER] = self._own_zone
+            if call.alone:
+                headers[ALONE_HEADER] = "1"
         refusal = None
         if to_entry:
             refusal = _entry_refusal
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -73,6 +73,8 @@
 METRICS_INTERVAL_S = 1.0
 STOP_POLL_S = 0.05
 HAND_OVER_POLL_S = 0.2
+# Least time between two announcements of requests that crashed an upstream.
+STRIKE_INTERVAL_S = 0.02
 RELEASE_LIMIT_S = 3.0
 
 
@@ -97,6 +99,7 @@
         self._incarnation = secrets.randbits(63)
         self.own = _own_row(settings, self._incarnation)
         self._refusing = False
+        self._announced_s = float("-inf")
         self._platform_out = False
         self._timers: list[asyncio.Task[None]] = []
         self.metrics = Metrics(
@@ -131,7 +134,8 @@
             margin_s=SLOT_MARGIN_S,
             book=book,
         )
-        self.slots = SlotTable(homes=self.homes, book=book)
+        self._health = HealthTable()
+        self.slots = SlotTable(homes=self.homes, book=book, health=self._health)
         self._keeper = SlotKeeper(slots=self.slots)
         report_limit_s = timing.load_report_limit_ms / 1000
         self._hops = HopTable(report_limit_s=report_limit_s)
@@ -140,7 +144,6 @@
             limits=SteeringLimits(report_limit_s=report_limit_s),
         )
         self._quarantine = Quarantine()
-        self._health = HealthTable()
         self.pacers = LinkPacers()
 
     def _make_platform(self) -> None:
@@ -273,6 +276,7 @@
             configuration=self.configuration,
             quarantine=self._quarantine,
             health=self._health,
+            on_strike=self._announce_strike,
         )
         self.runner = Runner(
             core=core,
@@ -301,6 +305,14 @@
             ttl_s=self._settings.timing.lookup_ttl_ms / 1000,
         )
 
+    def _announce_strike(self) -> None:
+        # Many at once come of a lost rack and tell the others nothing more.
+        now_s = time.monotonic()
+        if now_s - self._announced_s < STRIKE_INTERVAL_S:
+            return
+        self._announced_s = now_s
+        self.heartbeats.announce()
+
     def _make_listeners(self) -> None:
         zone = self.own.availability_zone
         self._caller_door = FrontDoor(
--- a/almondstair/frontend.py
+++ b/almondstair/frontend.py
@@ -28,6 +28,7 @@
 from almondstair.http_client import CHUNK_BYTES
 from almondstair.http_client import MAX_BODY_BYTES
 from almondstair.http_client import MAX_BUFFER_BYTES
+from almondstair.http_messages import ALONE_HEADER
 from almondstair.http_messages import CALLER_ZONE_HEADER
 from almondstair.http_messages import DEADLINE_HEADER
 from almondstair.http_messages import KEY_HEADER
@@ -60,6 +61,7 @@
       traceparent: W3C trace header, or empty.
       caller_zone: availability zone of the entry that the caller asked.
       from_entry: whether another entry sent it.
+      alone: whether it is to run where nothing else runs.
     """
 
     head: RequestHead
@@ -70,6 +72,7 @@
     traceparent: str
     caller_zone: str
     from_entry: bool
+    alone: bool = False
 
 
 class CallHandler(abc.ABC):
@@ -252,6 +255,7 @@
         zone = self._door.own_zone
         if self._door.for_entries:
             zone = headers.get(CALLER_ZONE_HEADER, zone)
+        from_entry = self._door.for_entries
         self._call = Call(
             head=head,
             headers=end_to_end_headers(headers=headers),
@@ -260,7 +264,8 @@
             progress=RequestProgress(),
             traceparent=headers.get(TRACE_HEADER, ""),
             caller_zone=zone,
-            from_entry=self._door.for_entries,
+            from_entry=from_entry,
+            alone=from_entry and ALONE_HEADER in headers,
         )
         if length == 0:
             self._body.end()
--- a/almondstair/http_messages.py
+++ b/almondstair/http_messages.py
@@ -22,6 +22,8 @@
 # An upstream's documented refusal: it did not run the request.
 REFUSED_HEADER = "Almondstair-Refused"
 CALLER_ZONE_HEADER = "Almondstair-Caller-Zone"
+# An entry's word that a try of this request has just ended an upstream.
+ALONE_HEADER = "Almondstair-Alone"
 LOAD_HEADER = "Upstream-Load"
 
 _HOP_BY_HOP = frozenset(
--- a/almondstair/running.py
+++ b/almondstair/running.py
@@ -1,5 +1,6 @@
 """Runs a call at an upstream of this entry: slot, claim, dispatch, outcome."""
 
+import asyncio
 from collections.abc import Callable
 import time
 from typing import NamedTuple
@@ -31,9 +32,15 @@
 from almondstair.metrics import Metrics
 
 # Upstreams that one call is offered to at one entry. Each further one follows
-# a certain refusal, and a refusal costs the upstream next to nothing.
-UPSTREAMS_PER_CALL = 2
+# a certain refusal, and a refusal costs the upstream next to nothing. More than
+# two, since a lost rack leaves several upstreams that are not noticed yet.
+UPSTREAMS_PER_CALL = 3
 SERVER_ERROR = 500
+# Pause between a strike and what follows it, the next try or the answer. Word
+# of the strike takes some milliseconds to the other entries. A caller that had
+# its answer sooner and repeated the request at once would find an entry that
+# does not know yet, and cost one more upstream.
+STRIKE_SPREAD_S = 0.05
 
 
 class Core(NamedTuple):
@@ -43,11 +50,15 @@
       configuration: returns the configuration in force.
       quarantine: requests that crashed upstreams.
       health: what answers tell of each upstream.
+      on_strike: called after each strike, to tell the other entries. Told by
+        the next heartbeat only, a caller that sends its request again at once
+        would find entries that know nothing, and cost one more upstream.
     """
 
     configuration: Callable[[], Configuration]
     quarantine: Quarantine
     health: HealthTable
+    on_strike: Callable[[], None]
 
 
 class Work(NamedTuple):
@@ -205,9 +216,12 @@
             attempt = await self._attempt(work, admission, claim)
             error = attempt.error
             if error is None:
+                self._core.quarantine.answered(fingerprint=work.fingerprint)
                 await self._pass_on(call, attempt, claim)
                 return None
             self._note_failure(work, admission.upstream, attempt)
+            if attempt.exchange.sent is Sent.LOST:
+                await asyncio.sleep(STRIKE_SPREAD_S)
             if attempt.exchange.sent not in (Sent.NOT_SENT, Sent.REFUSED):
                 return error
             if not call.answer.untouched or not call.body.replayable:
@@ -243,7 +257,8 @@
             claim.dispatch(now_s=now_s)
             return True
 
-        self.last_new_work_s[name] = time.monotonic()
+        started_s = time.monotonic()
+        self.last_new_work_s[name] = started_s
         try:
             attempt = await self._sender.to_upstream(
                 call=call,
@@ -255,7 +270,8 @@
             outcome = _OUTCOMES[attempt.exchange.sent]
         finally:
             self._give_back(call, admission, outcome)
-        self._note_report(name, attempt)
+        attempt = attempt._replace(started_s=started_s)
+        self._note_report(name, attempt, call.head.request_class.name)
         return attempt
 
     def _give_back(
@@ -294,8 +310,11 @@
         )
         await self._claims.record(claim, answer)
 
-    def _note_report(self, name: str, attempt: Attempt) -> None:
+    def _note_report(
+        self, name: str, attempt: Attempt, request_class: str
+    ) -> None:
         now_s = time.monotonic()
+        latency_ms = (now_s - attempt.started_s) * 1000
         head = attempt.exchange.head
         if head is None:
             return
@@ -304,8 +323,17 @@
             self._keeper.slots.heard_upstream(
                 upstream=name, report=report, now_s=now_s
             )
-        if attempt.error is None and head.status >= SERVER_ERROR:
+        if attempt.error is not None:
+            return
+        if head.status >= SERVER_ERROR:
             self._core.health.failed(name=name, now_s=now_s)
+            return
+        self._core.health.answered(
+            name=name,
+            request_class=request_class,
+            latency_ms=latency_ms,
+            now_s=now_s,
+        )
 
     def _note_failure(self, work: Work, name: str, attempt: Attempt) -> None:
         call = work.call
@@ -329,8 +357,12 @@
         )
         if sent is Sent.LOST:
             self._core.quarantine.strike(
-                fingerprint=work.fingerprint, upstream=name, now_s=now_s
+                fingerprint=work.fingerprint,
+                upstream=name,
+                ran_s=now_s - attempt.started_s,
+                now_s=now_s,
             )
+            self._core.on_strike()
 
 
 _OUTCOMES = {
--- a/almondstair/serving.py
+++ b/almondstair/serving.py
@@ -29,6 +29,7 @@
 from almondstair.metrics import Metric
 from almondstair.metrics import Metrics
 from almondstair.pacing import LinkPacers
+from almondstair.running import SERVER_ERROR
 from almondstair.running import Runner
 from almondstair.running import Work
 from almondstair.running import unknown_if_run
@@ -196,6 +197,8 @@
             body_digest=call.body.digest().encode(),
         )
         verdict = self._verdict(fingerprint)
+        if call.alone and verdict is Verdict.CLEAR:
+            verdict = Verdict.ALONE
         if call.from_entry:
             work = Work(call, fingerprint, verdict, no_pace)
             return await self._parts.runner.run(work)
@@ -221,14 +224,17 @@
         budget = self._budgets[call.head.service]
         budget.first_try(now_s=time.monotonic())
         tried: frozenset[str] = frozenset()
-        error = AlmondstairError(kind=ErrorKind.NO_UPSTREAM)
+        error = self._without_region(call)
         for _ in range(MAX_TRIES):
             hop = self._next_hop(call, tried)
+            if verdict is Verdict.ALONE:
+                hop = self._owner(call, fingerprint)
             if hop is None:
                 break
             tried = tried | {hop.row.name}
             failed = await self._try(call, hop, fingerprint, verdict)
             if failed is None:
+                self._parts.quarantine.answered(fingerprint=fingerprint)
                 return None
             error = failed
             if not self._may_go_on(call, error, budget):
@@ -236,8 +242,31 @@
             self._parts.metrics.count(Metric.RETRIES)
             call.answer.reset()
             verdict = self._verdict(fingerprint)
+            if error.kind is ErrorKind.UPSTREAM_LOST:
+                # The strike was made at another entry and its word may still
+                # be on the way. Tried again like any other request, this one
+                # would take along what runs beside it.
+                call = call._replace(alone=True)
+                verdict = Verdict.ALONE
         return _spread(error)
 
+    def _without_region(self, call: Call) -> AlmondstairError:
+        """Returns what to answer when no region is tried at all.
+
+        Low priority is refused here while every region is full for it. Told
+        that there is no upstream, its callers would stay away for seconds in
+        which slots come free.
+        """
+        weights = self._parts.steering.weights(
+            service=call.head.service,
+            priority=call.head.request_class.priority,
+            availability_zone=self._parts.own.availability_zone,
+            now_s=time.monotonic(),
+        )
+        if weights:
+            return AlmondstairError(kind=ErrorKind.NO_SLOT)
+        return AlmondstairError(kind=ErrorKind.NO_UPSTREAM)
+
     def _next_hop(self, call: Call, tried: frozenset[str]) -> _Hop | None:
         """Returns the best entry of the best region not tried yet."""
         now_s = time.monotonic()
@@ -269,6 +298,16 @@
                     fallback = _Hop(region, entry.row)
         return fallback
 
+    def _owner(self, call: Call, fingerprint: int) -> _Hop | None:
+        now_s = time.monotonic()
+        row = self._parts.hops.owner(
+            rows=tuple(self._parts.membership.live(now_s=now_s)),
+            service=call.head.service,
+            fingerprint=fingerprint,
+            now_s=now_s,
+        )
+        return None if row is None else _Hop(row.region, row)
+
     async def _try(
         self, call: Call, hop: _Hop, fingerprint: int, verdict: Verdict
     ) -> AlmondstairError | None:
@@ -329,6 +368,11 @@
         service = call.head.service
         request_class = call.head.request_class
         steering = self._parts.steering
+        if error is None and call.answer.status >= SERVER_ERROR:
+            # A whole answer to the caller, but no sign that the region works:
+            # one that fails everything quickly would look the least loaded.
+            steering.failed(region=hop.region, service=service, now_s=now_s)
+            return
         if error is None:
             steering.answered(
                 region=hop.region,
--- /dev/null
+++ b/features/steps/crash_steps.py
@@ -0,0 +1,155 @@
+"""Steps of crash.feature."""
+
+from concurrent.futures import ThreadPoolExecutor
+import itertools
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support.deployment import Deployment
+from features.support.deployment import Shape
+from features.support.harness import send
+from features.support.harness import wait_until
+
+PATH = "/matching/orders/1"
+SLOW_MS = 400
+
+
+@given("three regions with an entry and three upstreams each")
+def step_three_regions(context):
+    three = {"r1": 3, "r2": 3, "r3": 3}
+    shape = Shape(
+        entries={"r1": 1, "r2": 1, "r3": 1}, upstreams=three, profile="spread"
+    )
+    context.deployment = Deployment(processes=context.processes, shape=shape)
+    context.deployment.start()
+    context.ended = set()
+    _until_answered(context, "GET", 5.0)
+
+
+def _send(context, kind, entry, number, *, crash):
+    headers = {"Deadline-Ms": "2000"}
+    if crash:
+        headers["Crash"] = "1"
+    if kind == "GET":
+        path = PATH if crash else "/matching/orders/2"
+        return send("GET", entry, path, headers=headers)
+    # Each time with a new key: the same one is stopped by its claim already.
+    headers["Idempotency-Key"] = f"key-{crash}-{number}"
+    body = b"bad" if crash else b"good"
+    return send(
+        "POST", entry, "/matching/approvals", headers=headers, body=body
+    )
+
+
+@when(
+    "a {kind} that crashes upstreams is sent {count:d} times through all "
+    "entries"
+)
+def step_crash(context, kind, count):
+    callers = context.deployment.callers()
+    context.answers = []
+    for number in range(count):
+        entry = callers[number % len(callers)]
+        answer = _send(context, kind, entry, number, crash=True)
+        context.answers.append(answer)
+
+
+def _ended(context):
+    ended = set()
+    for name in context.deployment.upstreams:
+        if not context.processes.children[name].is_running():
+            ended.add(name)
+    return ended
+
+
+@then("{least:d} to {most:d} upstreams have ended")
+def step_ended(context, least, most):
+    ended = _ended(context) - context.ended
+    assert least <= len(ended) <= most, ended
+    context.ended |= ended
+
+
+@then('the last {count:d} answers are "{kind}" with a time to come back')
+def step_last_answers(context, count, kind):
+    for answer in context.answers[-count:]:
+        told = answer.json()
+        assert told["kind"] == kind, told
+        assert told["ran"] == "no", told
+        assert int(answer.headers["Retry-After"]) > 0, answer.headers
+
+
+def _until_answered(context, kind, limit_s):
+    numbers = itertools.count()
+    for entry in context.deployment.callers():
+
+        def is_answered(entry=entry):
+            answer = _send(context, kind, entry, next(numbers), crash=False)
+            return answer.status == 200
+
+        wait_until(is_answered, limit_s=limit_s, what=f"{kind} at {entry}")
+
+
+@then("within {limit_s:g} s another {kind} is answered through every entry")
+def step_another(context, limit_s, kind):
+    _until_answered(context, kind, limit_s)
+
+
+def _look_up(entry, work_ms):
+    # Not in the path, which is to be the same each time.
+    headers = {"Deadline-Ms": "2000", "Work-Ms": str(work_ms)}
+    return send("GET", entry, PATH, headers=headers)
+
+
+def _running(context, name):
+    return context.deployment.journal(name)["busy"]
+
+
+@when("an upstream of each region is killed while it runs the same look-up")
+def step_killed(context):
+    callers = context.deployment.callers()
+    with ThreadPoolExecutor(max_workers=30) as pool:
+        futures = []
+        for number in range(30):
+            entry = callers[number % len(callers)]
+            futures.append(pool.submit(_look_up, entry, SLOW_MS))
+        time.sleep(SLOW_MS / 2000)
+        for region in ("r1", "r2", "r3"):
+            victim = f"{region}-u0"
+            for number in range(3):
+                if _running(context, f"{region}-u{number}"):
+                    victim = f"{region}-u{number}"
+            context.processes.children[victim].kill()
+        for future in futures:
+            future.result()
+
+
+@then("within {limit_s:g} s that look-up is answered through every entry")
+def step_answered(context, limit_s):
+    for entry in context.deployment.callers():
+
+        def is_answered(entry=entry):
+            return _look_up(entry, SLOW_MS / 10).status == 200
+
+        wait_until(is_answered, limit_s=limit_s, what=f"a look-up at {entry}")
+
+
+@then(
+    "{count:d} of that look-up, {width:d} at a time, are answered but for "
+    "{most:d} at most"
+)
+def step_under_load(context, count, width, most):
+    callers = context.deployment.callers()
+    refused = []
+    with ThreadPoolExecutor(max_workers=width) as pool:
+        futures = []
+        for number in range(count):
+            entry = callers[number % len(callers)]
+            futures.append(pool.submit(_look_up, entry, SLOW_MS / 10))
+        for future in futures:
+            answer = future.result()
+            if answer.status != 200:
+                refused.append(answer.json()["kind"])
+    assert len(refused) <= most, refused
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -48,7 +48,10 @@
             upstream = f"upstream-{attempt}"
             context.crashed.add(upstream)
             quarantine.strike(
-                fingerprint=CRASHING, upstream=upstream, now_s=context.now_s
+                fingerprint=CRASHING,
+                upstream=upstream,
+                ran_s=0.01,
+                now_s=context.now_s,
             )
         _exchange(context, transit_s=HEARTBEAT_S)
 
@@ -66,7 +69,9 @@
 )
 def marks_repeated(context, count):
     first, second = context.quarantines[:2]
-    first.strike(fingerprint=CRASHING, upstream="u", now_s=context.now_s)
+    first.strike(
+        fingerprint=CRASHING, upstream="u", ran_s=0.01, now_s=context.now_s
+    )
     marks = first.digest(now_s=context.now_s)
     for _ in range(count):
         second.merge(marks=marks, now_s=context.now_s)
@@ -76,7 +81,10 @@
 def many_strikes(context, count):
     for fingerprint in range(count):
         context.quarantines[0].strike(
-            fingerprint=fingerprint, upstream="u", now_s=context.now_s
+            fingerprint=fingerprint,
+            upstream="u",
+            ran_s=0.01,
+            now_s=context.now_s,
         )
 
 
