--- a/almondstair/serving.py
+++ b/almondstair/serving.py
@@ -229,7 +229,7 @@
             hop = self._next_hop(call, tried)
             if verdict is Verdict.ALONE:
                 hop = self._owner(call, fingerprint)
-            if hop is None:
+            if hop is None or hop.row.name in tried:
                 break
             tried = tried | {hop.row.name}
             failed = await self._try(call, hop, fingerprint, verdict)
--- /dev/null
+++ b/benchmarks/delayed_daemon.py
@@ -0,0 +1,42 @@
+"""The daemon with a delay between regions, for measurements on loopback.
+
+The whole way there and back is waited for before a request is forwarded. So no
+slot is held during the delay, as the `--delay-ms` of the stand-in for upstreams
+would, and admission sees the request at most one way later than it should.
+Heartbeats are not delayed.
+
+    python -m benchmarks.delayed_daemon --one-way-ms 12 --settings entry.toml
+"""
+
+import argparse
+import asyncio
+from typing import Any
+
+from almondstair import daemon
+from almondstair.core.entry_table import EntryRow
+from almondstair.dispatch import Attempt
+from almondstair.dispatch import Sender
+
+
+def delay_forwards(*, one_way_ms: float) -> None:
+    """Makes forwards to another availability zone wait."""
+    forward = Sender.to_entry
+
+    async def delayed(self: Sender, *, entry: EntryRow, **rest: Any) -> Attempt:
+        if entry.availability_zone != self._own_zone:
+            await asyncio.sleep(2 * one_way_ms / 1000)
+        return await forward(self, entry=entry, **rest)
+
+    Sender.to_entry = delayed  # type: ignore[method-assign]
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--one-way-ms", type=float, required=True)
+    options, rest = parser.parse_known_args()
+    delay_forwards(one_way_ms=options.one_way_ms)
+    daemon.main(rest)
+
+
+if __name__ == "__main__":
+    main()
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -70,7 +70,7 @@
       | address = "127.0.0.1:20201"  | address = "127.0.0.1:20200"  | upstreams.matching-se2-1.address        | its own address         |
       | address = "127.0.0.1:20201"  | address = "127.0.0.1:70000"  | upstreams.matching-se2-1.address        | an IP number            |
       | services = ["matching"]      | services = ["matchin"]       | upstreams.matching-se1-1.services[0]    | write matching          |
-      | profile = "local"            | profile = "lokal"            | services.matching.profile               | write local             |
+      | profile = "spread"           | profile = "lokal"            | services.matching.profile               | write local             |
       | policy = "local"             | policy = "nearby"            | profiles.local.policy                   | 'round_robin'           |
       | headroom_fraction = 0.1      | headroom_fraction = nan      | profiles.local.headroom_fraction        | less than or equal to 1 |
       | idempotent = false           | idempotent = "no"            | services.matching.classes[1].idempotent | a valid boolean         |
@@ -118,7 +118,7 @@
     And in file entry-scot-east-1a.toml 127.0.0.1:20101 becomes 127.0.0.1:20102
     And in file deployment.toml cap_bytes_per_s = 125000000 becomes cap_bytes_per_s = 0
     And in file deployment.toml slots = 3 becomes slots = "3"
-    And in file deployment.toml profile = "local" becomes profile = "lokal"
+    And in file deployment.toml profile = "spread" becomes profile = "lokal"
     And in file deployment.toml [regions.scot-west] becomes regions.odd = ["odd-1"]~[regions.scot-west]
     When the settings of "scot-east-1a" are checked
     Then the exit code is 2
