--- a/almondstair/pacing.py
+++ b/almondstair/pacing.py
@@ -365,7 +365,8 @@
         pacers = self.pacers(region=region)
         for pacer in pacers:
             queue_s = pacer.queue_s(now_s=now_s)
-            if queue_s > limit_s:
+            # Without a queue the link is not what is in the way.
+            if queue_s and queue_s > limit_s:
                 raise _link_full(region, queue_s, queue_s)
         if not pacers or not body_bytes:
             return
