Keep the live entries while nothing changes them

Change: they are kept for 0.1 s, and dropped by whatever changes them but time: a table, a heartbeat or a relay of an entry that was not live, a leaving mark of any source, other limits of silence. An entry that falls silent may be found out 0.1 s later, against limits of 1.5 s and more.

--- a/almondstair/core/membership.py
+++ b/almondstair/core/membership.py
@@ -28,6 +28,10 @@
 LISTINGS_LACKING = 2
 # Incarnation of an entry known only from relays.
 NO_INCARNATION = 0
+# At the target size the live entries are asked for many times a second, while
+# all that changes them but the passing of time is known here. So an entry that
+# falls silent may be found out this much later.
+LIVE_KEPT_S = 0.1
 
 
 class VmObservation(NamedTuple):
@@ -69,6 +73,22 @@
     heard_s: float
 
 
+class _Live(NamedTuple):
+    """The live entries as they were worked out last.
+
+    Attributes:
+      rows: the entries.
+      names: their names.
+      worked_out_s: when.
+      own_works: whether this entry took work then.
+    """
+
+    rows: tuple[EntryRow, ...] = ()
+    names: frozenset[str] = frozenset()
+    worked_out_s: float = float("-inf")
+    own_works: bool = False
+
+
 class Membership:
     """One entry's view of the entry table and of who is heard.
 
@@ -102,6 +122,7 @@
         self._marked_leaving: frozenset[str] = frozenset()
         self._lacking_count: dict[str, int] = {}
         self._newest_listing_s = float("-inf")
+        self._live = _Live()
 
     # The entry table.
 
@@ -118,6 +139,7 @@
         if table.epoch <= self.table.epoch:
             return False
         self.table = table
+        self._live = _Live()
         names = set(table.names())
         for name in names:
             self._row_first_seen_s.setdefault(name, now_s)
@@ -312,6 +334,7 @@
         # list lacks keeps its mark: that is silence.
         kept = self._listed_leaving - listing.listed
         self._listed_leaving = kept | listing.leaving
+        self._live = _Live()
 
     def planner_rank(self, *, now_s: float) -> int:
         """Returns this entry's turn to write a planned change, 0 first.
@@ -345,6 +368,8 @@
         self._own_word_s[heard.name] = heard.heard_s
         self._relayed_down.discard(heard.name)
         self._lacking_count.pop(heard.name, None)
+        if heard.leaving or heard.name not in self._live.names:
+            self._live = _Live()
         return True
 
     def heard_of(
@@ -383,6 +408,8 @@
             configuration_version=configuration_version,
             leaving=known.leaving and self._word_counts(name, heard_s),
         )
+        if name not in self._live.names:
+            self._live = _Live()
 
     def _word_counts(self, name: str, relayed_s: float) -> bool:
         """Says whether an entry's own word outweighs a relay's later one.
@@ -403,6 +430,8 @@
         work away.
         """
         self._relayed_down.add(name)
+        if name in self._live.names:
+            self._live = _Live()
 
     def last_heard(self, *, name: str) -> Heard | None:
         """Returns the latest that an entry said of itself, None if nothing."""
@@ -481,12 +510,14 @@
         self._near_names = near_names
         self._near_limit_s = near_s
         self._far_limit_s = far_s
+        self._live = _Live()
 
     # Leaving.
 
     def mark_leaving(self, *, names: frozenset[str]) -> None:
         """Sets the operators' marks, as the configuration in force has them."""
         self._marked_leaving = names
+        self._live = _Live()
 
     @property
     def takes_work(self) -> bool:
@@ -508,6 +539,16 @@
 
     def live(self, *, now_s: float) -> tuple[EntryRow, ...]:
         """Returns the entries that take new work: heard and not leaving."""
+        kept = self._live
+        kept_s = now_s - kept.worked_out_s
+        if 0 <= kept_s < LIVE_KEPT_S and kept.own_works == self.takes_work:
+            return kept.rows
+        rows = self._live_rows(now_s=now_s)
+        names = frozenset(row.name for row in rows)
+        self._live = _Live(rows, names, now_s, self.takes_work)
+        return rows
+
+    def _live_rows(self, *, now_s: float) -> tuple[EntryRow, ...]:
         rows = []
         for row in self.table.entries:
             if self.is_leaving(name=row.name):
