Let the test daemon's cut take new options; follow the example's profile

Cause: 17 scenarios of slots and links failed after receive buffers got sizes: the test's daemon replaces HttpClient.connect and did not take the new option, so each forwarded request failed inside. Cause 2: Tallow Brae's example now runs under spread, and two scenarios of the operators' tool named the old profile; they name the other one, as strict.

--- a/features/control.feature
+++ b/features/control.feature
@@ -60,7 +60,7 @@
       """
       {"kind": "edit_pending", "version": 8, "lacking": ["e2"], "detail": ""}
       """
-    When the operator runs `profile assign matching spread --wait_s=0 --json`
+    When the operator runs `profile assign matching local --wait_s=0 --json`
     Then the exit code is 7
     And the error kind is "edit_pending"
     And the output is JSON with "lacking" as ["e2"]
@@ -302,7 +302,7 @@
   Scenario: Profiles are listed with their services
     When the operator runs `profile list --json`
     Then the exit code is 0
-    And the output says ""services": "matching""
+    And the output says ""services": "matching, intake""
 
   Scenario: A silent entry is named and another one asked
     When the operator runs `config show` with a silent entry named first
--- a/features/support/cut_daemon.py
+++ b/features/support/cut_daemon.py
@@ -31,10 +31,10 @@
     return _send_frames(self, address, frames)
 
 
-async def _connect_unless_cut(self, address: str, *, fresh: bool):
+async def _connect_unless_cut(self, address, **options):
     if _is_cut(address):
         raise OSError(f"no way to {address}")
-    return await _connect(self, address, fresh=fresh)
+    return await _connect(self, address, **options)
 
 
 Peers._send_frames = _send_frames_unless_cut
