Tell the other entry's time to come back; free a cut slot a moment later

Cause: a refusal by another entry was told with the table's time to come back, not with the one that the entry worked out from its service times. A slot whose request was cut was given away at once, while its upstream may take a moment to notice the closed connection. The drain of an entry, and work of a former home, were not counted in vm leave. Change: the header between entries carries the time; such a slot comes free 20 ms later; drains count both.

--- a/almondstair/dispatch.py
+++ b/almondstair/dispatch.py
@@ -14,7 +14,6 @@
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.model import Upstream
 from almondstair.core.requests import RequestProgress
-from almondstair.errors import ERROR_TABLE
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.errors import Ran
@@ -230,7 +229,7 @@
     """Returns another entry's word that it did not run a request."""
     value = head.headers.get(ANSWER_HEADER, "")
     answer = read_entry_answer(value=value)
-    if answer is None or answer[1] is not Ran.NO:
+    if answer is None or answer.ran is not Ran.NO:
         return ""
     return value
 
@@ -254,7 +253,7 @@
     if exchange.sent is not Sent.REFUSED:
         return False
     answer = read_entry_answer(value=exchange.refused)
-    return answer is None or answer[1] is Ran.NO
+    return answer is None or answer.ran is Ran.NO
 
 
 def _upstream_error(exchange: Exchange, name: str) -> AlmondstairError | None:
@@ -287,11 +286,10 @@
     if exchange.sent is Sent.REFUSED:
         answer = read_entry_answer(value=exchange.refused)
         assert answer is not None
-        kind, ran = answer
         return AlmondstairError(
-            kind=kind,
-            ran=ran,
-            retry_after_ms=ERROR_TABLE[kind].retry_after_ms,
+            kind=answer.kind,
+            ran=answer.ran,
+            retry_after_ms=answer.retry_after_ms,
         )
     return AlmondstairError(kind=ErrorKind.ENTRY_LOST)
 
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -333,6 +333,7 @@
                 heartbeats=self.heartbeats,
                 configuration=self.configuration_keeper,
                 table=self.table_keeper,
+                running=self._running,
             )
         )
         self._operators = OperatorServer(handler=views)
--- a/almondstair/http_messages.py
+++ b/almondstair/http_messages.py
@@ -17,7 +17,8 @@
 DEADLINE_HEADER = "Deadline-Ms"
 TRACE_HEADER = "Traceparent"
 OWN_PREFIX = "Almondstair-"
-# An entry's own answer towards another entry, as `kind;ran`.
+# An entry's own answer towards another entry, as `kind;ran;retry_after_ms`.
+ANSWER_PARTS = 3
 ANSWER_HEADER = "Almondstair-Answer"
 # An upstream's documented refusal: it did not run the request.
 REFUSED_HEADER = "Almondstair-Refused"
@@ -169,7 +170,9 @@
         # Whole seconds, rounded up: the header knows no smaller unit.
         headers["Retry-After"] = str(-(-error.retry_after_ms // 1000))
     if for_entry:
-        headers[ANSWER_HEADER] = f"{error.kind};{error.ran}"
+        headers[ANSWER_HEADER] = (
+            f"{error.kind};{error.ran};{error.retry_after_ms or ''}"
+        )
     status = error.rule.http_status
     reason = httputil.responses.get(status, "Unknown")
     return ResponseHead(status=status, reason=reason, headers=headers)
@@ -180,12 +183,25 @@
     return msgspec.json.encode(error.problem())
 
 
-def read_entry_answer(*, value: str) -> tuple[ErrorKind, Ran] | None:
+class EntryAnswer(NamedTuple):
+    """Another entry's error, as its header tells it."""
+
+    kind: ErrorKind
+    ran: Ran
+    retry_after_ms: int | None
+
+
+def read_entry_answer(*, value: str) -> EntryAnswer | None:
     """Reads `Almondstair-Answer`; None when it is absent or unreadable."""
-    kind, separator, ran = value.partition(";")
-    if not separator:
+    parts = value.split(";")
+    if len(parts) != ANSWER_PARTS:
         return None
+    kind, ran, retry_after_ms = parts
     try:
-        return ErrorKind(kind), Ran(ran)
+        return EntryAnswer(
+            ErrorKind(kind),
+            Ran(ran),
+            int(retry_after_ms) if retry_after_ms else None,
+        )
     except ValueError:
         return None
--- a/almondstair/operator_views.py
+++ b/almondstair/operator_views.py
@@ -1,5 +1,6 @@
 """What operators see and do through one entry."""
 
+from collections.abc import Callable
 import time
 from typing import Any, NamedTuple
 
@@ -26,7 +27,11 @@
 
 
 class ViewParts(NamedTuple):
-    """What the operators' pages read."""
+    """What the operators' pages read.
+
+    Attributes:
+      running: returns how many requests this entry has under way.
+    """
 
     own: EntryRow
     membership: Membership
@@ -38,6 +43,7 @@
     heartbeats: Heartbeats
     configuration: ConfigurationKeeper
     table: TableKeeper
+    running: Callable[[], int]
 
 
 class OperatorViews(OperatorHandler):
@@ -133,7 +139,10 @@
         home = self._parts.homes.home_of(upstream=name)
         in_flight = None
         if home == self._parts.own.name:
-            in_flight = row.in_flight if row is not None else 0
+            in_flight = 0
+            if row is not None:
+                # What a former home started runs too, until it surely ended.
+                in_flight = row.in_flight + row.busy_elsewhere
         last_s = self._parts.runner.last_new_work_s.get(name)
         return {
             "name": name,
@@ -150,12 +159,15 @@
                 kind=ErrorKind.NOT_FOUND,
                 detail=f"there is neither an upstream nor an entry {name!r}",
             )
+        in_flight = None
+        if name == self._parts.own.name:
+            in_flight = self._parts.running()
         return {
             "name": name,
             "home": name,
             "home_address": self._operator_address(name),
             "leaving": self._parts.membership.is_leaving(name=name),
-            "in_flight": None,
+            "in_flight": in_flight,
             "last_new_work_age_s": None,
         }
 
--- a/almondstair/running.py
+++ b/almondstair/running.py
@@ -1,5 +1,6 @@
 """Runs a call at an upstream of this entry: slot, claim, dispatch, outcome."""
 
+import asyncio
 from collections.abc import Callable
 import time
 from typing import NamedTuple
@@ -35,6 +36,8 @@
 # two, since a lost rack leaves several upstreams that are not noticed yet.
 UPSTREAMS_PER_CALL = 3
 SERVER_ERROR = 500
+# Time that an upstream takes to notice that its connection was closed.
+STOP_NOTICE_S = 0.02
 
 
 class Core(NamedTuple):
@@ -235,6 +238,7 @@
         name = admission.upstream
         upstream = self._core.configuration().upstreams[name]
         outcome = Outcome.CANCELLED
+        over = False
 
         def may_write() -> bool:
             now_s = time.monotonic()
@@ -260,23 +264,39 @@
                 pace=work.pace,
             )
             outcome = _OUTCOMES[attempt.exchange.sent]
+            over = attempt.exchange.sent in _SURELY_OVER
         finally:
-            self._give_back(call, admission, outcome)
+            self._give_back(call, admission, outcome, over=over)
         attempt = attempt._replace(started_s=started_s)
         self._note_report(name, attempt, call.head.request_class.name)
         return attempt
 
     def _give_back(
-        self, call: Call, admission: Admission, outcome: Outcome
+        self,
+        call: Call,
+        admission: Admission,
+        outcome: Outcome,
+        *,
+        over: bool = True,
     ) -> None:
-        self._keeper.give_back(
-            admission=admission,
-            outcome=outcome,
-            # The exchange closes its connection unless it ended whole, which
-            # is the upstream's word to stop.
-            over=True,
-            work=call.head.request_class.name,
-        )
+        """Gives a slot back, a moment later where work may still run.
+
+        A closed connection is the word to stop, and an upstream takes a moment
+        to notice it. Given away at once, the slot could be used twice.
+        """
+
+        def give_back() -> None:
+            self._keeper.give_back(
+                admission=admission,
+                outcome=outcome,
+                over=True,
+                work=call.head.request_class.name,
+            )
+
+        if over:
+            give_back()
+            return
+        asyncio.get_running_loop().call_later(STOP_NOTICE_S, give_back)
 
     async def _pass_on(
         self, call: Call, attempt: Attempt, claim: ledger.Claim | None
@@ -357,6 +377,8 @@
             self._core.on_strike()
 
 
+# After these nothing of the request runs at its upstream.
+_SURELY_OVER = frozenset((Sent.WHOLE, Sent.NOT_SENT, Sent.REFUSED))
 _OUTCOMES = {
     Sent.WHOLE: Outcome.ANSWERED,
     Sent.NOT_SENT: Outcome.FAILED,
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -343,7 +343,7 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=5\r\n"
         b"Connection: X-Answer-Dropped, close\r\nX-Answer-Dropped: 1\r\n"
         b"X-Answer-Kept: 1\r\nProxy-Authenticate: Basic\r\n"
-        b"Almondstair-Answer: no_slot;no\r\nTrailer: X-Sum\r\n"
+        b"Almondstair-Answer: no_slot;no;100\r\nTrailer: X-Sum\r\n"
         b"Upstream-Load: slots=4;busy=1\r\n\r\n"
     )
     context.wire = _wire(context, entry)
--- a/spec/claims.py
+++ b/spec/claims.py
@@ -10,7 +10,7 @@
 Nothing is dispatched after its deadline either: the account of slots counts on
 that, and so does an operator who looks up what became of the key.
 
-`spec/README-homes.md` maps each action to the function of the core.
+`spec/README.md` maps each action to the function of the core.
 """
 
 from collections.abc import Iterator
--- a/spec/homes.py
+++ b/spec/homes.py
@@ -12,7 +12,7 @@
 * start it again under a new incarnation;
 * change the entry table: join, replaced incarnation, leaving, dropped.
 
-`spec/README-homes.md` maps each action to the function of the core.
+`spec/README.md` maps each action to the function of the core.
 """
 
 from collections.abc import Iterator
--- a/spec/reserve.py
+++ b/spec/reserve.py
@@ -8,7 +8,7 @@
 is received at any time or never. Of messages that differ in age alone only the
 youngest is kept, since an older one allows its receiver less.
 
-`spec/README-homes.md` maps each action to the function of the core.
+`spec/README.md` maps each action to the function of the core.
 """
 
 from collections.abc import Iterator
