--- a/almondstair/body.py
+++ b/almondstair/body.py
@@ -13,14 +13,19 @@
 
 
 class RequestBody:
-    """Holds at most `BUFFER_LIMIT_BYTES` of a body, or the whole small body.
+    """Holds at most a limited part of a body, or the whole small body.
 
     A body that fits the buffer is kept after it is read, so that it can be
     sent again to another upstream. A longer one streams and is sent once.
     """
 
-    def __init__(self) -> None:
-        """Starts empty, with the end not yet seen."""
+    def __init__(self, *, limit_bytes: int = BUFFER_LIMIT_BYTES) -> None:
+        """Starts empty, with the end not yet seen.
+
+        Args:
+          limit_bytes: how much is held.
+        """
+        self._limit_bytes = limit_bytes
         self.size_bytes = 0
         self.whole = False
         self.streaming = False
@@ -53,14 +58,14 @@
         self._chunks.append(chunk)
         self._buffered_bytes += len(chunk)
         self._wake_reader()
-        if self._buffered_bytes <= BUFFER_LIMIT_BYTES:
+        if self._buffered_bytes <= self._limit_bytes:
             return None
         self._writable = asyncio.get_running_loop().create_future()
         return self._writable
 
     def overflows(self) -> bool:
         """Whether the body is too long to be held whole."""
-        return self._buffered_bytes > BUFFER_LIMIT_BYTES
+        return self._buffered_bytes > self._limit_bytes
 
     def end(self) -> None:
         """Marks the body whole."""
@@ -93,7 +98,7 @@
         self.consumed = True
         chunk = self._chunks.popleft()
         self._buffered_bytes -= len(chunk)
-        if self._buffered_bytes <= BUFFER_LIMIT_BYTES:
+        if self._buffered_bytes <= self._limit_bytes:
             self._wake_writer()
         return chunk
 
--- /dev/null
+++ b/almondstair/core/cold_starts.py
@@ -0,0 +1,73 @@
+"""How many requests a second this entry may send to a cold upstream."""
+
+from collections import deque
+
+import xxhash
+
+# Part of the operator's bound that is used; see `second_tries`.
+USED_SHARE = 0.8
+WINDOW_S = 1.0
+
+
+class ColdStarts:
+    """Keeps the sum over all entries under a cold upstream's bound.
+
+    Each entry has an equal part of the bound. Where that is less than one
+    request a second, only as many entries as there are whole requests send at
+    all; which ones follows from a hash of entry and upstream.
+    """
+
+    def __init__(self, *, own_name: str, over: float, slack: float) -> None:
+        """Makes the bounds of one entry.
+
+        Args:
+          own_name: name of this entry.
+          over: factor on the rate that a cold upstream tolerates.
+          slack: requests a second allowed besides.
+        """
+        self._own_name = own_name
+        self._over = over
+        self._slack = slack
+        self._sent: dict[str, deque[float]] = {}
+
+    def may_send(
+        self,
+        *,
+        upstream_id: str,
+        rate_per_s: float,
+        entry_names: frozenset[str],
+        now_s: float,
+    ) -> bool:
+        """Whether one more request may go to a cold upstream now."""
+        bound = USED_SHARE * (rate_per_s * self._over + self._slack)
+        share = self._share(upstream_id, int(bound), entry_names)
+        sent = self._sent.setdefault(upstream_id, deque())
+        while sent and sent[0] <= now_s - WINDOW_S:
+            sent.popleft()
+        return len(sent) < share
+
+    def note_sent(self, *, upstream_id: str, now_s: float) -> None:
+        """Counts a request to a cold upstream."""
+        self._sent.setdefault(upstream_id, deque()).append(now_s)
+
+    def forget(self, *, upstream_id: str) -> None:
+        """Drops the count of an upstream that is gone."""
+        self._sent.pop(upstream_id, None)
+
+    def _share(
+        self, upstream_id: str, bound: int, entry_names: frozenset[str]
+    ) -> int:
+        count = max(1, len(entry_names))
+        if bound >= count:
+            return bound // count
+        own = _score(self._own_name, upstream_id)
+        before = 0
+        for name in entry_names:
+            if _score(name, upstream_id) > own:
+                before += 1
+        return 1 if before < bound else 0
+
+
+def _score(entry_name: str, upstream_id: str) -> int:
+    name = f"{entry_name}\0{upstream_id}"
+    return xxhash.xxh3_64_intdigest(name.encode())
--- /dev/null
+++ b/almondstair/core/fleet.py
@@ -0,0 +1,283 @@
+"""What one entry believes of the deployment: routes, upstreams, entries."""
+
+from collections.abc import Iterable
+import math
+from typing import NamedTuple
+
+from almondstair.core.placement import PlacementOrders
+from almondstair.core.routing import RoutingConfiguration
+from almondstair.core.routing import RoutingTable
+from almondstair.core.upstream_state import UpstreamRecord
+from almondstair.core.upstream_state import UpstreamState
+
+# A registration that vanishes this soon after the store was in trouble may
+# have lapsed with it; a live upstream registers again within about 2 s of the
+# store's return.
+LAPSE_GRACE_S = 2.5
+# Beats carry the cold time as of their writing and arrive a little later.
+COLD_MARGIN_S = 0.3
+
+
+class Entry(NamedTuple):
+    """An entry of the fleet as it is registered.
+
+    Attributes:
+      name: name of its VM.
+      callers: `ip:port` for callers.
+      peers: `ip:port` for other entries.
+      region: its region.
+      availability_zone: its availability zone.
+    """
+
+    name: str
+    callers: str
+    peers: str
+    region: str
+    availability_zone: str
+
+
+class Fleet:
+    """The deployment as this entry last learned of it.
+
+    Attributes:
+      table: routes in force; None before the first configuration.
+      evacuated: availability zones whose upstreams get nothing.
+      entries: live entries by name.
+    """
+
+    def __init__(
+        self, *, own_name: str, own_region: str, zones: dict[str, str]
+    ) -> None:
+        """Starts with nothing known.
+
+        Args:
+          own_name: name of this entry.
+          own_region: its region.
+          zones: region of each availability zone.
+        """
+        self._own_name = own_name
+        self._own_region = own_region
+        self._zones = zones
+        self._upstreams: dict[str, UpstreamState] = {}
+        self._by_service: dict[str, list[UpstreamState]] = {}
+        self._leaving_at_s: dict[str, float] = {}
+        self._entry_lapse_s: dict[str, float] = {}
+        self._orders = PlacementOrders(own_region=own_region)
+        self._calm_since_s = -math.inf
+        self._loaded = False
+        self.table: RoutingTable | None = None
+        self.evacuated: set[str] = set()
+        self.entries: dict[str, Entry] = {}
+        self.entry_names: frozenset[str] = frozenset((own_name,))
+
+    @property
+    def ready(self) -> bool:
+        """Whether enough is known to serve."""
+        return self.table is not None and self._loaded
+
+    def mark_loaded(self) -> None:
+        """The first whole listing has been taken."""
+        self._loaded = True
+
+    # Configuration.
+
+    def take_configuration(self, configuration: RoutingConfiguration) -> bool:
+        """Puts a configuration in force unless it is not newer.
+
+        What goes wrong without the check: a peer or a stale read serves an
+        older version, and requests are run by a service that was dropped.
+
+        Returns:
+          Whether it is in force now and was not before.
+        """
+        if self.table is not None:
+            if configuration.version <= self.table.version:
+                return False
+        self.table = RoutingTable(configuration=configuration)
+        return True
+
+    # Upstreams.
+
+    def take_upstream(self, record: UpstreamRecord, *, now_s: float) -> bool:
+        """Takes a registration; returns whether it changes what is sent."""
+        self._leaving_at_s.pop(record.upstream_id, None)
+        state = self._upstreams.get(record.upstream_id)
+        if state is None:
+            self._add_upstream(record, now_s)
+            return True
+        before = state.record
+        if before.draining and not record.draining:
+            # An older word that arrives late does not undo a leaving.
+            record = record._replace(draining=True)
+        if record.cold_left_s > 0:
+            until_s = now_s + record.cold_left_s + COLD_MARGIN_S
+            state.cold_until_s = max(state.cold_until_s, until_s)
+        state.record = record
+        changed = record._replace(cold_left_s=0) != before._replace(
+            cold_left_s=0
+        )
+        if changed:
+            self._rebuild()
+        return changed
+
+    def _add_upstream(self, record: UpstreamRecord, now_s: float) -> None:
+        region = self._zones.get(record.availability_zone, "")
+        state = UpstreamState(record=record, region=region)
+        cold_s = record.cold_left_s
+        if self._loaded:
+            cold_s = max(cold_s, self._cold_s(record.service))
+        if cold_s > 0:
+            state.cold_until_s = now_s + cold_s + COLD_MARGIN_S
+        self._upstreams[record.upstream_id] = state
+        self._rebuild()
+
+    def _cold_s(self, service: str) -> float:
+        if self.table is None:
+            return 0.0
+        rule = self.table.configuration.services.get(service)
+        return rule.cold_s if rule is not None else 0.0
+
+    def note_trouble(self, *, now_s: float) -> None:
+        """The store does not answer, or refuses."""
+        self._calm_since_s = now_s
+
+    def drop_upstream(self, upstream_id: str, *, now_s: float) -> bool:
+        """Takes the end of a registration.
+
+        Returns:
+          Whether it is gone at once; a registration that may have lapsed with
+          the store is kept for a moment.
+        """
+        if upstream_id not in self._upstreams:
+            return False
+        if now_s - self._calm_since_s < LAPSE_GRACE_S:
+            self._leaving_at_s.setdefault(upstream_id, now_s + LAPSE_GRACE_S)
+            return False
+        self._remove(upstream_id)
+        return True
+
+    def forget_unlisted(self, listed: set[str], *, now_s: float) -> list[str]:
+        """Drops what a whole listing lacks; returns what is gone at once."""
+        gone = []
+        for upstream_id in list(self._upstreams):
+            if upstream_id in listed:
+                continue
+            if self.drop_upstream(upstream_id, now_s=now_s):
+                gone.append(upstream_id)
+        return gone
+
+    def expire(self, *, now_s: float) -> list[str]:
+        """Drops registrations whose grace is over; returns their ids."""
+        gone = []
+        for upstream_id, at_s in list(self._leaving_at_s.items()):
+            if now_s >= at_s:
+                self._remove(upstream_id)
+                gone.append(upstream_id)
+        for name, at_s in list(self._entry_lapse_s.items()):
+            if now_s >= at_s:
+                self._remove_entry(name)
+        return gone
+
+    def _remove(self, upstream_id: str) -> None:
+        self._leaving_at_s.pop(upstream_id, None)
+        state = self._upstreams.pop(upstream_id, None)
+        if state is not None:
+            state.gone = True
+            self._rebuild()
+
+    def misdirected(self, upstream_id: str) -> None:
+        """Another incarnation answers at an upstream's address."""
+        self._remove(upstream_id)
+
+    def _rebuild(self) -> None:
+        self._by_service = {}
+        for state in self._upstreams.values():
+            if state.record.draining:
+                continue
+            if state.record.availability_zone in self.evacuated:
+                continue
+            found = self._by_service.setdefault(state.record.service, [])
+            found.append(state)
+        self._orders.forget()
+
+    def upstreams(self) -> Iterable[UpstreamState]:
+        """Returns every upstream that is registered."""
+        return self._upstreams.values()
+
+    def takers(self, service: str) -> list[UpstreamState]:
+        """Returns the upstreams of a service that may get new work."""
+        return self._by_service.get(service, [])
+
+    def order(self, *, service: str, key: str) -> list[UpstreamState]:
+        """Returns the takers of a service in the order for a key."""
+        return self._orders.order(
+            service=service, key=key, upstreams=self.takers(service)
+        )
+
+    # Evacuations.
+
+    def evacuate(self, zone: str) -> bool:
+        """Takes the order that a zone's upstreams get nothing."""
+        if zone in self.evacuated:
+            return False
+        self.evacuated.add(zone)
+        self._rebuild()
+        return True
+
+    def take_back(self, zone: str, *, now_s: float) -> bool:
+        """Takes the end of an evacuation; the zone counts as cold."""
+        if zone not in self.evacuated:
+            return False
+        self.evacuated.discard(zone)
+        for state in self._upstreams.values():
+            if state.record.availability_zone != zone:
+                continue
+            cold_s = self._cold_s(state.record.service)
+            state.cold_until_s = max(state.cold_until_s, now_s + cold_s)
+        self._rebuild()
+        return True
+
+    # Entries.
+
+    def take_entry(self, entry: Entry) -> bool:
+        """Takes the registration of an entry."""
+        self._entry_lapse_s.pop(entry.name, None)
+        if self.entries.get(entry.name) == entry:
+            return False
+        self.entries[entry.name] = entry
+        self._name_entries()
+        return True
+
+    def drop_entry(self, name: str, *, now_s: float) -> bool:
+        """Takes the end of an entry's registration."""
+        if name not in self.entries:
+            return False
+        if now_s - self._calm_since_s < LAPSE_GRACE_S:
+            self._entry_lapse_s.setdefault(name, now_s + LAPSE_GRACE_S)
+            return False
+        self._remove_entry(name)
+        return True
+
+    def _remove_entry(self, name: str) -> None:
+        self._entry_lapse_s.pop(name, None)
+        self.entries.pop(name, None)
+        self._name_entries()
+
+    def _name_entries(self) -> None:
+        names = set(self.entries)
+        names.add(self._own_name)
+        self.entry_names = frozenset(names)
+
+    def entries_near(self, *, region: str, zone: str, limit: int) -> list[str]:
+        """Returns caller addresses of entries, for a caller in a zone.
+
+        Those of its region are named; where there are none, all are.
+        """
+        near = []
+        far = []
+        for entry in self.entries.values():
+            if entry.region == region:
+                near.append(entry.callers)
+            else:
+                far.append(entry.callers)
+        return (near or far)[:limit]
--- /dev/null
+++ b/almondstair/core/second_tries.py
@@ -0,0 +1,55 @@
+"""The budget of second tries, shared by all entries without talking."""
+
+from collections import deque
+
+# Part of the operator's bound that is used: the bound is a sum over all
+# entries in any window, and entries learn of each other with some delay.
+USED_SHARE = 0.8
+
+
+class SecondTries:
+    """Bounds how often requests of a service go to a second upstream.
+
+    The bound over all entries is a ratio of the requests plus a slack. The
+    ratio is kept by each entry for its own requests; of the slack each takes
+    an equal part by the number of live entries. So the parts sum to less than
+    the bound, also while entries cannot hear each other.
+    """
+
+    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
+        """Makes a budget.
+
+        Args:
+          ratio: second tries allowed for each request.
+          slack: second tries allowed besides, over all entries.
+          window_s: length of the sliding window in seconds.
+        """
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+        self._requests: dict[str, deque[float]] = {}
+        self._tries: dict[str, deque[float]] = {}
+
+    def note_request(self, *, service: str, now_s: float) -> None:
+        """Counts a request for a service."""
+        self._requests.setdefault(service, deque()).append(now_s)
+
+    def take(self, *, service: str, entries: int, now_s: float) -> bool:
+        """Takes one second try if the budget allows it."""
+        since_s = now_s - self._window_s
+        requests = self._within(self._requests, service, since_s)
+        tries = self._within(self._tries, service, since_s)
+        allowed = self._ratio * len(requests) + self._slack / max(1, entries)
+        if len(tries) + 1 > USED_SHARE * allowed:
+            return False
+        tries.append(now_s)
+        return True
+
+    @staticmethod
+    def _within(
+        times: dict[str, deque[float]], service: str, since_s: float
+    ) -> deque[float]:
+        recent = times.setdefault(service, deque())
+        while recent and recent[0] < since_s:
+            recent.popleft()
+        return recent
--- a/almondstair/errors.py
+++ b/almondstair/errors.py
@@ -28,6 +28,7 @@
     KEY_MISSING = "key_missing"
     KEY_REUSED = "key_reused"
     DEADLINE_UNREADABLE = "deadline_unreadable"
+    HEAD_TOO_LARGE = "head_too_large"
     DEADLINE_PASSED = "deadline_passed"
     NO_SLOT = "no_slot"
     LINK_FULL = "link_full"
@@ -40,6 +41,8 @@
     UPSTREAM_TIMEOUT = "upstream_timeout"
     ENTRY_LEAVING = "entry_leaving"
     ENTRY_LOST = "entry_lost"
+    ENTRY_NOT_READY = "entry_not_ready"
+    TRIES_SPENT = "tries_spent"
     EDIT_CONFLICT = "edit_conflict"
     EDIT_PENDING = "edit_pending"
     EDIT_UNKNOWN = "edit_unknown"
@@ -96,6 +99,9 @@
     ErrorKind.DEADLINE_UNREADABLE: ErrorRule(
         1007, 400, Ran.NO, None, 3, "Deadline-Ms is not a whole number above 0"
     ),
+    ErrorKind.HEAD_TOO_LARGE: ErrorRule(
+        1008, 431, Ran.NO, None, 3, "The headers are over the limit"
+    ),
     ErrorKind.DEADLINE_PASSED: ErrorRule(
         2001, 504, Ran.NO, None, 4, "The deadline passed before dispatch"
     ),
@@ -132,6 +138,12 @@
     ErrorKind.ENTRY_LOST: ErrorRule(
         3004, 502, Ran.UNKNOWN, 1000, 5, "The next entry's answer was cut short"
     ),
+    ErrorKind.ENTRY_NOT_READY: ErrorRule(
+        3005, 503, Ran.NO, 300, 5, "This entry knows no configuration yet"
+    ),
+    ErrorKind.TRIES_SPENT: ErrorRule(
+        2009, 503, Ran.NO, 300, 4, "Upstreams refused; no try is left"
+    ),
     ErrorKind.EDIT_CONFLICT: ErrorRule(
         4001, 409, Ran.NO, None, 6, "Somebody else edited the configuration"
     ),
--- /dev/null
+++ b/almondstair/gateway/caller_connection.py
@@ -0,0 +1,524 @@
+"""One caller's connection: requests in, answers out in the same order.
+
+Parsing is httptools'. tornado's server reads the next request only after the
+answer to the one before; callers here send several look-ups at once, which
+would then wait for each other, and it does not see a caller leave while
+another request lies unread behind the running one.
+"""
+
+import abc
+import asyncio
+from collections import deque
+import enum
+
+import httptools
+
+from almondstair.body import RequestBody
+from almondstair.clock import now_s
+from almondstair.core.routing import CallerLimits
+from almondstair.errors import PROBLEM_CONTENT_TYPE
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+from almondstair.gateway.http_wire import LAST_CHUNK
+from almondstair.gateway.http_wire import Headers
+from almondstair.gateway.http_wire import ReplyHead
+from almondstair.gateway.http_wire import as_chunk
+from almondstair.gateway.http_wire import find
+from almondstair.gateway.http_wire import has_no_body
+from almondstair.gateway.http_wire import status_line
+from almondstair.gateway.http_wire import write_head
+from almondstair.gateway.upstream_connection import ReplySink
+from almondstair.http_messages import problem_body
+
+# Requests of one connection that are worked on at once; more are left unread.
+PIPELINE_LIMIT = 16
+# A body up to this size is held whole, so that it can be sent again; larger
+# ones stream. Several hundred at once must fit a VM of 200 MB.
+BODY_HOLD_BYTES = 512 * 1024
+# What may lie unsent for a caller that reads slowly.
+WRITE_HIGH_BYTES = 256 * 1024
+# How long a refused body is read and dropped: closing with unread bytes would
+# reset the connection before the caller has read the refusal.
+DISCARD_LIMIT_S = 2.0
+# Kept beyond the stated idle time, for a request that is on its way.
+IDLE_MARGIN_S = 1.0
+
+
+class Handled(enum.Enum):
+    """How far the answer to a request is."""
+
+    WAITING = "waiting"
+    STREAMING = "streaming"
+    ENDED = "ended"
+
+
+class IncomingRequest(ReplySink):
+    """One request of a caller and the way back for its answer.
+
+    Attributes:
+      method: the method.
+      target: path and query as the caller sent them.
+      headers: headers, names in lower case.
+      body: the body, perhaps still arriving.
+      length: stated length of the body; None when it is chunked.
+      arrived_s: when its head was complete, on the entry's clock.
+    """
+
+    def __init__(self, *, connection: "CallerConnection") -> None:
+        """Makes the next request of a connection."""
+        self._connection = connection
+        self.method = ""
+        self.target = ""
+        self.headers: Headers = []
+        self.body = RequestBody(limit_bytes=BODY_HOLD_BYTES)
+        self.length: int | None = 0
+        self.arrived_s = 0.0
+        self.state = Handled.WAITING
+        self.read = False
+        self.close_after = False
+        self.caller_gone = False
+        self.task: asyncio.Task[None] | None = None
+        self.out: list[bytes] = []
+        self._chunking = False
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header, or None."""
+        return find(self.headers, name)
+
+    @property
+    def answered(self) -> bool:
+        """Whether an answer has begun."""
+        return self.state is not Handled.WAITING
+
+    def reply(self, head: ReplyHead, body: bytes) -> None:
+        """Answers with a whole body at once."""
+        if self.answered:
+            return
+        headers = list(head.headers)
+        if not has_no_body(head.status):
+            headers.append((b"content-length", b"%d" % len(body)))
+        self._write_start(head.status, headers)
+        if self.method != "HEAD":
+            self.out.append(body)
+        self._end()
+
+    def problem(self, error: AlmondstairError) -> None:
+        """Answers with an error of the closed list, at once."""
+        if self.state is Handled.STREAMING:
+            self.abort()
+            return
+        headers: Headers = [
+            (b"content-type", PROBLEM_CONTENT_TYPE.encode()),
+            (b"cache-control", b"no-store"),
+        ]
+        if error.retry_after_ms is not None:
+            text = f"{error.retry_after_ms / 1000:.2f}"
+            headers.append((b"retry-after", text.encode()))
+        self.reply(
+            ReplyHead(status=error.rule.http_status, headers=headers),
+            problem_body(error=error),
+        )
+
+    def begin(self, head: ReplyHead) -> None:
+        """Starts an answer that streams."""
+        if self.answered:
+            return
+        self.state = Handled.STREAMING
+        self._chunking = True
+        headers = list(head.headers)
+        headers.append((b"transfer-encoding", b"chunked"))
+        self._write_start(head.status, headers)
+        self.state = Handled.STREAMING
+        self._connection.flush()
+
+    async def write(self, data: bytes) -> None:
+        """Passes a piece on and waits while the caller reads slowly."""
+        if self.state is not Handled.STREAMING:
+            return
+        if self.method != "HEAD":
+            self.out.append(as_chunk(data))
+        self._connection.flush()
+        await self._connection.room(self)
+
+    def end_stream(self) -> None:
+        """Ends an answer that streams."""
+        if self.state is not Handled.STREAMING:
+            return
+        if self.method != "HEAD":
+            self.out.append(LAST_CHUNK)
+        self._end()
+
+    def abort(self) -> None:
+        """Cuts the connection so that the caller sees the cut."""
+        self.state = Handled.ENDED
+        self._connection.abort()
+
+    def _write_start(self, status: int, headers: Headers) -> None:
+        if self.close_after or self._connection.leaving:
+            self.close_after = True
+            headers.append((b"connection", b"close"))
+        self.out.append(write_head(status_line(status), headers))
+
+    def _end(self) -> None:
+        self.state = Handled.ENDED
+        self._connection.flush()
+
+
+class RequestHandler(abc.ABC):
+    """What caller connections need from the entry."""
+
+    @abc.abstractmethod
+    def limits(self) -> CallerLimits:
+        """Returns what callers may send."""
+
+    @abc.abstractmethod
+    async def handle(self, request: IncomingRequest) -> None:
+        """Answers a request; its body may still be arriving."""
+
+    @abc.abstractmethod
+    def cancellable(self, request: IncomingRequest) -> bool:
+        """Whether work for a caller that is gone should stop."""
+
+
+class CallerConnection(asyncio.Protocol):
+    """Reads requests and writes their answers in order.
+
+    Attributes:
+      leaving: whether the connection is closed after its next answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: RequestHandler,
+        connections: "set[CallerConnection]",
+    ) -> None:
+        """Makes the protocol of one connection.
+
+        Args:
+          handler: answers the requests.
+          connections: where it is listed while it is open.
+        """
+        self._handler = handler
+        self._connections = connections
+        self._limits = handler.limits()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[IncomingRequest] = deque()
+        self._current: IncomingRequest | None = None
+        self._url = b""
+        self._head_bytes = 0
+        self._ended_reading = False
+        self._paused = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._room: asyncio.Event = asyncio.Event()
+        self._room.set()
+        self._last_active_s = now_s()
+        self._discarding = False
+        self.leaving = False
+
+    @property
+    def quiet(self) -> bool:
+        """Whether no request is being read or answered."""
+        return not self._waiting and self._current is None
+
+    # Protocol callbacks.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes an accepted connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
+        self._connections.add(self)
+        self._watch_idle()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The caller is gone: stops what nobody waits for."""
+        self._connections.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._room.set()
+        if self._current is not None:
+            self._current.body.abort()
+        for request in self._waiting:
+            self._caller_left(request)
+
+    def _caller_left(self, request: IncomingRequest) -> None:
+        request.caller_gone = True
+        if not request.read:
+            request.body.abort()
+        if request.task is None or request.task.done():
+            return
+        if request.state is Handled.ENDED:
+            return
+        if self._handler.cancellable(request):
+            request.task.cancel()
+
+    def eof_received(self) -> bool:
+        """The caller sends no more; what it asked is still answered."""
+        return False
+
+    def pause_writing(self) -> None:
+        """The caller reads slowly."""
+        self._room.clear()
+
+    def resume_writing(self) -> None:
+        """The caller has read on."""
+        self._room.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser."""
+        if self._ended_reading:
+            return
+        self._last_active_s = now_s()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse_unreadable("no protocol but HTTP/1.1 is spoken")
+        except httptools.HttpParserError as error:
+            if not self._ended_reading:
+                self._refuse_unreadable(str(error))
+
+    def _refuse_unreadable(self, detail: str) -> None:
+        """Answers 400 and closes: what follows cannot be told apart.
+
+        What goes wrong without: bytes after an unreadable head are taken for
+        another request, which no caller sent.
+        """
+        request = self._current
+        if request is None or request.task is not None:
+            request = IncomingRequest(connection=self)
+        if request not in self._waiting:
+            self._waiting.append(request)
+        self._stop_reading(request)
+        request.body.abort()
+        request.problem(
+            AlmondstairError(kind=ErrorKind.BAD_REQUEST, detail=detail)
+        )
+
+    def _stop_reading(self, request: IncomingRequest) -> None:
+        self._ended_reading = True
+        self._current = None
+        request.close_after = True
+
+    # Parser callbacks.
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        if self._ended_reading:
+            return
+        self._current = IncomingRequest(connection=self)
+        self._url = b""
+        self._head_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a piece of the target."""
+        self._url += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        if self._current is None:
+            return
+        self._current.headers.append((name.lower(), value))
+        self._count_head(len(name) + len(value) + 4)
+
+    def _count_head(self, size_bytes: int) -> None:
+        self._head_bytes += size_bytes
+        if self._current is None or self._ended_reading:
+            return
+        if self._head_bytes <= self._limits.header_bytes:
+            return
+        request = self._current
+        self._waiting.append(request)
+        self._stop_reading(request)
+        request.problem(AlmondstairError(kind=ErrorKind.HEAD_TOO_LARGE))
+
+    def on_headers_complete(self) -> None:
+        """Checks the head and starts the request."""
+        request = self._current
+        if request is None:
+            return
+        request.method = self._parser.get_method().decode("latin-1")
+        request.target = self._url.decode("latin-1")
+        request.arrived_s = now_s()
+        request.close_after = not self._parser.should_keep_alive()
+        self._waiting.append(request)
+        try:
+            request.length = _body_length(request)
+            _check_target(request, self._limits)
+        except AlmondstairError as error:
+            self._stop_reading(request)
+            self._discard_then_close()
+            request.problem(error)
+            return
+        if (request.header(b"expect") or b"").lower() == b"100-continue":
+            self._go_ahead(request)
+
+    def _go_ahead(self, request: IncomingRequest) -> None:
+        if request is self._waiting[0] and self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        """Takes a piece of the body."""
+        request = self._current
+        if request is None:
+            return
+        if request.body.size_bytes + len(data) > self._limits.body_bytes:
+            self._stop_reading(request)
+            request.body.abort()
+            self._discard_then_close()
+            request.problem(AlmondstairError(kind=ErrorKind.BODY_TOO_LARGE))
+            return
+        wait = request.body.put(data)
+        if request.task is None and request.body.overflows():
+            request.body.streaming = True
+            self._start(request)
+        if wait is not None and request.body.streaming:
+            self._pause()
+            wait.add_done_callback(lambda _: self._resume())
+
+    def on_message_complete(self) -> None:
+        """A request has been read whole."""
+        request = self._current
+        self._current = None
+        if request is None:
+            return
+        request.read = True
+        request.body.end()
+        if request.task is None and not request.answered:
+            self._start(request)
+        if request.close_after:
+            self._ended_reading = True
+        if len(self._waiting) >= PIPELINE_LIMIT:
+            self._pause()
+
+    def _start(self, request: IncomingRequest) -> None:
+        request.task = asyncio.ensure_future(self._handler.handle(request))
+
+    def _pause(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._paused = True
+        self._transport.pause_reading()
+
+    def _resume(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._paused:
+            self._paused = False
+            self._transport.resume_reading()
+
+    # The way back.
+
+    async def room(self, request: IncomingRequest) -> None:
+        """Waits until more of an answer can be written."""
+        while self._waiting and self._waiting[0] is not request:
+            if request.caller_gone:
+                return
+            self._room.clear()
+            await self._room.wait()
+        await self._room.wait()
+
+    def flush(self) -> None:
+        """Writes what is ready, in the order of the requests."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        while self._waiting:
+            request = self._waiting[0]
+            if request.out:
+                self._transport.write(b"".join(request.out))
+                request.out.clear()
+            if request.state is not Handled.ENDED:
+                return
+            self._waiting.popleft()
+            self._last_active_s = now_s()
+            if request.close_after:
+                self._close_in_order(request)
+                return
+            if not request.read:
+                # Answered before the end of its body: the rest is dropped.
+                request.body.abort()
+                self._ended_reading = True
+                self._discard_then_close()
+                return
+            self._room.set()
+            self._resume()
+
+    def _close_in_order(self, request: IncomingRequest) -> None:
+        assert self._transport is not None
+        self._ended_reading = True
+        if not request.read or self._discarding:
+            self._discard_then_close()
+            return
+        self._transport.close()
+
+    def _discard_then_close(self) -> None:
+        if self._discarding:
+            return
+        self._discarding = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(DISCARD_LIMIT_S, self._close_now)
+
+    def _close_now(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+    def leave(self) -> None:
+        """Closes after the next answer, or now if nothing is under way.
+
+        A request that crosses the close was not read and is sent again by its
+        caller.
+        """
+        self.leaving = True
+
+    def close_if_quiet(self) -> None:
+        """Closes the connection if no request is under way."""
+        if self.quiet and self._transport is not None:
+            self._ended_reading = True
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Closes at once, in the middle of an answer."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _watch_idle(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._limits = self._handler.limits()
+        limit_s = self._limits.idle_timeout_s + IDLE_MARGIN_S
+        if self.quiet and now_s() - self._last_active_s > limit_s:
+            self.close_if_quiet()
+            return
+        self._timer = loop.call_later(limit_s / 4, self._watch_idle)
+
+
+def _body_length(request: IncomingRequest) -> int | None:
+    """Returns the stated length of a body, None when it is chunked."""
+    encoding = request.header(b"transfer-encoding")
+    if encoding is not None:
+        if encoding.strip().lower() != b"chunked":
+            raise AlmondstairError(
+                kind=ErrorKind.BAD_REQUEST,
+                detail="Transfer-Encoding must be chunked",
+            )
+        return None
+    length = request.header(b"content-length")
+    return int(length) if length is not None else 0
+
+
+def _check_target(request: IncomingRequest, limits: CallerLimits) -> None:
+    if not request.target.startswith("/"):
+        raise AlmondstairError(
+            kind=ErrorKind.BAD_REQUEST, detail="the target must be a path"
+        )
+    hosts = 0
+    for name, _ in request.headers:
+        if name == b"host":
+            hosts += 1
+    if hosts != 1:
+        raise AlmondstairError(
+            kind=ErrorKind.BAD_REQUEST, detail="Host must be given once"
+        )
+    if request.length is not None and request.length > limits.body_bytes:
+        raise AlmondstairError(kind=ErrorKind.BODY_TOO_LARGE)
--- /dev/null
+++ b/almondstair/gateway/daemon.py
@@ -0,0 +1,227 @@
+"""almondstair-gateway: the daemon of an entry VM on the users' platform."""
+
+import asyncio
+from collections.abc import Coroutine
+import gc
+import os
+import signal
+import sys
+import uuid
+
+from almondstair import log
+from almondstair.clock import now_s
+from almondstair.core.cold_starts import ColdStarts
+from almondstair.core.fleet import Fleet
+from almondstair.core.second_tries import SecondTries
+from almondstair.errors import AlmondstairError
+from almondstair.gateway.caller_connection import CallerConnection
+from almondstair.gateway.following import Follower
+from almondstair.gateway.forwarding import Forwarder
+from almondstair.gateway.pages import LOOKUP_TTL_S
+from almondstair.gateway.pages import Pages
+from almondstair.gateway.pages import PageSource
+from almondstair.gateway.registering import Registration
+from almondstair.gateway.upstream_pool import UpstreamPool
+from almondstair.platform import boot
+from almondstair.platform import documents
+from almondstair.platform import headers
+from almondstair.platform.kv import KvClient
+
+# Objects made between two looks of the garbage collector at young ones; its
+# default of 700 is reached every few requests.
+OBJECTS_PER_COLLECTION = 20_000
+ACCEPT_BACKLOG = 512
+# How long before the platform's SIGKILL a leaving process has to be gone.
+STOP_MARGIN_S = 0.5
+# How often a leaving process looks whether it is done.
+STOP_POLL_S = 0.05
+# Callers keep a look-up for its time, some three times as long.
+LOOKUP_KEPT_TIMES = 1.5
+
+
+class Gateway(PageSource):
+    """Everything that one entry runs."""
+
+    def __init__(self, *, settings: boot.BootSettings) -> None:
+        """Makes the parts; nothing listens yet."""
+        self._settings = settings
+        bounds = settings.bounds
+        self._fleet = Fleet(
+            own_name=settings.entry_name,
+            own_region=settings.region,
+            zones=settings.zones,
+        )
+        self._pool = UpstreamPool(id_header=headers.REQUEST_ID)
+        self._client = KvClient(address=settings.store.address)
+        self._follower = Follower(
+            client=self._client, fleet=self._fleet, pool=self._pool
+        )
+        self._forwarder = Forwarder(
+            fleet=self._fleet,
+            pool=self._pool,
+            second_tries=SecondTries(
+                ratio=bounds.retry_ratio,
+                slack=bounds.retry_slack,
+                window_s=bounds.retry_window_s,
+            ),
+            cold_starts=ColdStarts(
+                own_name=settings.entry_name,
+                over=bounds.cold_over,
+                slack=bounds.cold_slack,
+            ),
+        )
+        self._registration = Registration(
+            client=self._client,
+            name=settings.entry_name,
+            record=documents.EntryRecord(
+                callers=settings.listen.callers,
+                peers=f"{settings.ip}:{settings.peer_ports[0]}",
+                region=settings.region,
+                availability_zone=settings.availability_zone,
+                incarnation=uuid.uuid4().hex,
+            ),
+            shortest_lease_s=settings.store.shortest_lease_s,
+        )
+        self._pages = Pages(source=self)
+        self._connections: set[CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._leaving = False
+
+    # Pages.
+
+    def is_ready(self) -> bool:
+        """Whether the entry takes new callers."""
+        return self._fleet.ready and not self._leaving
+
+    def addresses(self, *, region: str, zone: str) -> list[str]:
+        """Returns entries for a caller."""
+        found = self._fleet.entries_near(region=region, zone=zone, limit=64)
+        if not found and not self._leaving:
+            found = [self._settings.listen.callers]
+        return found
+
+    def lookup_ttl_s(self) -> float:
+        """Returns how long callers may keep a look-up, in seconds."""
+        return min(LOOKUP_TTL_S, self._settings.bounds.lookup_ttl_s)
+
+    # Life.
+
+    async def start(self) -> None:
+        """Listens and starts to follow the store."""
+        listen = self._settings.listen
+        self._pages.serve_ready(listen.ready)
+        if listen.lookups:
+            self._pages.serve_lookups(listen.lookups)
+        ip, _, port = listen.callers.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, ip, int(port), backlog=ACCEPT_BACKLOG
+        )
+        self._spawn(self._follower.run())
+        self._spawn(self._follower.expire())
+        self._spawn(self._registration.run())
+        log.event(
+            log.Event.GATEWAY_STARTED,
+            entry=self._settings.entry_name,
+            availability_zone=self._settings.availability_zone,
+        )
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        task.add_done_callback(_raise_failure)
+        self._tasks.append(task)
+
+    def _accept(self) -> CallerConnection:
+        connection = CallerConnection(
+            handler=self._forwarder, connections=self._connections
+        )
+        if self._leaving:
+            connection.leave()
+        return connection
+
+    def reload(self) -> None:
+        """Notes that the settings changed; addresses need a restart."""
+        log.event(log.Event.GATEWAY_RELOADED)
+
+    async def stop(self) -> None:
+        """Leaves without cutting off a request.
+
+        Look-ups stop naming this entry at once; it serves on while callers
+        may still keep an older look-up, and as long as requests run.
+        """
+        began_s = now_s()
+        self._leaving = True
+        log.event(
+            log.Event.GATEWAY_LEAVING, running=len(self._forwarder.running)
+        )
+        for connection in list(self._connections):
+            connection.leave()
+        self._tasks.pop().cancel()
+        await self._registration.end()
+        await self._serve_out(began_s)
+        await self._close()
+        log.event(log.Event.GATEWAY_STOPPED, cut=len(self._forwarder.running))
+
+    async def _serve_out(self, began_s: float) -> None:
+        last_s = began_s + self._settings.bounds.stop_s - STOP_MARGIN_S
+        kept_s = self.lookup_ttl_s() * LOOKUP_KEPT_TIMES
+        while now_s() < last_s:
+            await asyncio.sleep(STOP_POLL_S)
+            if now_s() < began_s + kept_s:
+                continue
+            for connection in list(self._connections):
+                connection.close_if_quiet()
+            if not self._connections:
+                return
+
+    async def _close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        self._pages.stop()
+        for task in self._tasks:
+            task.cancel()
+        self._pool.close()
+        self._client.close()
+
+
+def _raise_failure(task: asyncio.Task[None]) -> None:
+    """Ends the process when work that must go on has failed inside.
+
+    What goes wrong without: the entry serves on from a picture that nobody
+    keeps up to date, and nothing shows it. A new process starts clean.
+    """
+    if task.cancelled() or task.exception() is None:
+        return
+    log.event(log.Event.FATAL, error=task.exception(), detail="upkeep failed")
+    os._exit(1)
+
+
+async def _run(settings: boot.BootSettings) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    gateway = Gateway(settings=settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, gateway.reload)
+    await gateway.start()
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(OBJECTS_PER_COLLECTION)
+    await stopping.wait()
+    await gateway.stop()
+
+
+def main() -> None:
+    """Reads the settings and serves until SIGTERM."""
+    log.setup(level="INFO", file="")
+    try:
+        settings = boot.load(os.environ.get(boot.PATH_VARIABLE, ""))
+        asyncio.run(_run(settings))
+    except AlmondstairError as error:
+        print(f"almondstair-gateway: {error}", file=sys.stderr)
+        sys.exit(error.rule.exit_code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/almondstair/gateway/forwarding.py
@@ -0,0 +1,517 @@
+"""Takes a caller's request to an upstream and its answer back."""
+
+import asyncio
+import enum
+from typing import NamedTuple
+
+from almondstair import log
+from almondstair.clock import now_s
+from almondstair.core.choosing import Choice
+from almondstair.core.choosing import Wanted
+from almondstair.core.choosing import choose
+from almondstair.core.cold_starts import ColdStarts
+from almondstair.core.fleet import Fleet
+from almondstair.core.routing import CallerLimits
+from almondstair.core.routing import Route
+from almondstair.core.routing import WeightedTurns
+from almondstair.core.second_tries import SecondTries
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+from almondstair.errors import Ran
+from almondstair.gateway.caller_connection import IncomingRequest
+from almondstair.gateway.caller_connection import RequestHandler
+from almondstair.gateway.http_wire import Headers
+from almondstair.gateway.http_wire import ReplyHead
+from almondstair.gateway.http_wire import find
+from almondstair.gateway.http_wire import passed_on
+from almondstair.gateway.http_wire import write_head
+from almondstair.gateway.upstream_connection import Exchange
+from almondstair.gateway.upstream_connection import ExchangeEnd
+from almondstair.gateway.upstream_connection import ReplySink
+from almondstair.gateway.upstream_connection import UpstreamConnection
+from almondstair.gateway.upstream_pool import UpstreamPool
+from almondstair.platform import headers as names
+
+# Longest time for a new connection. A round trip between the farthest regions
+# is 0.11 s; an upstream that needs longer than twice that is not there.
+CONNECT_TIMEOUT_S = 0.3
+# What callers may send before the first configuration says.
+DEFAULT_LIMITS = CallerLimits(
+    header_bytes=16 * 1024,
+    body_bytes=64 * 1024 * 1024,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
+# Deadline where a caller states none, in seconds.
+DEFAULT_DEADLINE_S = 30.0
+# Statuses that promise that a request has not run. Only an upstream's certain
+# word makes them true; without it they are answered as an unknown outcome.
+_PROMISES = frozenset((408, 421, 429, 503))
+_MISDIRECTED = 421
+_SUCCESS = range(200, 300)
+_SERVER_ERROR = 500
+_OWN_REQUEST_HEADERS = frozenset((names.DEADLINE, names.EXPECTED_UPSTREAM))
+_OWN_REPLY_HEADERS = frozenset((names.LOAD, names.COLD_LEFT, names.NOT_RUN))
+
+
+class Verdict(enum.StrEnum):
+    """What a try at an upstream came to.
+
+    Attributes:
+      ANSWERED: its answer goes to the caller.
+      NOT_RUN: it certainly did not run the request.
+      UNKNOWN: it may have run it, and there is no whole answer.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Try(NamedTuple):
+    """One try at an upstream.
+
+    Attributes:
+      verdict: what it came to.
+      exchange: what came back.
+      cause: why there is no answer, for logs and errors.
+    """
+
+    verdict: Verdict
+    exchange: Exchange
+    cause: str = ""
+
+
+class Call:
+    """A request under way.
+
+    Attributes:
+      request: the caller's request.
+      request_id: its id.
+      route: its route.
+      service: the service that takes it.
+      deadline_s: when its caller or the operator gives up on it.
+      tried: upstreams that had it.
+      may_have_run: whether an upstream may have run it.
+    """
+
+    def __init__(
+        self, *, request: IncomingRequest, route: Route, service: str
+    ) -> None:
+        """Makes a call from a request whose head has been read."""
+        self.request = request
+        self.route = route
+        self.service = service
+        self.request_id = request.header(names.REQUEST_ID) or b""
+        caller_s = DEFAULT_DEADLINE_S
+        stated = request.header(names.DEADLINE)
+        if stated is not None:
+            caller_s = names.read_milliseconds(stated) or DEFAULT_DEADLINE_S
+        self.deadline_s = request.arrived_s + min(caller_s, route.timeout_s)
+        self.tried: list[str] = []
+        self.may_have_run = False
+
+    @property
+    def key(self) -> str:
+        """Returns the key by which the request is placed."""
+        key = self.request.header(names.KEY)
+        if key is None or not self.route.by_key:
+            return self.request_id.decode("latin-1")
+        return key.decode("latin-1")
+
+    @property
+    def text_id(self) -> str:
+        """Returns the request's id for logs."""
+        return self.request_id.decode("latin-1", "replace")
+
+    def left_s(self) -> float:
+        """Returns the time left, in seconds."""
+        return self.deadline_s - now_s()
+
+
+class Forwarder(RequestHandler):
+    """Finds an upstream for each request and tries again where it may.
+
+    Attributes:
+      running: calls under way.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        pool: UpstreamPool,
+        second_tries: SecondTries,
+        cold_starts: ColdStarts,
+    ) -> None:
+        """Makes a forwarder.
+
+        Args:
+          fleet: what is known of the deployment.
+          pool: connections to upstreams.
+          second_tries: budget for trying again.
+          cold_starts: bound on requests to cold upstreams.
+        """
+        self._fleet = fleet
+        self._pool = pool
+        self._second_tries = second_tries
+        self._cold_starts = cold_starts
+        self._turns = WeightedTurns()
+        self.running: dict[IncomingRequest, Call] = {}
+
+    def limits(self) -> CallerLimits:
+        """Returns what callers may send."""
+        if self._fleet.table is None:
+            return DEFAULT_LIMITS
+        return self._fleet.table.configuration.limits
+
+    def cancellable(self, request: IncomingRequest) -> bool:
+        """Whether work for a caller that is gone should stop.
+
+        Work that must not repeat and may have started goes on to its end.
+        """
+        call = self.running.get(request)
+        if call is None or call.route.kind.idempotent:
+            return True
+        return not call.may_have_run or not request.read
+
+    async def handle(self, request: IncomingRequest) -> None:
+        """Answers a request."""
+        try:
+            call = self._open(request)
+        except AlmondstairError as error:
+            self._log_refusal(request, error)
+            request.problem(error)
+            return
+        self.running[request] = call
+        try:
+            await self._within_deadline(call)
+        except AlmondstairError as error:
+            self._log_failure(call, error)
+            request.problem(error)
+        except Exception as error:
+            log.event(
+                log.Event.REQUEST_BROKEN, error=error, request=call.text_id
+            )
+            request.problem(AlmondstairError(kind=ErrorKind.INTERNAL))
+        finally:
+            self.running.pop(request, None)
+
+    def _open(self, request: IncomingRequest) -> Call:
+        table = self._fleet.table
+        if table is None or not self._fleet.ready:
+            raise AlmondstairError(kind=ErrorKind.ENTRY_NOT_READY)
+        host = (request.header(b"host") or b"").decode("latin-1")
+        path = request.target.partition("?")[0]
+        route = table.match(host=host, path=path)
+        if route is None:
+            raise AlmondstairError(
+                kind=ErrorKind.UNKNOWN_PATH,
+                detail=f"no route for {host}{path} in version {table.version}",
+            )
+        service = self._turns.next_service(route=route)
+        return Call(request=request, route=route, service=service)
+
+    async def _within_deadline(self, call: Call) -> None:
+        try:
+            async with asyncio.timeout(max(0.0, call.left_s())):
+                await self._serve(call)
+        except TimeoutError as error:
+            if call.may_have_run:
+                raise AlmondstairError(
+                    kind=ErrorKind.UPSTREAM_TIMEOUT
+                ) from error
+            raise AlmondstairError(
+                kind=ErrorKind.NO_SLOT, detail="no answer in time"
+            ) from error
+
+    async def _serve(self, call: Call) -> None:
+        self._second_tries.note_request(service=call.service, now_s=now_s())
+        cause = ""
+        while True:
+            choice = self._choose(call)
+            if choice is None:
+                raise self._no_room(call, cause)
+            if call.tried and not self._second_try(call):
+                raise self._spent(call, cause)
+            outcome = await self._try(call, choice)
+            if outcome.verdict is Verdict.ANSWERED:
+                self._answer(call, choice, outcome.exchange)
+                return
+            cause = outcome.cause
+            self._log_try(call, choice, outcome)
+            if not self._may_repeat(call, outcome):
+                raise self._spent(call, cause)
+
+    def _choose(self, call: Call) -> Choice | None:
+        assert self._fleet.table is not None
+        services = self._fleet.table.configuration.services
+        wanted = Wanted(
+            route=call.route,
+            service=services.get(call.service),
+            tried=call.tried,
+            entry_names=self._fleet.entry_names,
+            now_s=now_s(),
+        )
+        return choose(
+            order=self._fleet.order(service=call.service, key=call.key),
+            wanted=wanted,
+            cold_starts=self._cold_starts,
+        )
+
+    def _second_try(self, call: Call) -> bool:
+        return self._second_tries.take(
+            service=call.service,
+            entries=len(self._fleet.entry_names),
+            now_s=now_s(),
+        )
+
+    def _may_repeat(self, call: Call, outcome: Try) -> bool:
+        if call.request.answered or call.request.caller_gone:
+            return False
+        if len(call.tried) >= call.route.attempts:
+            return False
+        body = call.request.body
+        if body.consumed:
+            return False
+        if outcome.verdict is Verdict.UNKNOWN:
+            return call.route.kind.idempotent
+        return True
+
+    def _no_room(self, call: Call, cause: str) -> AlmondstairError:
+        if call.may_have_run:
+            return self._spent(call, cause)
+        if not self._fleet.takers(call.service):
+            return AlmondstairError(
+                kind=ErrorKind.NO_UPSTREAM, detail=f"service {call.service}"
+            )
+        return AlmondstairError(
+            kind=ErrorKind.NO_SLOT, detail=cause or "", retry_after_ms=150
+        )
+
+    def _spent(self, call: Call, cause: str) -> AlmondstairError:
+        if call.may_have_run:
+            return AlmondstairError(
+                kind=ErrorKind.UPSTREAM_LOST, detail=cause, ran=Ran.UNKNOWN
+            )
+        return AlmondstairError(kind=ErrorKind.TRIES_SPENT, detail=cause)
+
+    # One try.
+
+    async def _try(self, call: Call, choice: Choice) -> Try:
+        upstream = choice.upstream
+        call.tried.append(upstream.record.upstream_id)
+        now = now_s()
+        if upstream.cold(now_s=now):
+            self._cold_starts.note_sent(
+                upstream_id=upstream.record.upstream_id, now_s=now
+            )
+        upstream.note_sent()
+        try:
+            connection = await self._connection(call, choice)
+            if connection is None:
+                # Nothing was sent, so the upstream did not have it.
+                call.tried.pop()
+                return Try(
+                    Verdict.NOT_RUN,
+                    Exchange(end=ExchangeEnd.NOT_SENT),
+                    "upstream unreachable",
+                )
+            ran_before = call.may_have_run
+            call.may_have_run = True
+            exchange = await self._exchange(call, choice, connection)
+        finally:
+            upstream.note_ended()
+        outcome = self._judge(call, choice, exchange)
+        if outcome.verdict is Verdict.NOT_RUN:
+            call.may_have_run = ran_before
+        return outcome
+
+    async def _connection(
+        self, call: Call, choice: Choice
+    ) -> UpstreamConnection | None:
+        record = choice.upstream.record
+        connection = self._pool.take_idle(
+            upstream_id=record.upstream_id,
+            repeatable=call.route.kind.idempotent,
+        )
+        if connection is not None:
+            return connection
+        try:
+            return await self._pool.connect(
+                address=record.address, timeout_s=CONNECT_TIMEOUT_S
+            )
+        except (OSError, TimeoutError) as error:
+            choice.upstream.note_unreachable(now_s=now_s())
+            log.event(
+                log.Event.UPSTREAM_UNREACHABLE,
+                upstream=record.upstream_id,
+                address=record.address,
+                detail=str(error) or "no answer to a connection",
+            )
+            return None
+
+    async def _exchange(
+        self, call: Call, choice: Choice, connection: UpstreamConnection
+    ) -> Exchange:
+        request = call.request
+        upstream_id = choice.upstream.record.upstream_id
+        chunked = request.length is None and not request.body.replayable
+        exchange = await connection.exchange(
+            head=self._head(call, upstream_id, chunked),
+            body=request.body if request.length != 0 else None,
+            chunked=chunked,
+            request_id=call.request_id,
+            without_body=request.method == "HEAD",
+            sink=_Passing(request),
+        )
+        self._pool.give_back(connection, upstream_id=upstream_id)
+        return exchange
+
+    def _head(self, call: Call, upstream_id: str, chunked: bool) -> bytes:
+        request = call.request
+        headers: Headers = passed_on(
+            request.headers, without=_OWN_REQUEST_HEADERS
+        )
+        left_ms = max(1, int(call.left_s() * 1000))
+        headers.append((names.DEADLINE, b"%d" % left_ms))
+        headers.append((names.EXPECTED_UPSTREAM, upstream_id.encode()))
+        if chunked:
+            headers.append((b"transfer-encoding", b"chunked"))
+        elif request.length != 0:
+            size_bytes = request.length
+            if request.body.replayable:
+                size_bytes = request.body.size_bytes
+            headers.append((b"content-length", b"%d" % (size_bytes or 0)))
+        elif request.header(b"content-length") is not None:
+            headers.append((b"content-length", b"0"))
+        first_line = f"{request.method} {request.target} HTTP/1.1"
+        return write_head(first_line.encode("latin-1"), headers)
+
+    def _judge(self, call: Call, choice: Choice, exchange: Exchange) -> Try:
+        upstream = choice.upstream
+        head = exchange.head
+        if exchange.end is ExchangeEnd.NOT_SENT:
+            return Try(Verdict.NOT_RUN, exchange, "connection closed")
+        if exchange.end is not ExchangeEnd.WHOLE or head is None:
+            if exchange.end is ExchangeEnd.LOST:
+                upstream.note_unreachable(now_s=now_s())
+            return Try(Verdict.UNKNOWN, exchange, f"answer {exchange.end}")
+        self._note_load(upstream_headers=head.headers, choice=choice)
+        cause = _doubt(head)
+        if head.status == _MISDIRECTED:
+            self._misdirected(choice)
+            return Try(Verdict.NOT_RUN, exchange, "upstream replaced")
+        if find(head.headers, names.NOT_RUN) is not None:
+            return Try(Verdict.NOT_RUN, exchange, f"refused {head.status}")
+        if cause:
+            return Try(Verdict.UNKNOWN, exchange, cause)
+        upstream.note_answer(good=head.status < _SERVER_ERROR)
+        return Try(Verdict.ANSWERED, exchange)
+
+    def _note_load(self, *, upstream_headers: Headers, choice: Choice) -> None:
+        value = find(upstream_headers, names.LOAD)
+        if value is None:
+            return
+        told = names.read_load(value)
+        if told is not None:
+            choice.upstream.take_load(told, now_s=now_s())
+
+    def _misdirected(self, choice: Choice) -> None:
+        upstream_id = choice.upstream.record.upstream_id
+        self._fleet.misdirected(upstream_id)
+        self._pool.forget(upstream_id=upstream_id)
+        log.event(log.Event.UPSTREAM_GONE, upstream=upstream_id)
+
+    def _answer(self, call: Call, choice: Choice, exchange: Exchange) -> None:
+        assert exchange.head is not None
+        if exchange.streamed:
+            call.request.end_stream()
+        else:
+            call.request.reply(_reply_head(exchange.head), exchange.body)
+        record = choice.upstream.record
+        log.event(
+            log.Event.REQUEST_ANSWERED,
+            request=call.text_id,
+            route=call.route.name,
+            version=self._version(),
+            upstream=record.upstream_id,
+            availability_zone=record.availability_zone,
+            tries=len(call.tried),
+            place=choice.place,
+            busy=round(choice.busy, 1),
+            load_age_s=round(min(choice.load_age_s, 99.0), 2),
+            status=exchange.head.status,
+            took_ms=round((now_s() - call.request.arrived_s) * 1000),
+        )
+
+    def _version(self) -> int:
+        return self._fleet.table.version if self._fleet.table else 0
+
+    # Logs.
+
+    def _log_try(self, call: Call, choice: Choice, outcome: Try) -> None:
+        log.event(
+            log.Event.TRY_FAILED,
+            request=call.text_id,
+            upstream=choice.upstream.record.upstream_id,
+            verdict=str(outcome.verdict),
+            cause=outcome.cause,
+            left_ms=round(call.left_s() * 1000),
+        )
+
+    def _log_failure(self, call: Call, error: AlmondstairError) -> None:
+        log.event(
+            log.Event.REQUEST_FAILED,
+            request=call.text_id,
+            route=call.route.name,
+            service=call.service,
+            version=self._version(),
+            kind=str(error.kind),
+            detail=error.detail,
+            tried=call.tried,
+            left_ms=round(call.left_s() * 1000),
+        )
+
+    def _log_refusal(
+        self, request: IncomingRequest, error: AlmondstairError
+    ) -> None:
+        request_id = request.header(names.REQUEST_ID) or b""
+        log.event(
+            log.Event.REQUEST_REFUSED,
+            request=request_id.decode("latin-1"),
+            kind=str(error.kind),
+            detail=error.detail,
+            version=self._version(),
+        )
+
+
+def _doubt(head: ReplyHead) -> str:
+    """Returns why an answer must not reach the caller, empty if it may."""
+    if head.status in _PROMISES:
+        # The upstream does not say that it did not run the request, and the
+        # caller would take the status for just that.
+        return f"status {head.status}"
+    if head.status in _SUCCESS and find(head.headers, names.SEAL) is None:
+        return "answer without signature"
+    return ""
+
+
+def _reply_head(head: ReplyHead) -> ReplyHead:
+    return ReplyHead(
+        status=head.status,
+        headers=passed_on(head.headers, without=_OWN_REPLY_HEADERS),
+    )
+
+
+class _Passing(ReplySink):
+    """Passes a long answer on, without the headers of one hop."""
+
+    def __init__(self, request: IncomingRequest) -> None:
+        self._request = request
+
+    def begin(self, head: ReplyHead) -> None:
+        self._request.begin(_reply_head(head))
+
+    async def write(self, data: bytes) -> None:
+        await self._request.write(data)
--- /dev/null
+++ b/almondstair/gateway/registering.py
@@ -0,0 +1,72 @@
+"""Registers this entry in the platform's store while it lives."""
+
+import asyncio
+import random
+
+from almondstair import log
+from almondstair.errors import AlmondstairError
+from almondstair.platform import documents
+from almondstair.platform.kv import KvClient
+
+# Life of the registration without renewal: a killed entry is out of look-ups
+# within this time and a poll, 4 s in all, under the 6 s that the operators
+# allow; longer than the pauses that a busy store makes.
+LEASE_S = 3.0
+# Three renewals a lease, so that one may be lost. A renewal costs a tenth of
+# a call.
+RENEWAL_S = 1.0
+
+
+class Registration:
+    """Keeps this entry's key under a lease of its own."""
+
+    def __init__(
+        self,
+        *,
+        client: KvClient,
+        name: str,
+        record: documents.EntryRecord,
+        shortest_lease_s: float,
+    ) -> None:
+        """Makes the registration of an entry.
+
+        Args:
+          client: the store.
+          name: name of this entry's VM.
+          record: what is registered.
+          shortest_lease_s: shortest life of a lease that the store grants.
+        """
+        self._client = client
+        self._key = documents.ENTRY_PREFIX + name
+        self._value = documents.write_entry(record)
+        self._ttl_s = max(LEASE_S, shortest_lease_s)
+        self._lease = 0
+
+    async def run(self) -> None:
+        """Registers and renews until it is cancelled."""
+        while True:
+            try:
+                await self._renew()
+            except AlmondstairError as error:
+                log.event(log.Event.REGISTRATION_LATE, detail=error.detail)
+            await asyncio.sleep(RENEWAL_S * (0.8 + 0.4 * random.random()))
+
+    async def _renew(self) -> None:
+        if self._lease and await self._client.keep_lease(self._lease):
+            return
+        self._lease = 0
+        lease = await self._client.grant_lease(ttl_s=self._ttl_s)
+        if await self._client.put(
+            key=self._key, value=self._value, lease=lease
+        ):
+            self._lease = lease
+
+    async def end(self) -> None:
+        """Takes the registration away at a planned stop."""
+        if not self._lease:
+            return
+        try:
+            await self._client.end_lease(self._lease)
+        except AlmondstairError as error:
+            # The lease ends by itself; callers meet a closing entry until then.
+            log.event(log.Event.REGISTRATION_LATE, detail=error.detail)
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -111,6 +111,36 @@
     HOME_CHANGED = EventRule(
         332, logging.INFO, "the home of an upstream changed"
     )
+    # The gateway on the users' platform.
+    GATEWAY_STARTED = EventRule(400, logging.INFO, "gateway started")
+    GATEWAY_LEAVING = EventRule(401, logging.INFO, "gateway is leaving")
+    GATEWAY_STOPPED = EventRule(402, logging.INFO, "gateway stopped")
+    GATEWAY_RELOADED = EventRule(403, logging.INFO, "settings were read again")
+    REQUEST_ANSWERED = EventRule(410, logging.INFO, "request answered")
+    TRY_FAILED = EventRule(
+        411, logging.WARNING, "an upstream gave no answer to pass on"
+    )
+    STORE_LISTED = EventRule(420, logging.INFO, "the store was listed whole")
+    STORE_LOST = EventRule(
+        421,
+        logging.WARNING,
+        "the store does not answer; service goes on from what is known",
+    )
+    STORE_BACK = EventRule(422, logging.INFO, "the store answers again")
+    REGISTRATION_BAD = EventRule(
+        423, logging.ERROR, "a registration in the store cannot be read"
+    )
+    REGISTRATION_LATE = EventRule(
+        424, logging.WARNING, "this entry's registration was not renewed"
+    )
+    UPSTREAM_CHANGED = EventRule(
+        430, logging.INFO, "an upstream registered or changed"
+    )
+    UPSTREAM_GONE = EventRule(431, logging.INFO, "an upstream is gone")
+    EVACUATION_CHANGED = EventRule(
+        432, logging.INFO, "a zone is evacuated or taken back"
+    )
+    ENTRY_CHANGED = EventRule(433, logging.INFO, "an entry came or went")
 
 
 def setup(*, level: str, file: str) -> None:
--- /dev/null
+++ b/almondstair/platform/documents.py
@@ -0,0 +1,209 @@
+"""What operators and upstreams write to the platform's store, decoded.
+
+The wire's field names end here: everything else works on the types of `core`.
+"""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from almondstair.core.routing import CallerLimits
+from almondstair.core.routing import Destination
+from almondstair.core.routing import Route
+from almondstair.core.routing import RouteKind
+from almondstair.core.routing import RoutingConfiguration
+from almondstair.core.routing import ServiceRule
+from almondstair.core.upstream_state import UpstreamRecord
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+UPSTREAM_PREFIX = "servers/"
+OPERATOR_PREFIX = "op/"
+# Of the entries themselves; operators and upstreams do not write there.
+ENTRY_PREFIX = "almondstair/entries/"
+_VERSION_BASE = 16
+_KINDS = {str(kind): kind for kind in RouteKind}
+
+
+class _Match(msgspec.Struct):
+    prefix: str
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Action(msgspec.Struct, rename="camel"):
+    # `timeoutS` and its like end in a unit that `camel` spells right.
+    timeout_s: float = 0.0
+    attempts: int = 1
+    service: str = ""
+    traffic_split: Sequence[_Part] = ()
+    allowed_regions: Sequence[str] = ()
+
+
+class _Rule(msgspec.Struct, rename="camel"):
+    name: str
+    route_type: str
+    match: _Match
+    action: _Action
+    target_latency_s: float = 1.0
+    priority: int = 0
+    session_affinity: bool = False
+
+
+class _Listener(msgspec.Struct, rename="camel"):
+    hostname: str
+    rule_set: Sequence[_Rule] = ()
+
+
+class _Cluster(msgspec.Struct, rename="camel"):
+    name: str
+    health_path: str = "/"
+    max_conns: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class _Configuration(msgspec.Struct):
+    version: str
+    limits: _Limits
+    listeners: Sequence[_Listener]
+    clusters: Sequence[_Cluster]
+
+
+class _Upstream(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str
+    version: str = ""
+    slots: int = 1
+    state: str = "ready"
+    cold_left_s: float = 0.0
+
+
+class EntryRecord(msgspec.Struct):
+    """An entry as it registers itself for look-ups and for its peers.
+
+    Attributes:
+      callers: `ip:port` for callers.
+      peers: `ip:port` for other entries.
+      region: its region.
+      availability_zone: its availability zone.
+      incarnation: differs with each start of the process.
+    """
+
+    callers: str
+    peers: str
+    region: str
+    availability_zone: str
+    incarnation: str
+
+
+_CONFIGURATION = msgspec.json.Decoder(_Configuration)
+_UPSTREAM = msgspec.json.Decoder(_Upstream)
+_ENTRY = msgspec.json.Decoder(EntryRecord)
+
+
+def read_configuration(value: bytes) -> RoutingConfiguration:
+    """Decodes the operator's configuration.
+
+    Raises:
+      AlmondstairError: `configuration_invalid`.
+    """
+    try:
+        wire = _CONFIGURATION.decode(value)
+        version = int(wire.version, _VERSION_BASE)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise AlmondstairError(
+            kind=ErrorKind.CONFIGURATION_INVALID, detail=str(error)
+        ) from error
+    routes = []
+    for listener in wire.listeners:
+        for rule in listener.rule_set:
+            routes.append(_route(listener.hostname, rule))
+    services = {}
+    for cluster in wire.clusters:
+        services[cluster.name] = ServiceRule(
+            name=cluster.name,
+            health_path=cluster.health_path,
+            connection_limit=cluster.max_conns,
+            cold_s=cluster.cold_start_s,
+            cold_rate_per_s=cluster.cold_per_s,
+        )
+    return RoutingConfiguration(
+        version=version,
+        limits=CallerLimits(
+            header_bytes=wire.limits.max_header_bytes,
+            body_bytes=wire.limits.max_body_bytes,
+            header_timeout_s=wire.limits.header_timeout_s,
+            idle_timeout_s=wire.limits.idle_timeout_s,
+        ),
+        routes=tuple(routes),
+        services=services,
+    )
+
+
+def _route(hostname: str, rule: _Rule) -> Route:
+    action = rule.action
+    parts = []
+    for part in action.traffic_split:
+        parts.append(Destination(service=part.service, weight=part.weight))
+    if not parts:
+        parts.append(Destination(service=action.service, weight=1.0))
+    # What is not known to be repeatable is treated as not repeatable.
+    kind = _KINDS.get(rule.route_type, RouteKind.UNSAFE)
+    return Route(
+        name=rule.name,
+        hostname=hostname,
+        prefix=rule.match.prefix,
+        kind=kind,
+        aim_s=rule.target_latency_s,
+        timeout_s=action.timeout_s,
+        attempts=action.attempts,
+        priority=rule.priority,
+        by_key=rule.session_affinity,
+        destinations=tuple(parts),
+        allowed_regions=tuple(action.allowed_regions),
+    )
+
+
+def read_upstream(key: str, value: bytes) -> UpstreamRecord | None:
+    """Decodes a registration of an upstream; None when it is unreadable."""
+    try:
+        wire = _UPSTREAM.decode(value)
+    except msgspec.MsgspecError:
+        return None
+    return UpstreamRecord(
+        upstream_id=key.removeprefix(UPSTREAM_PREFIX),
+        service=wire.service,
+        address=wire.address,
+        availability_zone=wire.zone,
+        software_version=wire.version,
+        slots=max(1, wire.slots),
+        draining=wire.state != "ready",
+        cold_left_s=wire.cold_left_s,
+    )
+
+
+def read_entry(value: bytes) -> EntryRecord | None:
+    """Decodes an entry's registration; None when it is unreadable."""
+    try:
+        return _ENTRY.decode(value)
+    except msgspec.MsgspecError:
+        return None
+
+
+def write_entry(record: EntryRecord) -> bytes:
+    """Encodes an entry's registration."""
+    return msgspec.json.encode(record)
