Choose upstreams by expected cost over stable places of a key

Cause: keys were spread over six upstreams each, so most requests met an upstream that had not handled their object and ran three times longer; queues at the upstreams then outlasted the routes' time and work was cut half done. Now each key has one first place by weighted rendezvous (weights give a region with few upstreams only the keys it can carry), a cost that counts the way, the wait and the run, run times learned apart for known and new objects, and loads told between entries by datagrams.

--- a/almondstair/core/choosing.py
+++ b/almondstair/core/choosing.py
@@ -8,6 +8,22 @@
 from almondstair.core.routing import ServiceRule
 from almondstair.core.upstream_state import UpstreamState
 
+# What a place further down in a key's order costs, in seconds. It decides
+# among equals only, so that entries that know nothing yet agree.
+PLACE_COST_S = 0.002
+# What it costs to run an object where it is not known, as a factor on the
+# longer run: at least, and more the fuller the service is, because the longer
+# run takes capacity from other requests.
+UNKNOWN_COST = 1.0
+UNKNOWN_COST_BY_USE = 2.0
+# Part of an upstream's slots that stays free for the next more urgent rank.
+RESERVE_SHARE = 0.25
+# How far past its aim a request may be expected to be answered if it has to
+# wait, as a part of the aim, and how much of its time it may use. A queue that
+# is longer than the aim serves everybody late; it is cut by refusing at once.
+WAIT_AIM_SHARE = 1.0
+TIME_USED_SHARE = 0.9
+
 
 class Choice(NamedTuple):
     """Why an upstream was chosen.
@@ -15,14 +31,19 @@
     Attributes:
       upstream: the upstream.
       place: its place in the order of the request's key, from 0.
+      warm: whether it is known to know the request's object; None where it is
+        merely the place where every entry sends the object first.
       busy: how many requests it was believed to hold.
-      load_age_s: age of the last word on its load, in seconds.
+      expected_s: when an answer is expected, in seconds from now.
+      run_s: how long the request is expected to run, in seconds.
     """
 
     upstream: UpstreamState
     place: int
+    warm: bool | None
     busy: float
-    load_age_s: float
+    expected_s: float
+    run_s: float
 
 
 class Wanted(NamedTuple):
@@ -32,24 +53,35 @@
       route: the request's route.
       service: rule of the service that takes it.
       tried: ids of upstreams that had it already.
+      warm_places: ids of upstreams that are taken to know its object.
+      warm_s: expected run time where its object is known, in seconds.
+      new_s: expected run time where it is not.
+      service_s: mean run time of its service.
+      use: part of the service's slots that is in use, 0 to 1 or more.
+      aim_left_s: time left within its aim.
+      left_s: time left before it is given up.
+      round_trips_s: round trip to each region, in seconds.
       entry_names: live entries, among which bounds are shared.
+      peers_heard: whether every entry tells its load.
       now_s: the entry's clock.
     """
 
     route: Route
     service: ServiceRule | None
     tried: Collection[str]
+    warm_places: frozenset[str]
+    warm_s: float
+    new_s: float
+    service_s: float
+    use: float
+    aim_left_s: float
+    left_s: float
+    round_trips_s: dict[str, float]
     entry_names: frozenset[str]
+    peers_heard: bool
     now_s: float
 
 
-# How far beyond its slots an upstream is filled, as a part of its slots, for
-# requests of each rank; the last one holds for all lower ranks. Upstreams
-# queue what exceeds their slots, first come first served, so room for urgent
-# work is kept by filling them less with other work.
-QUEUE_SHARES = (1.5, 1.5, 1.0, 0.7)
-
-
 def choose(
     *,
     order: Iterable[UpstreamState],
@@ -58,34 +90,60 @@
 ) -> Choice | None:
     """Returns the upstream that takes a request, None when none has room.
 
-    The first one in the key's order with a free slot takes it. Where all are
-    busy, the one with the shortest queue, if its queue is short enough for
-    the request's rank.
+    The one with the least expected cost takes it: the way there, the wait for
+    a slot, and the run, which is shorter where the object is known. A request
+    that would wait past its aim is not sent at all.
     """
     best: Choice | None = None
-    best_fill = _queue_limit(wanted.route.priority)
+    best_cost_s = 0.0
     for place, upstream in enumerate(order):
         if not _may_take(upstream, wanted, cold_starts):
             continue
-        busy = upstream.busy(now_s=wanted.now_s)
-        fill = busy / upstream.record.slots
-        found = Choice(
-            upstream=upstream,
-            place=place,
-            busy=busy,
-            load_age_s=upstream.load_age_s(now_s=wanted.now_s),
-        )
-        if busy + 0.5 < upstream.record.slots:
-            return found
-        if fill < best_fill:
+        found, cost_s = _weigh(upstream, place, wanted)
+        if best is None or cost_s < best_cost_s:
             best = found
-            best_fill = fill
+            best_cost_s = cost_s
+    if best is None or not _fits(best, wanted):
+        return None
     return best
 
 
-def _queue_limit(priority: int) -> float:
-    rank = min(max(priority, 0), len(QUEUE_SHARES) - 1)
-    return 1.0 + QUEUE_SHARES[rank]
+def _weigh(
+    upstream: UpstreamState, place: int, wanted: Wanted
+) -> tuple[Choice, float]:
+    now_s = wanted.now_s
+    known = upstream.record.upstream_id in wanted.warm_places
+    warm = known or place == 0
+    slowness = upstream.slowness(now_s=now_s)
+    run_s = slowness * (wanted.warm_s if warm else wanted.new_s)
+    busy = upstream.busy(now_s=now_s, peers_heard=wanted.peers_heard)
+    slots = upstream.record.slots
+    reserve = RESERVE_SHARE * slots * min(1, max(0, wanted.route.priority - 1))
+    ahead = max(0.0, busy + 1 + reserve - slots)
+    wait_s = ahead / slots * wanted.service_s * slowness
+    way_s = wanted.round_trips_s.get(upstream.region, 0.0)
+    risk_s = upstream.failure_share(now_s=now_s) * wanted.route.aim_s
+    choice = Choice(
+        upstream=upstream,
+        place=place,
+        warm=None if warm and not known else known,
+        busy=busy,
+        expected_s=way_s + wait_s + run_s,
+        run_s=run_s,
+    )
+    cost_s = choice.expected_s + risk_s + PLACE_COST_S * place
+    if not warm:
+        factor = UNKNOWN_COST + UNKNOWN_COST_BY_USE * wanted.use
+        cost_s += factor * max(0.0, wanted.new_s - wanted.warm_s)
+    return choice, cost_s
+
+
+def _fits(choice: Choice, wanted: Wanted) -> bool:
+    if choice.busy + 1 <= choice.upstream.record.slots:
+        return True
+    if choice.expected_s > TIME_USED_SHARE * wanted.left_s:
+        return False
+    return choice.expected_s <= WAIT_AIM_SHARE * wanted.aim_left_s
 
 
 def _may_take(
--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -1,9 +1,12 @@
 """What one entry believes of the deployment: routes, upstreams, entries."""
 
+from collections import Counter
 from collections.abc import Iterable
 import math
 from typing import NamedTuple
 
+import xxhash
+
 from almondstair.core.placement import PlacementOrders
 from almondstair.core.routing import RoutingConfiguration
 from almondstair.core.routing import RoutingTable
@@ -16,6 +19,13 @@
 LAPSE_GRACE_S = 2.5
 # Beats carry the cold time as of their writing and arrive a little later.
 COLD_MARGIN_S = 0.3
+# How old the use of a service may be; requests run for longer.
+USE_AGE_S = 0.1
+
+
+def upstream_hash(upstream_id: str) -> int:
+    """Returns the short name of an upstream in messages between entries."""
+    return xxhash.xxh32_intdigest(upstream_id.encode())
 
 
 class Entry(NamedTuple):
@@ -43,6 +53,9 @@
       table: routes in force; None before the first configuration.
       evacuated: availability zones whose upstreams get nothing.
       entries: live entries by name.
+      entry_names: their names, this entry's with them.
+      by_hash: registered upstreams by the hash that entries call them.
+      peers_heard: whether every other entry tells its loads.
     """
 
     def __init__(
@@ -60,15 +73,21 @@
         self._zones = zones
         self._upstreams: dict[str, UpstreamState] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
-        self._leaving_at_s: dict[str, float] = {}
+        self._lapses_at_s: dict[str, float] = {}
         self._entry_lapse_s: dict[str, float] = {}
-        self._orders = PlacementOrders(own_region=own_region)
+        # Callers are taken to be spread evenly over the availability zones.
+        self._orders = PlacementOrders(
+            own_region=own_region, demand=Counter(zones.values())
+        )
         self._calm_since_s = -math.inf
         self._loaded = False
         self.table: RoutingTable | None = None
         self.evacuated: set[str] = set()
         self.entries: dict[str, Entry] = {}
         self.entry_names: frozenset[str] = frozenset((own_name,))
+        self.by_hash: dict[int, UpstreamState] = {}
+        self.peers_heard = False
+        self._use: dict[str, tuple[float, float]] = {}
 
     @property
     def ready(self) -> bool:
@@ -100,7 +119,7 @@
 
     def take_upstream(self, record: UpstreamRecord, *, now_s: float) -> bool:
         """Takes a registration; returns whether it changes what is sent."""
-        self._leaving_at_s.pop(record.upstream_id, None)
+        self._lapses_at_s.pop(record.upstream_id, None)
         state = self._upstreams.get(record.upstream_id)
         if state is None:
             self._add_upstream(record, now_s)
@@ -129,6 +148,7 @@
         if cold_s > 0:
             state.cold_until_s = now_s + cold_s + COLD_MARGIN_S
         self._upstreams[record.upstream_id] = state
+        self.by_hash[upstream_hash(record.upstream_id)] = state
         self._rebuild()
 
     def _cold_s(self, service: str) -> float:
@@ -151,7 +171,7 @@
         if upstream_id not in self._upstreams:
             return False
         if now_s - self._calm_since_s < LAPSE_GRACE_S:
-            self._leaving_at_s.setdefault(upstream_id, now_s + LAPSE_GRACE_S)
+            self._lapses_at_s.setdefault(upstream_id, now_s + LAPSE_GRACE_S)
             return False
         self._remove(upstream_id)
         return True
@@ -169,7 +189,7 @@
     def expire(self, *, now_s: float) -> list[str]:
         """Drops registrations whose grace is over; returns their ids."""
         gone = []
-        for upstream_id, at_s in list(self._leaving_at_s.items()):
+        for upstream_id, at_s in list(self._lapses_at_s.items()):
             if now_s >= at_s:
                 self._remove(upstream_id)
                 gone.append(upstream_id)
@@ -179,10 +199,10 @@
         return gone
 
     def _remove(self, upstream_id: str) -> None:
-        self._leaving_at_s.pop(upstream_id, None)
+        self._lapses_at_s.pop(upstream_id, None)
         state = self._upstreams.pop(upstream_id, None)
         if state is not None:
-            state.gone = True
+            self.by_hash.pop(upstream_hash(upstream_id), None)
             self._rebuild()
 
     def misdirected(self, upstream_id: str) -> None:
@@ -214,6 +234,23 @@
             service=service, key=key, upstreams=self.takers(service)
         )
 
+    def use(self, service: str, *, now_s: float) -> float:
+        """Returns the part of a service's slots that is in use.
+
+        It is worked out at most every `USE_AGE_S`; above 1 there are queues.
+        """
+        at_s, use = self._use.get(service, (-math.inf, 0.0))
+        if now_s - at_s < USE_AGE_S:
+            return use
+        slots = 0
+        busy = 0.0
+        for upstream in self.takers(service):
+            slots += upstream.record.slots
+            busy += upstream.busy(now_s=now_s, peers_heard=self.peers_heard)
+        use = busy / slots if slots else 1.0
+        self._use[service] = (now_s, use)
+        return use
+
     # Evacuations.
 
     def evacuate(self, zone: str) -> bool:
--- a/almondstair/core/placement.py
+++ b/almondstair/core/placement.py
@@ -4,9 +4,15 @@
 so requests of one key should meet few upstreams, and the same ones from every
 entry. Rendezvous hashing gives each key its own order of upstreams, which
 entries agree on without talking; losing one moves only its keys.
+
+Weights of the hash decide how many keys of a region's callers belong to which
+region. A region with little capacity for its callers keeps as many keys as it
+can carry; the others belong to regions with capacity to spare from the start.
+Spilling them only when the region is full would give each key many upstreams.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+import math
 
 import xxhash
 
@@ -15,40 +21,113 @@
 # Orders that are remembered; beyond, the whole memory is dropped. One order of
 # 170 upstreams takes about 1.4 KB.
 REMEMBERED_ORDERS = 4096
+# Part of all capacity that is taken to be in use when keys are dealt out to
+# regions. At lower use a region could keep more keys, but would have to move
+# them just when load comes.
+PLANNED_USE = 0.75
+_HASHES = 2.0**64
+# Keeps a region that should get no key of a caller's region as a last resort.
+LEAST_SHARE = 1e-6
+
+
+def region_shares(
+    *,
+    own_region: str,
+    capacity: Mapping[str, float],
+    demand: Mapping[str, float],
+) -> dict[str, float]:
+    """Returns which part of a region's keys belongs to each region.
+
+    Args:
+      own_region: the region whose callers' keys are dealt out.
+      capacity: slots of the service in each region.
+      demand: expected requests from each region, in any unit.
+    """
+    total_capacity = sum(capacity.values())
+    total_demand = sum(demand.values())
+    if not total_capacity or not total_demand:
+        return dict.fromkeys(capacity, 1.0)
+    own_capacity = capacity.get(own_region, 0.0) / total_capacity
+    own_demand = demand.get(own_region, 0.0) / total_demand
+    local = 1.0
+    if own_demand > 0:
+        local = min(1.0, own_capacity / (own_demand * PLANNED_USE))
+    spare = {}
+    for region, slots in capacity.items():
+        if region == own_region:
+            continue
+        wanted = demand.get(region, 0.0) / total_demand
+        spare[region] = max(0.0, slots / total_capacity - wanted)
+    if not sum(spare.values()):
+        for region in spare:
+            spare[region] = capacity[region] / total_capacity
+    total_spare = sum(spare.values())
+    shares = {own_region: local}
+    for region, part in spare.items():
+        share = (1.0 - local) * part / total_spare if total_spare else 0.0
+        shares[region] = max(LEAST_SHARE, share)
+    return shares
 
 
 class PlacementOrders:
     """Computes and remembers the order of upstreams for each key."""
 
-    def __init__(self, *, own_region: str) -> None:
-        """Makes orders for an entry of `own_region`."""
+    def __init__(self, *, own_region: str, demand: Mapping[str, float]) -> None:
+        """Makes orders for callers of one region.
+
+        Args:
+          own_region: the callers' region.
+          demand: expected requests from each region, in any unit.
+        """
         self._own_region = own_region
+        self._demand = demand
         self._orders: dict[tuple[str, str], list[UpstreamState]] = {}
+        self._weights: dict[str, dict[str, float]] = {}
 
     def forget(self) -> None:
         """Drops what is remembered, after the set of upstreams changed."""
         self._orders.clear()
+        self._weights.clear()
 
     def order(
         self, *, service: str, key: str, upstreams: Sequence[UpstreamState]
     ) -> list[UpstreamState]:
-        """Returns the upstreams in the order of preference for a key.
-
-        Those of the entry's own region come first, each region's in
-        rendezvous order.
-        """
+        """Returns the upstreams in the order of preference for a key."""
         remembered = self._orders.get((service, key))
         if remembered is not None:
             return remembered
         if len(self._orders) >= REMEMBERED_ORDERS:
             self._orders.clear()
+        weights = self._weights.get(service)
+        if weights is None:
+            weights = self._weigh(upstreams)
+            self._weights[service] = weights
         ranked = sorted(
-            upstreams, key=lambda upstream: self._rank(key, upstream)
+            upstreams,
+            key=lambda upstream: _rank(
+                key, upstream, weights.get(upstream.region, LEAST_SHARE)
+            ),
         )
         self._orders[(service, key)] = ranked
         return ranked
 
-    def _rank(self, key: str, upstream: UpstreamState) -> tuple[bool, int]:
-        name = f"{key}\0{upstream.record.upstream_id}"
-        far = upstream.region != self._own_region
-        return far, xxhash.xxh3_64_intdigest(name.encode())
+    def _weigh(self, upstreams: Sequence[UpstreamState]) -> dict[str, float]:
+        """Returns the weight of one slot in each region."""
+        capacity: dict[str, float] = {}
+        for upstream in upstreams:
+            slots = capacity.get(upstream.region, 0.0)
+            capacity[upstream.region] = slots + upstream.record.slots
+        shares = region_shares(
+            own_region=self._own_region, capacity=capacity, demand=self._demand
+        )
+        weights = {}
+        for region, slots in capacity.items():
+            weights[region] = shares.get(region, LEAST_SHARE) / slots
+        return weights
+
+
+def _rank(key: str, upstream: UpstreamState, slot_weight: float) -> float:
+    """Returns the weighted rendezvous rank; the least comes first."""
+    name = f"{key}\0{upstream.record.upstream_id}".encode()
+    drawn = (xxhash.xxh3_64_intdigest(name) + 1) / (_HASHES + 1)
+    return -math.log(drawn) / (slot_weight * upstream.record.slots)
--- a/almondstair/core/upstream_state.py
+++ b/almondstair/core/upstream_state.py
@@ -12,7 +12,14 @@
 FIRST_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 8.0
 # Weight of the newest sample in running means over answers.
-SAMPLE_WEIGHT = 0.15
+SAMPLE_WEIGHT = 0.2
+# Half-life of what failures and slow answers tell. An upstream that is left
+# alone for them is tried again after some seconds, with few requests.
+MEMORY_HALF_LIFE_S = 4.0
+# Bounds of how much slower or faster than its service an upstream is taken to
+# be; one outlying sample should not decide for good.
+SLOWEST = 12.0
+FASTEST = 0.6
 
 
 class UpstreamRecord(NamedTuple):
@@ -63,38 +70,61 @@
         self.region = region
         self.in_flight = 0
         self.cold_until_s = 0.0
-        self.gone = False
+        self._peers: dict[str, int] = {}
+        self._peers_total = 0
         self._others = 0.0
         self._told_at_s = -math.inf
         self._paused_until_s = 0.0
         self._pause_s = 0.0
         self._trial_running = False
-        self.failure_share = 0.0
-        self.slowness = 1.0
+        self._failures = 0.0
+        self._slowness_log = 0.0
+        self._judged_at_s = 0.0
+
+    # Load.
 
     def take_load(self, told: ToldLoad, *, now_s: float) -> None:
         """Takes the load that an answer states.
 
-        The request that was answered may still count as running there, so
-        this entry's own requests are taken off, and that one with them.
+        The answered request may still be counted there; it counts here too
+        until its answer is handled, so that the difference is others' work.
         """
         busy = told.running + told.waiting
         self._others = max(0.0, float(busy - self.in_flight))
         self._told_at_s = now_s
 
-    def busy(self, *, now_s: float) -> float:
-        """Returns how many requests it is believed to hold."""
+    def take_peer(self, entry: str, in_flight: int) -> None:
+        """Takes how many requests another entry has there."""
+        before = self._peers.pop(entry, 0)
+        self._peers_total += in_flight - before
+        if in_flight:
+            self._peers[entry] = in_flight
+
+    def busy(self, *, now_s: float, peers_heard: bool) -> float:
+        """Returns how many requests it is believed to hold.
+
+        Args:
+          now_s: the entry's clock.
+          peers_heard: whether every other entry tells what it has there; the
+            sum is then nearly exact, and fresher than the last answer.
+        """
+        known = float(self.in_flight + self._peers_total)
+        if peers_heard:
+            return known
         age_s = now_s - self._told_at_s
         if age_s > 8 * LOAD_HALF_LIFE_S:
-            return float(self.in_flight)
-        return self.in_flight + self._others * 0.5 ** (age_s / LOAD_HALF_LIFE_S)
+            return known
+        others = self._others * 0.5 ** (age_s / LOAD_HALF_LIFE_S)
+        return max(known, self.in_flight + others)
 
     def load_age_s(self, *, now_s: float) -> float:
-        """Returns the age of the last word on its load, in seconds."""
+        """Returns the age of its last own word on its load, in seconds."""
         return now_s - self._told_at_s
 
+    # Reachability.
+
     def paused(self, *, now_s: float) -> bool:
-        """Whether it is left alone after failures."""
+        """Whether it is left alone after it could not be reached."""
         if now_s < self._paused_until_s:
             return True
         # After a pause one request at a time finds out whether it is back.
@@ -121,11 +151,44 @@
         self.in_flight -= 1
         self._trial_running = False
 
-    def note_answer(self, *, good: bool) -> None:
-        """Counts a whole answer, good or its own failure."""
-        self._pause_s = 0.0
+    # What answers show.
+
+    def note_answer(self, *, good: bool, now_s: float) -> None:
+        """Counts an answer, good or a failure of its own."""
+        self._fade(now_s)
+        if good:
+            self._pause_s = 0.0
         sample = 0.0 if good else 1.0
-        self.failure_share += SAMPLE_WEIGHT * (sample - self.failure_share)
+        self._failures += SAMPLE_WEIGHT * (sample - self._failures)
+
+    def note_run(
+        self, *, run_s: float, expected_s: float, now_s: float
+    ) -> None:
+        """Compares a run with what its service needs for it.
+
+        A run that was cut off counts with the time that it had.
+        """
+        self._fade(now_s)
+        ratio = run_s / max(expected_s, 0.001)
+        sample = math.log(min(SLOWEST, max(FASTEST, ratio)))
+        self._slowness_log += SAMPLE_WEIGHT * (sample - self._slowness_log)
+
+    def _fade(self, now_s: float) -> None:
+        kept = 0.5 ** (max(0.0, now_s - self._judged_at_s) / MEMORY_HALF_LIFE_S)
+        self._failures *= kept
+        self._slowness_log *= kept
+        self._judged_at_s = now_s
+
+    def failure_share(self, *, now_s: float) -> float:
+        """Returns the part of its answers that are failures, 0 to 1."""
+        age_s = max(0.0, now_s - self._judged_at_s)
+        return self._failures * 0.5 ** (age_s / MEMORY_HALF_LIFE_S)
+
+    def slowness(self, *, now_s: float) -> float:
+        """Returns how many times longer than its service it runs requests."""
+        age_s = max(0.0, now_s - self._judged_at_s)
+        kept = 0.5 ** (age_s / MEMORY_HALF_LIFE_S)
+        return math.exp(self._slowness_log * kept)
 
     def cold(self, *, now_s: float) -> bool:
         """Whether it is believed cold."""
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -17,6 +17,7 @@
 from almondstair.gateway.caller_connection import CallerConnection
 from almondstair.gateway.following import Follower
 from almondstair.gateway.forwarding import Forwarder
+from almondstair.gateway.load_sharing import LoadSharing
 from almondstair.gateway.pages import LOOKUP_TTL_S
 from almondstair.gateway.pages import Pages
 from almondstair.gateway.pages import PageSource
@@ -69,6 +70,11 @@
                 over=bounds.cold_over,
                 slack=bounds.cold_slack,
             ),
+            own_region=settings.region,
+            regions=set(settings.zones.values()),
+        )
+        self._sharing = LoadSharing(
+            fleet=self._fleet, own_name=settings.entry_name
         )
         self._registration = Registration(
             client=self._client,
@@ -118,6 +124,11 @@
         self._server = await loop.create_server(
             self._accept, ip, int(port), backlog=ACCEPT_BACKLOG
         )
+        await loop.create_datagram_endpoint(
+            lambda: self._sharing,
+            local_addr=(self._settings.ip, self._settings.peer_ports[0]),
+        )
+        self._spawn(self._sharing.run())
         self._spawn(self._follower.run())
         self._spawn(self._follower.expire())
         self._spawn(self._registration.run())
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -1,6 +1,7 @@
 """Takes a caller's request to an upstream and its answer back."""
 
 import asyncio
+from collections.abc import Collection
 import enum
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
 from almondstair.core.routing import CallerLimits
 from almondstair.core.routing import Route
 from almondstair.core.routing import WeightedTurns
+from almondstair.core.run_times import RunTimes
 from almondstair.core.second_tries import SecondTries
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
@@ -35,6 +37,8 @@
 # Longest time for a new connection. A round trip between the farthest regions
 # is 0.11 s; an upstream that needs longer than twice that is not there.
 CONNECT_TIMEOUT_S = 0.3
+# Round trip to another region before the first connection to it.
+FIRST_ROUND_TRIP_S = 0.05
 # What callers may send before the first configuration says.
 DEFAULT_LIMITS = CallerLimits(
     header_bytes=16 * 1024,
@@ -143,6 +147,8 @@
         pool: UpstreamPool,
         second_tries: SecondTries,
         cold_starts: ColdStarts,
+        own_region: str,
+        regions: Collection[str],
     ) -> None:
         """Makes a forwarder.
 
@@ -151,12 +157,19 @@
           pool: connections to upstreams.
           second_tries: budget for trying again.
           cold_starts: bound on requests to cold upstreams.
+          own_region: region of this entry.
+          regions: every region.
         """
         self._fleet = fleet
         self._pool = pool
         self._second_tries = second_tries
         self._cold_starts = cold_starts
         self._turns = WeightedTurns()
+        self._run_times = RunTimes()
+        self._round_trips_s: dict[str, float] = {}
+        for region in regions:
+            if region != own_region:
+                self._round_trips_s[region] = FIRST_ROUND_TRIP_S
         self.running: dict[IncomingRequest, Call] = {}
 
     def limits(self) -> CallerLimits:
@@ -246,12 +259,27 @@
     def _choose(self, call: Call) -> Choice | None:
         assert self._fleet.table is not None
         services = self._fleet.table.configuration.services
+        now = now_s()
+        route = call.route
+        times = self._run_times
+        aim_s = route.aim_s
         wanted = Wanted(
-            route=call.route,
+            route=route,
             service=services.get(call.service),
             tried=call.tried,
+            warm_places=times.warm_places(
+                service=call.service, key=call.key, now_s=now
+            ),
+            warm_s=times.expected_s(route=route.name, aim_s=aim_s, warm=True),
+            new_s=times.expected_s(route=route.name, aim_s=aim_s, warm=False),
+            service_s=times.service_s(service=call.service, default_s=aim_s),
+            use=self._fleet.use(call.service, now_s=now),
+            aim_left_s=call.request.arrived_s + aim_s - now,
+            left_s=call.left_s(),
+            round_trips_s=self._round_trips_s,
             entry_names=self._fleet.entry_names,
-            now_s=now_s(),
+            peers_heard=self._fleet.peers_heard,
+            now_s=now,
         )
         return choose(
             order=self._fleet.order(service=call.service, key=call.key),
@@ -319,7 +347,7 @@
                 )
             ran_before = call.may_have_run
             call.may_have_run = True
-            exchange = await self._exchange(call, choice, connection)
+            exchange = await self._timed_exchange(call, choice, connection)
         finally:
             upstream.note_ended()
         outcome = self._judge(call, choice, exchange)
@@ -337,10 +365,13 @@
         )
         if connection is not None:
             return connection
+        began_s = now_s()
         try:
-            return await self._pool.connect(
+            connection = await self._pool.connect(
                 address=record.address, timeout_s=CONNECT_TIMEOUT_S
             )
+            self._note_round_trip(choice.upstream.region, now_s() - began_s)
+            return connection
         except (OSError, TimeoutError) as error:
             choice.upstream.note_unreachable(now_s=now_s())
             log.event(
@@ -351,6 +382,51 @@
             )
             return None
 
+    async def _timed_exchange(
+        self, call: Call, choice: Choice, connection: UpstreamConnection
+    ) -> Exchange:
+        """Sends the request and learns from how long it took."""
+        began_s = now_s()
+        answered = False
+        try:
+            exchange = await self._exchange(call, choice, connection)
+            head = exchange.head
+            answered = head is not None and head.status in _SUCCESS
+            return exchange
+        except asyncio.CancelledError:
+            answered = True
+            raise
+        finally:
+            if answered:
+                self._note_run(call, choice, now_s() - began_s)
+
+    def _note_run(self, call: Call, choice: Choice, took_s: float) -> None:
+        upstream = choice.upstream
+        now = now_s()
+        way_s = self._round_trips_s.get(upstream.region, 0.0)
+        wait_s = choice.expected_s - choice.run_s - way_s
+        run_s = max(0.001, took_s - way_s)
+        upstream.note_run(
+            run_s=run_s, expected_s=choice.run_s + wait_s, now_s=now
+        )
+        self._run_times.note_run(
+            service=call.service,
+            route=call.route.name,
+            warm=choice.warm,
+            run_s=max(0.001, run_s - wait_s),
+        )
+        if call.route.by_key:
+            self._run_times.note_served(
+                service=call.service,
+                key=call.key,
+                upstream_id=upstream.record.upstream_id,
+                now_s=now,
+            )
+
+    def _note_round_trip(self, region: str, sample_s: float) -> None:
+        before_s = self._round_trips_s.get(region, sample_s)
+        self._round_trips_s[region] = before_s + 0.2 * (sample_s - before_s)
+
     async def _exchange(
         self, call: Call, choice: Choice, connection: UpstreamConnection
     ) -> Exchange:
@@ -403,10 +479,11 @@
             self._misdirected(choice)
             return Try(Verdict.NOT_RUN, exchange, "upstream replaced")
         if find(head.headers, names.NOT_RUN) is not None:
+            upstream.note_answer(good=False, now_s=now_s())
             return Try(Verdict.NOT_RUN, exchange, f"refused {head.status}")
         if cause:
             return Try(Verdict.UNKNOWN, exchange, cause)
-        upstream.note_answer(good=head.status < _SERVER_ERROR)
+        upstream.note_answer(good=head.status < _SERVER_ERROR, now_s=now_s())
         return Try(Verdict.ANSWERED, exchange)
 
     def _note_load(self, *, upstream_headers: Headers, choice: Choice) -> None:
@@ -437,10 +514,12 @@
             version=self._version(),
             upstream=record.upstream_id,
             availability_zone=record.availability_zone,
+            key=call.key if call.route.by_key else "",
             tries=len(call.tried),
             place=choice.place,
             busy=round(choice.busy, 1),
-            load_age_s=round(min(choice.load_age_s, 99.0), 2),
+            warm=choice.warm,
+            expected_ms=round(choice.expected_s * 1000),
             status=exchange.head.status,
             took_ms=round((now_s() - call.request.arrived_s) * 1000),
         )
