Keep second answers apart, refuse late requests at a stop, tell a cut from an outage

It now looks whether upstreams wrote to the store while it was silent. A lost answer no longer pauses its upstream: whether it is gone shows at the next connection.

--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -16,7 +16,10 @@
 # A registration that vanishes this soon after the store was in trouble may
 # have lapsed with it; a live upstream registers again within about 2 s of the
 # store's return.
-LAPSE_GRACE_S = 2.5
+LAPSE_GRACE_S = 2.3
+# The same where upstreams went on writing to the store: only this entry was
+# cut off, and what vanished meanwhile has most likely ended.
+CUT_GRACE_S = 0.7
 # Beats carry the cold time as of their writing and arrive a little later.
 COLD_MARGIN_S = 0.3
 # How old the use of a service may be; requests run for longer.
@@ -79,7 +82,7 @@
         self._orders = PlacementOrders(
             own_region=own_region, demand=Counter(zones.values())
         )
-        self._calm_since_s = -math.inf
+        self._grace_until_s = -math.inf
         self._loaded = False
         self.table: RoutingTable | None = None
         self.evacuated: set[str] = set()
@@ -159,7 +162,17 @@
 
     def note_trouble(self, *, now_s: float) -> None:
         """The store does not answer, or refuses."""
-        self._calm_since_s = now_s
+        self._grace_until_s = now_s + LAPSE_GRACE_S
+
+    def note_return(self, *, written_to: bool, now_s: float) -> None:
+        """The store answers again.
+
+        Args:
+          written_to: whether most upstreams wrote to it meanwhile.
+          now_s: the entry's clock.
+        """
+        grace_s = CUT_GRACE_S if written_to else LAPSE_GRACE_S
+        self._grace_until_s = now_s + grace_s
 
     def drop_upstream(self, upstream_id: str, *, now_s: float) -> bool:
         """Takes the end of a registration.
@@ -170,8 +183,8 @@
         """
         if upstream_id not in self._upstreams:
             return False
-        if now_s - self._calm_since_s < LAPSE_GRACE_S:
-            self._lapses_at_s.setdefault(upstream_id, now_s + LAPSE_GRACE_S)
+        if now_s < self._grace_until_s:
+            self._lapses_at_s.setdefault(upstream_id, self._grace_until_s)
             return False
         self._remove(upstream_id)
         return True
@@ -224,6 +237,10 @@
         """Returns every upstream that is registered."""
         return self._upstreams.values()
 
+    def upstream_count(self) -> int:
+        """Returns how many upstreams are registered."""
+        return len(self._upstreams)
+
     def takers(self, service: str) -> list[UpstreamState]:
         """Returns the upstreams of a service that may get new work."""
         return self._by_service.get(service, [])
@@ -289,8 +306,8 @@
         """Takes the end of an entry's registration."""
         if name not in self.entries:
             return False
-        if now_s - self._calm_since_s < LAPSE_GRACE_S:
-            self._entry_lapse_s.setdefault(name, now_s + LAPSE_GRACE_S)
+        if now_s < self._grace_until_s:
+            self._entry_lapse_s.setdefault(name, self._grace_until_s)
             return False
         self._remove_entry(name)
         return True
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -34,6 +34,8 @@
 ACCEPT_BACKLOG = 512
 # How long before the platform's SIGKILL a leaving process has to be gone.
 STOP_MARGIN_S = 0.5
+# Part of the time for a stop in which requests are still taken.
+SERVED_SHARE = 0.5
 # How often a leaving process looks whether it is done.
 STOP_POLL_S = 0.05
 # Callers keep a look-up for its time, some three times as long.
@@ -175,20 +177,33 @@
         log.event(log.Event.GATEWAY_STOPPED, cut=len(self._forwarder.running))
 
     async def _serve_out(self, began_s: float) -> None:
-        last_s = began_s + self._settings.bounds.stop_s - STOP_MARGIN_S
+        """Serves while callers keep look-ups, then ends what is open.
+
+        What goes wrong without the refusals: callers use their connections
+        until they are closed, and a request that comes shortly before the end
+        is cut. It is refused with a time to come back instead.
+        """
+        stop_s = self._settings.bounds.stop_s
         kept_s = self.lookup_ttl_s() * LOOKUP_KEPT_TIMES
-        while now_s() < last_s:
+        refuse_s = began_s + min(kept_s, SERVED_SHARE * stop_s)
+        while now_s() < began_s + stop_s - STOP_MARGIN_S:
             await asyncio.sleep(STOP_POLL_S)
-            if now_s() < began_s + kept_s:
+            if now_s() < refuse_s:
                 continue
+            if not self._forwarder.refusing:
+                self._forwarder.refusing = True
+                self._stop_listening()
             for connection in list(self._connections):
                 connection.close_if_quiet()
             if not self._connections:
                 return
 
-    async def _close(self) -> None:
+    def _stop_listening(self) -> None:
         if self._server is not None:
             self._server.close()
+
+    async def _close(self) -> None:
+        self._stop_listening()
         self._pages.stop()
         for task in self._tasks:
             task.cancel()
--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -19,7 +19,11 @@
 POLL_S = 0.6
 # Pause after a failed call, so that a store in trouble is not pressed.
 FIRST_BACKOFF_S = 0.2
-LONGEST_BACKOFF_S = 1.0
+LONGEST_BACKOFF_S = 0.6
+# Part of the upstreams that must have written to the store during a silence
+# for it to have been this entry's own; after the store's return they do so one
+# by one.
+WRITERS_SHARE = 0.6
 # How often the grace of lapsed registrations is looked at.
 EXPIRY_S = 0.25
 
@@ -61,7 +65,7 @@
                 backoff_s = min(LONGEST_BACKOFF_S, 2 * backoff_s)
                 continue
             backoff_s = FIRST_BACKOFF_S
-            self._note_up()
+            self.heard_at_s = now_s()
             await asyncio.sleep(POLL_S * (0.9 + 0.2 * random.random()))
 
     async def expire(self) -> None:
@@ -83,16 +87,27 @@
             age_s=round(now_s() - self.heard_at_s, 2),
         )
 
-    def _note_up(self) -> None:
+    def _note_up(self, items: list[Item]) -> None:
+        """Judges from what was written whether the store was away for all."""
+        if not self._down:
+            return
+        self._down = False
         now = now_s()
-        if self._down:
-            self._down = False
-            log.event(
-                log.Event.STORE_BACK,
-                revision=self.revision,
-                silent_s=round(now - self.heard_at_s, 2),
-            )
-        self.heard_at_s = now
+        writers = set()
+        for item in items:
+            if item.value is None or item.revision <= self.revision:
+                continue
+            if item.key.startswith(documents.UPSTREAM_PREFIX):
+                writers.add(item.key)
+        least = WRITERS_SHARE * self._fleet.upstream_count()
+        written_to = len(writers) >= max(1.0, least)
+        self._fleet.note_return(written_to=written_to, now_s=now)
+        log.event(
+            log.Event.STORE_BACK,
+            revision=self.revision,
+            silent_s=round(now - self.heard_at_s, 2),
+            written_to=written_to,
+        )
 
     async def _round(self) -> None:
         if self.revision:
@@ -100,6 +115,7 @@
                 prefix="", after=self.revision, wait_ms=0
             )
             if page is not None:
+                self._note_up(page.items)
                 self._apply(page.items)
                 self.revision = page.revision
                 return
@@ -121,6 +137,7 @@
             if not page.more or not page.items:
                 break
             after = page.items[-1].key
+        self._note_up(items)
         self._apply(items)
         self._drop_unlisted(items)
         self.revision = revision
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -138,6 +138,7 @@
 
     Attributes:
       running: calls under way.
+      refusing: whether new requests are refused, near the end of a stop.
     """
 
     def __init__(
@@ -171,6 +172,7 @@
             if region != own_region:
                 self._round_trips_s[region] = FIRST_ROUND_TRIP_S
         self.running: dict[IncomingRequest, Call] = {}
+        self.refusing = False
 
     def limits(self) -> CallerLimits:
         """Returns what callers may send."""
@@ -211,6 +213,8 @@
             self.running.pop(request, None)
 
     def _open(self, request: IncomingRequest) -> Call:
+        if self.refusing:
+            raise AlmondstairError(kind=ErrorKind.ENTRY_LEAVING)
         table = self._fleet.table
         if table is None or not self._fleet.ready:
             raise AlmondstairError(kind=ErrorKind.ENTRY_NOT_READY)
@@ -470,8 +474,9 @@
         if exchange.end is ExchangeEnd.NOT_SENT:
             return Try(Verdict.NOT_RUN, exchange, "connection closed")
         if exchange.end is not ExchangeEnd.WHOLE or head is None:
-            if exchange.end is ExchangeEnd.LOST:
-                upstream.note_unreachable(now_s=now_s())
+            # Whether it is gone shows at the next connection; an upstream that
+            # merely loses answers goes on to be used, but less.
+            upstream.note_answer(good=False, now_s=now_s())
             return Try(Verdict.UNKNOWN, exchange, f"answer {exchange.end}")
         self._note_load(upstream_headers=head.headers, choice=choice)
         cause = _doubt(head)
--- a/almondstair/gateway/upstream_connection.py
+++ b/almondstair/gateway/upstream_connection.py
@@ -112,6 +112,7 @@
         self._sink_task: asyncio.Task[None] | None = None
         self._sending = False
         self._caller_gone = False
+        self._exchanges = 0
         self._reset_reply()
 
     def _reset_reply(self) -> None:
@@ -178,7 +179,9 @@
         self._in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Takes a header."""
+        """Takes a header; those of a second answer are not the first one's."""
+        if not self._waiting():
+            return
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > HEAD_LIMIT_BYTES:
             raise httptools.HttpParserError("head too long")
@@ -192,8 +195,7 @@
         if status < 200:
             self._mine = False
             return
-        echoed = find(self._headers, self._id_header)
-        if self._id_header and echoed not in (None, self._request_id):
+        if not self._is_mine():
             self._mine = False
             return
         self._mine = True
@@ -209,6 +211,21 @@
             self.usable = False
             self._finish(ExchangeEnd.WHOLE)
 
+    def _is_mine(self) -> bool:
+        """Whether an answer belongs to the request that waits.
+
+        What goes wrong without: an upstream sends a second answer to an
+        earlier request, late, and the caller of this request gets it. Its id
+        tells; one without an id is believed only on a connection that has
+        carried no other request.
+        """
+        if not self._id_header:
+            return True
+        echoed = find(self._headers, self._id_header)
+        if echoed is None:
+            return self._exchanges <= 1
+        return echoed == self._request_id
+
     def on_body(self, data: bytes) -> None:
         """Holds a piece of the body, or passes it on."""
         if not self._waiting() or not self._mine:
@@ -315,6 +332,7 @@
         if not self.usable or self._transport is None:
             return Exchange(end=ExchangeEnd.NOT_SENT)
         self._parser = httptools.HttpResponseParser(self)
+        self._exchanges += 1
         self._reset_reply()
         self._request_id = request_id
         self._without_body = without_body
--- a/almondstair/platform/kv.py
+++ b/almondstair/platform/kv.py
@@ -15,6 +15,9 @@
 # An answer takes milliseconds; one that takes longer than this is on a
 # connection that has gone silent, or the store is in trouble.
 CALL_TIMEOUT_S = 1.0
+# A round trip to the farthest region is 0.11 s. After a partition the first
+# packet of a connection is sent again only after a second; a new try is faster.
+CONNECT_TIMEOUT_S = 0.4
 _POOL_NAME = "store"
 _OK = 200
 _NOT_FOUND = 404
@@ -116,7 +119,7 @@
         )
         if connection is None:
             connection = await self._pool.connect(
-                address=self._address, timeout_s=CALL_TIMEOUT_S
+                address=self._address, timeout_s=CONNECT_TIMEOUT_S
             )
         result = await connection.exchange(head=message)
         if result.end is not ExchangeEnd.WHOLE or result.head is None:
--- /dev/null
+++ b/emulator/store.py
@@ -0,0 +1,303 @@
+"""The platform's key-value store as a process, with faults to order."""
+
+import asyncio
+import time
+from typing import Any
+
+import msgspec
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from emulator.store_state import StoreState
+
+PAGE_ITEMS = 500
+LONGEST_WAIT_MS = 30_000
+EXPIRY_S = 0.05
+# Longer than any caller of the store waits.
+SILENCE_S = 60.0
+
+
+class StoreFaults(msgspec.Struct, kw_only=True):
+    """What is wrong with the store, by order.
+
+    Attributes:
+      mode: `up`, `busy` (503), `limited` (429), `reset` or `silent`.
+      delay_s: time added to each answer, in seconds.
+      lose_writes: every so many-th write is done and not answered; 0 for none.
+      late_s: how much later a lost write is done, in seconds.
+      leases_pause: whether leases stand still.
+    """
+
+    mode: str = "up"
+    delay_s: float = 0.0
+    lose_writes: int = 0
+    late_s: float = 0.0
+    leases_pause: bool = False
+
+
+class Store:
+    """The store, its faults and its count of calls."""
+
+    def __init__(self) -> None:
+        """Makes an empty store without faults."""
+        self.state = StoreState()
+        self.faults = StoreFaults()
+        self.calls: dict[str, int] = {}
+        self.changed = asyncio.Condition()
+        self._writes = 0
+        self._server: httpserver.HTTPServer | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def listen(self, ip: str, port: int) -> int:
+        """Binds an address, port 0 for any; returns the port."""
+        application = web.Application(
+            [
+                (r"/kv-key", _Key, {"store": self}),
+                (r"/kv-range", _Range, {"store": self}),
+                (r"/kv-watch", _Watch, {"store": self}),
+                (r"/kv-txn", _Transaction, {"store": self}),
+                (r"/kv-lease", _Lease, {"store": self}),
+                (r"/kv-keep/(\d+)", _Keep, {"store": self}),
+                (r"/kv-lease-end/(\d+)", _End, {"store": self}),
+                (r"/faults", _Faults, {"store": self}),
+                (r"/operator", _Operator, {"store": self}),
+            ],
+            log_function=lambda handler: None,
+        )
+        sockets = netutil.bind_sockets(port, address=ip)
+        self._server = httpserver.HTTPServer(application)
+        self._server.add_sockets(sockets)
+        self._task = asyncio.ensure_future(self._expire())
+        return sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stops listening and ends every connection."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_S)
+            if self.faults.leases_pause:
+                continue
+            before = self.state.revision
+            self.state.expire(time.monotonic())
+            if self.state.revision != before:
+                await self.notify()
+
+    async def notify(self) -> None:
+        """Wakes the watches."""
+        async with self.changed:
+            self.changed.notify_all()
+
+    def loses_this_write(self) -> bool:
+        """Counts a write; returns whether its answer is lost."""
+        self._writes += 1
+        every = self.faults.lose_writes
+        return every > 0 and self._writes % every == 0
+
+    async def put_text(self, key: str, text: str) -> None:
+        """Writes a key as the operator or an upstream would."""
+        self.state.put_text(key, text)
+        await self.notify()
+
+    async def remove(self, key: str) -> None:
+        """Removes a key as the operator or an upstream would."""
+        self.state.remove(key)
+        await self.notify()
+
+
+class _Handler(web.RequestHandler):
+    kind = ""
+    faulty = True
+
+    def initialize(self, store: Store) -> None:
+        self.store = store
+
+    def compute_etag(self) -> None:
+        return None
+
+    async def prepare(self) -> None:
+        calls = self.store.calls
+        calls[self.kind] = calls.get(self.kind, 0) + 1
+        if not self.faulty:
+            return
+        faults = self.store.faults
+        if faults.delay_s:
+            await asyncio.sleep(faults.delay_s)
+        if faults.mode == "busy":
+            self.fail(503)
+        elif faults.mode == "limited":
+            self.fail(429)
+        elif faults.mode == "reset":
+            self.cut()
+        elif faults.mode == "silent":
+            await asyncio.sleep(SILENCE_S)
+
+    def fail(self, status: int) -> None:
+        self.set_status(status)
+        self.finish()
+
+    def cut(self) -> None:
+        self.request.connection.stream.close()
+        raise web.Finish
+
+    def answer(self, body: Any, status: int = 200) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(body))
+
+    def body(self) -> dict[str, Any]:
+        return msgspec.json.decode(self.request.body or b"{}")
+
+    async def write_and_answer(self, change: dict[str, Any]) -> None:
+        if self.store.loses_this_write():
+            if self.store.faults.late_s:
+                await asyncio.sleep(self.store.faults.late_s)
+            self.store.state.transact(change)
+            await self.store.notify()
+            self.cut()
+        status, body = self.store.state.transact(change)
+        await self.store.notify()
+        self.answer(body, status)
+
+
+class _Key(_Handler):
+    kind = "get"
+
+    def get(self) -> None:
+        item = self.store.state.items.get(self.get_query_argument("key"))
+        if item is None:
+            self.answer({"asOf": self.store.state.revision}, 404)
+            return
+        self.answer(dict(item) | {"asOf": self.store.state.revision})
+
+
+class _Range(_Handler):
+    kind = "list"
+
+    def get(self) -> None:
+        items, more = self.store.state.listing(
+            self.get_query_argument("prefix"),
+            self.get_query_argument("after", ""),
+            PAGE_ITEMS,
+        )
+        revision = self.store.state.revision
+        self.answer({"items": items, "hasMore": more, "asOf": revision})
+
+
+class _Watch(_Handler):
+    kind = "watch"
+
+    async def get(self) -> None:
+        prefix = self.get_query_argument("prefix")
+        after = int(self.get_query_argument("after"))
+        wait_ms = int(self.get_query_argument("waitMs"))
+        until_s = time.monotonic() + min(wait_ms, LONGEST_WAIT_MS) / 1000
+        while True:
+            events = self.store.state.changes(prefix, after)
+            if events is None:
+                self.answer({}, 410)
+                return
+            left_s = until_s - time.monotonic()
+            if events or left_s <= 0:
+                revision = self.store.state.revision
+                self.answer({"events": events, "asOf": revision})
+                return
+            await self._wait(left_s)
+
+    async def _wait(self, left_s: float) -> None:
+        try:
+            async with asyncio.timeout(left_s), self.store.changed:
+                await self.store.changed.wait()
+        except TimeoutError:
+            return
+
+
+class _Transaction(_Handler):
+    kind = "write"
+
+    async def post(self) -> None:
+        change = self.body()
+        for put in change.get("puts", []):
+            if put["key"].startswith(("op/", "servers/")):
+                self.answer({}, 403)
+                return
+        await self.write_and_answer(change)
+
+
+class _Lease(_Handler):
+    kind = "lease"
+
+    def post(self) -> None:
+        ttl_s = float(self.body()["ttlS_time"])
+        lease = self.store.state.grant(ttl_s, time.monotonic())
+        self.answer({"lease": lease, "ttlS_time": ttl_s})
+
+
+class _Keep(_Handler):
+    kind = "keep"
+
+    def post(self, lease: str) -> None:
+        if not self.store.state.keep(int(lease), time.monotonic()):
+            self.answer({}, 404)
+            return
+        self.answer({"ttlS_time": self.store.state.leases[int(lease)].ttl_s})
+
+
+class _End(_Handler):
+    kind = "end"
+
+    async def delete(self, lease: str) -> None:
+        if not self.store.state.end(int(lease)):
+            self.answer({}, 404)
+            return
+        await self.store.notify()
+        self.answer({})
+
+
+class _Faults(_Handler):
+    """Orders faults; the store's own trouble does not hold here."""
+
+    kind = "faults"
+    faulty = False
+
+    def put(self) -> None:
+        self.store.faults = msgspec.json.decode(
+            self.request.body, type=StoreFaults
+        )
+        self.answer({})
+
+    def post(self) -> None:
+        self.store.state.drop_history()
+        self.answer({})
+
+    def get(self) -> None:
+        self.answer({"calls": self.store.calls})
+
+
+class _Operator(_Handler):
+    """Writes of the operator and of upstreams, to any key."""
+
+    kind = "operator"
+    faulty = False
+
+    async def post(self) -> None:
+        status, body = self.store.state.transact(self.body())
+        await self.store.notify()
+        self.answer(body, status)
+
+
+async def _serve(address: str) -> None:
+    ip, _, port = address.rpartition(":")
+    Store().listen(ip, int(port))
+    await asyncio.Event().wait()
+
+
+def main(address: str) -> None:
+    """Serves an empty store at `ip:port` until it is ended."""
+    asyncio.run(_serve(address))
--- /dev/null
+++ b/features/gateway_fleet.feature
@@ -0,0 +1,65 @@
+Feature: The gateway follows the platform's store
+
+  Scenario: An upstream that drains gets nothing new in time
+    Given a gateway with 2 upstreams
+    When the first upstream drains
+    Then 2.0 s later it gets nothing more
+    And every request since was answered 200
+
+  Scenario: An evacuated zone gets nothing until it is taken back
+    Given a gateway with 2 upstreams in different zones
+    When the zone of the first upstream is evacuated
+    Then 2.0 s later it gets nothing more
+    When the zone is taken back
+    Then 6.0 s later it gets requests again
+
+  Scenario: A new configuration is in force in time, and an older one never
+    Given a gateway with 1 upstream
+    When a configuration adds the route "/new/"
+    Then "/new/x" is answered 200 within 2.0 s
+    When the configuration before that is written again
+    Then "/new/x" is answered 200 for 1.5 s
+
+  # Symptom: the gateway misses what changed. Sequence: the store drops its
+  # history between two polls. Cause: only changes were asked for.
+  Scenario: A store that forgets its history is listed anew
+    Given a gateway with 2 upstreams
+    When the store drops its history while the first upstream drains
+    Then 2.0 s later it gets nothing more
+
+  Scenario Outline: Service goes on while the store is in trouble
+    Given a gateway with 2 upstreams
+    When the store is "<mode>" for 3 s
+    Then every request meanwhile was answered 200
+    And the gateway's log tells that the store was lost and is back
+
+    Examples:
+      | mode   |
+      | busy   |
+      | reset  |
+      | silent |
+
+  # Symptom: after an outage of the store, callers find no upstream. Sequence:
+  # registrations lapse while the store is away. Cause: each removal was taken
+  # for the end of an upstream.
+  Scenario: Registrations that lapse with the store are kept for a moment
+    Given a gateway with 2 upstreams
+    When the store is "silent" for 2 s and forgets the upstreams meanwhile
+    Then every request meanwhile was answered 200
+
+  Scenario: A gateway without configuration is not ready and refuses for now
+    Given a gateway before the first configuration
+    Then it is not ready and answers 503 with a time to come back
+    When the first configuration is written
+    Then "/safe/x" is answered 200 within 2.0 s
+
+  Scenario: Look-ups name the live gateways only
+    Given 2 gateways with 1 upstream
+    Then look-ups name 2 gateways within 3 s
+    When the second gateway is killed
+    Then look-ups name 1 gateways within 6 s
+
+  Scenario: A cold upstream gets no more than its share from all gateways
+    Given 2 gateways with 1 upstream that is cold for 3 s
+    When requests are sent through both for 2 s
+    Then the cold upstream got at most 12 requests in any second
--- /dev/null
+++ b/features/support/gateway_world.py
@@ -0,0 +1,268 @@
+"""A platform in miniature for scenarios: store, upstreams, gateways."""
+
+import base64
+import http.client
+import json
+from typing import Any
+import uuid
+
+from features.support import harness
+from features.support.harness import Answer
+from features.support.harness import Child
+from features.support.harness import Processes
+
+HOST = "shop.example"
+ZONES = {"a1": "east", "a2": "east", "b1": "west"}
+BOUNDS = {
+    "drainS": 2.0,
+    "graceS": 4.0,
+    "configApplyS": 2.0,
+    "retryBudgetRatio": 0.2,
+    "retryBudgetSlack": 50,
+    "budgetWindowS": 10,
+    "coldOver": 1.5,
+    "coldSlack": 5,
+    "ttl_max_s": 5,
+}
+
+
+def route(
+    prefix: str, service: str = "service", kind: str = "safe", **action: Any
+) -> dict[str, Any]:
+    """Returns a rule of the operator's configuration."""
+    wanted = {"service": service, "timeoutS": 2.0, "attempts": 2}
+    wanted.update(action)
+    return {
+        "name": f"r{prefix.strip('/')}",
+        "routeType": kind,
+        "targetLatencyS": 1.0,
+        "priority": 1,
+        "sessionAffinity": True,
+        "match": {"prefix": prefix},
+        "action": wanted,
+    }
+
+
+class GatewayWorld:
+    """Starts the parts and speaks for callers and operators."""
+
+    def __init__(self, *, processes: Processes) -> None:
+        """Starts the store."""
+        self.processes = processes
+        self.store = harness.free_address()
+        self._start("store", "store", "--address", self.store)
+        self.upstreams: dict[str, str] = {}
+        self.gateways: dict[str, dict[str, str]] = {}
+        self.version = 0
+        self.routes = [
+            route("/safe/"),
+            route("/unsafe/", kind="unsafe"),
+            route("/upload/", kind="upload"),
+        ]
+
+    def _start(self, name: str, part: str, *options: str) -> Child:
+        address = options[options.index("--address") + 1]
+        return self.processes.start(
+            name, "-m", "emulator", part, *options, address=address
+        )
+
+    # The store.
+
+    def operate(self, **change: Any) -> None:
+        """Writes to the store as the operator."""
+        puts = []
+        for key, text in change.get("puts", {}).items():
+            value = base64.b64encode(text.encode()).decode()
+            puts.append({"key": key, "value": value})
+        body = {"puts": puts, "remove": change.get("remove", [])}
+        answer = harness.post(self.store, "/operator", body)
+        assert answer.status == 200, answer
+
+    def store_faults(self, **faults: Any) -> None:
+        """Orders faults of the store."""
+        answer = harness.send("PUT", self.store, "/faults", body=faults)
+        assert answer.status == 200, answer
+
+    def drop_history(self) -> None:
+        """Has the store forget its history."""
+        harness.post(self.store, "/faults")
+
+    def configure(
+        self, routes: list[dict[str, Any]] | None = None, **limits: Any
+    ) -> int:
+        """Writes the next configuration; returns its version."""
+        self.version += 2
+        self.routes = routes if routes is not None else self.routes
+        services = {"service", "other"}
+        clusters = []
+        for name in sorted(services):
+            clusters.append(
+                {
+                    "name": name,
+                    "healthPath": "/health",
+                    "maxConns": 100,
+                    "coldStartS": 3.0,
+                    "coldPerS": 5.0,
+                }
+            )
+        document = {
+            "version": f"{self.version:08x}",
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 4 << 20,
+                "headerTimeoutS": 3,
+                "idleTimeoutS": 15,
+            }
+            | limits,
+            "listeners": [{"hostname": HOST, "ruleSet": self.routes}],
+            "clusters": clusters,
+        }
+        self.operate(puts={"op/config": json.dumps(document)})
+        return self.version
+
+    # Upstreams.
+
+    def start_upstream(self, name: str, **plan: Any) -> str:
+        """Starts an upstream; returns its address."""
+        address = plan.pop("address", "") or harness.free_address()
+        text = json.dumps({"zone": "a1"} | plan)
+        self._start(
+            name,
+            "upstream",
+            "--address",
+            address,
+            "--store",
+            self.store,
+            "--plan",
+            text,
+        )
+        self.upstreams[name] = address
+        return address
+
+    def upstream_faults(self, name: str, **faults: Any) -> None:
+        """Orders faults of an upstream."""
+        harness.send(
+            "PUT", self.upstreams[name], "/emulator/faults", body=faults
+        )
+
+    def runs(self, name: str) -> list[dict[str, Any]]:
+        """Returns the requests that an upstream began to work on."""
+        return harness.get(self.upstreams[name], "/emulator/runs").json()
+
+    def all_runs(self) -> list[dict[str, Any]]:
+        """Returns the runs of every upstream that answers."""
+        found = []
+        for name in self.upstreams:
+            if self.processes.children[name].is_running():
+                found += self.runs(name)
+        return found
+
+    # Gateways.
+
+    def start_gateway(
+        self, name: str = "g1", zone: str = "a1", *, ready: bool = True
+    ) -> Child:
+        """Starts a gateway and waits until it is ready."""
+        addresses = {}
+        for part in ("callers", "ready", "lookups", "control", "peers"):
+            addresses[part] = harness.free_address()
+        addresses = self.gateways.setdefault(name, addresses)
+        path = self.processes.directory / f"{name}.toml"
+        path.write_text(self._settings(name, zone), encoding="utf-8")
+        child = self.processes.start(
+            name,
+            "-m",
+            "almondstair.gateway.daemon",
+            environment={"ALMONDSTAIR_BOOT": str(path)},
+            address=addresses["ready"],
+        )
+        if ready:
+            self.wait_ready(name)
+        return child
+
+    def wait_ready(self, name: str, *, limit_s: float = 10.0) -> None:
+        """Waits until a gateway takes callers."""
+
+        def check() -> bool:
+            address = self.gateways[name]["ready"]
+            return harness.get(address, "/ready").status == 200
+
+        harness.wait_until(check, limit_s=limit_s, what=f"{name} to be ready")
+
+    def _settings(self, name: str, zone: str) -> str:
+        addresses = self.gateways[name]
+        peers = addresses["peers"].rpartition(":")[2]
+        lines = [
+            "[local]",
+            f'nodeName = "{name}"',
+            'ip = "127.0.0.1"',
+            f'zone = "{zone}"',
+            f'region = "{ZONES[zone]}"',
+            "somethingNew = 1",
+            "[network]",
+            f"internalPorts = [{peers}, {peers}]",
+            f'seeds = ["{addresses["control"]}"]',
+            "[network.listen]",
+            f'front = "{addresses["callers"]}"',
+            f'ready = "{addresses["ready"]}"',
+            f'directory = "{addresses["lookups"]}"',
+            "[network.zones]",
+        ]
+        for each, region in ZONES.items():
+            lines.append(f'{each} = "{region}"')
+        lines += [
+            "[platform]",
+            "heartbeatS = 0.3",
+            "[platform.platform]",
+            f'address = "{self.store}"',
+            "ttlMinS = 1",
+            "[terms.bounds]",
+        ]
+        for key, value in BOUNDS.items():
+            lines.append(f"{key} = {value}")
+        return "\n".join(lines) + "\n"
+
+    # Callers.
+
+    def connect(self, gateway: str = "g1") -> http.client.HTTPConnection:
+        """Returns a connection to a gateway, not yet opened."""
+        return harness.connect(self.gateways[gateway]["callers"])
+
+    def send(
+        self, method: str, path: str, *, gateway: str = "g1", **options: Any
+    ) -> Answer:
+        """Sends one request as a caller."""
+        headers = self.headers(**options.pop("headers", {}))
+        address = self.gateways[gateway]["callers"]
+        return harness.send(method, address, path, headers=headers, **options)
+
+    def headers(self, **more: str) -> dict[str, str]:
+        """Returns the headers of a caller's request with a new id."""
+        found = {
+            "Host": HOST,
+            "X-Almondstair-Request-Id": uuid.uuid4().hex[:16],
+            "X-Almondstair-Deadline-Ms": "3000",
+        }
+        for name, value in more.items():
+            found[name.replace("_", "-")] = value
+        return found
+
+    def until_served(self, path: str = "/safe/x", **options: Any) -> None:
+        """Sends until an upstream answers."""
+
+        def check() -> bool:
+            return self.send("GET", path, **options).status == 200
+
+        harness.wait_until(check, what=f"an answer to {path}")
+
+    def log_events(self, gateway: str, number: int) -> list[dict[str, Any]]:
+        """Returns the log lines of a gateway with an event number."""
+        found = []
+        text = self.processes.children[gateway].log_text()
+        for line in text.splitlines():
+            if not line.startswith("{"):
+                continue
+            fields = json.loads(line)
+            if fields.get("event") == number:
+                found.append(fields)
+        return found
--- a/features/support/harness.py
+++ b/features/support/harness.py
@@ -164,16 +164,24 @@
 class Child:
     """One process that a scenario started."""
 
-    def __init__(self, *, name: str, command: list[str], log: Path) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        command: list[str],
+        log: Path,
+        environment: dict[str, str] | None = None,
+    ) -> None:
         """Starts the process, its output going to the log."""
         self.name = name
         self.log = log
-        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        variables = {**os.environ, "PYTHONPATH": str(ROOT)}
+        variables.update(environment or {})
         with log.open("ab") as output:
             self.process = subprocess.Popen(
                 command,
                 cwd=ROOT,
-                env=environment,
+                env=variables,
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
@@ -240,7 +248,12 @@
         return self._directory
 
     def start(
-        self, name: str, *command: str, address: str = "", limit_s: float = 10
+        self,
+        name: str,
+        *command: str,
+        address: str = "",
+        limit_s: float = 10,
+        environment: dict[str, str] | None = None,
     ) -> Child:
         """Starts a Python program, and waits until its address answers.
 
@@ -249,6 +262,7 @@
           *command: arguments of the interpreter: a script, or `-m` a module.
           address: `ip:port` to wait for; empty to return at once.
           limit_s: longest wait.
+          environment: variables besides those of the tests.
 
         Raises:
           AssertionError: it did not answer in time, or ended.
@@ -260,6 +274,7 @@
             name=name,
             command=[sys.executable, *command],
             log=self.directory / f"{name}.log",
+            environment=environment,
         )
         self.children[name] = child
         if not address:
