Explain a failure afterwards: bounded logs, Prometheus metrics, the story of a request

Lines go to standard output as JSON, at most 60 a second of one event, and never wait for their reader; what is left out is counted and told. Counters and histograms are served on port 9464. `almondstairctl gateway why ID` tells from the logs of several VMs what became of a request; `gateway status` shows what gateways believe and how old it is.

--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -237,6 +237,12 @@
         """Returns every upstream that is registered."""
         return self._upstreams.values()
 
+    def services(self) -> list[str]:
+        """Returns the services of the configuration."""
+        if self.table is None:
+            return []
+        return list(self.table.configuration.services)
+
     def upstream_count(self) -> int:
         """Returns how many upstreams are registered."""
         return len(self._upstreams)
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -13,11 +13,13 @@
 from almondstair.core.cold_starts import ColdStarts
 from almondstair.core.fleet import Fleet
 from almondstair.core.second_tries import SecondTries
+from almondstair.core.upstream_state import UpstreamState
 from almondstair.errors import AlmondstairError
 from almondstair.gateway.caller_connection import CallerConnection
 from almondstair.gateway.following import Follower
 from almondstair.gateway.forwarding import Forwarder
 from almondstair.gateway.load_sharing import LoadSharing
+from almondstair.gateway.measures import Measures
 from almondstair.gateway.pages import LOOKUP_TTL_S
 from almondstair.gateway.pages import Pages
 from almondstair.gateway.pages import PageSource
@@ -36,6 +38,14 @@
 STOP_MARGIN_S = 0.5
 # Part of the time for a stop in which requests are still taken.
 SERVED_SHARE = 0.5
+# Port for metrics and status, on the VM's own address; see deploy/system.toml.
+OPERATOR_PORT = "9464"
+# Overrides the port where several gateways share a VM.
+OPERATOR_PORT_VARIABLE = "ALMONDSTAIR_OPERATOR_PORT"
+# An age beyond this one means that there was no word at all.
+NEVER_S = 1e9
+# How often waiting log lines are tried again.
+LOG_INTERVAL_S = 0.5
 # How often a leaving process looks whether it is done.
 STOP_POLL_S = 0.05
 # Callers keep a look-up for its time, some three times as long.
@@ -59,6 +69,7 @@
         self._follower = Follower(
             client=self._client, fleet=self._fleet, pool=self._pool
         )
+        self._measures = Measures()
         self._forwarder = Forwarder(
             fleet=self._fleet,
             pool=self._pool,
@@ -72,6 +83,7 @@
                 over=bounds.cold_over,
                 slack=bounds.cold_slack,
             ),
+            measures=self._measures,
             own_region=settings.region,
             regions=set(settings.zones.values()),
         )
@@ -113,12 +125,58 @@
         """Returns how long callers may keep a look-up, in seconds."""
         return min(LOOKUP_TTL_S, self._settings.bounds.lookup_ttl_s)
 
+    def metrics(self) -> bytes:
+        """Returns the metrics, with the gauges as of now."""
+        measures = self._measures
+        now = now_s()
+        table = self._fleet.table
+        measures.connections.set(self._pool.opened)
+        measures.store_age_s.set(now - self._follower.heard_at_s)
+        measures.version.set(table.version if table else 0)
+        measures.entries.set(len(self._fleet.entries))
+        measures.running.set(len(self._forwarder.running))
+        for kind, count in self._client.calls.items():
+            measures.store_calls.labels(kind).set(count)
+        for service in self._fleet.services():
+            takers = self._fleet.takers(service)
+            measures.upstreams.labels(service).set(len(takers))
+            use = self._fleet.use(service, now_s=now)
+            measures.use.labels(service).set(use)
+        for event, count in log.left_out().items():
+            measures.left_out.labels(event).set(count)
+        return measures.text()
+
+    def status(self) -> dict[str, object]:
+        """Returns what this entry believes, with the age of each figure."""
+        now = now_s()
+        upstreams = []
+        for upstream in self._fleet.upstreams():
+            upstreams.append(describe_upstream(upstream, self._fleet, now))
+        entries = []
+        for entry in self._fleet.entries.values():
+            entries.append(entry._asdict())
+        table = self._fleet.table
+        return {
+            "entry": self._settings.entry_name,
+            "ready": self.is_ready(),
+            "leaving": self._leaving,
+            "configuration_version": table.version if table else None,
+            "store_revision": self._follower.revision,
+            "store_age_s": round(now - self._follower.heard_at_s, 2),
+            "peers_heard": self._fleet.peers_heard,
+            "evacuated": sorted(self._fleet.evacuated),
+            "entries": entries,
+            "upstreams": upstreams,
+        }
+
     # Life.
 
     async def start(self) -> None:
         """Listens and starts to follow the store."""
         listen = self._settings.listen
         self._pages.serve_ready(listen.ready)
+        port = os.environ.get(OPERATOR_PORT_VARIABLE, OPERATOR_PORT)
+        self._pages.serve_operators(f"{self._settings.ip}:{port}")
         if listen.lookups:
             self._pages.serve_lookups(listen.lookups)
         ip, _, port = listen.callers.rpartition(":")
@@ -130,6 +188,7 @@
             lambda: self._sharing,
             local_addr=(self._settings.ip, self._settings.peer_ports[0]),
         )
+        self._spawn(_tend_log())
         self._spawn(self._sharing.run())
         self._spawn(self._follower.run())
         self._spawn(self._follower.expire())
@@ -211,6 +270,29 @@
         self._client.close()
 
 
+def describe_upstream(
+    upstream: UpstreamState, fleet: Fleet, now: float
+) -> dict[str, object]:
+    """Returns what is believed of an upstream, with the age of its load."""
+    record = upstream.record
+    age_s = upstream.load_age_s(now_s=now)
+    return {
+        "id": record.upstream_id,
+        "service": record.service,
+        "availability_zone": record.availability_zone,
+        "slots": record.slots,
+        "busy": round(
+            upstream.busy(now_s=now, peers_heard=fleet.peers_heard), 1
+        ),
+        "load_age_s": round(age_s, 2) if age_s < NEVER_S else None,
+        "draining": record.draining,
+        "paused": upstream.paused(now_s=now),
+        "cold": upstream.cold(now_s=now),
+        "slowness": round(upstream.slowness(now_s=now), 2),
+        "failure_share": round(upstream.failure_share(now_s=now), 2),
+    }
+
+
 def _raise_failure(task: asyncio.Task[None]) -> None:
     """Ends the process when work that must go on has failed inside.
 
@@ -223,6 +305,15 @@
     os._exit(1)
 
 
+async def _tend_log() -> None:
+    """Writes on what a slow reader of the log left waiting."""
+    while True:
+        await asyncio.sleep(LOG_INTERVAL_S)
+        untold = log.take_untold()
+        if untold:
+            log.event(log.Event.LINES_LEFT_OUT, lines=untold)
+
+
 async def _run(settings: boot.BootSettings) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -240,7 +331,7 @@
 
 def main() -> None:
     """Reads the settings and serves until SIGTERM."""
-    log.setup(level="INFO", file="")
+    log.setup_output(level="INFO")
     try:
         settings = boot.load(os.environ.get(boot.PATH_VARIABLE, ""))
         asyncio.run(_run(settings))
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -27,6 +27,7 @@
 from almondstair.gateway.http_wire import find
 from almondstair.gateway.http_wire import passed_on
 from almondstair.gateway.http_wire import write_head
+from almondstair.gateway.measures import Measures
 from almondstair.gateway.upstream_connection import Exchange
 from almondstair.gateway.upstream_connection import ExchangeEnd
 from almondstair.gateway.upstream_connection import ReplySink
@@ -148,6 +149,7 @@
         pool: UpstreamPool,
         second_tries: SecondTries,
         cold_starts: ColdStarts,
+        measures: Measures,
         own_region: str,
         regions: Collection[str],
     ) -> None:
@@ -158,6 +160,7 @@
           pool: connections to upstreams.
           second_tries: budget for trying again.
           cold_starts: bound on requests to cold upstreams.
+          measures: counters and histograms.
           own_region: region of this entry.
           regions: every region.
         """
@@ -165,6 +168,7 @@
         self._pool = pool
         self._second_tries = second_tries
         self._cold_starts = cold_starts
+        self._measures = measures
         self._turns = WeightedTurns()
         self._run_times = RunTimes()
         self._round_trips_s: dict[str, float] = {}
@@ -204,6 +208,9 @@
         except AlmondstairError as error:
             self._log_failure(call, error)
             request.problem(error)
+        except asyncio.CancelledError:
+            self._log_abandoned(call)
+            raise
         except Exception as error:
             log.event(
                 log.Event.REQUEST_BROKEN, error=error, request=call.text_id
@@ -252,6 +259,7 @@
             if call.tried and not self._second_try(call):
                 raise self._spent(call, cause)
             outcome = await self._try(call, choice)
+            self._measures.tries.labels(call.service, outcome.verdict).inc()
             if outcome.verdict is Verdict.ANSWERED:
                 self._answer(call, choice, outcome.exchange)
                 return
@@ -401,6 +409,7 @@
             answered = True
             raise
         finally:
+            self._measures.run_s.labels(call.service).observe(now_s() - began_s)
             if answered:
                 self._note_run(call, choice, now_s() - began_s)
 
@@ -512,6 +521,7 @@
         else:
             call.request.reply(_reply_head(exchange.head), exchange.body)
         record = choice.upstream.record
+        self._count(call, f"status_{exchange.head.status}")
         log.event(
             log.Event.REQUEST_ANSWERED,
             request=call.text_id,
@@ -526,7 +536,7 @@
             warm=choice.warm,
             expected_ms=round(choice.expected_s * 1000),
             status=exchange.head.status,
-            took_ms=round((now_s() - call.request.arrived_s) * 1000),
+            took_ms=self._age_ms(call),
         )
 
     def _version(self) -> int:
@@ -544,9 +554,18 @@
             left_ms=round(call.left_s() * 1000),
         )
 
+    def _count(self, call: Call, outcome: str) -> None:
+        took_s = now_s() - call.request.arrived_s
+        self._measures.requests.labels(call.route.name, outcome).inc()
+        self._measures.latency_s.labels(outcome).observe(took_s)
+
     def _log_failure(self, call: Call, error: AlmondstairError) -> None:
+        self._count(call, str(error.kind))
+        what = log.Event.GATEWAY_REFUSED
+        if call.may_have_run:
+            what = log.Event.REQUEST_FAILED
         log.event(
-            log.Event.REQUEST_FAILED,
+            what,
             request=call.text_id,
             route=call.route.name,
             service=call.service,
@@ -554,15 +573,33 @@
             kind=str(error.kind),
             detail=error.detail,
             tried=call.tried,
+            use=round(self._fleet.use(call.service, now_s=now_s()), 2),
+            upstreams=len(self._fleet.takers(call.service)),
+            after_ms=self._age_ms(call),
             left_ms=round(call.left_s() * 1000),
         )
 
+    def _log_abandoned(self, call: Call) -> None:
+        self._count(call, "abandoned")
+        log.event(
+            log.Event.REQUEST_ABANDONED,
+            request=call.text_id,
+            route=call.route.name,
+            service=call.service,
+            tried=call.tried,
+            after_ms=self._age_ms(call),
+        )
+
+    @staticmethod
+    def _age_ms(call: Call) -> int:
+        return round((now_s() - call.request.arrived_s) * 1000)
+
     def _log_refusal(
         self, request: IncomingRequest, error: AlmondstairError
     ) -> None:
         request_id = request.header(names.REQUEST_ID) or b""
         log.event(
-            log.Event.REQUEST_REFUSED,
+            log.Event.GATEWAY_REFUSED,
             request=request_id.decode("latin-1"),
             kind=str(error.kind),
             detail=error.detail,
--- /dev/null
+++ b/almondstair/gateway/measures.py
@@ -0,0 +1,118 @@
+"""Counters and histograms of a gateway, in the Prometheus text format.
+
+docs/METRICS.md lists every name; a test keeps the two equal.
+"""
+
+import prometheus_client
+from prometheus_client import registry
+
+# Bounds of the buckets in seconds: the aims of routes lie between 0.3 and 2 s.
+LATENCY_BOUNDS_S = (
+    0.005,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.4,
+    0.6,
+    0.8,
+    1.2,
+    2.0,
+    4.0,
+    8.0,
+    16.0,
+)
+
+
+class Measures:
+    """Everything that a gateway counts."""
+
+    def __init__(self) -> None:
+        """Makes the collection; each gateway has one of its own."""
+        self.registry = registry.CollectorRegistry(auto_describe=False)
+        self.requests = self._counter(
+            "almondstair_requests",
+            "requests by route and outcome",
+            ("route", "outcome"),
+        )
+        self.latency_s = self._histogram(
+            "almondstair_request_seconds",
+            "time from a request's head to its answer, in seconds",
+            ("outcome",),
+        )
+        self.run_s = self._histogram(
+            "almondstair_upstream_seconds",
+            "time of a try at an upstream, in seconds",
+            ("service",),
+        )
+        self.tries = self._counter(
+            "almondstair_tries",
+            "tries at upstreams by service and verdict",
+            ("service", "verdict"),
+        )
+        self.connections = self._gauge(
+            "almondstair_upstream_connections_opened",
+            "connections opened to upstreams",
+        )
+        self.store_calls = self._gauge(
+            "almondstair_store_calls", "calls to the store by kind", ("kind",)
+        )
+        self.store_age_s = self._gauge(
+            "almondstair_store_age_seconds",
+            "time since the store last answered, in seconds",
+        )
+        self.version = self._gauge(
+            "almondstair_configuration_version",
+            "version of the configuration in force",
+        )
+        self.entries = self._gauge(
+            "almondstair_entries", "entries that are registered"
+        )
+        self.upstreams = self._gauge(
+            "almondstair_upstreams",
+            "upstreams that may get work, by service",
+            ("service",),
+        )
+        self.use = self._gauge(
+            "almondstair_slots_used_ratio",
+            "part of a service's slots in use",
+            ("service",),
+        )
+        self.running = self._gauge(
+            "almondstair_requests_running", "requests under way"
+        )
+        self.left_out = self._gauge(
+            "almondstair_log_lines_left_out",
+            "log lines left out by event",
+            ("event",),
+        )
+
+    def _counter(
+        self, name: str, text: str, labels: tuple[str, ...] = ()
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            name, text, labels, registry=self.registry
+        )
+
+    def _gauge(
+        self, name: str, text: str, labels: tuple[str, ...] = ()
+    ) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            name, text, labels, registry=self.registry
+        )
+
+    def _histogram(
+        self, name: str, text: str, labels: tuple[str, ...] = ()
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            name,
+            text,
+            labels,
+            registry=self.registry,
+            buckets=LATENCY_BOUNDS_S,
+        )
+
+    def text(self) -> bytes:
+        """Returns all of them in the text format."""
+        return prometheus_client.generate_latest(self.registry)
--- a/almondstair/gateway/pages.py
+++ b/almondstair/gateway/pages.py
@@ -25,6 +25,14 @@
     def addresses(self, *, region: str, zone: str) -> list[str]:
         """Returns entries for a caller, best first."""
 
+    @abc.abstractmethod
+    def metrics(self) -> bytes:
+        """Returns the metrics in the Prometheus text format."""
+
+    @abc.abstractmethod
+    def status(self) -> dict[str, object]:
+        """Returns what this entry believes, with the age of each figure."""
+
     @abc.abstractmethod
     def lookup_ttl_s(self) -> float:
         """Returns how long callers may keep a look-up, in seconds."""
@@ -48,6 +56,24 @@
             self.set_status(503)
 
 
+class MetricsPage(_Page):
+    """Shows counters and histograms."""
+
+    def get(self) -> None:
+        """Answers in the Prometheus text format."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.write(self.source.metrics())
+
+
+class StatusPage(_Page):
+    """Shows what this entry believes of the fleet."""
+
+    def get(self) -> None:
+        """Answers with JSON for `almondstairctl gateway status`."""
+        self.set_header("Content-Type", "application/json")
+        self.write(msgspec.json.encode(self.source.status()))
+
+
 class LookupPage(_Page):
     """Names the entries that a caller should use."""
 
@@ -83,6 +109,12 @@
         """Serves the page that says whether the entry is ready."""
         self._listen(address, [("/ready", ReadyPage)])
 
+    def serve_operators(self, address: str) -> None:
+        """Serves metrics and status."""
+        self._listen(
+            address, [("/metrics", MetricsPage), ("/status", StatusPage)]
+        )
+
     def serve_lookups(self, address: str) -> None:
         """Serves look-ups."""
         self._listen(address, [("/resolve", LookupPage)])
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -11,6 +11,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from almondstair.log_output import BoundedHandler
+
 LOGGER_NAME = "almondstair"
 logger = logging.getLogger(LOGGER_NAME)
 
@@ -36,6 +38,11 @@
         "timing.stop_limit_ms",
     )
     FATAL = EventRule(104, logging.CRITICAL, "entry cannot go on")
+    LINES_LEFT_OUT = EventRule(
+        105,
+        logging.WARNING,
+        "log lines were left out: too many of one kind, or a slow reader",
+    )
     REQUEST_REFUSED = EventRule(200, logging.DEBUG, "request refused")
     REQUEST_FAILED = EventRule(201, logging.WARNING, "request failed")
     REQUEST_BROKEN = EventRule(
@@ -120,6 +127,12 @@
     TRY_FAILED = EventRule(
         411, logging.WARNING, "an upstream gave no answer to pass on"
     )
+    GATEWAY_REFUSED = EventRule(
+        412, logging.INFO, "request refused; it was not run"
+    )
+    REQUEST_ABANDONED = EventRule(
+        413, logging.INFO, "the caller left before the answer"
+    )
     STORE_LISTED = EventRule(420, logging.INFO, "the store was listed whole")
     STORE_LOST = EventRule(
         421,
@@ -153,6 +166,42 @@
     handler: logging.Handler = logging.StreamHandler(sys.stderr)
     if file:
         handler = logging.FileHandler(file, encoding="utf-8")
+    _install(handler, level)
+
+
+def setup_output(*, level: str) -> None:
+    """Sends the log as JSON lines to standard output, without ever waiting.
+
+    Args:
+      level: name of the lowest level that is written.
+    """
+    _install(BoundedHandler(descriptor=sys.stdout.fileno()), level)
+
+
+def take_untold() -> dict[str, int]:
+    """Writes what waits for a slow reader; returns lines left out, by event.
+
+    Each line is counted once over all calls.
+    """
+    untold: dict[str, int] = {}
+    for handler in logger.handlers:
+        if not isinstance(handler, BoundedHandler):
+            continue
+        handler.flush()
+        untold.update(handler.take_untold())
+    return untold
+
+
+def left_out() -> dict[str, int]:
+    """Returns how many lines were left out since the start, by event name."""
+    counts: dict[str, int] = {}
+    for handler in logger.handlers:
+        if isinstance(handler, BoundedHandler):
+            counts.update(handler.left_out)
+    return counts
+
+
+def _install(handler: logging.Handler, level: str) -> None:
     formatter = JsonFormatter(
         "{asctime}{levelname}{message}",
         style="{",
--- a/almondstair/tools/almondstairctl.py
+++ b/almondstair/tools/almondstairctl.py
@@ -14,6 +14,7 @@
 
 from almondstair import errors
 from almondstair.tools import commands
+from almondstair.tools import gateway_commands
 from almondstair.tools import session as session_module
 from almondstair.tools import tables
 from almondstair.tools import whole_status
@@ -33,6 +34,7 @@
       almondstairctl profile set local headroom_fraction 0.2
       almondstairctl vm leave matching-se1-1
       almondstairctl edit status edit-5b0c0f6e --json
+      almondstairctl gateway why 9c41d07be2a35f68 /var/log/gateway-*.log
 
     Options of every command:
       --entry=IP:PORT[,IP:PORT...]: operators' listeners, asked in this order
@@ -49,6 +51,7 @@
         self.vm = commands.VmCommands(session)
         self.edit = commands.EditCommands(session)
         self.settings = commands.SettingsCommands(session)
+        self.gateway = gateway_commands.GatewayCommands(session)
 
     @commands.command
     def status(self) -> None:
--- a/almondstair/tools/commands.py
+++ b/almondstair/tools/commands.py
@@ -67,7 +67,8 @@
     for name, value in arguments.items():
         if inspect.get_annotations(method).get(name) is not str:
             continue
-        if isinstance(value, str):
+        values = value if isinstance(value, tuple) else (value,)
+        if all(isinstance(each, str) for each in values):
             continue
         raise errors.AlmondstairError(
             kind=errors.ErrorKind.USAGE,
--- /dev/null
+++ b/almondstair/tools/stories.py
@@ -0,0 +1,201 @@
+"""The story of one request, read from the log lines of several VMs."""
+
+from collections.abc import Iterable
+import json
+from typing import Any, NamedTuple
+
+from almondstair.log import Event
+
+_ANSWERED = Event.REQUEST_ANSWERED.value.number
+_TRY_FAILED = Event.TRY_FAILED.value.number
+_REFUSED = Event.GATEWAY_REFUSED.value.number
+_FAILED = Event.REQUEST_FAILED.value.number
+_ABANDONED = Event.REQUEST_ABANDONED.value.number
+_LEFT_OUT = Event.LINES_LEFT_OUT.value.number
+_STORE_LOST = Event.STORE_LOST.value.number
+_STORE_BACK = Event.STORE_BACK.value.number
+_IN_FORCE = Event.CONFIGURATION_IN_FORCE.value.number
+_UPSTREAM_EVENTS = frozenset(
+    (
+        Event.UPSTREAM_CHANGED.value.number,
+        Event.UPSTREAM_GONE.value.number,
+        Event.UPSTREAM_UNREACHABLE.value.number,
+    )
+)
+# Fields that say nothing about why.
+_COMMON = frozenset(("time", "level", "message", "event", "event_name"))
+# An answer that took this much longer than was expected was slow at the
+# upstream; else the expectation itself was long.
+_SLOWER_THAN_EXPECTED = 1.5
+
+
+class Line(NamedTuple):
+    """One line of a log.
+
+    Attributes:
+      time: when it was written, as the log has it.
+      source: file that it comes from.
+      event: number of its event.
+      fields: everything that it says.
+    """
+
+    time: str
+    source: str
+    event: int
+    fields: dict[str, Any]
+
+
+class Story(NamedTuple):
+    """What became of a request and why.
+
+    Attributes:
+      request: its id.
+      cause: one sentence.
+      lines: lines that name it, in the order of time.
+      around: lines about the upstreams that it met and about the store.
+    """
+
+    request: str
+    cause: str
+    lines: list[Line]
+    around: list[Line]
+
+
+def read_lines(source: str, text: Iterable[str]) -> list[Line]:
+    """Reads JSON lines; what is none, such as a traceback, is passed over."""
+    lines = []
+    for row in text:
+        start = row.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(row[start:])
+        except json.JSONDecodeError:
+            continue
+        if not isinstance(fields, dict) or "event" not in fields:
+            continue
+        lines.append(
+            Line(
+                time=str(fields.get("time", "")),
+                source=source,
+                event=int(fields["event"]),
+                fields=fields,
+            )
+        )
+    return lines
+
+
+def tell(request: str, lines: list[Line]) -> Story:
+    """Finds what the lines say of a request."""
+    ordered = sorted(lines, key=lambda line: line.time)
+    own = [line for line in ordered if line.fields.get("request") == request]
+    upstreams = _upstreams(own)
+    around = []
+    for line in ordered:
+        if _is_around(line, own, upstreams):
+            around.append(line)
+    return Story(
+        request=request, cause=_cause(own, ordered), lines=own, around=around
+    )
+
+
+def _upstreams(own: list[Line]) -> set[str]:
+    found = set()
+    for line in own:
+        if "upstream" in line.fields:
+            found.add(line.fields["upstream"])
+        found.update(line.fields.get("tried", []))
+    return found
+
+
+def _is_around(line: Line, own: list[Line], upstreams: set[str]) -> bool:
+    if not own:
+        return False
+    if line.event in (_STORE_LOST, _STORE_BACK, _IN_FORCE):
+        return line.source == own[-1].source and line.time <= own[-1].time
+    if line.event not in _UPSTREAM_EVENTS:
+        return False
+    return line.fields.get("upstream") in upstreams
+
+
+def _cause(own: list[Line], ordered: list[Line]) -> str:
+    if not own:
+        return _absence(ordered)
+    last = own[-1].fields
+    event = own[-1].event
+    if event == _ANSWERED:
+        return _answered(own, last)
+    if event == _REFUSED:
+        return _refused(last)
+    if event == _FAILED:
+        return _failed(own, last)
+    if event == _ABANDONED:
+        return f"the caller left after {last.get('after_ms')} ms"
+    return "no line tells how it ended; the process may have been killed"
+
+
+def _absence(ordered: list[Line]) -> str:
+    for line in ordered:
+        if line.event == _LEFT_OUT:
+            return (
+                "no line names it, and lines were left out at "
+                f"{line.time}: {line.fields.get('lines')}"
+            )
+    return "no line names it: it reached none of these VMs"
+
+
+def _answered(own: list[Line], last: dict[str, Any]) -> str:
+    took_ms = last.get("took_ms", 0)
+    expected_ms = last.get("expected_ms", 0)
+    text = f"answered {last.get('status')} after {took_ms} ms"
+    if len(own) > 1:
+        return f"{text}, after {len(own) - 1} failed try: {_tries(own)}"
+    if took_ms > _SLOWER_THAN_EXPECTED * max(1, expected_ms):
+        return (
+            f"{text}, expected {expected_ms} ms: upstream "
+            f"{last.get('upstream')} was slow"
+        )
+    if not last.get("warm"):
+        return f"{text}, as expected: the upstream did not know the object"
+    return f"{text}, as expected with {last.get('busy')} requests there"
+
+
+def _refused(last: dict[str, Any]) -> str:
+    kind = last.get("kind")
+    if kind == "no_slot":
+        return (
+            f"refused, not run: service {last.get('service')} had "
+            f"{last.get('use')} of its slots in use at "
+            f"{last.get('upstreams')} upstreams"
+        )
+    if kind == "unknown_path":
+        return f"no route: {last.get('detail')}"
+    return f"refused, not run: {kind} {last.get('detail')}"
+
+
+def _failed(own: list[Line], last: dict[str, Any]) -> str:
+    if last.get("kind") == "upstream_timeout":
+        return (
+            f"no answer after {last.get('after_ms')} ms from upstream "
+            f"{', '.join(last.get('tried', []))}"
+        )
+    return f"may have run, no whole answer: {_tries(own)}"
+
+
+def _tries(own: list[Line]) -> str:
+    parts = []
+    for line in own:
+        if line.event != _TRY_FAILED:
+            continue
+        fields = line.fields
+        parts.append(f"{fields.get('upstream')}: {fields.get('cause')}")
+    return "; ".join(parts) or "no try is on record"
+
+
+def details(line: Line) -> str:
+    """Returns what a line says besides its time and event."""
+    parts = []
+    for name, value in line.fields.items():
+        if name not in _COMMON:
+            parts.append(f"{name}={value}")
+    return " ".join(parts)
--- a/almondstair/tools/tables.py
+++ b/almondstair/tools/tables.py
@@ -16,7 +16,7 @@
 
 def entries(rows: list[operator_api.EntryStatus]) -> rich_table.Table:
     """Returns the table of entries."""
-    table = _table(
+    table = make_table(
         "Entries",
         ("entry", "region", "zone", "answers", "heard", "leaving", "config"),
     )
@@ -36,7 +36,7 @@
 
 def upstreams(rows: list[operator_api.UpstreamStatus]) -> rich_table.Table:
     """Returns the table of upstreams."""
-    table = _table(
+    table = make_table(
         "Upstreams",
         ("upstream", "region", "home", "state", "busy", "slots", "in flight")
         + ("report",),
@@ -64,7 +64,9 @@
 
 def regions(rows: list[operator_api.RegionStatus]) -> rich_table.Table:
     """Returns the table of regions with their headroom."""
-    table = _table("Regions", ("region", "slots", "free", "headroom", "report"))
+    table = make_table(
+        "Regions", ("region", "slots", "free", "headroom", "report")
+    )
     for row in rows:
         free = row["free"]
         if _is_stale(row["report_age_s"]):
@@ -81,7 +83,7 @@
 
 def links(rows: list[operator_api.LinkStatus]) -> rich_table.Table:
     """Returns the table of links with their headroom, in megabytes a second."""
-    table = _table(
+    table = make_table(
         "Links, MB/s", ("zone", "region", "cap", "used", "headroom", "share")
     )
     for row in rows:
@@ -101,7 +103,7 @@
 
 def history(rows: list[operator_api.HistoryItem]) -> rich_table.Table:
     """Returns the table of versions."""
-    table = _table("", ("version", "edited at", "author", "edit"))
+    table = make_table("", ("version", "edited at", "author", "edit"))
     for row in rows:
         table.add_row(
             str(row["version"]), row["edited_at"], row["author"], row["edit_id"]
@@ -114,7 +116,7 @@
     columns: tuple[str, ...] = ()
     if rows:
         columns = tuple(rows[0])
-    table = _table("", columns)
+    table = make_table("", columns)
     for row in rows:
         table.add_row(*row.values())
     return table
@@ -154,7 +156,8 @@
     return f"{age_s:.1f} s ago"
 
 
-def _table(title: str, columns: tuple[str, ...]) -> rich_table.Table:
+def make_table(title: str, columns: tuple[str, ...]) -> rich_table.Table:
+    """Returns an empty table with columns."""
     table = rich_table.Table(title=title, title_justify="left")
     for column in columns:
         table.add_column(column, overflow="fold")
--- /dev/null
+++ b/features/gateway_explaining.feature
@@ -0,0 +1,32 @@
+Feature: A failed request can be explained from its id
+
+  # Symptom: the process answers nobody. Sequence: what reads its log stops
+  # reading; the pipe fills. Cause: a write to the log that waits.
+  Scenario: A log that nobody reads slows nothing
+    Given a gateway whose log goes to a pipe that nobody reads
+    When 3000 requests are sent to "/safe/x" in a hurry
+    Then each was answered within 2 s
+    When the pipe is read again
+    Then the log tells how many lines were left out
+
+  Scenario: A request refused for lack of room
+    Given a gateway with 1 upstream that works 0.5 s
+    When 40 requests to "/unsafe/x" are sent side by side
+    Then "why" tells of a 503 "refused, not run: service service had"
+
+  Scenario: A request that failed after it was passed on
+    Given a gateway with 1 upstream
+    And the upstream's fault "lost" strikes every 1 requests
+    When 1 requests with bodies are sent to "/unsafe/x"
+    Then "why" tells of a 502 "may have run, no whole answer"
+
+  Scenario: A request that was slow past its aim
+    Given a gateway with 1 upstream
+    And the upstream is 25 times slower
+    When 1 requests are sent to "/safe/x"
+    Then "why" tells of a 200 "was slow"
+
+  Scenario: The status shows the age of what it shows
+    Given 2 gateways with 1 upstream
+    When the second gateway is killed
+    Then "gateway status" shows the first one's picture and the second's silence
--- a/features/observing.feature
+++ b/features/observing.feature
@@ -12,6 +12,9 @@
     Then the table of METRICS.md has just the metrics of the code
     And each metric is counted somewhere
 
+  Scenario: Each metric of the gateway is on its page
+    Then the table of the gateway's metrics has just those of the code
+
   Scenario: Two entries log, count and trace what they do
     # Symptom: nobody can tell which hop of a slow request was slow.
     # Sequence: a request goes through two entries to an upstream.
--- /dev/null
+++ b/features/steps/gateway_explaining_steps.py
@@ -0,0 +1,108 @@
+"""Steps for logs, the story of a request, and the status of gateways."""
+
+import os
+import subprocess
+import sys
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support import harness
+from features.support.gateway_world import GatewayWorld
+from features.support.harness import ROOT
+
+
+def _control(*arguments):
+    done = subprocess.run(
+        [sys.executable, "-m", "almondstair.tools.almondstairctl", *arguments],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    assert done.returncode == 0, done
+    return done.stdout
+
+
+@then('"why" tells of a {status:d} "{words}"')
+def step_why(context, status, words):
+    ids = []
+    for request_id, answer, _ in context.answers:
+        if answer.status == status:
+            ids.append(request_id)
+    assert ids, f"no answer was {status}"
+    log = str(context.processes.children["g1"].log)
+
+    def check():
+        return words in _control("gateway", "why", ids[0], log)
+
+    harness.wait_until(check, what=words)
+
+
+@then(
+    "\"gateway status\" shows the first one's picture and the second's silence"
+)
+def step_status(context):
+    # Both gateways share the operators' port on one address; the second is
+    # gone and the first keeps the port.
+    port = context.world.operator_address("g1")
+    silent = harness.free_address()
+    shown = _control("gateway", "status", port, silent)
+    assert "does not answer" in shown, shown
+    assert "g1" in shown and "ready" in shown, shown
+
+
+@given("a gateway whose log goes to a pipe that nobody reads")
+def step_pipe(context):
+    world = GatewayWorld(processes=context.processes)
+    context.world = world
+    world.start_upstream("u1", work_s=0.001, slots=8)
+    world.configure()
+    read, write = os.pipe()
+    context.pipe = read
+    context.add_cleanup(os.close, read)
+    world.start_gateway(output=write)
+    os.close(write)
+    world.until_served()
+
+
+@when('{count:d} requests are sent to "{path}" in a hurry')
+def step_hurry(context, count, path):
+    connection = context.world.connect()
+    context.slowest_s = 0.0
+    for _ in range(count):
+        began_s = time.monotonic()
+        connection.request("GET", path, headers=context.world.headers())
+        connection.getresponse().read()
+        took_s = time.monotonic() - began_s
+        context.slowest_s = max(context.slowest_s, took_s)
+
+
+@then("each was answered within {limit_s:g} s")
+def step_slowest(context, limit_s):
+    assert context.slowest_s < limit_s, context.slowest_s
+
+
+@when("the pipe is read again")
+def step_read(context):
+    pieces = []
+    context.pieces = pieces
+    pipe = context.pipe
+
+    def read():
+        while piece := os.read(pipe, 65536):
+            pieces.append(piece)
+
+    threading.Thread(target=read, daemon=True).start()
+
+
+@then("the log tells how many lines were left out")
+def step_left_out(context):
+    def check():
+        return b'"lines_left_out"' in b"".join(context.pieces)
+
+    harness.wait_until(check, limit_s=10, what="a line about lines left out")
--- a/features/steps/observing_steps.py
+++ b/features/steps/observing_steps.py
@@ -9,7 +9,9 @@
 from behave import given
 from behave import then
 from behave import when
+from prometheus_client.metrics import MetricWrapperBase
 
+from almondstair.gateway.measures import Measures
 from almondstair.log import Event
 from almondstair.metrics import Metric
 from features.support import documented
@@ -76,6 +78,21 @@
         assert row[3], f"no words for {row}"
 
 
+@then("the table of the gateway's metrics has just those of the code")
+def step_gateway_metrics(context):
+    text = (ROOT / "docs" / "METRICS.md").read_text(encoding="utf-8")
+    rows = documented.page_rows(text, heading="## The gateway")
+    page = {}
+    for row in rows:
+        labels = tuple(part.strip("` ") for part in row[2].split(","))
+        page[row[0].strip("`")] = (row[1], () if labels == ("-",) else labels)
+    code = {}
+    for metric in vars(Measures()).values():
+        if isinstance(metric, MetricWrapperBase):
+            code[metric._name] = (metric._type, metric._labelnames)
+    assert page == code, (page, code)
+
+
 @then("each metric is counted somewhere")
 def step_metrics_used(context):
     source = _source()
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -13,6 +13,7 @@
 
 HOST = "shop.example"
 ZONES = {"a1": "east", "a2": "east", "b1": "west"}
+PARTS = ("callers", "ready", "lookups", "control", "peers", "operators")
 BOUNDS = {
     "drainS": 2.0,
     "graceS": 4.0,
@@ -160,11 +161,23 @@
     # Gateways.
 
     def start_gateway(
-        self, name: str = "g1", zone: str = "a1", *, ready: bool = True
+        self,
+        name: str = "g1",
+        zone: str = "a1",
+        *,
+        ready: bool = True,
+        output: int | None = None,
     ) -> Child:
         """Starts a gateway and waits until it is ready."""
         addresses = {}
-        for part in ("callers", "ready", "lookups", "control", "peers"):
+        for part in (
+            "callers",
+            "ready",
+            "lookups",
+            "control",
+            "peers",
+            "operators",
+        ):
             addresses[part] = harness.free_address()
         addresses = self.gateways.setdefault(name, addresses)
         path = self.processes.directory / f"{name}.toml"
@@ -173,13 +186,23 @@
             name,
             "-m",
             "almondstair.gateway.daemon",
-            environment={"ALMONDSTAIR_BOOT": str(path)},
+            environment={
+                "ALMONDSTAIR_BOOT": str(path),
+                "ALMONDSTAIR_OPERATOR_PORT": addresses["operators"].split(":")[
+                    1
+                ],
+            },
             address=addresses["ready"],
+            output=output,
         )
         if ready:
             self.wait_ready(name)
         return child
 
+    def operator_address(self, name: str) -> str:
+        """Returns where a gateway shows its metrics and status."""
+        return self.gateways[name]["operators"]
+
     def wait_ready(self, name: str, *, limit_s: float = 10.0) -> None:
         """Waits until a gateway takes callers."""
 
--- a/features/support/harness.py
+++ b/features/support/harness.py
@@ -171,20 +171,21 @@
         command: list[str],
         log: Path,
         environment: dict[str, str] | None = None,
+        output: int | None = None,
     ) -> None:
-        """Starts the process, its output going to the log."""
+        """Starts the process, its output going to the log or a descriptor."""
         self.name = name
         self.log = log
         variables = {**os.environ, "PYTHONPATH": str(ROOT)}
         variables.update(environment or {})
-        with log.open("ab") as output:
+        with log.open("ab") as log_file:
             self.process = subprocess.Popen(
                 command,
                 cwd=ROOT,
                 env=variables,
                 stdin=subprocess.DEVNULL,
-                stdout=output,
-                stderr=output,
+                stdout=log_file if output is None else output,
+                stderr=log_file,
             )
 
     @property
@@ -254,6 +255,7 @@
         address: str = "",
         limit_s: float = 10,
         environment: dict[str, str] | None = None,
+        output: int | None = None,
     ) -> Child:
         """Starts a Python program, and waits until its address answers.
 
@@ -263,6 +265,7 @@
           address: `ip:port` to wait for; empty to return at once.
           limit_s: longest wait.
           environment: variables besides those of the tests.
+          output: descriptor for standard output; by default the log.
 
         Raises:
           AssertionError: it did not answer in time, or ended.
@@ -275,6 +278,7 @@
             command=[sys.executable, *command],
             log=self.directory / f"{name}.log",
             environment=environment,
+            output=output,
         )
         self.children[name] = child
         if not address:
