Follow the store through peers: two readers a zone, and for those it turns away

Entries now keep a mirror of what they took and give its changes to others; an answer older than the own picture is not applied.

--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -49,6 +49,13 @@
     availability_zone: str
 
 
+class Lapsed(NamedTuple):
+    """Registrations whose grace is over."""
+
+    upstreams: list[str]
+    entries: list[str]
+
+
 class Fleet:
     """The deployment as this entry last learned of it.
 
@@ -131,8 +138,10 @@
         if before.draining and not record.draining:
             # An older word that arrives late does not undo a leaving.
             record = record._replace(draining=True)
+        colder = False
         if record.cold_left_s > 0:
             until_s = now_s + record.cold_left_s + COLD_MARGIN_S
+            colder = until_s > state.cold_until_s + COLD_MARGIN_S
             state.cold_until_s = max(state.cold_until_s, until_s)
         state.record = record
         changed = record._replace(cold_left_s=0) != before._replace(
@@ -140,7 +149,7 @@
         )
         if changed:
             self._rebuild()
-        return changed
+        return changed or colder
 
     def _add_upstream(self, record: UpstreamRecord, now_s: float) -> None:
         region = self._zones.get(record.availability_zone, "")
@@ -199,17 +208,19 @@
                 gone.append(upstream_id)
         return gone
 
-    def expire(self, *, now_s: float) -> list[str]:
-        """Drops registrations whose grace is over; returns their ids."""
-        gone = []
+    def expire(self, *, now_s: float) -> Lapsed:
+        """Drops registrations whose grace is over."""
+        upstreams = []
         for upstream_id, at_s in list(self._lapses_at_s.items()):
             if now_s >= at_s:
                 self._remove(upstream_id)
-                gone.append(upstream_id)
+                upstreams.append(upstream_id)
+        entries = []
         for name, at_s in list(self._entry_lapse_s.items()):
             if now_s >= at_s:
                 self._remove_entry(name)
-        return gone
+                entries.append(name)
+        return Lapsed(upstreams=upstreams, entries=entries)
 
     def _remove(self, upstream_id: str) -> None:
         self._lapses_at_s.pop(upstream_id, None)
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -8,6 +8,8 @@
 import sys
 import uuid
 
+import msgspec
+
 from almondstair import log
 from almondstair.clock import now_s
 from almondstair.core.cold_starts import ColdStarts
@@ -67,7 +69,11 @@
         self._pool = UpstreamPool(id_header=headers.REQUEST_ID)
         self._client = KvClient(address=settings.store.address)
         self._follower = Follower(
-            client=self._client, fleet=self._fleet, pool=self._pool
+            client=self._client,
+            fleet=self._fleet,
+            pool=self._pool,
+            own_name=settings.entry_name,
+            own_zone=settings.availability_zone,
         )
         self._measures = Measures()
         self._forwarder = Forwarder(
@@ -127,6 +133,11 @@
         """Returns how long callers may keep a look-up, in seconds."""
         return min(LOOKUP_TTL_S, self._settings.bounds.lookup_ttl_s)
 
+    def changes(self, *, source: str, after: int) -> bytes:
+        """Returns what another entry lacks of this one's picture."""
+        page = self._follower.mirror_page(source=source, after=after)
+        return msgspec.msgpack.encode(page)
+
     def metrics(self) -> bytes:
         """Returns the metrics, with the gauges as of now."""
         measures = self._measures
@@ -177,6 +188,8 @@
         """Listens and starts to follow the store."""
         listen = self._settings.listen
         self._pages.serve_ready(listen.ready)
+        peers = f"{self._settings.ip}:{self._settings.peer_ports[0]}"
+        self._pages.serve_peers(peers)
         port = os.environ.get(OPERATOR_PORT_VARIABLE, OPERATOR_PORT)
         self._pages.serve_operators(f"{self._settings.ip}:{port}")
         if listen.lookups:
--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -5,21 +5,36 @@
 
 from almondstair import log
 from almondstair.clock import now_s
+from almondstair.core import zone_roles
 from almondstair.core.fleet import Entry
 from almondstair.core.fleet import Fleet
 from almondstair.errors import AlmondstairError
+from almondstair.gateway.mirror import Mirror
+from almondstair.gateway.mirror import MirrorPage
+from almondstair.gateway.sources import Batch
+from almondstair.gateway.sources import PeerSource
+from almondstair.gateway.sources import Source
+from almondstair.gateway.sources import StoreSource
 from almondstair.gateway.upstream_pool import UpstreamPool
 from almondstair.platform import documents
 from almondstair.platform.kv import Item
 from almondstair.platform.kv import KvClient
 
-# How often changes are fetched. Each call costs, and upstreams write all the
-# time, so a waiting watch would return for every one of their beats; the
-# tightest bound, 2 s from an upstream's leaving, leaves room for one lost call.
+# How often changes are fetched. Each call to the store costs, and upstreams
+# write all the time, so a waiting watch would return for every one of their
+# beats; the tightest bound, 2 s from an upstream's leaving, leaves room for one
+# lost call.
 POLL_S = 0.6
-# Pause after a failed call, so that a store in trouble is not pressed.
+# Pause after a round in which no source answered.
 FIRST_BACKOFF_S = 0.2
 LONGEST_BACKOFF_S = 0.6
+# Entries of each zone that ask the store; the others ask these. Two, so that
+# one may be gone.
+STORE_READERS = 2
+# A peer's word that is older than this is no better than the own picture.
+STALE_S = 1.5
+# Peers of other zones that are asked when the store turns this entry away.
+FAR_PEERS = 2
 # Part of the upstreams that must have written to the store during a silence
 # for it to have been this entry's own; after the store's return they do so one
 # by one.
@@ -29,15 +44,21 @@
 
 
 class Follower:
-    """Lists the store once, then follows its changes.
+    """Learns from the store or from peers what has changed.
 
     Attributes:
-      heard_at_s: when the store last answered, on the entry's clock.
+      heard_at_s: as of when the picture is, on the entry's clock.
       revision: the store's revision that the picture is as of.
     """
 
     def __init__(
-        self, *, client: KvClient, fleet: Fleet, pool: UpstreamPool
+        self,
+        *,
+        client: KvClient,
+        fleet: Fleet,
+        pool: UpstreamPool,
+        own_name: str,
+        own_zone: str,
     ) -> None:
         """Makes a follower that writes to `fleet`.
 
@@ -45,54 +66,133 @@
           client: the store.
           fleet: the picture to keep.
           pool: connections to upstreams; those of gone ones are closed.
+          own_name: name of this entry.
+          own_zone: its availability zone.
         """
-        self._client = client
+        self._store = StoreSource(client=client)
         self._fleet = fleet
         self._pool = pool
+        self._own_name = own_name
+        self._own_zone = own_zone
+        self._mirror = Mirror()
+        self._peers: dict[str, PeerSource] = {}
         self._down = False
         self.heard_at_s = 0.0
         self.revision = 0
 
     async def run(self) -> None:
-        """Follows the store until it is cancelled."""
+        """Follows until it is cancelled."""
         backoff_s = FIRST_BACKOFF_S
         while True:
-            try:
-                await self._round()
-            except AlmondstairError as error:
-                self._note_down(error)
-                await asyncio.sleep(backoff_s * (0.5 + random.random()))
-                backoff_s = min(LONGEST_BACKOFF_S, 2 * backoff_s)
+            if await self._round():
+                backoff_s = FIRST_BACKOFF_S
+                await asyncio.sleep(POLL_S * (0.9 + 0.2 * random.random()))
                 continue
-            backoff_s = FIRST_BACKOFF_S
-            self.heard_at_s = now_s()
-            await asyncio.sleep(POLL_S * (0.9 + 0.2 * random.random()))
+            await asyncio.sleep(backoff_s * (0.5 + random.random()))
+            backoff_s = min(LONGEST_BACKOFF_S, 2 * backoff_s)
 
     async def expire(self) -> None:
         """Ends the grace of lapsed registrations until it is cancelled."""
         while True:
             await asyncio.sleep(EXPIRY_S)
-            for upstream_id in self._fleet.expire(now_s=now_s()):
+            lapsed = self._fleet.expire(now_s=now_s())
+            for upstream_id in lapsed.upstreams:
                 self._upstream_gone(upstream_id)
+            for name in lapsed.entries:
+                self._entry_gone(name)
 
-    def _note_down(self, error: AlmondstairError) -> None:
+    def mirror_page(self, *, source: str, after: int) -> MirrorPage:
+        """Returns what another entry lacks of this one's picture."""
+        return self._mirror.page(
+            source=source,
+            after=after,
+            revision=self.revision,
+            age_s=now_s() - self.heard_at_s,
+        )
+
+    # Where to ask.
+
+    async def _round(self) -> bool:
+        """Asks the sources in turn; returns whether one answered."""
+        failure: AlmondstairError | None = None
+        for source in self._sources():
+            try:
+                batch = await source.fetch(after=self.revision)
+            except AlmondstairError as error:
+                failure = failure or error
+                continue
+            if batch.age_s > STALE_S:
+                continue
+            self._take(batch)
+            return True
+        self._note_down(failure)
+        return False
+
+    def _sources(self) -> list[Source]:
+        """Returns where to ask, best first.
+
+        What goes wrong without peers: the store turns some entries away for
+        seconds while it serves the operator, and those run an old
+        configuration and send to upstreams that have left.
+        """
+        readers = self._readers(self._own_zone)
+        own = [entry for entry in readers if entry.name != self._own_name]
+        peers: list[Source] = [self._peer(entry) for entry in own]
+        if len(own) < len(readers) or not readers:
+            return [self._store, *peers, *self._far_peers()]
+        return [*peers, self._store, *self._far_peers()]
+
+    def _readers(self, zone: str) -> list[Entry]:
+        candidates = zone_roles.in_turn(self._fleet.entries.values(), zone=zone)
+        return candidates[:STORE_READERS]
+
+    def _far_peers(self) -> list[Source]:
+        zones = {
+            entry.availability_zone for entry in self._fleet.entries.values()
+        }
+        zones.discard(self._own_zone)
+        found: list[Source] = []
+        for zone in random.sample(sorted(zones), k=min(FAR_PEERS, len(zones))):
+            reader = random.choice(self._readers(zone))
+            found.append(self._peer(reader))
+        return found
+
+    def _peer(self, entry: Entry) -> PeerSource:
+        peer = self._peers.get(entry.name)
+        if peer is None or peer.address != entry.peers:
+            peer = PeerSource(address=entry.peers)
+            self._peers[entry.name] = peer
+        return peer
+
+    def _note_down(self, error: AlmondstairError | None) -> None:
         self._fleet.note_trouble(now_s=now_s())
         if self._down:
             return
         self._down = True
         log.event(
             log.Event.STORE_LOST,
-            detail=error.detail,
+            detail=error.detail if error else "every peer's word is old",
             revision=self.revision,
             age_s=round(now_s() - self.heard_at_s, 2),
         )
 
-    def _note_up(self, items: list[Item]) -> None:
+    def _note_up(self, batch: Batch) -> None:
         """Judges from what was written whether the store was away for all."""
         if not self._down:
             return
         self._down = False
         now = now_s()
+        written_to = not batch.from_store or self._written_to(batch.items)
+        self._fleet.note_return(written_to=written_to, now_s=now)
+        log.event(
+            log.Event.STORE_BACK,
+            revision=batch.revision,
+            silent_s=round(now - self.heard_at_s, 2),
+            written_to=written_to,
+            from_store=batch.from_store,
+        )
+
+    def _written_to(self, items: list[Item]) -> bool:
         writers = set()
         for item in items:
             if item.value is None or item.revision <= self.revision:
@@ -100,53 +200,28 @@
             if item.key.startswith(documents.UPSTREAM_PREFIX):
                 writers.add(item.key)
         least = WRITERS_SHARE * self._fleet.upstream_count()
-        written_to = len(writers) >= max(1.0, least)
-        self._fleet.note_return(written_to=written_to, now_s=now)
-        log.event(
-            log.Event.STORE_BACK,
-            revision=self.revision,
-            silent_s=round(now - self.heard_at_s, 2),
-            written_to=written_to,
-        )
+        return len(writers) >= max(1.0, least)
 
-    async def _round(self) -> None:
-        if self.revision:
-            page = await self._client.changes(
-                prefix="", after=self.revision, wait_ms=0
+    # What was learned.
+
+    def _take(self, batch: Batch) -> None:
+        self._note_up(batch)
+        for item in batch.items:
+            self._apply(item)
+        if batch.listing:
+            self._drop_unlisted({item.key for item in batch.items})
+            self._fleet.mark_loaded()
+            log.event(
+                log.Event.STORE_LISTED,
+                revision=batch.revision,
+                items=len(batch.items),
+                from_store=batch.from_store,
             )
-            if page is not None:
-                self._note_up(page.items)
-                self._apply(page.items)
-                self.revision = page.revision
-                return
-        await self._list()
-
-    async def _list(self) -> None:
-        """Takes a whole listing, the first time or after dropped history.
-
-        Pages are not a snapshot: what changes meanwhile is in the changes
-        since the first page.
-        """
-        items: list[Item] = []
-        after = ""
-        revision = 0
-        while True:
-            page = await self._client.list_page(prefix="", after=after)
-            revision = revision or page.revision
-            items.extend(page.items)
-            if not page.more or not page.items:
-                break
-            after = page.items[-1].key
-        self._note_up(items)
-        self._apply(items)
-        self._drop_unlisted(items)
-        self.revision = revision
-        self._fleet.mark_loaded()
-        log.event(log.Event.STORE_LISTED, revision=revision, items=len(items))
-
-    def _drop_unlisted(self, items: list[Item]) -> None:
+        self.revision = batch.revision
+        self.heard_at_s = now_s() - batch.age_s
+
+    def _drop_unlisted(self, keys: set[str]) -> None:
         now = now_s()
-        keys = {item.key for item in items}
         upstreams = set()
         for key in keys:
             if key.startswith(documents.UPSTREAM_PREFIX):
@@ -154,22 +229,23 @@
         for upstream_id in self._fleet.forget_unlisted(upstreams, now_s=now):
             self._upstream_gone(upstream_id)
         for zone in list(self._fleet.evacuated):
-            if documents.EVACUATION_PREFIX + zone not in keys:
-                self._fleet.take_back(zone, now_s=now)
+            key = documents.EVACUATION_PREFIX + zone
+            if key not in keys:
+                self._take_evacuation(Item(key, None, self.revision))
         for name in list(self._fleet.entries):
-            if documents.ENTRY_PREFIX + name not in keys:
-                self._fleet.drop_entry(name, now_s=now)
+            key = documents.ENTRY_PREFIX + name
+            if key not in keys:
+                self._take_entry(Item(key, None, self.revision))
 
-    def _apply(self, items: list[Item]) -> None:
-        for item in items:
-            if item.key == documents.CONFIGURATION_KEY:
-                self._take_configuration(item)
-            elif item.key.startswith(documents.UPSTREAM_PREFIX):
-                self._take_upstream(item)
-            elif item.key.startswith(documents.EVACUATION_PREFIX):
-                self._take_evacuation(item)
-            elif item.key.startswith(documents.ENTRY_PREFIX):
-                self._take_entry(item)
+    def _apply(self, item: Item) -> None:
+        if item.key == documents.CONFIGURATION_KEY:
+            self._take_configuration(item)
+        elif item.key.startswith(documents.UPSTREAM_PREFIX):
+            self._take_upstream(item)
+        elif item.key.startswith(documents.EVACUATION_PREFIX):
+            self._take_evacuation(item)
+        elif item.key.startswith(documents.ENTRY_PREFIX):
+            self._take_entry(item)
 
     def _take_configuration(self, item: Item) -> None:
         if item.value is None:
@@ -180,6 +256,7 @@
             log.event(log.Event.CONFIGURATION_BAD, detail=error.detail)
             return
         if self._fleet.take_configuration(configuration):
+            self._mirror.put(item.key, item.value, item.revision)
             log.event(
                 log.Event.CONFIGURATION_IN_FORCE,
                 version=configuration.version,
@@ -199,6 +276,7 @@
             log.event(log.Event.REGISTRATION_BAD, key=item.key)
             return
         if self._fleet.take_upstream(record, now_s=now):
+            self._mirror.put(item.key, item.value, item.revision)
             log.event(
                 log.Event.UPSTREAM_CHANGED,
                 upstream=upstream_id,
@@ -211,14 +289,18 @@
 
     def _upstream_gone(self, upstream_id: str) -> None:
         self._pool.forget(upstream_id=upstream_id)
+        key = documents.UPSTREAM_PREFIX + upstream_id
+        self._mirror.remove(key, self.revision)
         log.event(log.Event.UPSTREAM_GONE, upstream=upstream_id)
 
     def _take_evacuation(self, item: Item) -> None:
         zone = item.key.removeprefix(documents.EVACUATION_PREFIX)
         if item.value is None:
             changed = self._fleet.take_back(zone, now_s=now_s())
+            self._mirror.remove(item.key, item.revision)
         else:
             changed = self._fleet.evacuate(zone)
+            self._mirror.put(item.key, item.value, item.revision)
         if changed:
             log.event(
                 log.Event.EVACUATION_CHANGED,
@@ -230,25 +312,37 @@
     def _take_entry(self, item: Item) -> None:
         name = item.key.removeprefix(documents.ENTRY_PREFIX)
         if item.value is None:
-            changed = self._fleet.drop_entry(name, now_s=now_s())
-        else:
-            record = documents.read_entry(item.value)
-            if record is None:
-                log.event(log.Event.REGISTRATION_BAD, key=item.key)
-                return
-            changed = self._fleet.take_entry(
-                Entry(
-                    name=name,
-                    callers=record.callers,
-                    peers=record.peers,
-                    region=record.region,
-                    availability_zone=record.availability_zone,
-                )
-            )
-        if changed:
+            if self._fleet.drop_entry(name, now_s=now_s()):
+                self._entry_gone(name)
+            return
+        record = documents.read_entry(item.value)
+        if record is None:
+            log.event(log.Event.REGISTRATION_BAD, key=item.key)
+            return
+        entry = Entry(
+            name=name,
+            callers=record.callers,
+            peers=record.peers,
+            region=record.region,
+            availability_zone=record.availability_zone,
+        )
+        if self._fleet.take_entry(entry):
+            self._mirror.put(item.key, item.value, item.revision)
             log.event(
                 log.Event.ENTRY_CHANGED,
                 entry=name,
-                registered=item.value is not None,
+                registered=True,
                 revision=item.revision,
             )
+
+    def _entry_gone(self, name: str) -> None:
+        self._mirror.remove(documents.ENTRY_PREFIX + name, self.revision)
+        peer = self._peers.pop(name, None)
+        if peer is not None:
+            peer.close()
+        log.event(
+            log.Event.ENTRY_CHANGED,
+            entry=name,
+            registered=False,
+            revision=self.revision,
+        )
--- a/almondstair/gateway/pages.py
+++ b/almondstair/gateway/pages.py
@@ -25,6 +25,10 @@
     def addresses(self, *, region: str, zone: str) -> list[str]:
         """Returns entries for a caller, best first."""
 
+    @abc.abstractmethod
+    def changes(self, *, source: str, after: int) -> bytes:
+        """Returns what another entry lacks of this one's picture."""
+
     @abc.abstractmethod
     def metrics(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
@@ -56,6 +60,20 @@
             self.set_status(503)
 
 
+class ChangesPage(_Page):
+    """Tells other entries what this one took from the store."""
+
+    def get(self) -> None:
+        """Answers with the changes after a number of this mirror."""
+        source = self.get_query_argument("source", "")
+        after = self.get_query_argument("after", "0")
+        if not after.isdigit():
+            self.set_status(400)
+            return
+        self.set_header("Content-Type", "application/msgpack")
+        self.write(self.source.changes(source=source, after=int(after)))
+
+
 class MetricsPage(_Page):
     """Shows counters and histograms."""
 
@@ -115,6 +133,10 @@
             address, [("/metrics", MetricsPage), ("/status", StatusPage)]
         )
 
+    def serve_peers(self, address: str) -> None:
+        """Serves other entries."""
+        self._listen(address, [("/changes", ChangesPage)])
+
     def serve_lookups(self, address: str) -> None:
         """Serves look-ups."""
         self._listen(address, [("/resolve", LookupPage)])
--- /dev/null
+++ b/almondstair/gateway/sources.py
@@ -0,0 +1,151 @@
+"""Where an entry learns what is in the store: from it, or from a peer."""
+
+import abc
+from typing import NamedTuple
+from urllib import parse
+
+import msgspec
+
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+from almondstair.gateway.http_calls import HttpCaller
+from almondstair.gateway.mirror import MirrorPage
+from almondstair.platform.kv import Item
+from almondstair.platform.kv import KvClient
+
+# A peer of the same zone answers in a millisecond, one of the farthest region
+# in 0.11 s and a connection more.
+PEER_TIMEOUT_S = 0.5
+_PAGE = msgspec.msgpack.Decoder(MirrorPage)
+
+
+class Batch(NamedTuple):
+    """What a source gave.
+
+    Attributes:
+      items: what has changed, or everything.
+      listing: whether the items are all there are.
+      revision: the store's revision that they are as of.
+      age_s: how long ago the store told it, in seconds.
+      from_store: whether it comes from the store itself.
+    """
+
+    items: list[Item]
+    listing: bool
+    revision: int
+    age_s: float
+    from_store: bool
+
+
+class Source(abc.ABC):
+    """A place to learn from what is in the store."""
+
+    @abc.abstractmethod
+    async def fetch(self, *, after: int) -> Batch:
+        """Returns what has changed after a revision, or a whole listing.
+
+        Raises:
+          AlmondstairError: `platform_unavailable`.
+        """
+
+
+class StoreSource(Source):
+    """The store itself."""
+
+    def __init__(self, *, client: KvClient) -> None:
+        """Makes the source of a client."""
+        self._client = client
+
+    async def fetch(self, *, after: int) -> Batch:
+        """Asks for changes; lists everything where they are not to be had."""
+        if after:
+            page = await self._client.changes(prefix="", after=after, wait_ms=0)
+            if page is not None:
+                return Batch(
+                    items=page.items,
+                    listing=False,
+                    revision=page.revision,
+                    age_s=0.0,
+                    from_store=True,
+                )
+        return await self._list()
+
+    async def _list(self) -> Batch:
+        """Lists all pages.
+
+        Pages are not a snapshot: what changes meanwhile is in the changes
+        since the first page.
+        """
+        items: list[Item] = []
+        after = ""
+        revision = 0
+        while True:
+            page = await self._client.list_page(prefix="", after=after)
+            revision = revision or page.revision
+            items.extend(page.items)
+            if not page.more or not page.items:
+                break
+            after = page.items[-1].key
+        return Batch(
+            items=items,
+            listing=True,
+            revision=revision,
+            age_s=0.0,
+            from_store=True,
+        )
+
+
+class PeerSource(Source):
+    """Another entry's mirror of the store."""
+
+    def __init__(self, *, address: str) -> None:
+        """Makes the source of a peer at `ip:port`."""
+        self.address = address
+        self._caller = HttpCaller(address=address)
+        self._mirror = ""
+        self._number = 0
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._caller.close()
+
+    async def fetch(self, *, after: int) -> Batch:
+        """Asks for what the mirror has that this entry lacks."""
+        query = {"source": self._mirror, "after": self._number}
+        path = "/changes?" + parse.urlencode(query)
+        page = await self._ask(path)
+        if page.revision < after:
+            # Older than what this entry knows: applying it would bring back
+            # what is gone.
+            raise AlmondstairError(
+                kind=ErrorKind.PLATFORM_UNAVAILABLE,
+                detail=f"peer {self.address} is behind",
+            )
+        self._mirror = page.source
+        self._number = page.number
+        items = []
+        for item in page.items:
+            items.append(
+                Item(key=item.key, value=item.value, revision=item.revision)
+            )
+        return Batch(
+            items=items,
+            listing=page.listing,
+            revision=page.revision,
+            age_s=page.age_s,
+            from_store=False,
+        )
+
+    async def _ask(self, path: str) -> MirrorPage:
+        try:
+            status, body = await self._caller.call(
+                method="GET", path=path, timeout_s=PEER_TIMEOUT_S
+            )
+            if status != 200:
+                raise OSError(f"status {status}")
+            return _PAGE.decode(body)
+        except (OSError, TimeoutError, msgspec.MsgspecError) as error:
+            raise AlmondstairError(
+                kind=ErrorKind.PLATFORM_UNAVAILABLE,
+                detail=f"peer {self.address}: {error or 'no answer in time'}",
+            ) from error
--- a/almondstair/platform/kv.py
+++ b/almondstair/platform/kv.py
@@ -1,6 +1,5 @@
 """The calls of the users' key-value store."""
 
-import asyncio
 import base64
 from typing import NamedTuple
 from urllib import parse
@@ -9,16 +8,11 @@
 
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
-from almondstair.gateway.upstream_connection import ExchangeEnd
-from almondstair.gateway.upstream_pool import UpstreamPool
+from almondstair.gateway.http_calls import HttpCaller
 
 # An answer takes milliseconds; one that takes longer than this is on a
 # connection that has gone silent, or the store is in trouble.
 CALL_TIMEOUT_S = 1.0
-# A round trip to the farthest region is 0.11 s. After a partition the first
-# packet of a connection is sent again only after a second; a new try is faster.
-CONNECT_TIMEOUT_S = 0.4
-_POOL_NAME = "store"
 _OK = 200
 _NOT_FOUND = 404
 _COMPACTED = 410
@@ -87,46 +81,27 @@
 
     def __init__(self, *, address: str) -> None:
         """Makes a client of the store at `ip:port`."""
-        self._address = address
-        self._pool = UpstreamPool(id_header=b"")
+        self._caller = HttpCaller(address=address)
         self.calls: dict[str, int] = {}
 
     def close(self) -> None:
         """Closes the connections."""
-        self._pool.close()
+        self._caller.close()
 
     async def _call(
         self, kind: str, method: str, path: str, body: bytes = b""
     ) -> tuple[int, bytes]:
         self.calls[kind] = self.calls.get(kind, 0) + 1
-        head = (
-            f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n"
-            f"Content-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        )
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                return await self._exchange(head.encode() + body)
+            return await self._caller.call(
+                method=method, path=path, body=body, timeout_s=CALL_TIMEOUT_S
+            )
         except (OSError, TimeoutError) as error:
             raise AlmondstairError(
                 kind=ErrorKind.PLATFORM_UNAVAILABLE,
                 detail=f"{kind}: {error or 'no answer in time'}",
             ) from error
 
-    async def _exchange(self, message: bytes) -> tuple[int, bytes]:
-        connection = self._pool.take_idle(
-            upstream_id=_POOL_NAME, repeatable=True
-        )
-        if connection is None:
-            connection = await self._pool.connect(
-                address=self._address, timeout_s=CONNECT_TIMEOUT_S
-            )
-        result = await connection.exchange(head=message)
-        if result.end is not ExchangeEnd.WHOLE or result.head is None:
-            raise OSError(f"the answer was {result.end.value}")
-        self._pool.give_back(connection, upstream_id=_POOL_NAME)
-        return result.head.status, result.body
-
     @staticmethod
     def _refused(kind: str, status: int) -> AlmondstairError:
         return AlmondstairError(
