Soak of real processes with faults from outside; tell each other of replaced upstreams

The soak plays seeded plans (store, proxies, kills, stops, freezes, hang-ups, configurations, evacuations) on separate processes and checks the promises from what callers and upstreams see; a scenario shows each check failing on a planted fault. Entries now tell each other with the loads, and such a try is no attempt, since the upstream did not have the request.

--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -25,6 +25,9 @@
 # How long after its registration every other entry knows of an entry: two polls
 # of a reader of the store and of an entry that follows it, and a margin.
 JOIN_S = 2.0
+# How long other entries are told of an upstream whose address has another
+# incarnation; its registration ends about as soon.
+REPLACED_MEMORY_S = 5.0
 # How old the use of a service may be; requests run for longer.
 USE_AGE_S = 0.1
 
@@ -88,6 +91,7 @@
         self._upstreams: dict[str, UpstreamState] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
         self._lapses_at_s: dict[str, float] = {}
+        self._replaced_at_s: dict[int, float] = {}
         self._entry_lapse_s: dict[str, float] = {}
         # Callers are taken to be spread evenly over the availability zones.
         self._orders = PlacementOrders(
@@ -235,10 +239,30 @@
             self.by_hash.pop(upstream_hash(upstream_id), None)
             self._rebuild()
 
-    def misdirected(self, upstream_id: str) -> None:
+    def misdirected(self, upstream_id: str, *, now_s: float) -> None:
         """Another incarnation answers at an upstream's address."""
+        self._replaced_at_s[upstream_hash(upstream_id)] = now_s
         self._remove(upstream_id)
 
+    def replaced(self, *, now_s: float) -> list[int]:
+        """Returns upstreams that were found replaced lately, by their hash."""
+        for name, at_s in list(self._replaced_at_s.items()):
+            if now_s - at_s > REPLACED_MEMORY_S:
+                del self._replaced_at_s[name]
+        return list(self._replaced_at_s)
+
+    def note_replaced(self, name: int) -> str:
+        """Drops an upstream that another entry found replaced.
+
+        Returns:
+          Its id, empty if it was not registered here.
+        """
+        state = self.by_hash.get(name)
+        if state is None:
+            return ""
+        self._remove(state.record.upstream_id)
+        return state.record.upstream_id
+
     def _rebuild(self) -> None:
         self._by_service = {}
         for state in self._upstreams.values():
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -95,6 +95,7 @@
         )
         self._sharing = LoadSharing(
             fleet=self._fleet,
+            pool=self._pool,
             own_name=settings.entry_name,
             own_zone=settings.availability_zone,
         )
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -96,7 +96,9 @@
       route: its route.
       service: the service that takes it.
       deadline_s: when its caller or the operator gives up on it.
-      tried: upstreams that had it.
+      tried: upstreams that were asked.
+      attempts: upstreams that had it; another incarnation at an upstream's
+        address had it not.
       may_have_run: whether an upstream may have run it.
     """
 
@@ -114,6 +116,7 @@
             caller_s = names.read_milliseconds(stated) or DEFAULT_DEADLINE_S
         self.deadline_s = request.arrived_s + min(caller_s, route.timeout_s)
         self.tried: list[str] = []
+        self.attempts = 0
         self.may_have_run = False
 
     @property
@@ -311,7 +314,7 @@
     def _may_repeat(self, call: Call, outcome: Try) -> bool:
         if call.request.answered or call.request.caller_gone:
             return False
-        if len(call.tried) >= call.route.attempts:
+        if call.attempts >= call.route.attempts:
             return False
         body = call.request.body
         if body.consumed:
@@ -359,6 +362,7 @@
                     Exchange(end=ExchangeEnd.NOT_SENT),
                     "upstream unreachable",
                 )
+            call.attempts += 1
             ran_before = call.may_have_run
             call.may_have_run = True
             exchange = await self._timed_exchange(call, choice, connection)
@@ -498,6 +502,7 @@
         cause = _doubt(head)
         if head.status == _MISDIRECTED:
             self._misdirected(choice)
+            call.attempts -= 1
             return Try(Verdict.NOT_RUN, exchange, "upstream replaced")
         if find(head.headers, names.NOT_RUN) is not None:
             upstream.note_answer(good=False, now_s=now_s())
@@ -517,7 +522,7 @@
 
     def _misdirected(self, choice: Choice) -> None:
         upstream_id = choice.upstream.record.upstream_id
-        self._fleet.misdirected(upstream_id)
+        self._fleet.misdirected(upstream_id, now_s=now_s())
         self._pool.forget(upstream_id=upstream_id)
         log.event(log.Event.UPSTREAM_GONE, upstream=upstream_id)
 
--- a/almondstair/gateway/load_sharing.py
+++ b/almondstair/gateway/load_sharing.py
@@ -21,6 +21,7 @@
 from almondstair.core import zone_roles
 from almondstair.core.fleet import Entry
 from almondstair.core.fleet import Fleet
+from almondstair.gateway.upstream_pool import UpstreamPool
 
 # Pause between two messages: the least, and how much longer for each entry, so
 # that a large fleet spends no more on it. 8 entries: 0.05 s; 80: 0.2 s.
@@ -43,6 +44,7 @@
 
     entry: str
     loads: Loads
+    replaced: list[int]
 
 
 class ZoneSum(msgspec.Struct, array_like=True, tag=1):
@@ -51,6 +53,7 @@
     entry: str
     zone: str
     loads: Loads
+    replaced: list[int]
 
 
 class Total(msgspec.Struct, array_like=True, tag=2):
@@ -60,11 +63,13 @@
       entry: the reporter.
       complete: whether every zone's sum is in it.
       loads: requests by the hash of the upstream's id.
+      replaced: upstreams whose addresses have other incarnations now.
     """
 
     entry: str
     complete: bool
     loads: Loads
+    replaced: list[int]
 
 
 class Heard(NamedTuple):
@@ -73,6 +78,7 @@
     at_s: float
     entry: str
     loads: Loads
+    replaced: list[int]
 
 
 _DECODER = msgspec.msgpack.Decoder(Own | ZoneSum | Total)
@@ -90,15 +96,24 @@
 class LoadSharing(asyncio.DatagramProtocol):
     """Sends own loads to the zone's reporter, or is the reporter."""
 
-    def __init__(self, *, fleet: Fleet, own_name: str, own_zone: str) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        pool: UpstreamPool,
+        own_name: str,
+        own_zone: str,
+    ) -> None:
         """Makes the protocol; `run` sends once it listens.
 
         Args:
           fleet: whose upstreams the loads belong to.
+          pool: connections to upstreams; those of replaced ones are closed.
           own_name: name of this entry.
           own_zone: its availability zone.
         """
         self._fleet = fleet
+        self._pool = pool
         self._own_name = own_name
         self._own_zone = own_zone
         self._transport: asyncio.DatagramTransport | None = None
@@ -136,7 +151,13 @@
             return
         now = now_s()
         self._alive_s[message.entry] = now
-        heard = Heard(at_s=now, entry=message.entry, loads=message.loads)
+        heard = Heard(
+            at_s=now,
+            entry=message.entry,
+            loads=message.loads,
+            replaced=message.replaced,
+        )
+        self._drop_replaced(message.replaced)
         if isinstance(message, Own):
             self._members[message.entry] = heard
         elif isinstance(message, ZoneSum):
@@ -146,6 +167,15 @@
             if message.complete:
                 self._total_at_s = now
 
+    def _drop_replaced(self, names: list[int]) -> None:
+        """Takes others' word instead of finding out by a request of its own."""
+        for name in names:
+            upstream_id = self._fleet.note_replaced(name)
+            if not upstream_id:
+                continue
+            self._pool.forget(upstream_id=upstream_id)
+            log.event(log.Event.UPSTREAM_GONE, upstream=upstream_id, told=True)
+
     # Sending.
 
     async def run(self) -> None:
@@ -192,9 +222,11 @@
 
     def _tell(self, reporter: Entry, now: float) -> None:
         loads = self._own_loads()
-        if self._unchanged(loads, now):
+        replaced = self._fleet.replaced(now_s=now)
+        if not replaced and self._unchanged(loads, now):
             return
-        self._send(Own(entry=self._own_name, loads=loads), [reporter])
+        message = Own(entry=self._own_name, loads=loads, replaced=replaced)
+        self._send(message, [reporter])
 
     def _unchanged(self, loads: Loads, now: float) -> bool:
         if loads == self._sent and now - self._sent_at_s < HEARTBEAT_S:
@@ -214,6 +246,13 @@
             if zone != self._own_zone
         ]
         total = add_loads([zone_sum, *others])
+        own_replaced = self._fleet.replaced(now_s=now)
+        zone_replaced = set(own_replaced)
+        for member in self._members.values():
+            zone_replaced.update(member.replaced)
+        all_replaced = set(zone_replaced)
+        for heard in self._zones.values():
+            all_replaced.update(heard.replaced)
         self._sent = own
         self._apply(total)
         complete = self._zones_heard()
@@ -224,11 +263,15 @@
                 entry=self._own_name,
                 zone=self._own_zone,
                 loads=_cut(zone_sum),
+                replaced=list(zone_replaced),
             ),
             self._other_reporters(),
         )
         message = Total(
-            entry=self._own_name, complete=complete, loads=_cut(total)
+            entry=self._own_name,
+            complete=complete,
+            loads=_cut(total),
+            replaced=list(all_replaced),
         )
         self._send(message, self._zone_members())
 
--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -17,15 +17,18 @@
         """
         store.main(address)
 
-    def upstream(self, address: str, store: str, plan: str = "{}") -> None:
+    def upstream(
+        self, address: str, store: str, plan: str = "{}", announce: str = ""
+    ) -> None:
         """Runs an upstream that registers in a store.
 
         Args:
           address: `ip:port` to listen on.
           store: `ip:port` of the store.
           plan: its behaviour as JSON; see `UpstreamPlan`.
+          announce: address to register, if it is reached through another.
         """
-        upstream_process.main(address, store, plan)
+        upstream_process.main(address, store, plan, announce)
 
 
 def main() -> None:
--- /dev/null
+++ b/emulator/documents.py
@@ -0,0 +1,134 @@
+"""Settings files and configurations as the platform writes them."""
+
+import base64
+import json
+from typing import Any, NamedTuple
+
+HOST = "shop.example"
+PARTS = ("callers", "ready", "lookups", "control", "peers", "operators")
+BOUNDS = {
+    "drainS": 2.0,
+    "graceS": 4.0,
+    "configApplyS": 2.0,
+    "retryBudgetRatio": 0.2,
+    "retryBudgetSlack": 50,
+    "budgetWindowS": 10,
+    "coldOver": 1.5,
+    "coldSlack": 5,
+    "ttl_max_s": 5,
+}
+
+
+class GatewayPlace(NamedTuple):
+    """Where a gateway stands.
+
+    Attributes:
+      name: its VM's name.
+      zone: its availability zone.
+      addresses: `ip:port` of each of `PARTS`.
+      store: `ip:port` of the store.
+      zones: region of each availability zone.
+    """
+
+    name: str
+    zone: str
+    addresses: dict[str, str]
+    store: str
+    zones: dict[str, str]
+
+
+def settings_text(place: GatewayPlace) -> str:
+    """Returns the settings file of a gateway."""
+    addresses = place.addresses
+    peers = addresses["peers"].rpartition(":")[2]
+    lines = [
+        "[local]",
+        f'nodeName = "{place.name}"',
+        'ip = "127.0.0.1"',
+        f'zone = "{place.zone}"',
+        f'region = "{place.zones[place.zone]}"',
+        "somethingNew = 1",
+        "[network]",
+        f"internalPorts = [{peers}, {peers}]",
+        f'seeds = ["{addresses["control"]}"]',
+        "[network.listen]",
+        f'front = "{addresses["callers"]}"',
+        f'ready = "{addresses["ready"]}"',
+        f'directory = "{addresses["lookups"]}"',
+        "[network.zones]",
+    ]
+    for zone, region in place.zones.items():
+        lines.append(f'{zone} = "{region}"')
+    lines += [
+        "[platform]",
+        "heartbeatS = 0.3",
+        "[platform.platform]",
+        f'address = "{place.store}"',
+        "ttlMinS = 1",
+        "[terms.bounds]",
+    ]
+    for key, value in BOUNDS.items():
+        lines.append(f"{key} = {value}")
+    return "\n".join(lines) + "\n"
+
+
+def route(
+    prefix: str, service: str = "service", kind: str = "safe", **action: Any
+) -> dict[str, Any]:
+    """Returns a rule of the operator's configuration."""
+    wanted = {"service": service, "timeoutS": 2.0, "attempts": 2}
+    wanted.update(action)
+    return {
+        "name": f"r{prefix.strip('/')}",
+        "routeType": kind,
+        "targetLatencyS": 1.0,
+        "priority": 1,
+        "sessionAffinity": True,
+        "match": {"prefix": prefix},
+        "action": wanted,
+    }
+
+
+def configuration_text(
+    version: int,
+    routes: list[dict[str, Any]],
+    services: tuple[str, ...] = ("service", "other"),
+    **limits: Any,
+) -> str:
+    """Returns the operator's configuration."""
+    clusters = []
+    for name in services:
+        clusters.append(
+            {
+                "name": name,
+                "healthPath": "/health",
+                "maxConns": 100,
+                "coldStartS": 3.0,
+                "coldPerS": 5.0,
+            }
+        )
+    wanted = {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4 << 20,
+        "headerTimeoutS": 3,
+        "idleTimeoutS": 15,
+    }
+    return json.dumps(
+        {
+            "version": f"{version:08x}",
+            "limits": wanted | limits,
+            "listeners": [{"hostname": HOST, "ruleSet": routes}],
+            "clusters": clusters,
+        }
+    )
+
+
+def operator_change(
+    puts: dict[str, str] | None = None, remove: list[str] | None = None
+) -> dict[str, Any]:
+    """Returns a change of the store as the operator sends it."""
+    rows = []
+    for key, text in (puts or {}).items():
+        value = base64.b64encode(text.encode()).decode()
+        rows.append({"key": key, "value": value})
+    return {"puts": rows, "remove": remove or []}
--- a/emulator/upstream_process.py
+++ b/emulator/upstream_process.py
@@ -47,10 +47,13 @@
             print(f"registration not written: {error}", flush=True)
 
 
-async def _run(address: str, store: str, plan: UpstreamPlan) -> int:
+async def _run(
+    address: str, store: str, plan: UpstreamPlan, announce: str
+) -> int:
     upstream = Upstream(plan=plan)
     ip, _, port = address.rpartition(":")
     upstream.listen(ip, int(port))
+    upstream.address = announce or upstream.address
     registrar = _Registrar(store=store, upstream=upstream)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -76,9 +79,18 @@
     return 0
 
 
-def main(address: str, store: str, plan: str | dict[str, Any]) -> None:
-    """Runs an upstream until SIGTERM or a crash."""
+def main(
+    address: str, store: str, plan: str | dict[str, Any], announce: str = ""
+) -> None:
+    """Runs an upstream until SIGTERM or a crash.
+
+    Args:
+      address: `ip:port` to listen on.
+      store: `ip:port` of the store.
+      plan: its behaviour; see `UpstreamPlan`.
+      announce: address to register, if it is reached through another one.
+    """
     if isinstance(plan, str):
         plan = json.loads(plan)
     decoded = msgspec.convert(plan, UpstreamPlan)
-    raise SystemExit(asyncio.run(_run(address, store, decoded)))
+    raise SystemExit(asyncio.run(_run(address, store, decoded, announce)))
--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,25 @@
+Feature: The soak finds what it is there to find
+
+  Scenario Outline: Each check fails on a planted fault and passes without it
+    Then the check "<check>" passes on a calm record
+    And the check "<check>" fails on a record with "<fault>"
+
+    Examples:
+      | check         | fault                                  |
+      | answers       | another request's signature            |
+      | answers       | half a body                            |
+      | once          | a payment that ran twice               |
+      | once          | a run that nobody sent                 |
+      | refusals      | a refused payment that ran             |
+      | silent        | a run after an upstream left           |
+      | cold          | 14 runs in a cold second               |
+      | stops         | a request cut during a stop            |
+      | configuration | a 404 for a known route                |
+      | recovery      | half of the requests failing at the end |
+
+  Scenario: The same seed makes the same plan
+    Then two plans of seed 7 are equal, and seed 8's differs
+
+  Scenario: A short soak of kept seeds keeps every promise
+    When the soak plays seed 42 for 14 s
+    Then it broke no promise and most requests were served
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -7,10 +7,10 @@
 from behave import then
 from behave import when
 
+from emulator.documents import HOST
+from emulator.documents import route
 from features.steps.gateway_steps import keep_sending
 from features.support import harness
-from features.support.gateway_world import HOST
-from features.support.gateway_world import route
 
 
 class _Traffic:
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -10,8 +10,8 @@
 from behave import when
 import xxhash
 
+from emulator.documents import HOST
 from features.support import harness
-from features.support.gateway_world import HOST
 from features.support.gateway_world import GatewayWorld
 
 _RECEIVE_BYTES = 65536
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,112 @@
+"""Steps for the soak and its checks."""
+
+import re
+import subprocess
+import sys
+
+from behave import then
+from behave import when
+
+from features.support.harness import ROOT
+from soak import checks
+from soak import plan
+from soak.checks import Ran
+from soak.checks import Sent
+from soak.checks import Span
+
+_CALM_SENT = [
+    Sent("a", "/safe/1", True, 1.0, 1.1, 200, "seal-a", True),
+    Sent("b", "/unsafe/1", False, 2.0, 2.1, 200, "seal-b", True),
+    Sent("c", "/unsafe/1", False, 3.0, 3.1, 503, "", False),
+]
+_CALM_RAN = [
+    Ran("u1", "a", "/safe/1", 1.05, "ok"),
+    Ran("u1", "b", "/unsafe/1", 2.05, "ok"),
+]
+_LEFT = [Span("u1", 5.0, 9.0)]
+_COLD = [Span("u1", 1.0, 2.0)]
+_STOP = [Span("g1", 2.5, 9.0)]
+_KNOWN = [Span("/safe/", 0.0, 9.0)]
+_END = [Span("the end", 0.0, 9.0)]
+
+
+def _faults(check, sent, ran):
+    found = {
+        "answers": lambda: checks.check_answers(sent),
+        "once": lambda: checks.check_once(sent, ran),
+        "refusals": lambda: checks.check_refusals(sent, ran),
+        "silent": lambda: checks.check_silent(ran, _LEFT),
+        "cold": lambda: checks.check_cold(ran, _COLD),
+        "stops": lambda: checks.check_stops(sent, _STOP),
+        "configuration": lambda: checks.check_configuration(sent, _KNOWN),
+        "recovery": lambda: checks.check_recovery(sent, _END, least_share=0.5),
+    }
+    return found[check]()
+
+
+def _planted(fault):
+    sent = list(_CALM_SENT)
+    ran = list(_CALM_RAN)
+    one = Sent("d", "/safe/1", True, 4.0, 4.1, 200, "seal-d", True)
+    if fault == "another request's signature":
+        sent.append(one._replace(seal="seal-a"))
+    elif fault == "half a body":
+        sent.append(one._replace(whole=False))
+    elif fault == "a payment that ran twice":
+        ran.append(Ran("u2", "b", "/unsafe/1", 2.5, "ok"))
+    elif fault == "a run that nobody sent":
+        ran.append(Ran("u2", "x", "/unsafe/1", 2.5, "ok"))
+    elif fault == "a refused payment that ran":
+        ran.append(Ran("u2", "c", "/unsafe/1", 3.05, "ok"))
+    elif fault == "a run after an upstream left":
+        ran.append(Ran("u1", "a", "/safe/1", 6.0, "ok"))
+    elif fault == "14 runs in a cold second":
+        ran += [
+            Ran("u1", "a", "/safe/1", 1.0 + n / 20, "ok") for n in range(14)
+        ]
+    elif fault == "a request cut during a stop":
+        sent.append(one._replace(status=0))
+    elif fault == "a 404 for a known route":
+        sent.append(one._replace(status=404))
+    else:
+        sent += [one._replace(status=502)] * 3
+    return sent, ran
+
+
+@then('the check "{check}" passes on a calm record')
+def step_calm(context, check):
+    assert _faults(check, _CALM_SENT, _CALM_RAN) == []
+
+
+@then('the check "{check}" fails on a record with "{fault}"')
+def step_planted(context, check, fault):
+    assert _faults(check, *_planted(fault)), fault
+
+
+@then("two plans of seed 7 are equal, and seed 8's differs")
+def step_plans(context):
+    first = plan.make(7, seconds=30)
+    assert first == plan.make(7, seconds=30)
+    assert first != plan.make(8, seconds=30)
+
+
+@when("the soak plays seed {seed:d} for {seconds:d} s")
+def step_soak(context, seed, seconds):
+    context.done = subprocess.run(
+        [sys.executable, "-m", "soak", "run", str(seed)]
+        + ["--seconds", str(seconds)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+        check=False,
+    )
+
+
+@then("it broke no promise and most requests were served")
+def step_kept(context):
+    done = context.done
+    assert done.returncode == 0, done.stdout + done.stderr
+    found = re.search(r"(\d+) sent, (\d+) answered", done.stdout)
+    assert found, done.stdout
+    assert int(found[2]) > int(found[1]) / 2, done.stdout
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -1,47 +1,19 @@
 """A platform in miniature for scenarios: store, upstreams, gateways."""
 
-import base64
 import http.client
 import json
 from typing import Any
 import uuid
 
+from emulator import documents
+from emulator.documents import HOST
+from emulator.documents import route
 from features.support import harness
 from features.support.harness import Answer
 from features.support.harness import Child
 from features.support.harness import Processes
 
-HOST = "shop.example"
 ZONES = {"a1": "east", "a2": "east", "b1": "west"}
-PARTS = ("callers", "ready", "lookups", "control", "peers", "operators")
-BOUNDS = {
-    "drainS": 2.0,
-    "graceS": 4.0,
-    "configApplyS": 2.0,
-    "retryBudgetRatio": 0.2,
-    "retryBudgetSlack": 50,
-    "budgetWindowS": 10,
-    "coldOver": 1.5,
-    "coldSlack": 5,
-    "ttl_max_s": 5,
-}
-
-
-def route(
-    prefix: str, service: str = "service", kind: str = "safe", **action: Any
-) -> dict[str, Any]:
-    """Returns a rule of the operator's configuration."""
-    wanted = {"service": service, "timeoutS": 2.0, "attempts": 2}
-    wanted.update(action)
-    return {
-        "name": f"r{prefix.strip('/')}",
-        "routeType": kind,
-        "targetLatencyS": 1.0,
-        "priority": 1,
-        "sessionAffinity": True,
-        "match": {"prefix": prefix},
-        "action": wanted,
-    }
 
 
 class GatewayWorld:
@@ -71,11 +43,7 @@
 
     def operate(self, **change: Any) -> None:
         """Writes to the store as the operator."""
-        puts = []
-        for key, text in change.get("puts", {}).items():
-            value = base64.b64encode(text.encode()).decode()
-            puts.append({"key": key, "value": value})
-        body = {"puts": puts, "remove": change.get("remove", [])}
+        body = documents.operator_change(**change)
         answer = harness.post(self.store, "/operator", body)
         assert answer.status == 200, answer
 
@@ -94,31 +62,8 @@
         """Writes the next configuration; returns its version."""
         self.version += 2
         self.routes = routes if routes is not None else self.routes
-        services = {"service", "other"}
-        clusters = []
-        for name in sorted(services):
-            clusters.append(
-                {
-                    "name": name,
-                    "healthPath": "/health",
-                    "maxConns": 100,
-                    "coldStartS": 3.0,
-                    "coldPerS": 5.0,
-                }
-            )
-        document = {
-            "version": f"{self.version:08x}",
-            "limits": {
-                "maxHeaderBytes": 16384,
-                "maxBodyBytes": 4 << 20,
-                "headerTimeoutS": 3,
-                "idleTimeoutS": 15,
-            }
-            | limits,
-            "listeners": [{"hostname": HOST, "ruleSet": self.routes}],
-            "clusters": clusters,
-        }
-        self.operate(puts={"op/config": json.dumps(document)})
+        text = documents.configuration_text(self.version, self.routes, **limits)
+        self.operate(puts={"op/config": text})
         return self.version
 
     # Upstreams.
@@ -213,37 +158,15 @@
         harness.wait_until(check, limit_s=limit_s, what=f"{name} to be ready")
 
     def _settings(self, name: str, zone: str) -> str:
-        addresses = self.gateways[name]
-        peers = addresses["peers"].rpartition(":")[2]
-        lines = [
-            "[local]",
-            f'nodeName = "{name}"',
-            'ip = "127.0.0.1"',
-            f'zone = "{zone}"',
-            f'region = "{ZONES[zone]}"',
-            "somethingNew = 1",
-            "[network]",
-            f"internalPorts = [{peers}, {peers}]",
-            f'seeds = ["{addresses["control"]}"]',
-            "[network.listen]",
-            f'front = "{addresses["callers"]}"',
-            f'ready = "{addresses["ready"]}"',
-            f'directory = "{addresses["lookups"]}"',
-            "[network.zones]",
-        ]
-        for each, region in ZONES.items():
-            lines.append(f'{each} = "{region}"')
-        lines += [
-            "[platform]",
-            "heartbeatS = 0.3",
-            "[platform.platform]",
-            f'address = "{self.store}"',
-            "ttlMinS = 1",
-            "[terms.bounds]",
-        ]
-        for key, value in BOUNDS.items():
-            lines.append(f"{key} = {value}")
-        return "\n".join(lines) + "\n"
+        return documents.settings_text(
+            documents.GatewayPlace(
+                name=name,
+                zone=zone,
+                addresses=self.gateways[name],
+                store=self.store,
+                zones=ZONES,
+            )
+        )
 
     # Callers.
 
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,98 @@
+"""The soak's command line: `python -m soak --help`."""
+
+import asyncio
+from pathlib import Path
+import random
+import sys
+import tempfile
+import tomllib
+
+import fire
+
+from soak.run import Report
+from soak.run import Size
+from soak.run import Soak
+
+KEPT = Path(__file__).with_name("seeds.toml")
+
+
+def play(seed: int, seconds: float, size: Size, logs: str = "") -> Report:
+    """Plays one seed; logs are kept in a folder if it names one."""
+    with tempfile.TemporaryDirectory(prefix="almondstair-soak-") as folder:
+        directory = Path(logs or folder)
+        directory.mkdir(parents=True, exist_ok=True)
+        soak = Soak(seed=seed, seconds=seconds, directory=directory, size=size)
+        return asyncio.run(soak.run())
+
+
+def show(report: Report) -> None:
+    """Prints what a run showed."""
+    print(
+        f"seed {report.seed}: {report.sent} sent, {report.served} answered, "
+        f"{len(report.faults)} broken promises",
+        flush=True,
+    )
+    if not report.faults:
+        return
+    for step in report.steps:
+        print(f"  {step.at_s:6.2f} s {step.kind} {step.how} {step.for_s:.1f} s")
+    for fault in report.faults[:5]:
+        print(f"  BROKEN {fault.promise}: {fault.detail}", flush=True)
+
+
+class Commands:
+    """Plays seeds of faults on real processes and checks the promises."""
+
+    def run(
+        self,
+        seed: int,
+        seconds: float = 30,
+        size: tuple[int, int, int] = (6, 3, 8),
+        logs: str = "",
+    ) -> None:
+        """Plays one seed.
+
+        Args:
+          seed: the seed; the same one plays the same plan.
+          seconds: length of the run.
+          size: how many upstreams, gateways and callers.
+          logs: folder for the processes' logs; by default they are dropped.
+        """
+        report = play(seed, seconds, Size(*size), logs)
+        show(report)
+        sys.exit(1 if report.faults else 0)
+
+    def many(
+        self, first: int = 0, count: int = 10, seconds: float = 25
+    ) -> None:
+        """Plays seeds in a row; fresh ones if `first` is 0."""
+        first = first or random.randrange(1, 1_000_000)
+        broken = []
+        for seed in range(first, first + count):
+            report = play(seed, seconds, Size())
+            show(report)
+            if report.faults:
+                broken.append(seed)
+        print(f"{count} seeds from {first}, broken: {broken or 'none'}")
+        sys.exit(1 if broken else 0)
+
+    def kept(self) -> None:
+        """Plays the seeds that failed once; see seeds.toml."""
+        seeds = tomllib.loads(KEPT.read_text(encoding="utf-8"))["seeds"]
+        broken = []
+        for row in seeds:
+            report = play(row["seed"], row["seconds"], Size())
+            show(report)
+            if report.faults:
+                broken.append(row["seed"])
+        print(f"{len(seeds)} kept seeds, broken: {broken or 'none'}")
+        sys.exit(1 if broken else 0)
+
+
+def main() -> None:
+    """Runs the command that is named."""
+    fire.Fire(Commands, name="soak")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,93 @@
+"""What a seed does and when."""
+
+import enum
+import random
+from typing import NamedTuple
+
+# Faults begin after the start has settled and end before the last calm span.
+FIRST_S = 3.0
+CALM_S = 8.0
+
+
+class Kind(enum.StrEnum):
+    """Kinds of faults."""
+
+    STORE = "store"
+    STORE_PROXY = "store_proxy"
+    UPSTREAM_PROXY = "upstream_proxy"
+    UPSTREAM_FAULT = "upstream_fault"
+    UPSTREAM_KILL = "upstream_kill"
+    UPSTREAM_DRAIN = "upstream_drain"
+    UPSTREAM_FREEZE = "upstream_freeze"
+    GATEWAY_KILL = "gateway_kill"
+    GATEWAY_STOP = "gateway_stop"
+    GATEWAY_FREEZE = "gateway_freeze"
+    GATEWAY_HANGUP = "gateway_hangup"
+    KILL_ALL = "kill_all"
+    CONFIGURE = "configure"
+    EVACUATE = "evacuate"
+    HISTORY = "history"
+
+
+class Step(NamedTuple):
+    """One fault.
+
+    Attributes:
+      at_s: when, in seconds from the start.
+      kind: what.
+      target: index of the process that it strikes.
+      for_s: how long it lasts, in seconds.
+      how: variant.
+    """
+
+    at_s: float
+    kind: Kind
+    target: int
+    for_s: float
+    how: str
+
+
+STORE_MODES = ("busy", "limited", "reset", "silent", "slow", "lost", "late")
+HARMS = ("delay", "reset", "silence", "one_way")
+UPSTREAM_FAULTS = (
+    "extra",
+    "late_extra",
+    "cut",
+    "unframed",
+    "lost",
+    "shed",
+    "fail",
+    "trailing",
+    "slow",
+)
+_VARIANTS = {
+    Kind.STORE: STORE_MODES,
+    Kind.STORE_PROXY: HARMS,
+    Kind.UPSTREAM_PROXY: HARMS,
+    Kind.UPSTREAM_FAULT: UPSTREAM_FAULTS,
+}
+
+
+def make(seed: int, *, seconds: float, count: int = 0) -> list[Step]:
+    """Returns the steps of a seed; they overlap and come in series.
+
+    Args:
+      seed: the seed.
+      seconds: length of the run.
+      count: how many steps; by default one for each 1.5 s.
+    """
+    chance = random.Random(seed)
+    span_s = max(1.0, seconds - FIRST_S - CALM_S)
+    steps = []
+    for _ in range(count or max(2, int(span_s / 1.5))):
+        kind = chance.choice(list(Kind))
+        steps.append(
+            Step(
+                at_s=FIRST_S + chance.random() * span_s,
+                kind=kind,
+                target=chance.randrange(1000),
+                for_s=chance.uniform(0.3, 4.0),
+                how=chance.choice(_VARIANTS.get(kind, ("",))),
+            )
+        )
+    return sorted(steps, key=lambda step: step.at_s)
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,380 @@
+"""Plays a plan on a world while callers send, then checks what was seen."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+import random
+import signal
+import time
+from typing import NamedTuple
+
+from soak import checks
+from soak import plan
+from soak.callers import Caller
+from soak.checks import Fault
+from soak.checks import Span
+from soak.plan import Kind
+from soak.plan import Step
+from soak.proxy import Harm
+from soak.proxy import HarmfulProxy
+from soak.world import World
+
+# From a change's acknowledgement until it must hold, and what a disturbance
+# adds: the bounds of the emulated platform.
+DRAIN_S = 2.0
+CONFIGURE_S = 2.0
+EVACUATE_S = 5.0
+# A disturbance and this long after it excuse bounds in time.
+TOUCH_S = 4.0
+# How long a killed process stays away.
+BACK_S = 0.5
+STOP_LIMIT_S = 4.0
+DRAINED_S = 3.5
+LEAST_SERVED = 0.9
+
+
+class Size(NamedTuple):
+    """How much is started."""
+
+    upstreams: int = 6
+    gateways: int = 3
+    callers: int = 8
+
+
+class Report(NamedTuple):
+    """What a run showed."""
+
+    seed: int
+    sent: int
+    served: int
+    steps: list[Step]
+    faults: list[Fault]
+
+
+class Soak:
+    """One run of one seed."""
+
+    def __init__(
+        self, *, seed: int, seconds: float, directory: Path, size: Size
+    ) -> None:
+        """Makes the plan; nothing is started yet."""
+        self._seed = seed
+        self._seconds = seconds
+        self._steps = plan.make(seed, seconds=seconds)
+        self._world = World(
+            directory=directory,
+            upstreams=size.upstreams,
+            gateways=size.gateways,
+        )
+        self._callers = [
+            Caller(chance=random.Random(seed * 1000 + number))
+            for number in range(size.callers)
+        ]
+        self._prefixes = ["/safe/", "/unsafe/"]
+        self._rest: list[Span] = []
+        self._cold: list[Span] = []
+        self._routes: list[Span] = []
+        self._stops: list[Span] = []
+        self._disturbed: list[Span] = []
+        self._faults: list[Fault] = []
+        self._end_s = 0.0
+        self._held: set[str] = set()
+
+    async def run(self) -> Report:
+        """Starts, plays, ends, checks."""
+        try:
+            await self._world.start()
+            await self._world.configure(self._prefixes)
+            await self._settle()
+            began_s = time.monotonic()
+            self._end_s = began_s + self._seconds
+            work: list[Awaitable[None]] = [self._watch_load()]
+            for caller in self._callers:
+                work.append(
+                    caller.run(self._world.callers, self._prefixes, self._end_s)
+                )
+            work.append(self._play(began_s))
+            await asyncio.gather(*work)
+            for name in self._world.upstreams:
+                await self._world.collect(name)
+        finally:
+            await self._world.end()
+        self._check()
+        return self._report()
+
+    async def _settle(self) -> None:
+        await asyncio.sleep(3.0)
+
+    async def _watch_load(self) -> None:
+        """Collects runs now and then, since a killed upstream tells none."""
+        while time.monotonic() < self._end_s:
+            await asyncio.sleep(0.5)
+            for name in list(self._world.upstreams):
+                if name not in self._held:
+                    await self._world.collect(name)
+
+    async def _play(self, began_s: float) -> None:
+        tasks = []
+        for step in self._steps:
+            await asyncio.sleep(max(0, began_s + step.at_s - time.monotonic()))
+            tasks.append(asyncio.ensure_future(self._strike(step)))
+        await asyncio.gather(*tasks)
+
+    async def _strike(self, step: Step) -> None:
+        actions: dict[Kind, Callable[[Step], Awaitable[None]]] = {
+            Kind.STORE: self._store,
+            Kind.STORE_PROXY: self._store_proxy,
+            Kind.UPSTREAM_PROXY: self._upstream_proxy,
+            Kind.UPSTREAM_FAULT: self._upstream_fault,
+            Kind.UPSTREAM_KILL: self._upstream_kill,
+            Kind.UPSTREAM_DRAIN: self._upstream_drain,
+            Kind.UPSTREAM_FREEZE: self._upstream_freeze,
+            Kind.GATEWAY_KILL: self._gateway_kill,
+            Kind.GATEWAY_STOP: self._gateway_stop,
+            Kind.GATEWAY_FREEZE: self._gateway_freeze,
+            Kind.GATEWAY_HANGUP: self._gateway_hangup,
+            Kind.KILL_ALL: self._kill_all,
+            Kind.CONFIGURE: self._configure,
+            Kind.EVACUATE: self._evacuate,
+            Kind.HISTORY: self._history,
+        }
+        began_s = time.monotonic()
+        await actions[step.kind](step)
+        planned = (Kind.GATEWAY_STOP, Kind.CONFIGURE, Kind.GATEWAY_HANGUP)
+        if step.kind not in planned:
+            self._disturbed.append(
+                Span(str(step.kind), began_s, time.monotonic())
+            )
+
+    def _upstream(self, step: Step) -> str:
+        return f"u{step.target % len(self._world.upstreams)}"
+
+    def _gateway(self, step: Step) -> str:
+        return f"g{step.target % len(self._world.gateways)}"
+
+    # Faults.
+
+    async def _store(self, step: Step) -> None:
+        faults: dict[str, object] = {"leases_pause": step.target % 2 == 0}
+        if step.how == "slow":
+            faults["delay_s"] = 0.3
+        elif step.how == "lost":
+            faults["lose_writes"] = 2
+        elif step.how == "late":
+            faults.update(lose_writes=2, late_s=0.8)
+        else:
+            faults["mode"] = step.how
+        await self._world.faults(self._world.store, "/faults", **faults)
+        await asyncio.sleep(step.for_s)
+        await self._world.faults(self._world.store, "/faults")
+
+    async def _store_proxy(self, step: Step) -> None:
+        proxy = self._world.store_proxies[self._gateway(step)]
+        await self._harm(proxy, step)
+
+    async def _upstream_proxy(self, step: Step) -> None:
+        await self._harm(self._world.proxies[self._upstream(step)], step)
+
+    async def _harm(self, proxy: HarmfulProxy, step: Step) -> None:
+        proxy.set_harm(Harm(step.how), delay_s=0.2)
+        await asyncio.sleep(step.for_s)
+        proxy.set_harm(Harm.NONE)
+        if step.how in ("silence", "one_way"):
+            # Bytes were swallowed: the connections cannot go on.
+            proxy.reset_all()
+
+    async def _upstream_fault(self, step: Step) -> None:
+        address = self._world.upstreams[self._upstream(step)]
+        faults: dict[str, object] = {"every": 4, "how": step.how}
+        if step.how == "slow":
+            faults = {"slower": 8.0}
+        await self._world.faults(address, "/emulator/faults", **faults)
+        await asyncio.sleep(step.for_s)
+        await self._world.faults(address, "/emulator/faults")
+
+    async def _hold(self, name: str) -> bool:
+        """Claims a process, so that two faults do not start it twice."""
+        if name in self._held:
+            return False
+        self._held.add(name)
+        return True
+
+    async def _upstream_kill(self, step: Step) -> None:
+        name = self._upstream(step)
+        if not await self._hold(name):
+            return
+        await self._world.collect(name)
+        proc = self._world.procs[name]
+        proc.signal(signal.SIGKILL)
+        await proc.wait()
+        await asyncio.sleep(step.for_s)
+        await self._start_upstream(name)
+
+    async def _start_upstream(self, name: str) -> None:
+        await self._world.start_upstream(name)
+        started_s = time.monotonic()
+        self._cold.append(Span(name, started_s, started_s + 1.0))
+        self._held.discard(name)
+
+    async def _upstream_drain(self, step: Step) -> None:
+        name = self._upstream(step)
+        if not await self._hold(name):
+            return
+        proc = self._world.procs[name]
+        proc.signal(signal.SIGTERM)
+        told_s = time.monotonic()
+        await asyncio.sleep(DRAINED_S - 1.0)
+        await self._world.collect(name)
+        await proc.wait()
+        self._rest.append(Span(name, told_s + DRAIN_S, time.monotonic()))
+        await self._start_upstream(name)
+
+    async def _upstream_freeze(self, step: Step) -> None:
+        await self._freeze(self._upstream(step), step)
+
+    async def _gateway_freeze(self, step: Step) -> None:
+        await self._freeze(self._gateway(step), step)
+
+    async def _freeze(self, name: str, step: Step) -> None:
+        if not await self._hold(name):
+            return
+        proc = self._world.procs[name]
+        proc.signal(signal.SIGSTOP)
+        await asyncio.sleep(step.for_s)
+        proc.signal(signal.SIGCONT)
+        self._held.discard(name)
+
+    async def _gateway_kill(self, step: Step) -> None:
+        await self._kill_gateway(self._gateway(step))
+
+    async def _kill_gateway(self, name: str) -> None:
+        if not await self._hold(name):
+            return
+        proc = self._world.procs[name]
+        proc.signal(signal.SIGKILL)
+        await proc.wait()
+        await asyncio.sleep(BACK_S)
+        await self._world.start_gateway(name)
+        self._held.discard(name)
+
+    async def _gateway_stop(self, step: Step) -> None:
+        name = self._gateway(step)
+        if not await self._hold(name):
+            return
+        proc = self._world.procs[name]
+        told_s = time.monotonic()
+        proc.signal(signal.SIGTERM)
+        try:
+            code = await asyncio.wait_for(proc.wait(), STOP_LIMIT_S)
+            if code:
+                self._faults.append(Fault("stops end with 0", f"{name} {code}"))
+        except TimeoutError:
+            self._faults.append(Fault("stops end in time", name))
+            proc.signal(signal.SIGKILL)
+            await proc.wait()
+        self._stops.append(Span(name, told_s, time.monotonic()))
+        await self._world.start_gateway(name)
+        self._held.discard(name)
+
+    async def _gateway_hangup(self, step: Step) -> None:
+        name = self._gateway(step)
+        if name not in self._held:
+            self._world.procs[name].signal(signal.SIGHUP)
+
+    async def _kill_all(self, step: Step) -> None:
+        names = list(self._world.gateways)
+        await asyncio.gather(*(self._kill_gateway(name) for name in names))
+
+    async def _configure(self, step: Step) -> None:
+        prefix = f"/added{len(self._prefixes)}/"
+        self._prefixes.append(prefix)
+        wanted = list(self._prefixes)
+        await self._world.configure(wanted)
+        known_s = time.monotonic() + CONFIGURE_S
+        self._routes.append(Span(prefix, known_s, self._end_s))
+
+    async def _evacuate(self, step: Step) -> None:
+        zone = self._world.zone_of(self._upstream(step))
+        if not await self._hold(zone):
+            return
+        await self._world.operate(puts={f"op/evacuate/{zone}": "{}"})
+        told_s = time.monotonic()
+        await asyncio.sleep(EVACUATE_S + step.for_s)
+        for name in self._world.upstreams:
+            if self._world.zone_of(name) == zone:
+                self._rest.append(
+                    Span(name, told_s + EVACUATE_S, time.monotonic())
+                )
+        await self._world.operate(remove=[f"op/evacuate/{zone}"])
+        self._held.discard(zone)
+
+    async def _history(self, step: Step) -> None:
+        await self._world.forget_history()
+
+    # Checks.
+
+    def _disturbed_at(self, at_s: float) -> bool:
+        for span in self._disturbed:
+            if span.from_s - TOUCH_S < at_s < span.to_s + TOUCH_S:
+                return True
+        return False
+
+    def _check(self) -> None:
+        sent = [sent for caller in self._callers for sent in caller.sent]
+        gateway_of: dict[str, str] = {}
+        for caller in self._callers:
+            gateway_of.update(caller.gateway_of)
+        ran = list(self._world.ran.values())
+        self._faults += checks.check_answers(sent)
+        self._faults += checks.check_once(sent, ran)
+        self._faults += checks.check_refusals(sent, ran)
+        self._faults += checks.check_cold(ran, self._cold)
+        self._faults += checks.check_silent(
+            [run for run in ran if not self._excused(run)], self._rest
+        )
+        for span in self._stops:
+            if self._disturbed_at(span.from_s) or self._disturbed_at(span.to_s):
+                continue
+            own = [
+                each for each in sent if gateway_of[each.request] == span.name
+            ]
+            self._faults += checks.check_stops(
+                self._certainly_read(own, ran), [span]
+            )
+        calm = [each for each in sent if not self._disturbed_at(each.sent_s)]
+        self._faults += checks.check_configuration(calm, self._routes)
+        last = Span("the end", self._end_s - 3.0, self._end_s - 0.5)
+        self._faults += checks.check_recovery(
+            sent, [last], least_share=LEAST_SERVED
+        )
+
+    def _excused(self, run: checks.Ran) -> bool:
+        """Bounds in time hold only where nothing else disturbs."""
+        for span in self._disturbed:
+            if span.name in (Kind.UPSTREAM_DRAIN, Kind.EVACUATE):
+                continue
+            if span.from_s - TOUCH_S < run.at_s < span.to_s + TOUCH_S:
+                return True
+        return False
+
+    @staticmethod
+    def _certainly_read(
+        sent: list[checks.Sent], ran: list[checks.Ran]
+    ) -> list[checks.Sent]:
+        """Keeps requests that an upstream ran: those were read."""
+        ran_ids = {run.request for run in ran}
+        return [each for each in sent if each.request in ran_ids]
+
+    def _report(self) -> Report:
+        sent = 0
+        served = 0
+        for caller in self._callers:
+            sent += len(caller.sent)
+            served += sum(1 for each in caller.sent if each.status == 200)
+        return Report(
+            seed=self._seed,
+            sent=sent,
+            served=served,
+            steps=self._steps,
+            faults=self._faults,
+        )
