Learn from other entries when starting during an outage; begin failed upkeep anew

Cause: a process that was killed while the store was away came back knowing nothing, though its peers knew all; it now asks the seeds of its settings. Upkeep that fails inside is logged and begun anew, where it ended the process: one unforeseen message could have ended every process at once.

--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -1,7 +1,7 @@
 """almondstair-gateway: the daemon of an entry VM on the users' platform."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
 import gc
 import os
 import signal
@@ -48,6 +48,8 @@
 NEVER_S = 1e9
 # How often waiting log lines are tried again.
 LOG_INTERVAL_S = 0.5
+# Pause before upkeep that failed begins anew.
+UPKEEP_PAUSE_S = 0.5
 # How often a leaving process looks whether it is done.
 STOP_POLL_S = 0.05
 # Callers keep a look-up for its time, some three times as long.
@@ -74,6 +76,9 @@
             pool=self._pool,
             own_name=settings.entry_name,
             own_zone=settings.availability_zone,
+            seeds=[
+                seed for seed in settings.seeds if seed != settings.listen.peers
+            ],
         )
         self._measures = Measures()
         self._forwarder = Forwarder(
@@ -115,7 +120,7 @@
         self._pages = Pages(source=self)
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: dict[str, asyncio.Task[None]] = {}
         self._leaving = False
 
     # Pages.
@@ -192,6 +197,8 @@
         self._pages.serve_ready(listen.ready)
         peers = f"{self._settings.ip}:{self._settings.peer_ports[0]}"
         self._pages.serve_peers(peers)
+        if listen.peers:
+            self._pages.serve_peers(listen.peers)
         port = os.environ.get(OPERATOR_PORT_VARIABLE, OPERATOR_PORT)
         self._pages.serve_operators(f"{self._settings.ip}:{port}")
         if listen.lookups:
@@ -205,21 +212,19 @@
             lambda: self._sharing,
             local_addr=(self._settings.ip, self._settings.peer_ports[0]),
         )
-        self._spawn(_tend_log())
-        self._spawn(self._sharing.run())
-        self._spawn(self._follower.run())
-        self._spawn(self._follower.expire())
-        self._spawn(self._registration.run())
+        self._spawn("log", _tend_log)
+        self._spawn("loads", self._sharing.run)
+        self._spawn("store", self._follower.run)
+        self._spawn("lapses", self._follower.expire)
+        self._spawn("registration", self._registration.run)
         log.event(
             log.Event.GATEWAY_STARTED,
             entry=self._settings.entry_name,
             availability_zone=self._settings.availability_zone,
         )
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.ensure_future(work)
-        task.add_done_callback(_raise_failure)
-        self._tasks.append(task)
+    def _spawn(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
+        self._tasks[name] = asyncio.ensure_future(_keep_going(name, work))
 
     def _accept(self) -> CallerConnection:
         connection = CallerConnection(
@@ -246,7 +251,7 @@
         )
         for connection in list(self._connections):
             connection.leave()
-        self._tasks.pop().cancel()
+        self._tasks["registration"].cancel()
         await self._registration.end()
         await self._serve_out(began_s)
         await self._close()
@@ -281,7 +286,7 @@
     async def _close(self) -> None:
         self._stop_listening()
         self._pages.stop()
-        for task in self._tasks:
+        for task in self._tasks.values():
             task.cancel()
         self._pool.close()
         self._client.close()
@@ -310,16 +315,21 @@
     }
 
 
-def _raise_failure(task: asyncio.Task[None]) -> None:
-    """Ends the process when work that must go on has failed inside.
+async def _keep_going(name: str, work: Callable[[], Awaitable[None]]) -> None:
+    """Does upkeep that must not end, and begins it anew when it fails.
 
-    What goes wrong without: the entry serves on from a picture that nobody
-    keeps up to date, and nothing shows it. A new process starts clean.
+    What goes wrong without: one message that nobody foresaw ends the upkeep,
+    and the entry serves on from a picture that grows old; or it ends the
+    process, at the same moment on every VM.
     """
-    if task.cancelled() or task.exception() is None:
-        return
-    log.event(log.Event.FATAL, error=task.exception(), detail="upkeep failed")
-    os._exit(1)
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            log.event(
+                log.Event.ROUND_FAILED, error=error, detail=f"upkeep: {name}"
+            )
+        await asyncio.sleep(UPKEEP_PAUSE_S)
 
 
 async def _tend_log() -> None:
--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -1,6 +1,7 @@
 """Keeps the fleet's picture in step with the platform's store."""
 
 import asyncio
+from collections.abc import Sequence
 import random
 
 from almondstair import log
@@ -59,6 +60,7 @@
         pool: UpstreamPool,
         own_name: str,
         own_zone: str,
+        seeds: Sequence[str],
     ) -> None:
         """Makes a follower that writes to `fleet`.
 
@@ -68,6 +70,7 @@
           pool: connections to upstreams; those of gone ones are closed.
           own_name: name of this entry.
           own_zone: its availability zone.
+          seeds: addresses of entries to ask while none is known.
         """
         self._store = StoreSource(client=client)
         self._fleet = fleet
@@ -75,6 +78,7 @@
         self._own_name = own_name
         self._own_zone = own_zone
         self._mirror = Mirror()
+        self._seeds = [PeerSource(address=seed) for seed in seeds]
         self._peers: dict[str, PeerSource] = {}
         self._down = False
         self.heard_at_s = 0.0
@@ -135,6 +139,9 @@
         seconds while it serves the operator, and those run an old
         configuration and send to upstreams that have left.
         """
+        if not self._fleet.entries:
+            # Just started: where the store is away, others still know.
+            return [self._store, *self._seeds]
         readers = self._readers(self._own_zone)
         own = [entry for entry in readers if entry.name != self._own_name]
         peers: list[Source] = [self._peer(entry) for entry in own]
--- a/almondstair/platform/boot.py
+++ b/almondstair/platform/boot.py
@@ -16,6 +16,7 @@
     callers: str
     ready: str
     lookups: str
+    peers: str
 
 
 class StoreSettings(NamedTuple):
@@ -68,6 +69,7 @@
       ip: its address.
       listen: what it listens on.
       peer_ports: first and last port for traffic between entries.
+      seeds: addresses at which some entries serve others; perhaps stale.
       zones: region of each availability zone.
       store: the platform's store.
       bounds: what the operators bind the system to.
@@ -79,6 +81,7 @@
     ip: str
     listen: Listen
     peer_ports: tuple[int, int]
+    seeds: tuple[str, ...]
     zones: dict[str, str]
     store: StoreSettings
     bounds: Bounds
@@ -147,6 +150,17 @@
             raise self._bad(key, "a list of two ports")
         return first, last
 
+    def texts(self, key: str) -> tuple[str, ...]:
+        value = self._find(key)
+        if value is None:
+            return ()
+        if not isinstance(value, list):
+            raise self._bad(key, "a list of strings")
+        for item in value:
+            if not isinstance(item, str):
+                raise self._bad(key, "a list of strings")
+        return tuple(value)
+
     def strings(self, key: str) -> dict[str, str]:
         value = self._find(key)
         if not isinstance(value, dict):
@@ -162,6 +176,7 @@
         callers=reader.text("network.listen.front"),
         ready=reader.text("network.listen.ready"),
         lookups=reader.text("network.listen.directory", ""),
+        peers=reader.text("network.listen.control", ""),
     )
     store = StoreSettings(
         address=reader.text("platform.platform.address"),
@@ -186,6 +201,7 @@
         ip=reader.text("local.ip"),
         listen=listen,
         peer_ports=reader.ports("network.internalPorts"),
+        seeds=reader.texts("network.seeds"),
         zones=reader.strings("network.zones"),
         store=store,
         bounds=bounds,
--- a/emulator/documents.py
+++ b/emulator/documents.py
@@ -28,6 +28,7 @@
       addresses: `ip:port` of each of `PARTS`.
       store: `ip:port` of the store.
       zones: region of each availability zone.
+      seed: `ip:port` at which another gateway serves others, if any.
     """
 
     name: str
@@ -35,6 +36,7 @@
     addresses: dict[str, str]
     store: str
     zones: dict[str, str]
+    seed: str = ""
 
 
 def settings_text(place: GatewayPlace) -> str:
@@ -50,11 +52,12 @@
         "somethingNew = 1",
         "[network]",
         f"internalPorts = [{peers}, {peers}]",
-        f'seeds = ["{addresses["control"]}"]',
+        f'seeds = ["{place.seed or addresses["control"]}"]',
         "[network.listen]",
         f'front = "{addresses["callers"]}"',
         f'ready = "{addresses["ready"]}"',
         f'directory = "{addresses["lookups"]}"',
+        f'control = "{addresses["control"]}"',
         "[network.zones]",
     ]
     for zone, region in place.zones.items():
--- a/features/gateway_fleet.feature
+++ b/features/gateway_fleet.feature
@@ -47,6 +47,14 @@
     When the store is "silent" for 2 s and forgets the upstreams meanwhile
     Then every request meanwhile was answered 200
 
+  # Symptom: a gateway that starts while the store is away serves nobody until
+  # it is back. Sequence: a process is killed during an outage. Cause: only the
+  # store was asked.
+  Scenario: A gateway that starts during an outage learns from another
+    Given 2 gateways with 1 upstream that know each other
+    When the store is "reset" and the second gateway is started anew
+    Then the second gateway serves "/safe/x" within 3 s
+
   Scenario: A gateway without configuration is not ready and refuses for now
     Given a gateway before the first configuration
     Then it is not ready and answers 503 with a time to come back
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -197,6 +197,24 @@
     assert context.world.log_events("g1", 422)
 
 
+@when('the store is "{mode}" and the second gateway is started anew')
+def step_start_in_outage(context, mode):
+    world = context.world
+    world.store_faults(mode=mode, leases_pause=True)
+    context.processes.children["g2"].kill()
+    world.seed = world.gateways["g1"]["control"]
+    world.start_gateway("g2", ready=False)
+
+
+@then('the second gateway serves "{path}" within {limit_s:g} s')
+def step_second_serves(context, path, limit_s):
+    def check():
+        answer = context.world.send("GET", path, gateway="g2")
+        return answer.status == 200
+
+    harness.wait_until(check, limit_s=limit_s, what="g2 to serve")
+
+
 # Look-ups.
 
 
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -27,6 +27,7 @@
         self.upstreams: dict[str, str] = {}
         self.gateways: dict[str, dict[str, str]] = {}
         self.version = 0
+        self.seed = ""
         self.routes = [
             route("/safe/"),
             route("/unsafe/", kind="unsafe"),
@@ -165,6 +166,7 @@
                 addresses=self.gateways[name],
                 store=self.store,
                 zones=ZONES,
+                seed=self.seed,
             )
         )
 
