--- /dev/null
+++ b/almondstair/gateway/tries.py
@@ -0,0 +1,270 @@
+"""Tries at upstreams: connecting, sending, judging, and learning from it."""
+
+import asyncio
+from collections.abc import Collection
+
+from almondstair import log
+from almondstair.clock import now_s
+from almondstair.core.choosing import Choice
+from almondstair.core.cold_starts import ColdStarts
+from almondstair.core.fleet import Fleet
+from almondstair.core.run_times import RunTimes
+from almondstair.gateway.calls import Call
+from almondstair.gateway.calls import Try
+from almondstair.gateway.calls import Verdict
+from almondstair.gateway.calls import reply_head
+from almondstair.gateway.calls import request_head
+from almondstair.gateway.http_wire import Headers
+from almondstair.gateway.http_wire import ReplyHead
+from almondstair.gateway.http_wire import find
+from almondstair.gateway.incoming import IncomingRequest
+from almondstair.gateway.measures import Measures
+from almondstair.gateway.upstream_connection import Exchange
+from almondstair.gateway.upstream_connection import ExchangeEnd
+from almondstair.gateway.upstream_connection import ReplySink
+from almondstair.gateway.upstream_connection import UpstreamConnection
+from almondstair.gateway.upstream_pool import UpstreamPool
+from almondstair.platform import headers as names
+
+# Longest time for a new connection. A round trip between the farthest regions
+# is 0.11 s; an upstream that needs longer than twice that is not there.
+CONNECT_TIMEOUT_S = 0.3
+# Round trip to another region before the first connection to it.
+FIRST_ROUND_TRIP_S = 0.05
+# Weight of the newest connection in the mean round trip to a region.
+ROUND_TRIP_WEIGHT = 0.2
+# Statuses that promise that a request has not run. Only an upstream's certain
+# word makes them true; without it they are answered as an unknown outcome.
+_PROMISES = frozenset((408, 421, 429, 503))
+_MISDIRECTED = 421
+_SUCCESS = range(200, 300)
+_SERVER_ERROR = 500
+
+
+class Tries:
+    """Sends calls to upstreams.
+
+    Attributes:
+      run_times: how long requests run, learned from answers.
+      round_trips_s: round trip to each region, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        pool: UpstreamPool,
+        cold_starts: ColdStarts,
+        measures: Measures,
+        own_region: str,
+        regions: Collection[str],
+    ) -> None:
+        """Makes the sender of one entry.
+
+        Args:
+          fleet: what is known of the deployment.
+          pool: connections to upstreams.
+          cold_starts: counts requests to cold upstreams.
+          measures: counters and histograms.
+          own_region: region of this entry.
+          regions: every region.
+        """
+        self._fleet = fleet
+        self._pool = pool
+        self._cold_starts = cold_starts
+        self._measures = measures
+        self.run_times = RunTimes()
+        self.round_trips_s: dict[str, float] = {}
+        for region in regions:
+            if region != own_region:
+                self.round_trips_s[region] = FIRST_ROUND_TRIP_S
+
+    async def send(self, call: Call, choice: Choice) -> Try:
+        """Sends a call to the chosen upstream and judges what came back."""
+        upstream = choice.upstream
+        call.tried.append(upstream.record.upstream_id)
+        now = now_s()
+        if upstream.cold(now_s=now):
+            self._cold_starts.note_sent(
+                upstream_id=upstream.record.upstream_id, now_s=now
+            )
+        upstream.note_sent()
+        try:
+            connection = await self._connection(call, choice)
+            if connection is None:
+                # Nothing was sent, so the upstream did not have it.
+                call.tried.pop()
+                return Try(
+                    Verdict.NOT_RUN,
+                    Exchange(end=ExchangeEnd.NOT_SENT),
+                    "upstream unreachable",
+                )
+            call.attempts += 1
+            ran_before = call.may_have_run
+            call.may_have_run = True
+            exchange = await self._timed_exchange(call, choice, connection)
+        finally:
+            upstream.note_ended()
+        outcome = self._judge(call, choice, exchange)
+        if outcome.verdict is Verdict.NOT_RUN:
+            call.may_have_run = ran_before
+        return outcome
+
+    async def _connection(
+        self, call: Call, choice: Choice
+    ) -> UpstreamConnection | None:
+        record = choice.upstream.record
+        connection = self._pool.take_idle(
+            upstream_id=record.upstream_id,
+            repeatable=call.route.kind.idempotent,
+        )
+        if connection is not None:
+            return connection
+        began_s = now_s()
+        try:
+            connection = await self._pool.connect(
+                address=record.address, timeout_s=CONNECT_TIMEOUT_S
+            )
+            self._note_round_trip(choice.upstream.region, now_s() - began_s)
+            return connection
+        except (OSError, TimeoutError) as error:
+            choice.upstream.note_unreachable(now_s=now_s())
+            log.event(
+                log.Event.UPSTREAM_UNREACHABLE,
+                upstream=record.upstream_id,
+                address=record.address,
+                detail=str(error) or "no answer to a connection",
+            )
+            return None
+
+    async def _timed_exchange(
+        self, call: Call, choice: Choice, connection: UpstreamConnection
+    ) -> Exchange:
+        """Sends the request and learns from how long it took."""
+        began_s = now_s()
+        answered = False
+        try:
+            exchange = await self._exchange(call, choice, connection)
+            head = exchange.head
+            answered = head is not None and head.status in _SUCCESS
+            return exchange
+        except asyncio.CancelledError:
+            answered = True
+            raise
+        finally:
+            self._measures.run_s.labels(call.service).observe(now_s() - began_s)
+            if answered:
+                self._note_run(call, choice, now_s() - began_s)
+
+    def _note_run(self, call: Call, choice: Choice, took_s: float) -> None:
+        upstream = choice.upstream
+        now = now_s()
+        way_s = self.round_trips_s.get(upstream.region, 0.0)
+        wait_s = choice.expected_s - choice.run_s - way_s
+        run_s = max(0.001, took_s - way_s)
+        upstream.note_run(
+            run_s=run_s, expected_s=choice.run_s + wait_s, now_s=now
+        )
+        if call.route.by_key:
+            self.run_times.note_served(
+                service=call.service,
+                key=call.key,
+                upstream_id=upstream.record.upstream_id,
+                now_s=now,
+            )
+        if choice.waits:
+            # How much of it was the wait is a guess, and would spoil the mean.
+            return
+        self.run_times.note_run(
+            service=call.service,
+            route=call.route.name,
+            warm=choice.warm,
+            run_s=run_s,
+        )
+
+    def _note_round_trip(self, region: str, sample_s: float) -> None:
+        before_s = self.round_trips_s.get(region, sample_s)
+        self.round_trips_s[region] = before_s + ROUND_TRIP_WEIGHT * (
+            sample_s - before_s
+        )
+
+    async def _exchange(
+        self, call: Call, choice: Choice, connection: UpstreamConnection
+    ) -> Exchange:
+        request = call.request
+        upstream_id = choice.upstream.record.upstream_id
+        chunked = request.length is None and not request.body.replayable
+        exchange = await connection.exchange(
+            head=request_head(call, upstream_id=upstream_id, chunked=chunked),
+            body=request.body if request.length != 0 else None,
+            chunked=chunked,
+            request_id=call.request_id,
+            without_body=request.method == "HEAD",
+            sink=_Passing(request),
+        )
+        self._pool.give_back(connection, upstream_id=upstream_id)
+        return exchange
+
+    def _judge(self, call: Call, choice: Choice, exchange: Exchange) -> Try:
+        upstream = choice.upstream
+        head = exchange.head
+        if exchange.end is ExchangeEnd.NOT_SENT:
+            return Try(Verdict.NOT_RUN, exchange, "connection closed")
+        if exchange.end is not ExchangeEnd.WHOLE or head is None:
+            # Whether it is gone shows at the next connection; an upstream that
+            # merely loses answers goes on to be used, but less.
+            upstream.note_answer(good=False, now_s=now_s())
+            return Try(
+                Verdict.UNKNOWN, exchange, f"answer {exchange.end.value}"
+            )
+        self._note_load(upstream_headers=head.headers, choice=choice)
+        cause = _doubt(head)
+        if head.status == _MISDIRECTED:
+            self._misdirected(choice)
+            call.attempts -= 1
+            return Try(Verdict.NOT_RUN, exchange, "upstream replaced")
+        if find(head.headers, names.NOT_RUN) is not None:
+            upstream.note_answer(good=False, now_s=now_s())
+            return Try(Verdict.NOT_RUN, exchange, f"refused {head.status}")
+        if cause:
+            return Try(Verdict.UNKNOWN, exchange, cause)
+        upstream.note_answer(good=head.status < _SERVER_ERROR, now_s=now_s())
+        return Try(Verdict.ANSWERED, exchange)
+
+    def _note_load(self, *, upstream_headers: Headers, choice: Choice) -> None:
+        value = find(upstream_headers, names.LOAD)
+        if value is None:
+            return
+        told = names.read_load(value)
+        if told is not None:
+            choice.upstream.take_load(told, now_s=now_s())
+
+    def _misdirected(self, choice: Choice) -> None:
+        upstream_id = choice.upstream.record.upstream_id
+        self._fleet.misdirected(upstream_id, now_s=now_s())
+        self._pool.forget(upstream_id=upstream_id)
+        log.event(log.Event.UPSTREAM_GONE, upstream=upstream_id)
+
+
+def _doubt(head: ReplyHead) -> str:
+    """Returns why an answer must not reach the caller, empty if it may."""
+    if head.status in _PROMISES:
+        # The upstream does not say that it did not run the request, and the
+        # caller would take the status for just that.
+        return f"status {head.status}"
+    if head.status in _SUCCESS and find(head.headers, names.SEAL) is None:
+        return "answer without signature"
+    return ""
+
+
+class _Passing(ReplySink):
+    """Passes a long answer on, without the headers of one hop."""
+
+    def __init__(self, request: IncomingRequest) -> None:
+        self._request = request
+
+    def begin(self, head: ReplyHead) -> None:
+        self._request.begin(reply_head(head))
+
+    async def write(self, data: bytes) -> None:
+        await self._request.write(data)
