Refuse requests that crash upstreams after three; end heads that do not end

Cause: nothing kept a request from ending one upstream after the other. A lost answer makes the gateway look after its upstream 0.15 s later; if it is gone, what it lost is struck, told to the other entries with the loads, and refused after strikes at three upstreams without a whole answer between.

--- a/almondstair/gateway/caller_connection.py
+++ b/almondstair/gateway/caller_connection.py
@@ -78,6 +78,7 @@
         self._ended_reading = False
         self._paused = False
         self._timer: asyncio.TimerHandle | None = None
+        self._head_timer: asyncio.TimerHandle | None = None
         self._room: asyncio.Event = asyncio.Event()
         self._room.set()
         self._last_active_s = now_s()
@@ -102,8 +103,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The caller is gone: stops what nobody waits for."""
         self._connections.discard(self)
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._head_timer):
+            if timer is not None:
+                timer.cancel()
         self._room.set()
         if self._current is not None:
             self._current.body.abort()
@@ -177,6 +179,21 @@
         self._current = IncomingRequest(connection=self)
         self._url = b""
         self._head_bytes = 0
+        loop = asyncio.get_running_loop()
+        self._head_timer = loop.call_later(
+            self._limits.header_timeout_s, self._head_is_late
+        )
+
+    def _head_is_late(self) -> None:
+        """Closes a connection whose head does not come to an end.
+
+        What goes wrong without: callers that stop in the middle hold
+        connections for good, until there are no descriptors left.
+        """
+        self._ended_reading = True
+        self._current = None
+        if not self._waiting:
+            self._close_now()
 
     def on_url(self, url: bytes) -> None:
         """Takes a piece of the target."""
@@ -203,6 +220,8 @@
 
     def on_headers_complete(self) -> None:
         """Checks the head and starts the request."""
+        if self._head_timer is not None:
+            self._head_timer.cancel()
         request = self._current
         if request is None:
             return
--- a/almondstair/gateway/calls.py
+++ b/almondstair/gateway/calls.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from almondstair.clock import now_s
+from almondstair.core.crash_suspects import fingerprint
 from almondstair.core.routing import Route
 from almondstair.gateway.http_wire import Headers
 from almondstair.gateway.http_wire import ReplyHead
@@ -78,6 +79,7 @@
         self.tried: list[str] = []
         self.attempts = 0
         self.may_have_run = False
+        self._fingerprint: int | None = None
 
     @property
     def key(self) -> str:
@@ -96,6 +98,17 @@
         """Returns the time left, in seconds."""
         return self.deadline_s - now_s()
 
+    def fingerprint(self) -> int:
+        """Returns what tells it from others whose caller sends it again."""
+        if self._fingerprint is None:
+            body = self.request.body
+            self._fingerprint = fingerprint(
+                method=self.request.method,
+                target=self.request.target,
+                body=body.digest().encode(),
+            )
+        return self._fingerprint
+
     def age_ms(self) -> int:
         """Returns how long ago it arrived, in milliseconds."""
         return round((now_s() - self.request.arrived_s) * 1000)
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -13,6 +13,7 @@
 from almondstair import log
 from almondstair.clock import now_s
 from almondstair.core.cold_starts import ColdStarts
+from almondstair.core.crash_suspects import CrashSuspects
 from almondstair.core.fleet import Fleet
 from almondstair.core.second_tries import SecondTries
 from almondstair.core.upstream_state import UpstreamState
@@ -81,6 +82,7 @@
             ],
         )
         self._measures = Measures()
+        self._suspects = CrashSuspects()
         self._forwarder = Forwarder(
             fleet=self._fleet,
             pool=self._pool,
@@ -94,6 +96,7 @@
                 over=bounds.cold_over,
                 slack=bounds.cold_slack,
             ),
+            suspects=self._suspects,
             measures=self._measures,
             own_region=settings.region,
             regions=set(settings.zones.values()),
@@ -101,6 +104,7 @@
         self._sharing = LoadSharing(
             fleet=self._fleet,
             pool=self._pool,
+            suspects=self._suspects,
             own_name=settings.entry_name,
             own_zone=settings.availability_zone,
         )
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -9,6 +9,7 @@
 from almondstair.core.choosing import Wanted
 from almondstair.core.choosing import choose
 from almondstair.core.cold_starts import ColdStarts
+from almondstair.core.crash_suspects import CrashSuspects
 from almondstair.core.fleet import Fleet
 from almondstair.core.routing import CallerLimits
 from almondstair.core.routing import WeightedTurns
@@ -55,6 +56,7 @@
         pool: UpstreamPool,
         second_tries: SecondTries,
         cold_starts: ColdStarts,
+        suspects: CrashSuspects,
         measures: Measures,
         own_region: str,
         regions: Collection[str],
@@ -66,6 +68,7 @@
           pool: connections to upstreams.
           second_tries: budget for trying again.
           cold_starts: bound on requests to cold upstreams.
+          suspects: requests that may crash upstreams.
           measures: counters and histograms.
           own_region: region of this entry.
           regions: every region.
@@ -73,6 +76,7 @@
         self._fleet = fleet
         self._second_tries = second_tries
         self._cold_starts = cold_starts
+        self._suspects = suspects
         self._measures = measures
         self._turns = WeightedTurns()
         self._records = CallRecords(fleet=fleet, measures=measures)
@@ -80,6 +84,7 @@
             fleet=fleet,
             pool=pool,
             cold_starts=cold_starts,
+            suspects=suspects,
             measures=measures,
             own_region=own_region,
             regions=regions,
@@ -162,6 +167,8 @@
         self._second_tries.note_request(service=call.service, now_s=now_s())
         cause = ""
         while True:
+            if self._suspects.refused(call.fingerprint(), now_s=now_s()):
+                raise self._quarantined(call)
             choice = self._choose(call)
             if choice is None:
                 raise self._no_room(call, cause)
@@ -229,6 +236,14 @@
             return call.route.kind.idempotent
         return True
 
+    @staticmethod
+    def _quarantined(call: Call) -> AlmondstairError:
+        if call.may_have_run:
+            return AlmondstairError(
+                kind=ErrorKind.UPSTREAM_LOST, detail="it ended upstreams"
+            )
+        return AlmondstairError(kind=ErrorKind.QUARANTINED)
+
     def _no_room(self, call: Call, cause: str) -> AlmondstairError:
         if call.may_have_run:
             return self._spent(call, cause)
--- a/almondstair/gateway/load_sharing.py
+++ b/almondstair/gateway/load_sharing.py
@@ -19,6 +19,8 @@
 from almondstair import log
 from almondstair.clock import now_s
 from almondstair.core import zone_roles
+from almondstair.core.crash_suspects import CrashSuspects
+from almondstair.core.crash_suspects import Strike
 from almondstair.core.fleet import Entry
 from almondstair.core.fleet import Fleet
 from almondstair.gateway.upstream_pool import UpstreamPool
@@ -32,6 +34,8 @@
 HEARTBEAT_S = 0.4
 # An entry that was silent for this long is not counted on any more.
 SILENCE_S = 1.2
+# For how long a strike against a request is told on; a few messages are lost.
+STRIKES_TOLD_S = 2.0
 # Upstreams that one message can name; a datagram holds 64 KiB, one upstream
 # takes up to 9 bytes.
 MOST_UPSTREAMS = 7000
@@ -45,6 +49,7 @@
     entry: str
     loads: Loads
     replaced: list[int]
+    strikes: list[tuple[int, int]]
 
 
 class ZoneSum(msgspec.Struct, array_like=True, tag=1):
@@ -54,6 +59,7 @@
     zone: str
     loads: Loads
     replaced: list[int]
+    strikes: list[tuple[int, int]]
 
 
 class Total(msgspec.Struct, array_like=True, tag=2):
@@ -70,6 +76,7 @@
     complete: bool
     loads: Loads
     replaced: list[int]
+    strikes: list[tuple[int, int]]
 
 
 class Heard(NamedTuple):
@@ -79,6 +86,7 @@
     entry: str
     loads: Loads
     replaced: list[int]
+    strikes: list[tuple[int, int]]
 
 
 _DECODER = msgspec.msgpack.Decoder(Own | ZoneSum | Total)
@@ -101,6 +109,7 @@
         *,
         fleet: Fleet,
         pool: UpstreamPool,
+        suspects: CrashSuspects,
         own_name: str,
         own_zone: str,
     ) -> None:
@@ -109,11 +118,13 @@
         Args:
           fleet: whose upstreams the loads belong to.
           pool: connections to upstreams; those of replaced ones are closed.
+          suspects: requests that may crash upstreams.
           own_name: name of this entry.
           own_zone: its availability zone.
         """
         self._fleet = fleet
         self._pool = pool
+        self._suspects = suspects
         self._own_name = own_name
         self._own_zone = own_zone
         self._transport: asyncio.DatagramTransport | None = None
@@ -156,8 +167,11 @@
             entry=message.entry,
             loads=message.loads,
             replaced=message.replaced,
+            strikes=message.strikes,
         )
         self._drop_replaced(message.replaced)
+        for strike in message.strikes:
+            self._suspects.strike(Strike(*strike), now_s=now)
         if isinstance(message, Own):
             self._members[message.entry] = heard
         elif isinstance(message, ZoneSum):
@@ -223,11 +237,22 @@
     def _tell(self, reporter: Entry, now: float) -> None:
         loads = self._own_loads()
         replaced = self._fleet.replaced(now_s=now)
-        if not replaced and self._unchanged(loads, now):
+        strikes = self._fresh_strikes(now)
+        urgent = replaced or strikes
+        if not urgent and self._unchanged(loads, now):
             return
-        message = Own(entry=self._own_name, loads=loads, replaced=replaced)
+        message = Own(
+            entry=self._own_name,
+            loads=loads,
+            replaced=replaced,
+            strikes=strikes,
+        )
         self._send(message, [reporter])
 
+    def _fresh_strikes(self, now: float) -> list[tuple[int, int]]:
+        fresh = self._suspects.fresh(now_s=now, for_s=STRIKES_TOLD_S)
+        return [(strike.fingerprint, strike.upstream) for strike in fresh]
+
     def _unchanged(self, loads: Loads, now: float) -> bool:
         if loads == self._sent and now - self._sent_at_s < HEARTBEAT_S:
             return True
@@ -253,6 +278,8 @@
         all_replaced = set(zone_replaced)
         for heard in self._zones.values():
             all_replaced.update(heard.replaced)
+        # Others' strikes are among these: they were struck here as well.
+        strikes = self._fresh_strikes(now)
         self._sent = own
         self._apply(total)
         complete = self._zones_heard()
@@ -264,6 +291,7 @@
                 zone=self._own_zone,
                 loads=_cut(zone_sum),
                 replaced=list(zone_replaced),
+                strikes=strikes,
             ),
             self._other_reporters(),
         )
@@ -272,6 +300,7 @@
             complete=complete,
             loads=_cut(total),
             replaced=list(all_replaced),
+            strikes=strikes,
         )
         self._send(message, self._zone_members())
 
--- a/almondstair/gateway/tries.py
+++ b/almondstair/gateway/tries.py
@@ -7,7 +7,10 @@
 from almondstair.clock import now_s
 from almondstair.core.choosing import Choice
 from almondstair.core.cold_starts import ColdStarts
+from almondstair.core.crash_suspects import CrashSuspects
+from almondstair.core.crash_suspects import Strike
 from almondstair.core.fleet import Fleet
+from almondstair.core.fleet import upstream_hash
 from almondstair.core.run_times import RunTimes
 from almondstair.gateway.calls import Call
 from almondstair.gateway.calls import Try
@@ -29,6 +32,9 @@
 # Longest time for a new connection. A round trip between the farthest regions
 # is 0.11 s; an upstream that needs longer than twice that is not there.
 CONNECT_TIMEOUT_S = 0.3
+# How long after a lost answer its upstream is looked after; one that crashes
+# may still accept a connection in the first moment.
+LOOK_AFTER_S = 0.15
 # Round trip to another region before the first connection to it.
 FIRST_ROUND_TRIP_S = 0.05
 # Weight of the newest connection in the mean round trip to a region.
@@ -55,6 +61,7 @@
         fleet: Fleet,
         pool: UpstreamPool,
         cold_starts: ColdStarts,
+        suspects: CrashSuspects,
         measures: Measures,
         own_region: str,
         regions: Collection[str],
@@ -65,6 +72,7 @@
           fleet: what is known of the deployment.
           pool: connections to upstreams.
           cold_starts: counts requests to cold upstreams.
+          suspects: requests that may crash upstreams.
           measures: counters and histograms.
           own_region: region of this entry.
           regions: every region.
@@ -72,7 +80,9 @@
         self._fleet = fleet
         self._pool = pool
         self._cold_starts = cold_starts
+        self._suspects = suspects
         self._measures = measures
+        self._looking: dict[str, asyncio.Task[None]] = {}
         self.run_times = RunTimes()
         self.round_trips_s: dict[str, float] = {}
         for region in regions:
@@ -120,6 +130,11 @@
         )
         if connection is not None:
             return connection
+        return await self._open(choice)
+
+    async def _open(self, choice: Choice) -> UpstreamConnection | None:
+        """Opens a connection; None when the upstream cannot be reached."""
+        record = choice.upstream.record
         began_s = now_s()
         try:
             connection = await self._pool.connect(
@@ -128,7 +143,11 @@
             self._note_round_trip(choice.upstream.region, now_s() - began_s)
             return connection
         except (OSError, TimeoutError) as error:
-            choice.upstream.note_unreachable(now_s=now_s())
+            now = now_s()
+            choice.upstream.note_unreachable(now_s=now)
+            self._suspects.note_gone(
+                upstream_hash(record.upstream_id), now_s=now
+            )
             log.event(
                 log.Event.UPSTREAM_UNREACHABLE,
                 upstream=record.upstream_id,
@@ -137,6 +156,26 @@
             )
             return None
 
+    def _look_after(self, choice: Choice) -> None:
+        """Finds out whether an upstream that lost an answer is gone.
+
+        What goes wrong without: nobody connects to it for a while, and what
+        ended it is sent to the next upstream meanwhile.
+        """
+        upstream_id = choice.upstream.record.upstream_id
+        if upstream_id in self._looking:
+            return
+        task = asyncio.ensure_future(self._look(choice))
+        self._looking[upstream_id] = task
+        task.add_done_callback(lambda _: self._looking.pop(upstream_id, None))
+
+    async def _look(self, choice: Choice) -> None:
+        await asyncio.sleep(LOOK_AFTER_S)
+        connection = await self._open(choice)
+        if connection is not None:
+            upstream_id = choice.upstream.record.upstream_id
+            self._pool.give_back(connection, upstream_id=upstream_id)
+
     async def _timed_exchange(
         self, call: Call, choice: Choice, connection: UpstreamConnection
     ) -> Exchange:
@@ -213,7 +252,14 @@
         if exchange.end is not ExchangeEnd.WHOLE or head is None:
             # Whether it is gone shows at the next connection; an upstream that
             # merely loses answers goes on to be used, but less.
-            upstream.note_answer(good=False, now_s=now_s())
+            now = now_s()
+            upstream.note_answer(good=False, now_s=now)
+            if exchange.end is ExchangeEnd.LOST:
+                name = upstream_hash(upstream.record.upstream_id)
+                self._suspects.note_lost(
+                    Strike(call.fingerprint(), name), now_s=now
+                )
+                self._look_after(choice)
             return Try(
                 Verdict.UNKNOWN, exchange, f"answer {exchange.end.value}"
             )
@@ -229,6 +275,7 @@
         if cause:
             return Try(Verdict.UNKNOWN, exchange, cause)
         upstream.note_answer(good=head.status < _SERVER_ERROR, now_s=now_s())
+        self._suspects.note_answered(call.fingerprint())
         return Try(Verdict.ANSWERED, exchange)
 
     def _note_load(self, *, upstream_headers: Headers, choice: Choice) -> None:
--- a/features/gateway_answers.feature
+++ b/features/gateway_answers.feature
@@ -68,3 +68,10 @@
       | Content-Length: 5\r\nTransfer-Encoding: chunked |
       | Content-Length: 5\r\nContent-Length: 6          |
       | Transfer-Encoding: gzip                         |
+
+  # Symptom: a gateway runs out of descriptors. Sequence: callers stop in the
+  # middle of a head and keep their connections. Cause: nothing ended the wait.
+  Scenario: A head that does not end is waited for no longer than the limit
+    Given a gateway with 1 upstream
+    When half of a head is sent
+    Then the connection is closed within 4.5 s
--- a/features/gateway_once.feature
+++ b/features/gateway_once.feature
@@ -61,3 +61,13 @@
     When 1 requests are sent to "/safe/x"
     Then every one is answered 504
     And the answer came after 2.0 s and before 2.4 s
+
+  # Symptom: upstreams end one after the other. Sequence: a request crashes the
+  # upstream that runs it; its caller sends it again, through any gateway.
+  # Cause: nobody remembered what had been running there.
+  Scenario: A request that crashes upstreams ends three at most
+    Given 2 gateways with 6 upstreams
+    And requests to "/unsafe/poison" end the upstreams that run them
+    When 10 requests to "/unsafe/poison" are sent through both, 0.4 s apart
+    Then at most 3 upstreams have ended
+    And "/safe/x" is answered 200 within 2.0 s
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -58,6 +58,36 @@
     step_cold_takes_place(context, cold_s)
 
 
+@given("{gateways:d} gateways with {upstreams:d} upstreams")
+def step_gateways_upstreams(context, gateways, upstreams):
+    _start(context, gateways=gateways, upstreams=upstreams, zones=("a1",) * 9)
+
+
+@given('requests to "{path}" end the upstreams that run them')
+def step_poison(context, path):
+    for name in context.world.upstreams:
+        context.world.upstream_faults(name, crash_path=path)
+
+
+@when(
+    '{count:d} requests to "{path}" are sent through both, {pause_s:g} s apart'
+)
+def step_poison_sent(context, count, path, pause_s):
+    for number in range(count):
+        gateway = ("g1", "g2")[number % 2]
+        context.world.send("POST", path, gateway=gateway, body=b"same")
+        time.sleep(pause_s)
+
+
+@then("at most {most:d} upstreams have ended")
+def step_ended(context, most):
+    ended = 0
+    for name in context.world.upstreams:
+        if not context.processes.children[name].is_running():
+            ended += 1
+    assert ended <= most, ended
+
+
 @given("2 gateways with 1 upstream that know each other")
 def step_joined(context):
     _start(context, gateways=2)
@@ -236,6 +266,20 @@
     assert context.received.count(b"HTTP/1.1") == 1, context.received
 
 
+@when("half of a head is sent")
+def step_half_head(context):
+    _, head = _head(context, "/safe/x")
+    context.connection = _open(context)
+    context.add_cleanup(context.connection.close)
+    context.connection.sendall(head[:40])
+
+
+@then("the connection is closed within {limit_s:g} s")
+def step_closed(context, limit_s):
+    context.connection.settimeout(limit_s)
+    assert context.connection.recv(1) == b""
+
+
 @then("no upstream ran it")
 def step_not_run(context):
     for run in context.world.all_runs():
