--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -125,7 +125,8 @@
             except AlmondstairError as error:
                 failure = failure or error
                 continue
-            if batch.age_s > STALE_S:
+            if batch.age_s > STALE_S and self._fleet.ready:
+                # One that knows nothing yet takes an old word too.
                 continue
             self._take(batch)
             return True
--- a/features/gateway_fleet.feature
+++ b/features/gateway_fleet.feature
@@ -55,6 +55,11 @@
     When the store is "reset" and the second gateway is started anew
     Then the second gateway serves "/safe/x" within 3 s
 
+  Scenario: A gateway that starts late in an outage takes others' old word
+    Given 2 gateways with 1 upstream that know each other
+    When the store is "reset" for 4 s and on, and the second gateway starts anew
+    Then the second gateway serves "/safe/x" within 3 s
+
   Scenario: A gateway without configuration is not ready and refuses for now
     Given a gateway before the first configuration
     Then it is not ready and answers 503 with a time to come back
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -206,6 +206,16 @@
     world.start_gateway("g2", ready=False)
 
 
+@when(
+    'the store is "{mode}" for {span_s:g} s and on, and the second gateway '
+    "starts anew"
+)
+def step_start_late_in_outage(context, mode, span_s):
+    context.world.store_faults(mode=mode, leases_pause=True)
+    time.sleep(span_s)
+    step_start_in_outage(context, mode)
+
+
 @then('the second gateway serves "{path}" within {limit_s:g} s')
 def step_second_serves(context, path, limit_s):
     def check():
