--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -22,9 +22,13 @@
 CUT_GRACE_S = 0.7
 # Beats carry the cold time as of their writing and arrive a little later.
 COLD_MARGIN_S = 0.3
-# How long after its registration every other entry knows of an entry: two polls
-# of a reader of the store and of an entry that follows it, and a margin.
-JOIN_S = 2.0
+# How long after its registration an entry is counted by every other one, or the
+# other one has stopped taking shares: a lease of 3 s, since one that is cut off
+# goes on with what it knew until its own has lapsed, and two polls.
+JOIN_S = 4.0
+# How old the picture of the other entries may be for shares to be taken; the
+# life of a lease.
+SHARING_AGE_S = 3.0
 # How long other entries are told of an upstream whose address has another
 # incarnation; its registration ends about as soon.
 REPLACED_MEMORY_S = 5.0
@@ -72,7 +76,7 @@
       entry_names: their names, this entry's with them.
       by_hash: registered upstreams by the hash that entries call them.
       peers_heard: whether every other entry tells its loads.
-      registered_until_s: until when this entry is surely registered.
+      as_of_s: as of when the picture is, on the entry's clock.
     """
 
     def __init__(
@@ -105,7 +109,8 @@
         self.entry_names: frozenset[str] = frozenset((own_name,))
         self.by_hash: dict[int, UpstreamState] = {}
         self.peers_heard = False
-        self.registered_until_s = -math.inf
+        self.as_of_s = -math.inf
+        self._registered_until_s = -math.inf
         self._joined_at_s = math.inf
         self._use: dict[str, tuple[float, float]] = {}
 
@@ -343,6 +348,20 @@
 
     # Entries.
 
+    def note_registered(
+        self, *, until_s: float, anew: bool, now_s: float
+    ) -> None:
+        """This entry's own registration was made or renewed.
+
+        Args:
+          until_s: until when it lasts for sure.
+          anew: whether it was made, so that others may not count it yet.
+          now_s: the entry's clock.
+        """
+        self._registered_until_s = until_s
+        if anew:
+            self._joined_at_s = now_s
+
     def joined(self, *, now_s: float) -> bool:
         """Whether every other entry counts this one among those that share.
 
@@ -350,15 +369,15 @@
         lapsed, takes a part of a bound that the others have dealt out among
         themselves, and the sum exceeds it.
         """
-        if now_s >= self.registered_until_s:
+        if now_s >= self._registered_until_s:
+            return False
+        if now_s - self.as_of_s >= SHARING_AGE_S:
             return False
         return now_s - self._joined_at_s >= JOIN_S
 
-    def take_entry(self, entry: Entry, *, now_s: float) -> bool:
+    def take_entry(self, entry: Entry) -> bool:
         """Takes the registration of an entry."""
         self._entry_lapse_s.pop(entry.name, None)
-        if entry.name == self._own_name and entry.name not in self.entries:
-            self._joined_at_s = now_s
         if self.entries.get(entry.name) == entry:
             return False
         self.entries[entry.name] = entry
--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -227,6 +227,7 @@
             )
         self.revision = batch.revision
         self.heard_at_s = now_s() - batch.age_s
+        self._fleet.as_of_s = self.heard_at_s
 
     def _drop_unlisted(self, keys: set[str]) -> None:
         now = now_s()
@@ -334,7 +335,7 @@
             region=record.region,
             availability_zone=record.availability_zone,
         )
-        if self._fleet.take_entry(entry, now_s=now_s()):
+        if self._fleet.take_entry(entry):
             self._mirror.put(item.key, item.value, item.revision)
             log.event(
                 log.Event.ENTRY_CHANGED,
--- a/almondstair/gateway/registering.py
+++ b/almondstair/gateway/registering.py
@@ -58,8 +58,10 @@
 
     async def _renew(self) -> None:
         began_s = now_s()
-        if not self._lease or not await self._client.keep_lease(self._lease):
+        anew = not self._lease or not await self._client.keep_lease(self._lease)
+        if anew:
             self._lease = 0
+            began_s = now_s()
             lease = await self._client.grant_lease(ttl_s=self._ttl_s)
             if not await self._client.put(
                 key=self._key, value=self._value, lease=lease
@@ -67,7 +69,9 @@
                 return
             self._lease = lease
         # The lease runs from the call's arrival, which was not before this.
-        self._fleet.registered_until_s = began_s + self._ttl_s
+        self._fleet.note_registered(
+            until_s=began_s + self._ttl_s, anew=anew, now_s=now_s()
+        )
 
     async def end(self) -> None:
         """Takes the registration away at a planned stop."""
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -16,7 +16,7 @@
 
 _RECEIVE_BYTES = 65536
 # Until each gateway counts the other among those that share a bound.
-_JOIN_S = 3.0
+_JOIN_S = 5.0
 
 
 def _start(context, *, upstreams=1, gateways=1, zones=("a1", "a1"), **plan):
