Count requests to a cold upstream over a second and the way; keep step names apart

Finding: beside load the scenario for cold upstreams counted 13 and 14 requests in a second (shares 10, bound 12.5). Cause: requests sent at the end of one second arrive, over new connections, with those of the next. The window is 1.25 s now. The step "N requests are sent to" took one of steering.feature's; renamed.

--- a/almondstair/core/cold_starts.py
+++ b/almondstair/core/cold_starts.py
@@ -6,7 +6,10 @@
 
 # Part of the operator's bound that is used; see `second_tries`.
 USED_SHARE = 0.8
-WINDOW_S = 1.0
+# The operators' second, and longer by the way to an upstream: requests of one
+# second arrive later than those of the next, by a new connection for instance,
+# and would meet them inside one second at the upstream.
+WINDOW_S = 1.25
 
 
 class ColdStarts:
--- a/features/gateway_answers.feature
+++ b/features/gateway_answers.feature
@@ -6,7 +6,7 @@
   Scenario: A second answer right behind the first adds nothing to it
     Given a gateway with 1 upstream
     And the upstream's fault "extra" strikes every 1 requests
-    When 6 requests are sent to "/safe/x"
+    When 6 requests go to "/safe/x"
     Then each answer is the whole one of its own request
 
   # Symptom: a caller gets the answer to somebody else's request. Sequence: an
@@ -16,7 +16,7 @@
   Scenario: A second answer that comes late goes to nobody
     Given a gateway with 1 upstream
     And the upstream's fault "late_extra" strikes every 2 requests
-    When 12 requests are sent to "/safe/x"
+    When 12 requests go to "/safe/x"
     Then each answer is the whole one of its own request
 
   # Symptom: a caller takes half an answer for the whole. Sequence: an upstream
@@ -25,7 +25,7 @@
   Scenario Outline: An answer that is cut is asked for again where it may be
     Given a gateway with 2 upstreams
     And the upstream's fault "<fault>" strikes every 1 requests
-    When 6 requests are sent to "/safe/x"
+    When 6 requests go to "/safe/x"
     Then each answer is the whole one of its own request
 
     Examples:
@@ -36,7 +36,7 @@
   Scenario: An answer without a length is whole when its connection ends in order
     Given a gateway with 1 upstream
     And the upstream's fault "unframed" strikes every 1 requests
-    When 3 requests are sent to "/safe/x"
+    When 3 requests go to "/safe/x"
     Then each answer is the whole one of its own request
 
   # Symptom: look-ups of one page are slow one after the other, or their answers
--- a/features/gateway_explaining.feature
+++ b/features/gateway_explaining.feature
@@ -4,7 +4,7 @@
   # reading; the pipe fills. Cause: a write to the log that waits.
   Scenario: A log that nobody reads slows nothing
     Given a gateway whose log goes to a pipe that nobody reads
-    When 3000 requests are sent to "/safe/x" in a hurry
+    When 3000 requests go to "/safe/x" in a hurry
     Then each was answered within 2 s
     When the pipe is read again
     Then the log tells how many lines were left out
@@ -23,7 +23,7 @@
   Scenario: A request that was slow past its aim
     Given a gateway with 1 upstream
     And the upstream is 25 times slower
-    When 1 requests are sent to "/safe/x"
+    When 1 requests go to "/safe/x"
     Then "why" tells of a 200 "was slow"
 
   Scenario: The status shows the age of what it shows
--- a/features/gateway_once.feature
+++ b/features/gateway_once.feature
@@ -29,7 +29,7 @@
   Scenario: An address that another service took over runs nothing of the old one
     Given a gateway with 1 upstream
     When the upstream is killed and its address goes to another service
-    And 5 requests are sent to "/safe/x"
+    And 5 requests go to "/safe/x"
     Then no upstream of the other service ran one
 
   Scenario: Without room a request is refused at once with a time to come back
@@ -58,7 +58,7 @@
   Scenario: A request is answered at its route's timeout
     Given a gateway with 1 upstream
     And the upstream is 100 times slower
-    When 1 requests are sent to "/safe/x"
+    When 1 requests go to "/safe/x"
     Then every one is answered 504
     And the answer came after 2.0 s and before 2.4 s
 
--- a/features/steps/gateway_explaining_steps.py
+++ b/features/steps/gateway_explaining_steps.py
@@ -70,7 +70,7 @@
     world.until_served()
 
 
-@when('{count:d} requests are sent to "{path}" in a hurry')
+@when('{count:d} requests go to "{path}" in a hurry')
 def step_hurry(context, count, path):
     connection = context.world.connect()
     context.slowest_s = 0.0
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -140,7 +140,7 @@
     return headers["X-Almondstair-Request-Id"], answer, took_s
 
 
-@when('{count:d} requests are sent to "{path}"')
+@when('{count:d} requests go to "{path}"')
 def step_send(context, count, path):
     context.answers = []
     for _ in range(count):
