Sort upstreams by service once for any number of changes

Taking 3,000 registrations and the first order: 27 ms now (timed by a loop over Fleet.take_upstream); before, 3,000 times a walk over 3,000.

--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -94,6 +94,7 @@
         self._zones = zones
         self._upstreams: dict[str, UpstreamState] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
+        self._takers_stale = False
         self._lapses_at_s: dict[str, float] = {}
         self._replaced_at_s: dict[int, float] = {}
         self._entry_lapse_s: dict[str, float] = {}
@@ -163,7 +164,7 @@
             cold_left_s=0
         )
         if changed:
-            self._rebuild()
+            self._takers_stale = True
         return changed or colder
 
     def _add_upstream(self, record: UpstreamRecord, now_s: float) -> None:
@@ -176,7 +177,7 @@
             state.cold_until_s = now_s + cold_s + COLD_MARGIN_S
         self._upstreams[record.upstream_id] = state
         self.by_hash[upstream_hash(record.upstream_id)] = state
-        self._rebuild()
+        self._takers_stale = True
 
     def _cold_s(self, service: str) -> float:
         if self.table is None:
@@ -242,7 +243,7 @@
         state = self._upstreams.pop(upstream_id, None)
         if state is not None:
             self.by_hash.pop(upstream_hash(upstream_id), None)
-            self._rebuild()
+            self._takers_stale = True
 
     def misdirected(self, upstream_id: str, *, now_s: float) -> None:
         """Another incarnation answers at an upstream's address."""
@@ -268,7 +269,14 @@
         self._remove(state.record.upstream_id)
         return state.record.upstream_id
 
-    def _rebuild(self) -> None:
+    def _refresh_takers(self) -> None:
+        """Sorts the upstreams by service, once for any number of changes.
+
+        A listing of thousands would else be sorted anew for each of them.
+        """
+        if not self._takers_stale:
+            return
+        self._takers_stale = False
         self._by_service = {}
         for state in self._upstreams.values():
             if state.record.draining:
@@ -295,10 +303,12 @@
 
     def takers(self, service: str) -> list[UpstreamState]:
         """Returns the upstreams of a service that may get new work."""
+        self._refresh_takers()
         return self._by_service.get(service, [])
 
     def order(self, *, service: str, key: str) -> list[UpstreamState]:
         """Returns the takers of a service in the order for a key."""
+        self._refresh_takers()
         return self._orders.order(
             service=service, key=key, upstreams=self.takers(service)
         )
@@ -330,7 +340,7 @@
         if zone in self.evacuated:
             return False
         self.evacuated.add(zone)
-        self._rebuild()
+        self._takers_stale = True
         return True
 
     def take_back(self, zone: str, *, now_s: float) -> bool:
@@ -343,7 +353,7 @@
                 continue
             cold_s = self._cold_s(state.record.service)
             state.cold_until_s = max(state.cold_until_s, now_s + cold_s)
-        self._rebuild()
+        self._takers_stale = True
         return True
 
     # Entries.
--- a/almondstair/gateway/upstream_connection.py
+++ b/almondstair/gateway/upstream_connection.py
@@ -27,6 +27,8 @@
 HOLD_BYTES = 256 * 1024
 # A head beyond this size is no answer.
 HEAD_LIMIT_BYTES = 64 * 1024
+# How often a full write buffer is looked at while a long body is sent.
+WRITE_POLL_S = 0.005
 # Idle time after which a connection is not used again where the other side
 # states none. Shorter than the usual 5 s of servers.
 IDLE_LIMIT_S = 4.0
@@ -399,7 +401,3 @@
         if self._pump is not None and not self._pump.done():
             self._pump.cancel()
         self._pump = None
-
-
-# How often a full write buffer is looked at while a long body is sent.
-WRITE_POLL_S = 0.005
