--- /dev/null
+++ b/features/gateway_core.feature
@@ -0,0 +1,66 @@
+Feature: The gateway's decisions keep their bounds
+
+  # Symptom: a split sends a part several percent off its weight. Sequence: some
+  # hundred requests of a route with two parts. Cause: parts drawn by chance.
+  Scenario: A split route deals its requests out by weight
+    When 300 requests are dealt out over parts of 70, 20 and 10
+    Then each part is within 1 request of its weight
+
+  Scenario: Finding a route costs the same among many
+    Then a match among 10000 routes takes at most 3 times that among 10
+
+  Scenario: The longest prefix wins, and no part of a segment
+    Given the routes "/a/", "/a/b/" and "/c/"
+    Then the longest one decides for "/a/b/x", "/a/bc" and "/d/x"
+
+  # Symptom: many requests change their region at once. Sequence: one upstream
+  # goes. Cause: keys dealt out by their number among the upstreams.
+  Scenario: Losing an upstream moves only its keys
+    Given 12 upstreams in 3 regions and 400 keys
+    When one upstream goes
+    Then every key that had another first upstream keeps it
+
+  Scenario: A region with few upstreams keeps what it can carry
+    Given regions with 50, 40 and 10 slots and even callers
+    Then the small region keeps between 0.3 and 0.5 of its keys
+    And the region with 50 slots keeps all of its keys
+
+  # Symptom: second tries of all entries exceed the operators' bound.
+  # Sequence: every entry uses its budget at once. Cause: budgets of their own.
+  Scenario Outline: Second tries of all entries keep under the bound
+    Then <entries> entries with 20 requests each take at most the bound of 56
+
+    Examples:
+      | entries |
+      | 1       |
+      | 8       |
+      | 81      |
+
+  Scenario Outline: Requests to a cold upstream from all entries keep under the bound
+    Then <entries> entries send at most 12 a second to a cold upstream
+
+    Examples:
+      | entries |
+      | 2       |
+      | 8       |
+      | 81      |
+
+  # Symptom: a version that was in force is replaced by an older one. Sequence:
+  # a peer or a late read serves it. Cause: the newest word was taken.
+  Scenario: An older configuration is never put in force
+    When versions 5, 3 and 8 arrive in this order
+    Then versions 5 and 8 were put in force, and 3 was not
+
+  # Symptom: requests wait behind each other while their object would have been
+  # known. Sequence: a service is full. Cause: new objects spread over it.
+  Scenario: In a crowd an object runs at its home or where it is known
+    Given a service whose upstreams have 90 of 100 slots in use
+    Then a new object is sent to its home only
+    And a known object is sent where it is known
+
+  Scenario: An upstream that fails or slows down is chosen less, and again later
+    Given two equal upstreams
+    When the first one's answers fail 5 times
+    Then requests go to the second one
+    When 30 s pass
+    Then requests go to the first one again
--- /dev/null
+++ b/features/steps/gateway_core_steps.py
@@ -0,0 +1,277 @@
+"""Steps for the decisions of the gateway, without sockets."""
+
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from almondstair.core import placement
+from almondstair.core.choosing import Wanted
+from almondstair.core.choosing import choose
+from almondstair.core.cold_starts import ColdStarts
+from almondstair.core.fleet import Fleet
+from almondstair.core.routing import CallerLimits
+from almondstair.core.routing import Destination
+from almondstair.core.routing import Route
+from almondstair.core.routing import RouteKind
+from almondstair.core.routing import RoutingConfiguration
+from almondstair.core.routing import RoutingTable
+from almondstair.core.routing import WeightedTurns
+from almondstair.core.run_times import Expected
+from almondstair.core.second_tries import SecondTries
+from almondstair.core.upstream_state import UpstreamRecord
+from almondstair.core.upstream_state import UpstreamState
+
+_LIMITS = CallerLimits(16384, 1 << 20, 3.0, 15.0)
+
+
+def _route(prefix, parts=(("s", 1),)):
+    return Route(
+        name=prefix,
+        hostname="h",
+        prefix=prefix,
+        kind=RouteKind.SAFE,
+        aim_s=0.4,
+        timeout_s=1.0,
+        attempts=2,
+        priority=1,
+        by_key=True,
+        destinations=tuple(Destination(*part) for part in parts),
+        allowed_regions=(),
+    )
+
+
+def _configuration(version, routes):
+    return RoutingConfiguration(version, _LIMITS, tuple(routes), {})
+
+
+def _upstream(name, region="r", slots=4):
+    record = UpstreamRecord(name, "s", "a:1", region, "v", slots, False, 0.0)
+    return UpstreamState(record=record, region=region)
+
+
+@when("{count:d} requests are dealt out over parts of 70, 20 and 10")
+def step_deal(context, count):
+    route = _route("/a/", (("x", 70), ("y", 20), ("z", 10)))
+    turns = WeightedTurns()
+    context.dealt = {"x": 0, "y": 0, "z": 0}
+    context.count = count
+    for _ in range(count):
+        context.dealt[turns.next_service(route=route)] += 1
+
+
+@then("each part is within 1 request of its weight")
+def step_dealt(context):
+    for name, weight in (("x", 70), ("y", 20), ("z", 10)):
+        wanted = context.count * weight / 100
+        assert abs(context.dealt[name] - wanted) <= 1, context.dealt
+
+
+def _match_s(count):
+    routes = [_route(f"/p{number}/") for number in range(count)]
+    table = RoutingTable(configuration=_configuration(1, routes))
+    best_s = 1.0
+    for _ in range(5):
+        began_s = time.perf_counter()
+        for number in range(2000):
+            table.match(host="h", path=f"/p{number % count}/x")
+        best_s = min(best_s, time.perf_counter() - began_s)
+    return best_s
+
+
+@then(
+    "a match among {many:d} routes takes at most {factor:d} times that "
+    "among {few:d}"
+)
+def step_flat(context, many, factor, few):
+    assert _match_s(many) < factor * _match_s(few)
+
+
+@given('the routes "{first}", "{second}" and "{third}"')
+def step_routes(context, first, second, third):
+    routes = [_route(first), _route(second), _route(third)]
+    context.table = RoutingTable(configuration=_configuration(1, routes))
+
+
+@then('the longest one decides for "/a/b/x", "/a/bc" and "/d/x"')
+def step_longest(context):
+    match = context.table.match
+    assert match(host="h:80", path="/a/b/x").prefix == "/a/b/"
+    assert match(host="H", path="/a/bc").prefix == "/a/"
+    assert match(host="h", path="/d/x") is None
+
+
+@given("{count:d} upstreams in 3 regions and {keys:d} keys")
+def step_upstreams(context, count, keys):
+    context.upstreams = []
+    for number in range(count):
+        context.upstreams.append(_upstream(f"u{number}", f"r{number % 3}"))
+    context.keys = [str(number) for number in range(keys)]
+    context.first = _firsts(context)
+
+
+def _firsts(context):
+    demand = {"r0": 1, "r1": 1, "r2": 1}
+    orders = placement.PlacementOrders(own_region="r0", demand=demand)
+    firsts = {}
+    for key in context.keys:
+        order = orders.order(service="s", key=key, upstreams=context.upstreams)
+        firsts[key] = order[0].record.upstream_id
+    return firsts
+
+
+@when("one upstream goes")
+def step_goes(context):
+    context.gone = context.upstreams.pop(3).record.upstream_id
+
+
+@then("every key that had another first upstream keeps it")
+def step_keep(context):
+    moved = 0
+    for key, first in _firsts(context).items():
+        if context.first[key] == context.gone:
+            moved += 1
+            continue
+        assert first == context.first[key], key
+    assert moved, "the upstream had no key"
+
+
+@given("regions with 50, 40 and 10 slots and even callers")
+def step_regions(context):
+    context.capacity = {"big": 50.0, "middle": 40.0, "small": 10.0}
+    context.demand = {"big": 1.0, "middle": 1.0, "small": 1.0}
+
+
+def _kept(context, region):
+    return placement.region_shares(
+        own_region=region, capacity=context.capacity, demand=context.demand
+    )[region]
+
+
+@then("the small region keeps between {low:g} and {high:g} of its keys")
+def step_small(context, low, high):
+    assert low <= _kept(context, "small") <= high, _kept(context, "small")
+
+
+@then("the region with 50 slots keeps all of its keys")
+def step_big(context):
+    assert _kept(context, "big") == 1.0
+
+
+@then(
+    "{entries:d} entries with {requests:d} requests each take at most the "
+    "bound of {slack:d}"
+)
+def step_tries(context, entries, requests, slack):
+    taken = 0
+    for _ in range(entries):
+        budget = SecondTries(ratio=0.2, slack=slack, window_s=10.0)
+        for _ in range(requests):
+            budget.note_request(service="s", now_s=1.0)
+        while budget.take(service="s", entries=entries, joined=True, now_s=2.0):
+            taken += 1
+    assert 0 < taken <= 0.2 * requests * entries + slack, taken
+
+
+@then("{entries:d} entries send at most {most:d} a second to a cold upstream")
+def step_cold_sum(context, entries, most):
+    names = frozenset(f"e{number}" for number in range(entries))
+    sent = 0
+    for name in names:
+        cold = ColdStarts(own_name=name, over=1.5, slack=5)
+        while cold.may_send(
+            upstream_id="u", rate_per_s=5.0, entry_names=names, now_s=1.0
+        ):
+            cold.note_sent(upstream_id="u", now_s=1.0)
+            sent += 1
+    assert 0 < sent <= most, sent
+
+
+@when("versions 5, 3 and 8 arrive in this order")
+def step_versions(context):
+    fleet = Fleet(own_name="e", own_region="r", zones={"z": "r"})
+    context.taken = []
+    for version in (5, 3, 8):
+        if fleet.take_configuration(_configuration(version, [])):
+            context.taken.append(version)
+
+
+@then("versions 5 and 8 were put in force, and 3 was not")
+def step_taken(context):
+    assert context.taken == [5, 8], context.taken
+
+
+def _choose(upstreams, *, use=0.0, known=(), now_s=100.0):
+    wanted = Wanted(
+        route=_route("/a/"),
+        service=None,
+        tried=(),
+        warm_places=frozenset(known),
+        expected=Expected(known_s=0.1, new_s=0.4),
+        service_s=0.2,
+        use=use,
+        aim_left_s=0.4,
+        left_s=1.0,
+        round_trips_s={},
+        entry_names=frozenset(("e",)),
+        joined=True,
+        peers_heard=True,
+        now_s=now_s,
+    )
+    cold = ColdStarts(own_name="e", over=1.5, slack=5)
+    found = choose(order=upstreams, wanted=wanted, cold_starts=cold)
+    return found.upstream.record.upstream_id if found else None
+
+
+@given("a service whose upstreams have 90 of 100 slots in use")
+def step_crowd(context):
+    context.upstreams = [_upstream(f"u{number}") for number in range(4)]
+    # Home and the place that knows the object have a queue; others are free.
+    for upstream in context.upstreams[:2]:
+        upstream.others = 4
+
+
+@then("a new object is sent to its home only")
+def step_home(context):
+    assert _choose(context.upstreams, use=0.9) == "u0"
+    assert _choose(context.upstreams, use=0.1) in ("u0", "u2")
+    for upstream in context.upstreams[:1]:
+        upstream.others = 40
+    assert _choose(context.upstreams, use=0.9) is None
+
+
+@then("a known object is sent where it is known")
+def step_known(context):
+    assert _choose(context.upstreams, use=0.9, known=("u1",)) == "u1"
+
+
+@given("two equal upstreams")
+def step_two(context):
+    context.upstreams = [_upstream("u0"), _upstream("u1")]
+    context.now_s = 100.0
+
+
+@when("the first one's answers fail {count:d} times")
+def step_fail(context, count):
+    for _ in range(count):
+        context.upstreams[0].note_answer(good=False, now_s=context.now_s)
+
+
+@then("requests go to the second one")
+def step_second(context):
+    known = ("u0", "u1")
+    found = _choose(context.upstreams, known=known, now_s=context.now_s)
+    assert found == "u1", found
+
+
+@when("{span_s:d} s pass")
+def step_pass(context, span_s):
+    context.now_s += span_s
+
+
+@then("requests go to the first one again")
+def step_first(context):
+    known = ("u0", "u1")
+    found = _choose(context.upstreams, known=known, now_s=context.now_s)
+    assert found == "u0", found
