--- a/features/steps/gateway_core_steps.py
+++ b/features/steps/gateway_core_steps.py
@@ -91,12 +91,12 @@
 @given('the routes "{first}", "{second}" and "{third}"')
 def step_routes(context, first, second, third):
     routes = [_route(first), _route(second), _route(third)]
-    context.table = RoutingTable(configuration=_configuration(1, routes))
+    context.routing = RoutingTable(configuration=_configuration(1, routes))
 
 
 @then('the longest one decides for "/a/b/x", "/a/bc" and "/d/x"')
 def step_longest(context):
-    match = context.table.match
+    match = context.routing.match
     assert match(host="h:80", path="/a/b/x").prefix == "/a/b/"
     assert match(host="H", path="/a/bc").prefix == "/a/"
     assert match(host="h", path="/d/x") is None
