--- a/features/gateway_core.feature
+++ b/features/gateway_core.feature
@@ -62,5 +62,5 @@
     Given two equal upstreams
     When the first one's answers fail 5 times
     Then requests go to the second one
-    When 30 s pass
+    When 30 s go by
     Then requests go to the first one again
--- a/features/steps/gateway_core_steps.py
+++ b/features/steps/gateway_core_steps.py
@@ -265,7 +265,7 @@
     assert found == "u1", found
 
 
-@when("{span_s:d} s pass")
+@when("{span_s:d} s go by")
 def step_pass(context, span_s):
     context.now_s += span_s
 
