Take changes of the settings file into the running gateway

Symptom: bounds, zones and the store's address stayed as they were at the start; SIGHUP was only noted in the log. Cause: the file was read once. Now it is read on SIGHUP and looked at each second; what can be in force at once is, what needs a restart is named in the log, and a file that cannot be read changes nothing (404).

The forwarder no longer repeats the parameters of the tries it uses.

--- a/almondstair/core/cold_starts.py
+++ b/almondstair/core/cold_starts.py
@@ -29,9 +29,13 @@
           slack: requests a second allowed besides.
         """
         self._own_name = own_name
+        self.set_bounds(over=over, slack=slack)
+        self._sent: dict[str, deque[float]] = {}
+
+    def set_bounds(self, *, over: float, slack: float) -> None:
+        """Takes other bounds; what was sent stays counted."""
         self._over = over
         self._slack = slack
-        self._sent: dict[str, deque[float]] = {}
 
     def may_send(
         self,
--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -115,6 +115,16 @@
         self._joined_at_s = math.inf
         self._use: dict[str, tuple[float, float]] = {}
 
+    def take_zones(self, zones: dict[str, str]) -> None:
+        """Takes the regions of zones that changed or are new."""
+        self._zones = zones
+        self._orders = PlacementOrders(
+            own_region=self._own_region, demand=Counter(zones.values())
+        )
+        for state in self._upstreams.values():
+            state.region = zones.get(state.record.availability_zone, "")
+        self._takers_stale = True
+
     @property
     def ready(self) -> bool:
         """Whether enough is known to serve."""
--- a/almondstair/core/second_tries.py
+++ b/almondstair/core/second_tries.py
@@ -27,11 +27,17 @@
           slack: second tries allowed besides, over all entries.
           window_s: length of the sliding window in seconds.
         """
+        self.set_bounds(ratio=ratio, slack=slack, window_s=window_s)
+        self._requests: dict[str, deque[float]] = {}
+        self._tries: dict[str, deque[float]] = {}
+
+    def set_bounds(
+        self, *, ratio: float, slack: float, window_s: float
+    ) -> None:
+        """Takes other bounds; what was counted stays counted."""
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
-        self._requests: dict[str, deque[float]] = {}
-        self._tries: dict[str, deque[float]] = {}
 
     def note_request(self, *, service: str, now_s: float) -> None:
         """Counts a request for a service."""
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -27,6 +27,8 @@
 from almondstair.gateway.pages import Pages
 from almondstair.gateway.pages import PageSource
 from almondstair.gateway.registering import Registration
+from almondstair.gateway.settings_watch import SettingsWatch
+from almondstair.gateway.tries import Tries
 from almondstair.gateway.upstream_pool import UpstreamPool
 from almondstair.platform import boot
 from almondstair.platform import documents
@@ -60,9 +62,17 @@
 class Gateway(PageSource):
     """Everything that one entry runs."""
 
-    def __init__(self, *, settings: boot.BootSettings) -> None:
-        """Makes the parts; nothing listens yet."""
+    def __init__(self, *, settings: boot.BootSettings, path: str) -> None:
+        """Makes the parts; nothing listens yet.
+
+        Args:
+          settings: what the process was told at its start.
+          path: the file they came from, which may change.
+        """
         self._settings = settings
+        self._settings_watch = SettingsWatch(
+            path=path, settings=settings, take=self._take_settings
+        )
         bounds = settings.bounds
         self._fleet = Fleet(
             own_name=settings.entry_name,
@@ -77,30 +87,37 @@
             pool=self._pool,
             own_name=settings.entry_name,
             own_zone=settings.availability_zone,
-            seeds=[
-                seed for seed in settings.seeds if seed != settings.listen.peers
-            ],
+            seeds=_other_seeds(settings),
         )
         self._measures = Measures()
         self._suspects = CrashSuspects()
-        self._forwarder = Forwarder(
+        self._second_tries = SecondTries(
+            ratio=bounds.retry_ratio,
+            slack=bounds.retry_slack,
+            window_s=bounds.retry_window_s,
+        )
+        self._cold_starts = ColdStarts(
+            own_name=settings.entry_name,
+            over=bounds.cold_over,
+            slack=bounds.cold_slack,
+        )
+        self._tries = Tries(
             fleet=self._fleet,
             pool=self._pool,
-            second_tries=SecondTries(
-                ratio=bounds.retry_ratio,
-                slack=bounds.retry_slack,
-                window_s=bounds.retry_window_s,
-            ),
-            cold_starts=ColdStarts(
-                own_name=settings.entry_name,
-                over=bounds.cold_over,
-                slack=bounds.cold_slack,
-            ),
+            cold_starts=self._cold_starts,
             suspects=self._suspects,
             measures=self._measures,
             own_region=settings.region,
             regions=set(settings.zones.values()),
         )
+        self._forwarder = Forwarder(
+            fleet=self._fleet,
+            tries=self._tries,
+            second_tries=self._second_tries,
+            cold_starts=self._cold_starts,
+            suspects=self._suspects,
+            measures=self._measures,
+        )
         self._sharing = LoadSharing(
             fleet=self._fleet,
             pool=self._pool,
@@ -220,6 +237,7 @@
         # connect.
         self._pages.serve_ready(listen.ready)
         self._spawn("log", _tend_log)
+        self._spawn("settings", self._settings_watch.run)
         self._spawn("loads", self._sharing.run)
         self._spawn("store", self._follower.run)
         self._spawn("lapses", self._follower.expire)
@@ -242,8 +260,29 @@
         return connection
 
     def reload(self) -> None:
-        """Notes that the settings changed; addresses need a restart."""
-        log.event(log.Event.GATEWAY_RELOADED)
+        """Reads the settings file again; addresses need a restart."""
+        self._settings_watch.reload()
+
+    def _take_settings(self, settings: boot.BootSettings) -> None:
+        before = self._settings
+        self._settings = settings
+        bounds = settings.bounds
+        self._second_tries.set_bounds(
+            ratio=bounds.retry_ratio,
+            slack=bounds.retry_slack,
+            window_s=bounds.retry_window_s,
+        )
+        self._cold_starts.set_bounds(
+            over=bounds.cold_over, slack=bounds.cold_slack
+        )
+        if settings.zones != before.zones:
+            self._fleet.take_zones(settings.zones)
+            self._tries.know_regions(set(settings.zones.values()))
+        if settings.seeds != before.seeds:
+            self._follower.take_seeds(_other_seeds(settings))
+        if settings.store.address != before.store.address:
+            self._client.move(settings.store.address)
+            self._follower.list_anew()
 
     async def stop(self) -> None:
         """Leaves without cutting off a request.
@@ -299,6 +338,11 @@
         self._client.close()
 
 
+def _other_seeds(settings: boot.BootSettings) -> list[str]:
+    own = settings.listen.peers
+    return [seed for seed in settings.seeds if seed != own]
+
+
 def describe_upstream(
     upstream: UpstreamState, fleet: Fleet, now: float
 ) -> dict[str, object]:
@@ -348,10 +392,10 @@
             log.event(log.Event.LINES_LEFT_OUT, lines=untold)
 
 
-async def _run(settings: boot.BootSettings) -> None:
+async def _run(settings: boot.BootSettings, path: str) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
-    gateway = Gateway(settings=settings)
+    gateway = Gateway(settings=settings, path=path)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, gateway.reload)
@@ -367,8 +411,9 @@
     """Reads the settings and serves until SIGTERM."""
     log.setup_output(level="INFO")
     try:
-        settings = boot.load(os.environ.get(boot.PATH_VARIABLE, ""))
-        asyncio.run(_run(settings))
+        path = os.environ.get(boot.PATH_VARIABLE, "")
+        settings = boot.load(path)
+        asyncio.run(_run(settings, path))
     except AlmondstairError as error:
         print(f"almondstair-gateway: {error}", file=sys.stderr)
         sys.exit(error.rule.exit_code)
--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -78,12 +78,23 @@
         self._own_name = own_name
         self._own_zone = own_zone
         self._mirror = Mirror()
-        self._seeds = [PeerSource(address=seed) for seed in seeds]
+        self._seeds: list[PeerSource] = []
+        self.take_seeds(seeds)
         self._peers: dict[str, PeerSource] = {}
         self._down = False
         self.heard_at_s = 0.0
         self.revision = 0
 
+    def take_seeds(self, seeds: Sequence[str]) -> None:
+        """Takes the addresses of entries to ask while none is known."""
+        for source in self._seeds:
+            source.close()
+        self._seeds = [PeerSource(address=seed) for seed in seeds]
+
+    def list_anew(self) -> None:
+        """The store is another one: its revisions count from elsewhere."""
+        self.revision = 0
+
     async def run(self) -> None:
         """Follows until it is cancelled."""
         backoff_s = FIRST_BACKOFF_S
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -1,7 +1,6 @@
 """Takes a caller's request to an upstream and its answer back."""
 
 import asyncio
-from collections.abc import Collection
 
 from almondstair import log
 from almondstair.clock import now_s
@@ -27,7 +26,6 @@
 from almondstair.gateway.measures import Measures
 from almondstair.gateway.tries import Tries
 from almondstair.gateway.upstream_connection import Exchange
-from almondstair.gateway.upstream_pool import UpstreamPool
 
 # What callers may send before the first configuration says.
 DEFAULT_LIMITS = CallerLimits(
@@ -53,25 +51,21 @@
         self,
         *,
         fleet: Fleet,
-        pool: UpstreamPool,
+        tries: Tries,
         second_tries: SecondTries,
         cold_starts: ColdStarts,
         suspects: CrashSuspects,
         measures: Measures,
-        own_region: str,
-        regions: Collection[str],
     ) -> None:
         """Makes a forwarder.
 
         Args:
           fleet: what is known of the deployment.
-          pool: connections to upstreams.
+          tries: sends to upstreams.
           second_tries: budget for trying again.
           cold_starts: bound on requests to cold upstreams.
           suspects: requests that may crash upstreams.
           measures: counters and histograms.
-          own_region: region of this entry.
-          regions: every region.
         """
         self._fleet = fleet
         self._second_tries = second_tries
@@ -80,15 +74,7 @@
         self._measures = measures
         self._turns = WeightedTurns()
         self._records = CallRecords(fleet=fleet, measures=measures)
-        self._tries = Tries(
-            fleet=fleet,
-            pool=pool,
-            cold_starts=cold_starts,
-            suspects=suspects,
-            measures=measures,
-            own_region=own_region,
-            regions=regions,
-        )
+        self._tries = tries
         self.running: dict[IncomingRequest, Call] = {}
         self.refusing = False
 
--- a/almondstair/gateway/tries.py
+++ b/almondstair/gateway/tries.py
@@ -85,9 +85,14 @@
         self._looking: dict[str, asyncio.Task[None]] = {}
         self.run_times = RunTimes()
         self.round_trips_s: dict[str, float] = {}
+        self._own_region = own_region
+        self.know_regions(regions)
+
+    def know_regions(self, regions: Collection[str]) -> None:
+        """Starts to measure the way to regions that are new."""
         for region in regions:
-            if region != own_region:
-                self.round_trips_s[region] = FIRST_ROUND_TRIP_S
+            if region != self._own_region:
+                self.round_trips_s.setdefault(region, FIRST_ROUND_TRIP_S)
 
     async def send(self, call: Call, choice: Choice) -> Try:
         """Sends a call to the chosen upstream and judges what came back."""
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -123,6 +123,11 @@
     GATEWAY_LEAVING = EventRule(401, logging.INFO, "gateway is leaving")
     GATEWAY_STOPPED = EventRule(402, logging.INFO, "gateway stopped")
     GATEWAY_RELOADED = EventRule(403, logging.INFO, "settings were read again")
+    SETTINGS_BAD = EventRule(
+        404,
+        logging.ERROR,
+        "the settings file cannot be read; the settings stay as they were",
+    )
     REQUEST_ANSWERED = EventRule(410, logging.INFO, "request answered")
     TRY_FAILED = EventRule(
         411, logging.WARNING, "an upstream gave no answer to pass on"
--- a/almondstair/platform/kv.py
+++ b/almondstair/platform/kv.py
@@ -84,6 +84,11 @@
         self._caller = HttpCaller(address=address)
         self.calls: dict[str, int] = {}
 
+    def move(self, address: str) -> None:
+        """Calls another address from now on; running calls fail."""
+        self._caller.close()
+        self._caller = HttpCaller(address=address)
+
     def close(self) -> None:
         """Closes the connections."""
         self._caller.close()
--- a/emulator/documents.py
+++ b/emulator/documents.py
@@ -29,6 +29,7 @@
       store: `ip:port` of the store.
       zones: region of each availability zone.
       seed: `ip:port` at which another gateway serves others, if any.
+      bounds: what the operators bind the system to, by the platform's names.
     """
 
     name: str
@@ -37,6 +38,7 @@
     store: str
     zones: dict[str, str]
     seed: str = ""
+    bounds: dict[str, float] = BOUNDS
 
 
 def settings_text(place: GatewayPlace) -> str:
@@ -70,7 +72,7 @@
         "ttlMinS = 1",
         "[terms.bounds]",
     ]
-    for key, value in BOUNDS.items():
+    for key, value in place.bounds.items():
         lines.append(f"{key} = {value}")
     return "\n".join(lines) + "\n"
 
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -303,8 +303,8 @@
 # Stops.
 
 
-@when("a request is under way and the gateway gets SIGTERM")
-def step_term_running(context):
+def begin_request(context):
+    """Sends a request and returns while it runs."""
     context.result = []
 
     def send():
@@ -313,6 +313,11 @@
     context.thread = threading.Thread(target=send)
     context.thread.start()
     time.sleep(0.3)
+
+
+@when("a request is under way and the gateway gets SIGTERM")
+def step_term_running(context):
+    begin_request(context)
     _terminate(context)
 
 
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+from pathlib import Path
 from typing import Any
 import uuid
 
@@ -24,6 +25,7 @@
         self.processes = processes
         self.store = harness.free_address()
         self._start("store", "store", "--address", self.store)
+        self._zones_of: dict[str, str] = {}
         self.upstreams: dict[str, str] = {}
         self.gateways: dict[str, dict[str, str]] = {}
         self.version = 0
@@ -42,6 +44,12 @@
 
     # The store.
 
+    def replace_store(self) -> None:
+        """Ends the store and starts an empty one at another address."""
+        self.processes.children["store"].kill()
+        self.store = harness.free_address()
+        self._start("store-2", "store", "--address", self.store)
+
     def operate(self, **change: Any) -> None:
         """Writes to the store as the operator."""
         body = documents.operator_change(**change)
@@ -126,8 +134,9 @@
         ):
             addresses[part] = harness.free_address()
         addresses = self.gateways.setdefault(name, addresses)
-        path = self.processes.directory / f"{name}.toml"
-        path.write_text(self._settings(name, zone), encoding="utf-8")
+        self._zones_of[name] = zone
+        path = self.settings_path(name)
+        path.write_text(self._settings(name), encoding="utf-8")
         child = self.processes.start(
             name,
             "-m",
@@ -158,15 +167,41 @@
 
         harness.wait_until(check, limit_s=limit_s, what=f"{name} to be ready")
 
-    def _settings(self, name: str, zone: str) -> str:
+    def settings_path(self, name: str) -> Path:
+        """Returns where a gateway's settings file stands."""
+        return self.processes.directory / f"{name}.toml"
+
+    def change_settings(
+        self,
+        name: str = "g1",
+        *,
+        zones: dict[str, str] | None = None,
+        bounds: dict[str, float] | None = None,
+        addresses: dict[str, str] | None = None,
+    ) -> None:
+        """Writes a gateway's settings file anew, with changes."""
+        text = self._settings(
+            name, zones=zones, bounds=bounds, addresses=addresses
+        )
+        self.settings_path(name).write_text(text, encoding="utf-8")
+
+    def _settings(
+        self,
+        name: str,
+        *,
+        zones: dict[str, str] | None = None,
+        bounds: dict[str, float] | None = None,
+        addresses: dict[str, str] | None = None,
+    ) -> str:
         return documents.settings_text(
             documents.GatewayPlace(
                 name=name,
-                zone=zone,
-                addresses=self.gateways[name],
+                zone=self._zones_of[name],
+                addresses=self.gateways[name] | (addresses or {}),
                 store=self.store,
-                zones=ZONES,
+                zones=ZONES | (zones or {}),
                 seed=self.seed,
+                bounds=documents.BOUNDS | (bounds or {}),
             )
         )
 
