Bound how fast requests change their region

Cause: nothing bounded it. Now each entry holds the shares of a window to those of the window before, in both directions; not after an upstream came, went or failed. Ruled out: refusing by the service's use alone, which held all requests in their region while another one was idle.

--- a/almondstair/core/choosing.py
+++ b/almondstair/core/choosing.py
@@ -74,6 +74,7 @@
       entry_names: live entries, among which bounds are shared.
       joined: whether the others count this entry among them.
       peers_heard: whether every entry tells its load.
+      barred_regions: regions that get none of the requests for now.
       now_s: the entry's clock.
     """
 
@@ -90,6 +91,7 @@
     entry_names: frozenset[str]
     joined: bool
     peers_heard: bool
+    barred_regions: frozenset[str]
     now_s: float
 
 
@@ -176,6 +178,8 @@
         return False
     if upstream.paused(now_s=wanted.now_s):
         return False
+    if upstream.region in wanted.barred_regions:
+        return False
     regions = wanted.route.allowed_regions
     if regions and upstream.region not in regions:
         return False
--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -77,6 +77,8 @@
       by_hash: registered upstreams by the hash that entries call them.
       peers_heard: whether every other entry tells its loads.
       as_of_s: as of when the picture is, on the entry's clock.
+      takers_version: a number that changes with the upstreams that may get
+        new work.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self._upstreams: dict[str, UpstreamState] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
         self._takers_stale = False
+        self.takers_version = 0
         self._lapses_at_s: dict[str, float] = {}
         self._replaced_at_s: dict[int, float] = {}
         self._entry_lapse_s: dict[str, float] = {}
@@ -287,6 +290,7 @@
         if not self._takers_stale:
             return
         self._takers_stale = False
+        self.takers_version += 1
         self._by_service = {}
         for state in self._upstreams.values():
             if state.record.draining:
@@ -307,6 +311,10 @@
             return []
         return list(self.table.configuration.services)
 
+    def regions(self) -> frozenset[str]:
+        """Returns every region."""
+        return frozenset(self._zones.values())
+
     def upstream_count(self) -> int:
         """Returns how many upstreams are registered."""
         return len(self._upstreams)
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -15,6 +15,7 @@
 from almondstair.core.cold_starts import ColdStarts
 from almondstair.core.crash_suspects import CrashSuspects
 from almondstair.core.fleet import Fleet
+from almondstair.core.region_shares import RegionShares
 from almondstair.core.second_tries import SecondTries
 from almondstair.core.upstream_state import UpstreamState
 from almondstair.errors import AlmondstairError
@@ -96,6 +97,9 @@
             slack=bounds.retry_slack,
             window_s=bounds.retry_window_s,
         )
+        self._region_shares = RegionShares(
+            own_region=settings.region, most_change=bounds.region_change
+        )
         self._cold_starts = ColdStarts(
             own_name=settings.entry_name,
             over=bounds.cold_over,
@@ -114,6 +118,7 @@
             fleet=self._fleet,
             tries=self._tries,
             second_tries=self._second_tries,
+            region_shares=self._region_shares,
             cold_starts=self._cold_starts,
             suspects=self._suspects,
             measures=self._measures,
@@ -272,6 +277,7 @@
             slack=bounds.retry_slack,
             window_s=bounds.retry_window_s,
         )
+        self._region_shares.most_change = bounds.region_change
         self._cold_starts.set_bounds(
             over=bounds.cold_over, slack=bounds.cold_slack
         )
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -10,6 +10,8 @@
 from almondstair.core.cold_starts import ColdStarts
 from almondstair.core.crash_suspects import CrashSuspects
 from almondstair.core.fleet import Fleet
+from almondstair.core.region_shares import Limits
+from almondstair.core.region_shares import RegionShares
 from almondstair.core.routing import CallerLimits
 from almondstair.core.routing import WeightedTurns
 from almondstair.core.second_tries import SecondTries
@@ -26,6 +28,7 @@
 from almondstair.gateway.measures import Measures
 from almondstair.gateway.tries import Tries
 from almondstair.gateway.upstream_connection import Exchange
+from almondstair.gateway.upstream_connection import ExchangeEnd
 
 # What callers may send before the first configuration says.
 DEFAULT_LIMITS = CallerLimits(
@@ -53,6 +56,7 @@
         fleet: Fleet,
         tries: Tries,
         second_tries: SecondTries,
+        region_shares: RegionShares,
         cold_starts: ColdStarts,
         suspects: CrashSuspects,
         measures: Measures,
@@ -63,12 +67,15 @@
           fleet: what is known of the deployment.
           tries: sends to upstreams.
           second_tries: budget for trying again.
+          region_shares: bound on how fast requests change their region.
           cold_starts: bound on requests to cold upstreams.
           suspects: requests that may crash upstreams.
           measures: counters and histograms.
         """
         self._fleet = fleet
         self._second_tries = second_tries
+        self._region_shares = region_shares
+        self._takers_version = 0
         self._cold_starts = cold_starts
         self._suspects = suspects
         self._measures = measures
@@ -160,17 +167,39 @@
                 raise self._no_room(call, cause)
             if call.tried and not self._second_try(call):
                 raise self._spent(call, cause)
+            self._region_shares.note_sent(choice.upstream.region, now_s=now_s())
             outcome = await self._tries.send(call, choice)
             self._measures.tries.labels(call.service, outcome.verdict).inc()
             if outcome.verdict is Verdict.ANSWERED:
                 self._answer(call, choice, outcome.exchange)
                 return
             cause = outcome.cause
+            if not _orderly(outcome):
+                self._region_shares.note_disturbed(now_s=now_s())
             self._records.try_failed(call, choice, outcome)
             if not self._may_repeat(call, outcome):
                 raise self._spent(call, cause)
 
     def _choose(self, call: Call) -> Choice | None:
+        """Returns the upstream for a call, of the regions that may get it."""
+        limits = self._limits()
+        if limits.due:
+            others = self._fleet.regions() - {limits.due}
+            choice = self._choose_without(call, others)
+            if choice is not None and not choice.waits:
+                return choice
+        return self._choose_without(call, limits.barred)
+
+    def _limits(self) -> Limits:
+        version = self._fleet.takers_version
+        if version != self._takers_version:
+            self._takers_version = version
+            self._region_shares.note_disturbed(now_s=now_s())
+        return self._region_shares.limits(now_s=now_s())
+
+    def _choose_without(
+        self, call: Call, barred: frozenset[str]
+    ) -> Choice | None:
         assert self._fleet.table is not None
         services = self._fleet.table.configuration.services
         now = now_s()
@@ -193,6 +222,7 @@
             entry_names=self._fleet.entry_names,
             joined=self._fleet.joined(now_s=now),
             peers_heard=self._fleet.peers_heard,
+            barred_regions=barred,
             now_s=now,
         )
         return choose(
@@ -257,3 +287,10 @@
         else:
             call.request.reply(reply_head(exchange.head), exchange.body)
         self._records.answered(call, choice, exchange)
+
+
+def _orderly(outcome: Try) -> bool:
+    """Whether an upstream that works as it should said that it is full."""
+    if outcome.exchange.end is not ExchangeEnd.WHOLE:
+        return False
+    return outcome.verdict is Verdict.NOT_RUN
--- a/almondstair/platform/boot.py
+++ b/almondstair/platform/boot.py
@@ -46,6 +46,8 @@
       cold_over: factor on the rate that a cold upstream tolerates.
       cold_slack: requests a second besides, over all entries.
       lookup_ttl_s: longest time that callers keep a look-up.
+      region_change: part of a region's requests that may run in another
+        region than before from one window to the next; 1 where unbounded.
     """
 
     drain_s: float
@@ -57,6 +59,7 @@
     cold_over: float
     cold_slack: float
     lookup_ttl_s: float
+    region_change: float
 
 
 class BootSettings(NamedTuple):
@@ -133,8 +136,10 @@
             raise self._bad(key, "a string")
         return value
 
-    def number(self, key: str) -> float:
+    def number(self, key: str, default: float | None = None) -> float:
         value = self._find(key)
+        if value is None and default is not None:
+            return default
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise self._bad(key, "a number")
         if value < 0:
@@ -193,6 +198,7 @@
         cold_over=reader.number("terms.bounds.coldOver"),
         cold_slack=reader.number("terms.bounds.coldSlack"),
         lookup_ttl_s=reader.number("terms.bounds.ttl_max_s"),
+        region_change=reader.number("terms.bounds.maxShift", 1.0),
     )
     return BootSettings(
         entry_name=reader.text("local.nodeName"),
--- a/emulator/documents.py
+++ b/emulator/documents.py
@@ -16,6 +16,7 @@
     "coldOver": 1.5,
     "coldSlack": 5,
     "ttl_max_s": 5,
+    "maxShift": 0.15,
 }
 
 
--- a/features/gateway_core.feature
+++ b/features/gateway_core.feature
@@ -64,3 +64,25 @@
     Then requests go to the second one
     When 30 s go by
     Then requests go to the first one again
+
+  # Symptom: requests are refused as there is no room, with a whole region idle.
+  # Sequence: all callers come through one region. Cause: what waits in that
+  # region's queues was counted as slots in use of the service.
+  Scenario: One region's queues do not make a service look full
+    Given a service with 2 upstreams of 3 slots each
+    When one of them holds 12 requests and the other none
+    Then half of the service's slots are in use
+
+  # Symptom: the operators' bound on changes of region is broken when a burst
+  # begins, and again when it ends. Cause: only one of the two was looked at.
+  Scenario: Requests come back to their region step by step, too
+    Given an entry that sent 0.4 of its requests to another region for 4 s
+    When its own region has room for all of them
+    Then from one 2 s window to the next at most 0.15 of them come back
+
+  # Symptom: requests are refused for seconds after a zone was lost. Cause: they
+  # were held to their region although its upstreams had gone.
+  Scenario: After an upstream has gone requests may move at once
+    Given an entry that sent 0 of its requests to another region for 4 s
+    When an upstream has gone
+    Then no region is barred
--- /dev/null
+++ b/features/gateway_regions.feature
@@ -0,0 +1,39 @@
+Feature: Requests stay in the regions that they belong to
+
+  # Symptom: a request that law or contract keeps to a region runs elsewhere.
+  # Sequence: the region's upstreams are full, slow or gone. Cause: room was
+  # looked for everywhere.
+  Scenario: A route that is kept to a region runs nowhere else
+    Given a gateway with an upstream in its own region and one in another
+    When a route is kept to the own region and its upstream becomes 20 times slower
+    And 60 requests to the kept route are sent, 20 at a time, and its upstream ends midway
+    Then the other region's upstream got none of them
+    And each of them was answered 200, 502, 503 or 504
+
+  # Symptom: bodies reach machines of a region that is neither the caller's nor
+  # one of the route's. Sequence: callers look up an entry. Cause: look-ups named
+  # entries of every region.
+  Scenario: Look-ups name entries of the caller's region while it has any
+    Given two gateways in one region and one in another
+    Then look-ups from each region name its own gateways only
+    When the gateway of the other region is killed
+    Then look-ups from there name the two that are left within 6 s
+
+  # Symptom: more than the operators' 0.15 of a region's requests run in another
+  # region from one 2 s window to the next, and the objects there are all new.
+  # Sequence: traffic rises past what the own region can carry. Cause: the
+  # surplus moves at one moment.
+  Scenario: A burst moves a region's requests step by step
+    Given a gateway with 2 upstreams in its own region and 2 in another
+    When 45 requests a second are sent for 6 s and then 180 a second for 8 s
+    Then from one 2 s window to the next at most 0.15 of them changed their region
+    And at least 0.8 of them were answered 200
+
+  # Symptom: the system does not come back after a loss of power. Sequence: every
+  # process ends while the store is away; the store comes last. Cause: a process
+  # that ends, or stops asking, when its first call fails.
+  Scenario: Everything ends while the store is down, and comes back
+    Given 2 gateways with 1 upstream that know each other
+    When the store is "reset", and every gateway and upstream is killed and started anew
+    And the store is back 4 s later
+    Then both gateways serve within 6 s of that
--- a/features/steps/gateway_core_steps.py
+++ b/features/steps/gateway_core_steps.py
@@ -11,6 +11,7 @@
 from almondstair.core.choosing import choose
 from almondstair.core.cold_starts import ColdStarts
 from almondstair.core.fleet import Fleet
+from almondstair.core.region_shares import RegionShares
 from almondstair.core.routing import CallerLimits
 from almondstair.core.routing import Destination
 from almondstair.core.routing import Route
@@ -216,6 +217,7 @@
         round_trips_s={},
         entry_names=frozenset(("e",)),
         joined=True,
+        barred_regions=frozenset(),
         peers_heard=True,
         now_s=now_s,
     )
@@ -246,6 +248,73 @@
     assert _choose(context.upstreams, use=0.9, known=("u1",)) == "u1"
 
 
+@given("a service with 2 upstreams of 3 slots each")
+def step_two_of_three(context):
+    context.fleet = Fleet(own_name="e", own_region="r", zones={"z": "r"})
+    for name in ("u0", "u1"):
+        record = UpstreamRecord(name, "s", "a:1", "z", "v", 3, False, 0.0)
+        context.fleet.take_upstream(record, now_s=0.0)
+
+
+@when("one of them holds {count:d} requests and the other none")
+def step_holds(context, count):
+    context.fleet.takers("s")[0].others = count
+
+
+@then("half of the service's slots are in use")
+def step_half_used(context):
+    assert context.fleet.use("s", now_s=1.0) == 0.5
+
+
+@given(
+    "an entry that sent {share:g} of its requests to another region for "
+    "{span_s:d} s"
+)
+def step_sent_elsewhere(context, share, span_s):
+    context.shares = RegionShares(own_region="r", most_change=0.15)
+    context.now_s = 100.0
+    for number in range(100 * span_s):
+        context.now_s += 0.01
+        region = "other" if number % 10 < 10 * share else "r"
+        context.shares.note_sent(region, now_s=context.now_s)
+
+
+@when("its own region has room for all of them")
+def step_room(context):
+    context.windows = []
+    for _ in range(4):
+        elsewhere = 0
+        for _ in range(200):
+            context.now_s += 0.01
+            region = context.shares.limits(now_s=context.now_s).due or "r"
+            elsewhere += region == "other"
+            context.shares.note_sent(region, now_s=context.now_s)
+        context.windows.append(elsewhere / 200)
+
+
+@then("from one 2 s window to the next at most {most:g} of them come back")
+def step_come_back(context, most):
+    before = 0.4
+    for share in context.windows:
+        assert before - share <= most, context.windows
+        before = share
+    assert before < 0.05, context.windows
+
+
+@when("an upstream has gone")
+def step_has_gone(context):
+    for _ in range(30):
+        context.shares.note_sent("other", now_s=context.now_s)
+    barred = context.shares.limits(now_s=context.now_s).barred
+    assert barred == {"other"}, barred
+    context.shares.note_disturbed(now_s=context.now_s)
+
+
+@then("no region is barred")
+def step_none_barred(context):
+    assert not context.shares.limits(now_s=context.now_s).barred
+
+
 @given("two equal upstreams")
 def step_two(context):
     context.upstreams = [_upstream("u0"), _upstream("u1")]
--- /dev/null
+++ b/features/steps/gateway_regions_steps.py
@@ -0,0 +1,267 @@
+"""Steps for requests, regions, and the return of everything."""
+
+from concurrent import futures
+import itertools
+import json
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from emulator.documents import HOST
+from emulator.documents import route
+from features.support import harness
+from features.support.gateway_world import GatewayWorld
+
+_OWN_ZONE = "a1"
+_OTHER_ZONE = "b1"
+_WINDOW_S = 2.0
+_JOIN_S = 1.5
+
+
+def _world(context, *, own, other, **plan):
+    world = GatewayWorld(processes=context.processes)
+    context.world = world
+    context.regions = {}
+    for zone, count in ((_OWN_ZONE, own), (_OTHER_ZONE, other)):
+        for number in range(count):
+            name = f"{zone}-{number}"
+            world.start_upstream(name, zone=zone, **plan)
+            context.regions[name] = zone
+    world.configure()
+    world.start_gateway()
+    world.until_served()
+
+
+@given("a gateway with an upstream in its own region and one in another")
+def step_two_regions(context):
+    _world(context, own=1, other=1)
+
+
+@given(
+    "a gateway with {own:d} upstreams in its own region and {other:d} in "
+    "another"
+)
+def step_more_upstreams(context, own, other):
+    _world(context, own=own, other=other, slots=12, queue=36, work_s=0.2)
+
+
+# Kept routes.
+
+
+@when(
+    "a route is kept to the own region and its upstream becomes {factor:d} "
+    "times slower"
+)
+def step_kept_route(context, factor):
+    world = context.world
+    near = route("/near/", allowedRegions=["east"])
+    world.configure([*world.routes, near])
+
+    def check():
+        return world.send("GET", "/near/first").status == 200
+
+    harness.wait_until(check, limit_s=3.0, what="the route")
+    world.upstream_faults(f"{_OWN_ZONE}-0", slower=factor)
+
+
+@when(
+    "{count:d} requests to the kept route are sent, {together:d} at a time, "
+    "and its upstream ends midway"
+)
+def step_kept_sent(context, count, together):
+    world = context.world
+
+    def send(number):
+        if number == count // 2:
+            world.processes.children[f"{_OWN_ZONE}-0"].kill()
+        return world.send("GET", f"/near/{number}").status
+
+    with futures.ThreadPoolExecutor(together) as pool:
+        context.statuses = list(pool.map(send, range(count)))
+
+
+@then("the other region's upstream got none of them")
+def step_none_elsewhere(context):
+    for run in context.world.runs(f"{_OTHER_ZONE}-0"):
+        assert not run["path"].startswith("/near/"), run
+
+
+@then("each of them was answered 200, 502, 503 or 504")
+def step_answered(context):
+    assert set(context.statuses) <= {200, 502, 503, 504}, context.statuses
+
+
+# Look-ups.
+
+
+@given("two gateways in one region and one in another")
+def step_three_gateways(context):
+    _world(context, own=1, other=0)
+    context.world.start_gateway("g2", "a2")
+    context.world.start_gateway("g3", _OTHER_ZONE)
+
+
+def _named(world, zone, region):
+    path = f"/resolve?name={HOST}&region={region}&zone={zone}"
+    told = json.loads(harness.get(world.gateways["g1"]["lookups"], path).body)
+    return set(told["addresses"])
+
+
+def _callers(world, *names):
+    return {world.gateways[name]["callers"] for name in names}
+
+
+@then("look-ups from each region name its own gateways only")
+def step_own_named(context):
+    world = context.world
+
+    def check():
+        here = _named(world, _OWN_ZONE, "east") == _callers(world, "g1", "g2")
+        there = _named(world, _OTHER_ZONE, "west") == _callers(world, "g3")
+        return here and there
+
+    harness.wait_until(check, limit_s=4.0, what="each region's own")
+
+
+@when("the gateway of the other region is killed")
+def step_kill_other(context):
+    context.processes.children["g3"].kill()
+
+
+@then("look-ups from there name the two that are left within {limit_s:g} s")
+def step_left_named(context, limit_s):
+    world = context.world
+
+    def check():
+        named = _named(world, _OTHER_ZONE, "west")
+        return named == _callers(world, "g1", "g2")
+
+    harness.wait_until(check, limit_s=limit_s, what="the two that are left")
+
+
+# Bursts.
+
+
+class _Steady:
+    """Sends new objects at a steady rate, whatever the answers take."""
+
+    def __init__(self, world):
+        self._world = world
+        self._pool = futures.ThreadPoolExecutor(96)
+        self._number = 0
+        self._lock = threading.Lock()
+        self.statuses = []
+
+    def send_for(self, span_s, rate_per_s):
+        count = int(span_s * rate_per_s)
+        began_s = time.monotonic()
+        for number in range(count):
+            due_s = began_s + number / rate_per_s
+            time.sleep(max(0.0, due_s - time.monotonic()))
+            self._number += 1
+            self._pool.submit(self._send, f"/safe/{self._number}")
+
+    def _send(self, path):
+        status = self._world.send("GET", path).status
+        with self._lock:
+            self.statuses.append(status)
+
+    def end(self):
+        self._pool.shutdown(wait=True)
+
+
+@when(
+    "{first:d} requests a second are sent for {first_s:d} s and then "
+    "{second:d} a second for {second_s:d} s"
+)
+def step_burst(context, first, first_s, second, second_s):
+    traffic = _Steady(context.world)
+    context.began_s = time.time()
+    traffic.send_for(first_s, first)
+    traffic.send_for(second_s, second)
+    traffic.end()
+    context.span_s = first_s + second_s
+    context.statuses = traffic.statuses
+
+
+def _other_shares(context):
+    """Returns the share that ran in the other region, by window."""
+    counts = {}
+    for name, zone in context.regions.items():
+        for run in context.world.runs(name):
+            window = int((run["at_s"] - context.first_run_s) / _WINDOW_S)
+            here, there = counts.get(window, (0, 0))
+            if zone == _OTHER_ZONE:
+                counts[window] = (here, there + 1)
+                continue
+            counts[window] = (here + 1, there)
+    shares = []
+    for window in range(int(context.span_s / _WINDOW_S)):
+        here, there = counts[window]
+        shares.append(there / (here + there))
+    return shares
+
+
+@then(
+    "from one 2 s window to the next at most {most:g} of them changed their "
+    "region"
+)
+def step_shift(context, most):
+    first = []
+    for name in context.regions:
+        first += [run["at_s"] for run in context.world.runs(name)]
+    context.first_run_s = min(first)
+    shares = _other_shares(context)
+    for before, after in itertools.pairwise(shares):
+        assert abs(after - before) <= most, shares
+
+
+@then("at least {least:g} of them were answered 200")
+def step_served_share(context, least):
+    served = context.statuses.count(200)
+    assert served >= least * len(context.statuses), (
+        served,
+        len(context.statuses),
+    )
+
+
+# Return.
+
+
+@when(
+    'the store is "{mode}", and every gateway and upstream is killed and '
+    "started anew"
+)
+def step_all_killed(context, mode):
+    world = context.world
+    time.sleep(_JOIN_S)
+    world.store_faults(mode=mode, leases_pause=True)
+    for name in ("g1", "g2", "u1"):
+        context.processes.children[name].kill()
+    world.start_upstream("u1")
+    for name in ("g1", "g2"):
+        world.start_gateway(name, ready=False)
+
+
+@when("the store is back {span_s:g} s later")
+def step_store_back(context, span_s):
+    time.sleep(span_s)
+    context.world.store_faults(mode="up")
+    context.back_s = time.monotonic()
+
+
+@then("both gateways serve within {limit_s:g} s of that")
+def step_both_serve(context, limit_s):
+    world = context.world
+
+    def check():
+        for gateway in ("g1", "g2"):
+            if world.send("GET", "/safe/x", gateway=gateway).status != 200:
+                return False
+        return True
+
+    left_s = limit_s - (time.monotonic() - context.back_s)
+    harness.wait_until(check, limit_s=left_s, what="both to serve")
