Show VMs, drains, evacuations and configurations of gateways

The tool had status and why only. Now vm, drain and evacuations put the word of several gateways side by side, with the age of each; idle is said only when all of them answered.

--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -71,7 +71,8 @@
 
     Attributes:
       table: routes in force; None before the first configuration.
-      evacuated: availability zones whose upstreams get nothing.
+      evacuated: availability zones whose upstreams get nothing, with the time
+        of the order's arrival on the entry's clock.
       entries: live entries by name.
       entry_names: their names, this entry's with them.
       by_hash: registered upstreams by the hash that entries call them.
@@ -108,7 +109,7 @@
         self._grace_until_s = -math.inf
         self._loaded = False
         self.table: RoutingTable | None = None
-        self.evacuated: set[str] = set()
+        self.evacuated: dict[str, float] = {}
         self.entries: dict[str, Entry] = {}
         self.entry_names: frozenset[str] = frozenset((own_name,))
         self.by_hash: dict[int, UpstreamState] = {}
@@ -359,11 +360,11 @@
 
     # Evacuations.
 
-    def evacuate(self, zone: str) -> bool:
+    def evacuate(self, zone: str, *, now_s: float) -> bool:
         """Takes the order that a zone's upstreams get nothing."""
         if zone in self.evacuated:
             return False
-        self.evacuated.add(zone)
+        self.evacuated[zone] = now_s
         self._takers_stale = True
         return True
 
@@ -371,7 +372,7 @@
         """Takes the end of an evacuation; the zone counts as cold."""
         if zone not in self.evacuated:
             return False
-        self.evacuated.discard(zone)
+        del self.evacuated[zone]
         for state in self._upstreams.values():
             if state.record.availability_zone != zone:
                 continue
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -211,10 +211,37 @@
             "store_age_s": round(now - self._follower.heard_at_s, 2),
             "peers_heard": self._fleet.peers_heard,
             "evacuated": sorted(self._fleet.evacuated),
+            "evacuated_for_s": {
+                zone: round(now - since_s, 2)
+                for zone, since_s in self._fleet.evacuated.items()
+            },
             "entries": entries,
             "upstreams": upstreams,
         }
 
+    def configuration(self, *, version: int) -> dict[str, object] | None:
+        """Returns a configuration that was in force; 0 for the one that is."""
+        found = self._follower.history.find(version)
+        if found is None:
+            return None
+        now = now_s()
+        versions = []
+        for kept in self._follower.history.newest_first():
+            versions.append(
+                {
+                    "version": kept.version,
+                    "revision": kept.revision,
+                    "in_force_s_ago": round(now - kept.since_s, 2),
+                }
+            )
+        return {
+            "entry": self._settings.entry_name,
+            "version": found.version,
+            "store_age_s": round(now - self._follower.heard_at_s, 2),
+            "text": found.text().decode("utf-8", "replace"),
+            "versions": versions,
+        }
+
     # Life.
 
     async def start(self) -> None:
@@ -364,6 +391,7 @@
             upstream.busy(now_s=now, peers_heard=fleet.peers_heard), 1
         ),
         "load_age_s": round(age_s, 2) if age_s < NEVER_S else None,
+        "in_flight": upstream.in_flight,
         "draining": record.draining,
         "paused": upstream.paused(now_s=now),
         "cold": upstream.cold(now_s=now),
--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -10,6 +10,7 @@
 from almondstair.core.fleet import Entry
 from almondstair.core.fleet import Fleet
 from almondstair.errors import AlmondstairError
+from almondstair.gateway.configuration_history import ConfigurationHistory
 from almondstair.gateway.mirror import Mirror
 from almondstair.gateway.mirror import MirrorPage
 from almondstair.gateway.sources import Batch
@@ -50,6 +51,7 @@
     Attributes:
       heard_at_s: as of when the picture is, on the entry's clock.
       revision: the store's revision that the picture is as of.
+      history: the configurations that were in force.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self._own_name = own_name
         self._own_zone = own_zone
         self._mirror = Mirror()
+        self.history = ConfigurationHistory()
         self._seeds: list[PeerSource] = []
         self.take_seeds(seeds)
         self._peers: dict[str, PeerSource] = {}
@@ -276,6 +279,12 @@
             log.event(log.Event.CONFIGURATION_BAD, detail=error.detail)
             return
         if self._fleet.take_configuration(configuration):
+            self.history.note(
+                version=configuration.version,
+                text=item.value,
+                revision=item.revision,
+                now_s=now_s(),
+            )
             self._mirror.put(item.key, item.value, item.revision)
             log.event(
                 log.Event.CONFIGURATION_IN_FORCE,
@@ -319,7 +328,7 @@
             changed = self._fleet.take_back(zone, now_s=now_s())
             self._mirror.remove(item.key, item.revision)
         else:
-            changed = self._fleet.evacuate(zone)
+            changed = self._fleet.evacuate(zone, now_s=now_s())
             self._mirror.put(item.key, item.value, item.revision)
         if changed:
             log.event(
--- a/almondstair/gateway/pages.py
+++ b/almondstair/gateway/pages.py
@@ -37,6 +37,10 @@
     def status(self) -> dict[str, object]:
         """Returns what this entry believes, with the age of each figure."""
 
+    @abc.abstractmethod
+    def configuration(self, *, version: int) -> dict[str, object] | None:
+        """Returns a configuration that was in force; 0 for the one that is."""
+
     @abc.abstractmethod
     def lookup_ttl_s(self) -> float:
         """Returns how long callers may keep a look-up, in seconds."""
@@ -92,6 +96,23 @@
         self.write(msgspec.json.encode(self.source.status()))
 
 
+class ConfigurationPage(_Page):
+    """Shows a configuration that this entry had in force."""
+
+    def get(self) -> None:
+        """Answers with JSON for `almondstairctl gateway config`."""
+        version = self.get_query_argument("version", "0")
+        if not version.isdigit():
+            self.set_status(400)
+            return
+        found = self.source.configuration(version=int(version))
+        if found is None:
+            self.set_status(404)
+            return
+        self.set_header("Content-Type", "application/json")
+        self.write(msgspec.json.encode(found))
+
+
 class LookupPage(_Page):
     """Names the entries that a caller should use."""
 
@@ -128,9 +149,14 @@
         self._listen(address, [("/ready", ReadyPage)])
 
     def serve_operators(self, address: str) -> None:
-        """Serves metrics and status."""
+        """Serves metrics, status and configurations."""
         self._listen(
-            address, [("/metrics", MetricsPage), ("/status", StatusPage)]
+            address,
+            [
+                ("/metrics", MetricsPage),
+                ("/status", StatusPage),
+                ("/configuration", ConfigurationPage),
+            ],
         )
 
     def serve_peers(self, address: str) -> None:
--- /dev/null
+++ b/almondstair/tools/gateway_tables.py
@@ -0,0 +1,184 @@
+"""Tables of what gateways believe. What is not known is said to be unknown."""
+
+from pathlib import Path
+from typing import Any
+
+from rich import table as rich_table
+
+from almondstair.tools import gateway_views
+from almondstair.tools import stories
+from almondstair.tools import tables
+
+# Figures older than this are marked; the store is asked twice a second.
+STALE_S = 5.0
+
+
+def gateways(bodies: list[dict[str, Any]]) -> rich_table.Table:
+    """Returns the table of gateways, silent ones included."""
+    table = tables.make_table(
+        "Gateways",
+        ("entry", "ready", "version", "store revision", "store age", "peers"),
+    )
+    for body in bodies:
+        if "silent" in body:
+            silent = f"[red]does not answer[/red]: {body['silent']}"
+            table.add_row(body["entry"], silent, *(tables.UNKNOWN,) * 4)
+            continue
+        table.add_row(
+            body["entry"],
+            "yes" if body["ready"] else "[red]NO[/red]",
+            str(body["configuration_version"]),
+            str(body["store_revision"]),
+            _age(body["store_age_s"]),
+            "all heard" if body["peers_heard"] else tables.UNKNOWN,
+        )
+    return table
+
+
+def upstreams(body: dict[str, Any]) -> rich_table.Table:
+    """Returns the table of upstreams as one gateway believes."""
+    table = tables.make_table(
+        f"Upstreams as {body['entry']} believes",
+        ("upstream", "service", "zone", "busy", "slots", "own word", "state"),
+    )
+    for row in body["upstreams"]:
+        age_s = row["load_age_s"]
+        word = "none" if age_s is None else f"{age_s:.1f} s ago"
+        table.add_row(
+            row["id"],
+            row["service"],
+            row["availability_zone"],
+            f"{row['busy']:.1f}",
+            str(row["slots"]),
+            word,
+            _state(row, body["evacuated"]),
+        )
+    return table
+
+
+def _state(row: dict[str, Any], evacuated: list[str]) -> str:
+    states = []
+    for name in ("draining", "paused", "cold"):
+        if row[name]:
+            states.append(name)
+    if row["availability_zone"] in evacuated:
+        states.append("evacuated")
+    if row["slowness"] > 1.5:
+        states.append(f"{row['slowness']:.1f} times slower")
+    if row["failure_share"] > 0.1:
+        states.append(f"fails {row['failure_share']:.0%}")
+    return ", ".join(states) or "ready"
+
+
+def lines(title: str, found: list[stories.Line]) -> rich_table.Table:
+    """Returns the table of log lines."""
+    table = tables.make_table(title, ("time", "log", "event", "what it says"))
+    for line in found:
+        table.add_row(
+            line.time,
+            Path(line.source).name,
+            f"{line.event} {line.fields.get('event_name')}",
+            stories.details(line),
+        )
+    return table
+
+
+def ages(bodies: list[dict[str, Any]]) -> rich_table.Table:
+    """Returns how old the word of each gateway is."""
+    table = tables.make_table("As told by", ("gateway", "store age"))
+    for body in bodies:
+        if "silent" in body:
+            silent = f"[red]does not answer[/red]: {body['silent']}"
+            table.add_row(body["entry"], silent)
+            continue
+        table.add_row(body["entry"], _age(body["store_age_s"]))
+    return table
+
+
+def _age(age_s: float) -> str:
+    if age_s > STALE_S:
+        return f"[red]{age_s:.1f} s[/red]"
+    return f"{age_s:.1f} s"
+
+
+def vms(rows: list[gateway_views.VmRow]) -> rich_table.Table:
+    """Returns the table of VMs with a gateway."""
+    table = tables.make_table(
+        "VMs", ("vm", "region", "zone", "answers", "ready", "known to")
+    )
+    for row in rows:
+        table.add_row(
+            row.name,
+            row.region or tables.UNKNOWN,
+            row.availability_zone or tables.UNKNOWN,
+            _yes_no(row.answers),
+            _yes_no(row.ready),
+            f"{len(row.known_to)} gateways",
+        )
+    return table
+
+
+def _yes_no(value: bool | None) -> str:
+    if value is None:
+        return tables.UNKNOWN
+    return "yes" if value else "[red]NO[/red]"
+
+
+def draining(rows: list[gateway_views.DrainRow]) -> rich_table.Table:
+    """Returns the table of upstreams that are leaving."""
+    table = tables.make_table(
+        "Leaving upstreams",
+        ("upstream", "service", "zone", "in flight", "known to", "not yet to"),
+    )
+    for row in rows:
+        table.add_row(
+            row.upstream,
+            row.service,
+            row.availability_zone,
+            _in_flight(row),
+            f"{len(row.known_to)} gateways",
+            ", ".join(row.not_known_to) or "none",
+        )
+    return table
+
+
+def _in_flight(
+    row: gateway_views.DrainRow | gateway_views.EvacuationRow,
+) -> str:
+    if not row.whole:
+        return f"{row.in_flight} or more"
+    return str(row.in_flight) if row.in_flight else "idle"
+
+
+def evacuations(rows: list[gateway_views.EvacuationRow]) -> rich_table.Table:
+    """Returns the table of evacuated zones."""
+    table = tables.make_table(
+        "Evacuated zones", ("zone", "in flight", "known to", "not yet to")
+    )
+    for row in rows:
+        known = []
+        for name, for_s in row.known_for_s.items():
+            known.append(f"{name} for {for_s:.1f} s")
+        table.add_row(
+            row.availability_zone,
+            _in_flight(row),
+            ", ".join(known),
+            ", ".join(row.not_known_to) or "none",
+        )
+    return table
+
+
+def versions(body: dict[str, Any]) -> rich_table.Table:
+    """Returns the table of configurations that were in force."""
+    table = tables.make_table(
+        f"Configurations on {body['entry']}, store heard "
+        f"{body['store_age_s']:.1f} s ago",
+        ("version", "store revision", "in force"),
+    )
+    for row in body["versions"]:
+        table.add_row(
+            str(row["version"]),
+            str(row["revision"]),
+            f"{row['in_force_s_ago']:.1f} s ago",
+        )
+    return table
--- /dev/null
+++ b/almondstair/tools/gateway_views.py
@@ -0,0 +1,182 @@
+"""What several gateways believe, put side by side.
+
+A gateway that does not answer is never taken as calm: what only it knows is
+named as unknown through the ages that stand beside each view.
+"""
+
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+
+class VmRow(NamedTuple):
+    """A VM with a gateway.
+
+    Attributes:
+      name: its name, or its address where it does not answer.
+      region: its region, empty where nobody knows.
+      availability_zone: its zone, empty where nobody knows.
+      answers: whether it answered, None where it was not asked.
+      ready: whether it takes new callers, None where it did not say.
+      known_to: names of the gateways that know it as live.
+    """
+
+    name: str
+    region: str
+    availability_zone: str
+    answers: bool | None
+    ready: bool | None
+    known_to: list[str]
+
+
+class DrainRow(NamedTuple):
+    """An upstream that is leaving.
+
+    Attributes:
+      upstream: its id.
+      service: its service.
+      availability_zone: its zone.
+      in_flight: requests of the gateways that were asked.
+      known_to: names of the gateways that know of its leaving.
+      not_known_to: names of those that would still send to it.
+      whole: whether every gateway that was asked answered; if not, more may
+        be in flight.
+    """
+
+    upstream: str
+    service: str
+    availability_zone: str
+    in_flight: int
+    known_to: list[str]
+    not_known_to: list[str]
+    whole: bool
+
+
+class EvacuationRow(NamedTuple):
+    """A zone whose upstreams get nothing.
+
+    Attributes:
+      availability_zone: the zone.
+      known_for_s: time since each gateway got the order, by its name.
+      not_known_to: names of the gateways that would still send there.
+      in_flight: requests of the gateways that were asked.
+      whole: whether every gateway that was asked answered; if not, more may
+        be in flight.
+    """
+
+    availability_zone: str
+    known_for_s: dict[str, float]
+    not_known_to: list[str]
+    in_flight: int
+    whole: bool
+
+
+def as_json(
+    bodies: list[dict[str, Any]], name: str, rows: list[Any]
+) -> dict[str, Any]:
+    """Returns rows for scripts, with the age of each gateway's word."""
+    ages_s = {}
+    for body in bodies:
+        ages_s[body["entry"]] = body.get("store_age_s")
+    return {name: [row._asdict() for row in rows], "store_age_s": ages_s}
+
+
+def _answering(bodies: list[dict[str, Any]]) -> Iterator[dict[str, Any]]:
+    for body in bodies:
+        if "silent" not in body:
+            yield body
+
+
+def _all_answered(bodies: list[dict[str, Any]]) -> bool:
+    return all("silent" not in body for body in bodies)
+
+
+def vms(bodies: list[dict[str, Any]]) -> list[VmRow]:
+    """Returns the VMs that answered, are known, or were asked in vain."""
+    found: dict[str, VmRow] = {}
+    for body in bodies:
+        silent = "silent" in body
+        found[body["entry"]] = VmRow(
+            name=body["entry"],
+            region="",
+            availability_zone="",
+            answers=not silent,
+            ready=None if silent else body["ready"],
+            known_to=[],
+        )
+    for body in _answering(bodies):
+        for entry in body["entries"]:
+            row = found.get(entry["name"])
+            if row is None:
+                row = VmRow(entry["name"], "", "", None, None, [])
+            row.known_to.append(body["entry"])
+            found[entry["name"]] = row._replace(
+                region=entry["region"],
+                availability_zone=entry["availability_zone"],
+            )
+    return [found[name] for name in sorted(found)]
+
+
+def draining(bodies: list[dict[str, Any]]) -> list[DrainRow]:
+    """Returns the upstreams that some gateway knows to be leaving."""
+    found: dict[str, DrainRow] = {}
+    for _, upstream in _upstreams(bodies):
+        if not upstream["draining"] or upstream["id"] in found:
+            continue
+        found[upstream["id"]] = DrainRow(
+            upstream=upstream["id"],
+            service=upstream["service"],
+            availability_zone=upstream["availability_zone"],
+            in_flight=0,
+            known_to=[],
+            not_known_to=[],
+            whole=_all_answered(bodies),
+        )
+    for body, upstream in _upstreams(bodies):
+        row = found.get(upstream["id"])
+        if row is None:
+            continue
+        knows = row.known_to if upstream["draining"] else row.not_known_to
+        knows.append(body["entry"])
+        found[row.upstream] = row._replace(
+            in_flight=row.in_flight + upstream["in_flight"]
+        )
+    return [found[upstream_id] for upstream_id in sorted(found)]
+
+
+def _upstreams(
+    bodies: list[dict[str, Any]],
+) -> Iterator[tuple[dict[str, Any], dict[str, Any]]]:
+    for body in _answering(bodies):
+        for upstream in body["upstreams"]:
+            yield body, upstream
+
+
+def evacuations(bodies: list[dict[str, Any]]) -> list[EvacuationRow]:
+    """Returns the zones that some gateway knows to be evacuated."""
+    zones = set()
+    for body in _answering(bodies):
+        zones.update(body["evacuated_for_s"])
+    rows = []
+    for zone in sorted(zones):
+        known_for_s = {}
+        not_known_to = []
+        for body in _answering(bodies):
+            for_s = body["evacuated_for_s"].get(zone)
+            if for_s is None:
+                not_known_to.append(body["entry"])
+                continue
+            known_for_s[body["entry"]] = for_s
+        in_flight = 0
+        for _, upstream in _upstreams(bodies):
+            if upstream["availability_zone"] == zone:
+                in_flight += upstream["in_flight"]
+        rows.append(
+            EvacuationRow(
+                availability_zone=zone,
+                known_for_s=known_for_s,
+                not_known_to=not_known_to,
+                in_flight=in_flight,
+                whole=_all_answered(bodies),
+            )
+        )
+    return rows
--- a/features/steps/gateway_explaining_steps.py
+++ b/features/steps/gateway_explaining_steps.py
@@ -1,8 +1,6 @@
 """Steps for logs, the story of a request, and the status of gateways."""
 
 import os
-import subprocess
-import sys
 import threading
 import time
 
@@ -11,21 +9,8 @@
 from behave import when
 
 from features.support import harness
+from features.support import operator_tool
 from features.support.gateway_world import GatewayWorld
-from features.support.harness import ROOT
-
-
-def _control(*arguments):
-    done = subprocess.run(
-        [sys.executable, "-m", "almondstair.tools.almondstairctl", *arguments],
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        timeout=30,
-        check=False,
-    )
-    assert done.returncode == 0, done
-    return done.stdout
 
 
 @then('"why" tells of a {status:d} "{words}"')
@@ -38,7 +23,7 @@
     log = str(context.processes.children["g1"].log)
 
     def check():
-        return words in _control("gateway", "why", ids[0], log)
+        return words in operator_tool.run("gateway", "why", ids[0], log)
 
     harness.wait_until(check, what=words)
 
@@ -51,7 +36,7 @@
     # gone and the first keeps the port.
     port = context.world.operator_address("g1")
     silent = harness.free_address()
-    shown = _control("gateway", "status", port, silent)
+    shown = operator_tool.run("gateway", "status", port, silent)
     assert "does not answer" in shown, shown
     assert "g1" in shown and "ready" in shown, shown
 
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -23,8 +23,7 @@
     def __init__(self, *, processes: Processes) -> None:
         """Starts the store."""
         self.processes = processes
-        self.store = harness.free_address()
-        self._start("store", "store", "--address", self.store)
+        self.start_store("store")
         self._zones_of: dict[str, str] = {}
         self.upstreams: dict[str, str] = {}
         self.gateways: dict[str, dict[str, str]] = {}
@@ -47,8 +46,12 @@
     def replace_store(self) -> None:
         """Ends the store and starts an empty one at another address."""
         self.processes.children["store"].kill()
+        self.start_store("store-2")
+
+    def start_store(self, name: str) -> None:
+        """Starts an empty store and speaks to it from now on."""
         self.store = harness.free_address()
-        self._start("store-2", "store", "--address", self.store)
+        self._start(name, "store", "--address", self.store)
 
     def operate(self, **change: Any) -> None:
         """Writes to the store as the operator."""
