Say once what stood twice: loan books, known words, views of gateways

No behaviour changes but one: a word in the wrong case is now always met with the right one as remedy, not only for HTTP methods.

--- a/almondstair/configuration_checks.py
+++ b/almondstair/configuration_checks.py
@@ -4,6 +4,7 @@
 document must not say two things.
 """
 
+from collections.abc import Sequence
 import re
 
 from almondstair import addresses
@@ -147,14 +148,13 @@
             problem="the class covers no method",
             remedy="name at least one HTTP method",
         )
-    for index, method in enumerate(request_class.methods):
-        if method in _HTTP_METHODS:
-            continue
-        faults.add(
-            key=f"{key}.methods[{index}]",
-            problem=f"{method!r} is no HTTP method that is served",
-            remedy=faults_module.known_words(method.upper(), _HTTP_METHODS),
-        )
+    _check_known(
+        request_class.methods,
+        _HTTP_METHODS,
+        key=f"{key}.methods",
+        problem="{!r} is no HTTP method that is served",
+        faults=faults,
+    )
     if (
         not request_class.idempotent
         and request_class.body_limit_bytes > HELD_BODY_BYTES
@@ -181,6 +181,25 @@
         )
 
 
+def _check_known(
+    words: Sequence[str],
+    known: tuple[str, ...],
+    *,
+    key: str,
+    problem: str,
+    faults: faults_module.FaultList,
+) -> None:
+    """Notes a fault for each word that is not among the known ones."""
+    for index, word in enumerate(words):
+        if word in known:
+            continue
+        faults.add(
+            key=f"{key}[{index}]",
+            problem=problem.format(word),
+            remedy=faults_module.known_words(word, known),
+        )
+
+
 def _check_upstreams(
     configuration: model.Configuration, *, faults: faults_module.FaultList
 ) -> None:
@@ -204,14 +223,13 @@
                 problem="the upstream runs no service",
                 remedy="name at least one service",
             )
-        for index, service in enumerate(upstream.services):
-            if service in services:
-                continue
-            faults.add(
-                key=f"{key}.services[{index}]",
-                problem=f"there is no service {service!r}",
-                remedy=faults_module.known_words(service, services),
-            )
+        _check_known(
+            upstream.services,
+            services,
+            key=f"{key}.services",
+            problem="there is no service {!r}",
+            faults=faults,
+        )
         problem = addresses.address_problem(upstream.address)
         if problem is not None:
             faults.add(
--- a/almondstair/core/loans.py
+++ b/almondstair/core/loans.py
@@ -106,26 +106,34 @@
         return largest
 
 
-class LentBook:
-    """What one entry has lent on one link."""
+class _Book:
+    """Loans of one link on one side, and their sum."""
 
     def __init__(self, *, timing: LoanTiming) -> None:
         """Makes an empty book."""
         self._timing = timing
-        self._accounts: dict[str, _Account] = {}
         self._share_bytes_per_s = 0
         self._next_end_s = float("inf")
 
     @property
     def share_bytes_per_s(self) -> int:
-        """Sum of what may be in use at borrowers."""
+        """Sum of what may be in use on this side's loans."""
         return self._share_bytes_per_s
 
     @property
     def next_end_s(self) -> float:
-        """When the next term ends."""
+        """When the next loan ends."""
         return self._next_end_s
 
+
+class LentBook(_Book):
+    """What one entry has lent on one link."""
+
+    def __init__(self, *, timing: LoanTiming) -> None:
+        """Makes an empty book."""
+        super().__init__(timing=timing)
+        self._accounts: dict[str, _Account] = {}
+
     def share_of(self, *, borrower: str) -> int:
         """Returns what `borrower` may be using, in bytes per second."""
         account = self._accounts.get(borrower)
@@ -214,27 +222,15 @@
     until_s: float
 
 
-class BorrowedBook:
+class BorrowedBook(_Book):
     """What one entry has borrowed on one link, at its present epoch."""
 
     def __init__(self, *, timing: LoanTiming) -> None:
         """Makes an empty book."""
-        self._timing = timing
+        super().__init__(timing=timing)
         self._sequence = 0
         self._requests: dict[str, list[_Request]] = {}
         self._held: dict[str, _Held] = {}
-        self._share_bytes_per_s = 0
-        self._next_end_s = float("inf")
-
-    @property
-    def share_bytes_per_s(self) -> int:
-        """Sum of what may be used now."""
-        return self._share_bytes_per_s
-
-    @property
-    def next_end_s(self) -> float:
-        """When the next loan ends."""
-        return self._next_end_s
 
     @property
     def lenders(self) -> tuple[str, ...]:
--- a/almondstair/faults.py
+++ b/almondstair/faults.py
@@ -128,6 +128,8 @@
     whole key.
     """
     for candidate in known:
+        if candidate.lower() == word.lower():
+            return (candidate,)
         if candidate.startswith(f"{word}_"):
             return (candidate,)
     # Names such as east-1 and west-1 may be equally close: both are named.
--- a/almondstair/tools/gateway_commands.py
+++ b/almondstair/tools/gateway_commands.py
@@ -1,9 +1,12 @@
 """Commands of the tool for gateways, the processes on the users' platform."""
 
+from collections.abc import Sequence
 from pathlib import Path
 import sys
 from typing import Any
 
+from rich import table as rich_table
+
 from almondstair import errors
 from almondstair.tools import commands
 from almondstair.tools import gateway_client
@@ -53,11 +56,7 @@
         """
         bodies = gateway_client.statuses(addresses)
         rows = gateway_views.vms(bodies)
-        self._session.show(
-            gateway_views.as_json(bodies, "vms", rows),
-            gateway_tables.vms(rows),
-            gateway_tables.ages(bodies),
-        )
+        self._show(bodies, "vms", rows, gateway_tables.vms(rows))
 
     @commands.command
     def drain(self, *addresses: str) -> None:
@@ -72,11 +71,7 @@
         """
         bodies = gateway_client.statuses(addresses)
         rows = gateway_views.draining(bodies)
-        self._session.show(
-            gateway_views.as_json(bodies, "draining", rows),
-            gateway_tables.draining(rows),
-            gateway_tables.ages(bodies),
-        )
+        self._show(bodies, "draining", rows, gateway_tables.draining(rows))
 
     @commands.command
     def evacuations(self, *addresses: str) -> None:
@@ -90,9 +85,20 @@
         """
         bodies = gateway_client.statuses(addresses)
         rows = gateway_views.evacuations(bodies)
+        table = gateway_tables.evacuations(rows)
+        self._show(bodies, "evacuations", rows, table)
+
+    def _show(
+        self,
+        bodies: list[dict[str, Any]],
+        name: str,
+        rows: Sequence[Any],
+        table: rich_table.Table,
+    ) -> None:
+        """Prints a view with the age of each gateway's word."""
         self._session.show(
-            gateway_views.as_json(bodies, "evacuations", rows),
-            gateway_tables.evacuations(rows),
+            gateway_views.as_json(bodies, name, rows),
+            table,
             gateway_tables.ages(bodies),
         )
 
--- a/almondstair/tools/gateway_views.py
+++ b/almondstair/tools/gateway_views.py
@@ -4,7 +4,7 @@
 named as unknown through the ages that stand beside each view.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any, NamedTuple
 
 
@@ -71,7 +71,7 @@
 
 
 def as_json(
-    bodies: list[dict[str, Any]], name: str, rows: list[Any]
+    bodies: list[dict[str, Any]], name: str, rows: Sequence[Any]
 ) -> dict[str, Any]:
     """Returns rows for scripts, with the age of each gateway's word."""
     ages_s = {}
