--- /dev/null
+++ b/almondstair/platform/etcd_calls.py
@@ -0,0 +1,185 @@
+"""Single calls over HTTP; each is sent once and says what its failure means."""
+
+import asyncio
+from typing import TypeVar
+import urllib.parse
+
+import msgspec
+from tornado import httputil
+from tornado.iostream import IOStream
+
+from almondstair.body import RequestBody
+from almondstair.http_client import AnswerSink
+from almondstair.http_client import Exchange
+from almondstair.http_client import HttpClient
+from almondstair.http_client import Sent
+from almondstair.http_messages import ResponseHead
+from almondstair.platform import base
+
+MAX_CALLS = 32
+"""Calls under way at once; further ones wait here, within their timeout."""
+
+MIN_CALL_S = 0.02
+"""A call that waited until less than this is left is not sent."""
+
+MAX_ANSWER_BYTES = 16 << 20
+_HTTP_OK = 200
+_SURELY_REFUSED_STATUSES = (400, 401, 403, 404, 429)
+
+T = TypeVar("T")
+
+
+def _no_refusal(head: ResponseHead) -> str:
+    """Finds no refusal of an upstream: the platform knows none."""
+    del head
+    return ""
+
+
+class _Collector(AnswerSink):
+    """Collects an answer whole."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = bytearray()
+
+    def head(self, head: ResponseHead) -> None:
+        self.status = head.status
+
+    async def data(self, chunk: bytes) -> None:
+        if len(self.body) + len(chunk) > MAX_ANSWER_BYTES:
+            raise OSError("the answer is too large")
+        self.body += chunk
+
+
+class EtcdCaller:
+    """Sends single calls and says of each failure what it means.
+
+    While no byte of a call was written the service cannot have it, so it
+    surely was not applied. Without this an outage would make every refused
+    claim `unknown`. Connections are kept: a new one for each call took most
+    of a claim's processor time. A call on a kept connection that the service
+    just closed is lost and `unknown`; it is not sent again here.
+    """
+
+    def __init__(self, *, url: str, timeout_s: float) -> None:
+        """Makes a caller.
+
+        Args:
+          url: `http://ip:port`, perhaps with the start of a path.
+          timeout_s: longest time of a call, waiting for a place included.
+        """
+        parts = urllib.parse.urlsplit(url)
+        self._address = parts.netloc
+        self._path = parts.path.rstrip("/")
+        self._timeout_s = timeout_s
+        self._places = asyncio.Semaphore(MAX_CALLS)
+        self._client = HttpClient(connect_timeout_s=timeout_s)
+
+    def close(self) -> None:
+        """Closes the client."""
+        self._client.close()
+
+    async def call(
+        self, *, path: str, body: bytes | None, writes: bool, answer: type[T]
+    ) -> T:
+        """Posts a body, or gets when there is none.
+
+        Args:
+          path: path below the URL.
+          body: JSON, or None for a GET.
+          writes: whether the call changes anything.
+          answer: type of the answer.
+
+        Returns:
+          The decoded answer.
+
+        Raises:
+          PlatformError: no usable answer came.
+        """
+        deadline_s = asyncio.get_running_loop().time() + self._timeout_s
+        try:
+            # A call sent at the last moment would only come back as unknown.
+            async with asyncio.timeout_at(deadline_s - MIN_CALL_S):
+                await self._places.acquire()
+        except TimeoutError as error:
+            raise base.PlatformError(
+                failure=base.PlatformFailure.UNAVAILABLE,
+                detail="too many calls to the platform are under way",
+            ) from error
+        try:
+            response = await self._fetch(path, body, writes, deadline_s)
+        finally:
+            self._places.release()
+        return self._decode(response, writes, answer)
+
+    async def _fetch(
+        self, path: str, body: bytes | None, writes: bool, deadline_s: float
+    ) -> _Collector:
+        written = False
+        collector = _Collector()
+        problem = "the connection was lost"
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                stream = await self._client.connect(self._address, fresh=writes)
+                written = True
+                exchange = await self._exchange(stream, path, body, collector)
+            if exchange.sent is Sent.WHOLE:
+                return collector
+            written = exchange.sent is not Sent.NOT_SENT
+        except OSError as error:
+            problem = str(error) or "no answer in time"
+        failure = base.PlatformFailure.UNAVAILABLE
+        if written and writes:
+            failure = base.PlatformFailure.UNKNOWN
+        raise base.PlatformError(
+            failure=failure, detail=f"the platform: {problem}"
+        )
+
+    async def _exchange(
+        self,
+        stream: IOStream,
+        path: str,
+        body: bytes | None,
+        collector: _Collector,
+    ) -> Exchange:
+        method = "GET" if body is None else "POST"
+        request_body = RequestBody()
+        request_body.put(body or b"")
+        request_body.end()
+        headers = httputil.HTTPHeaders({"Host": self._address})
+        if body is not None:
+            headers["Content-Type"] = "application/json"
+        return await self._client.exchange(
+            address=self._address,
+            stream=stream,
+            start_line=httputil.RequestStartLine(
+                method, self._path + path or "/", "HTTP/1.1"
+            ),
+            headers=headers,
+            body=request_body,
+            sink=collector,
+            refusal=_no_refusal,
+        )
+
+    def _decode(self, response: _Collector, writes: bool, answer: type[T]) -> T:
+        if response.status in _SURELY_REFUSED_STATUSES:
+            raise base.PlatformError(
+                failure=base.PlatformFailure.REFUSED,
+                detail=f"the platform answered {response.status}",
+            )
+        failure = base.PlatformFailure.UNAVAILABLE
+        if writes:
+            # A gateway answers 503 or 504 also when the service behind it was
+            # too slow to say that it applied the write.
+            failure = base.PlatformFailure.UNKNOWN
+        if response.status != _HTTP_OK:
+            raise base.PlatformError(
+                failure=failure,
+                detail=f"the platform answered {response.status}",
+            )
+        try:
+            return msgspec.json.decode(response.body, type=answer)
+        except msgspec.MsgspecError as error:
+            raise base.PlatformError(
+                failure=failure, detail=f"the platform's answer: {error}"
+            ) from error
