Name VMs in look-ups by what they can carry

Now each caller is told three entries of each zone of its region by weighted rendezvous over processors and link; where all are alike or do not tell, all, as before.

Small sites are not affected, their VMs are alike. Three scenarios; two cannot pass before, look-ups did not tell callers apart.

--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -50,6 +50,8 @@
       peers: `ip:port` for other entries.
       region: its region.
       availability_zone: its availability zone.
+      cores: processors that it may use, 0 where it does not tell.
+      link_mbps: what its link carries, 0 where it does not tell.
     """
 
     name: str
@@ -57,6 +59,8 @@
     peers: str
     region: str
     availability_zone: str
+    cores: float = 0.0
+    link_mbps: float = 0.0
 
 
 class Lapsed(NamedTuple):
@@ -78,6 +82,7 @@
       by_hash: registered upstreams by the hash that entries call them.
       peers_heard: whether every other entry tells its loads.
       as_of_s: as of when the picture is, on the entry's clock.
+      entries_version: a number that changes with the live entries.
       takers_version: a number that changes with the upstreams that may get
         new work.
     """
@@ -99,6 +104,7 @@
         self._by_service: dict[str, list[UpstreamState]] = {}
         self._takers_stale = False
         self.takers_version = 0
+        self.entries_version = 0
         self._lapses_at_s: dict[str, float] = {}
         self._replaced_at_s: dict[int, float] = {}
         self._entry_lapse_s: dict[str, float] = {}
@@ -438,17 +444,4 @@
         names = set(self.entries)
         names.add(self._own_name)
         self.entry_names = frozenset(names)
-
-    def entries_near(self, *, region: str, zone: str, limit: int) -> list[str]:
-        """Returns caller addresses of entries, for a caller in a zone.
-
-        Those of its region are named; where there are none, all are.
-        """
-        near = []
-        far = []
-        for entry in self.entries.values():
-            if entry.region == region:
-                near.append(entry.callers)
-            else:
-                far.append(entry.callers)
-        return (near or far)[:limit]
+        self.entries_version += 1
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -15,6 +15,7 @@
 from almondstair.core.cold_starts import ColdStarts
 from almondstair.core.crash_suspects import CrashSuspects
 from almondstair.core.fleet import Fleet
+from almondstair.core.look_ups import LookUps
 from almondstair.core.region_shares import RegionShares
 from almondstair.core.second_tries import SecondTries
 from almondstair.core.upstream_state import UpstreamState
@@ -90,6 +91,8 @@
             own_zone=settings.availability_zone,
             seeds=_other_seeds(settings),
         )
+        self._look_ups = LookUps()
+        self._entries_version = -1
         self._measures = Measures()
         self._suspects = CrashSuspects()
         self._second_tries = SecondTries(
@@ -140,6 +143,8 @@
                 region=settings.region,
                 availability_zone=settings.availability_zone,
                 incarnation=uuid.uuid4().hex,
+                cores=settings.means.cores,
+                link_mbps=settings.means.link_mbps,
             ),
             shortest_lease_s=settings.store.shortest_lease_s,
         )
@@ -155,9 +160,12 @@
         """Whether the entry takes new callers."""
         return self._fleet.ready and not self._leaving
 
-    def addresses(self, *, region: str, zone: str) -> list[str]:
-        """Returns entries for a caller."""
-        found = self._fleet.entries_near(region=region, zone=zone, limit=64)
+    def addresses(self, *, region: str, caller: str) -> list[str]:
+        """Returns entries for a caller of a region."""
+        if self._entries_version != self._fleet.entries_version:
+            self._entries_version = self._fleet.entries_version
+            self._look_ups.take_entries(self._fleet.entries.values())
+        found = self._look_ups.named(region=region, caller=caller)
         if not found and not self._leaving:
             found = [self._settings.listen.callers]
         return found
--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -354,6 +354,8 @@
             peers=record.peers,
             region=record.region,
             availability_zone=record.availability_zone,
+            cores=record.cores,
+            link_mbps=record.link_mbps,
         )
         if self._fleet.take_entry(entry):
             self._mirror.put(item.key, item.value, item.revision)
--- a/almondstair/gateway/pages.py
+++ b/almondstair/gateway/pages.py
@@ -7,8 +7,6 @@
 from tornado import netutil
 from tornado import web
 
-# Answer limit of a look-up: as many addresses as callers take.
-LOOKUP_LIMIT = 64
 # How long callers keep a look-up. A leaving entry serves on for this long, so
 # short ones make stops short; each caller asks once in this time.
 LOOKUP_TTL_S = 2.0
@@ -22,8 +20,8 @@
         """Whether the entry takes new callers."""
 
     @abc.abstractmethod
-    def addresses(self, *, region: str, zone: str) -> list[str]:
-        """Returns entries for a caller, best first."""
+    def addresses(self, *, region: str, caller: str) -> list[str]:
+        """Returns entries for a caller of a region."""
 
     @abc.abstractmethod
     def changes(self, *, source: str, after: int) -> bytes:
@@ -119,13 +117,13 @@
     def get(self) -> None:
         """Answers with addresses and how long to keep them."""
         region = self.get_query_argument("region", "")
-        zone = self.get_query_argument("zone", "")
-        addresses = self.source.addresses(region=region, zone=zone)
+        caller = self.request.remote_ip or ""
+        addresses = self.source.addresses(region=region, caller=caller)
         if not addresses:
             self.set_status(503)
             return
         answer = {
-            "addresses": addresses[:LOOKUP_LIMIT],
+            "addresses": addresses,
             "ttlS": self.source.lookup_ttl_s(),
         }
         self.set_header("Content-Type", "application/json")
--- a/almondstair/gateway/settings_watch.py
+++ b/almondstair/gateway/settings_watch.py
@@ -22,6 +22,7 @@
     "region",
     "availability_zone",
     "ip",
+    "means",
     "listen",
     "peer_ports",
 )
--- a/almondstair/platform/boot.py
+++ b/almondstair/platform/boot.py
@@ -19,6 +19,18 @@
     peers: str
 
 
+class VmMeans(NamedTuple):
+    """What the VM has.
+
+    Attributes:
+      cores: processors that the process may use, 0 where it is not told.
+      link_mbps: what its link carries, 0 where it is not told.
+    """
+
+    cores: float
+    link_mbps: float
+
+
 class StoreSettings(NamedTuple):
     """The platform's store.
 
@@ -70,6 +82,7 @@
       region: its region.
       availability_zone: its availability zone.
       ip: its address.
+      means: what the VM has.
       listen: what it listens on.
       peer_ports: first and last port for traffic between entries.
       seeds: addresses at which some entries serve others; perhaps stale.
@@ -82,6 +95,7 @@
     region: str
     availability_zone: str
     ip: str
+    means: VmMeans
     listen: Listen
     peer_ports: tuple[int, int]
     seeds: tuple[str, ...]
@@ -200,11 +214,17 @@
         lookup_ttl_s=reader.number("terms.bounds.ttl_max_s"),
         region_change=reader.number("terms.bounds.maxShift", 1.0),
     )
+    cores = reader.number("local.limits.cores", 0.0)
+    means = VmMeans(
+        cores=cores * reader.number("local.limits.cpuShare", 1.0),
+        link_mbps=reader.number("local.limits.linkMbps", 0.0),
+    )
     return BootSettings(
         entry_name=reader.text("local.nodeName"),
         region=reader.text("local.region"),
         availability_zone=reader.text("local.zone"),
         ip=reader.text("local.ip"),
+        means=means,
         listen=listen,
         peer_ports=reader.ports("network.internalPorts"),
         seeds=reader.texts("network.seeds"),
--- a/almondstair/platform/documents.py
+++ b/almondstair/platform/documents.py
@@ -101,6 +101,8 @@
       region: its region.
       availability_zone: its availability zone.
       incarnation: differs with each start of the process.
+      cores: processors that it may use, 0 where it does not tell.
+      link_mbps: what its link carries, 0 where it does not tell.
     """
 
     callers: str
@@ -108,6 +110,8 @@
     region: str
     availability_zone: str
     incarnation: str
+    cores: float = 0.0
+    link_mbps: float = 0.0
 
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
--- a/features/gateway_core.feature
+++ b/features/gateway_core.feature
@@ -86,3 +86,24 @@
     Given an entry that sent 0 of its requests to another region for 4 s
     When an upstream has gone
     Then no region is barred
+
+  # Symptom: uploads through some VMs are several times slower than through
+  # others. Sequence: a region has VMs of very different links; callers pick any
+  # of those that look-ups name. Cause: all were named to all.
+  Scenario: Look-ups name VMs to callers by what the VMs can carry
+    Given a region of 2 zones with 2 large VMs and 12 small ones each
+    When 2000 callers look up and pick any of the named
+    Then each large VM gets 3 to 13 times what a small one gets
+    And every list names VMs of both zones
+    And a caller that asks again is told the same
+
+  Scenario: Look-ups name every VM where all are alike
+    Given a region of 2 zones with 3 large VMs and 0 small ones each
+    Then each look-up names 6 VMs
+
+  # Symptom: callers give up their connections whenever a VM comes or goes.
+  # Cause: lists drawn anew for everybody.
+  Scenario: A VM's end changes the lists of its own callers only
+    Given a region of 2 zones with 2 large VMs and 12 small ones each
+    When a small VM ends
+    Then only lists that named it have changed, by one VM each
