Move what entries tell each other, and the follower of a key, out of long files

No behaviour changes: home_records, membership_records and store_follower hold what homes.py, membership.py and store.py began with.

--- a/almondstair/control.py
+++ b/almondstair/control.py
@@ -13,13 +13,13 @@
 from almondstair.core.heartbeats import FAR_SILENCE_S
 from almondstair.core.heartbeats import ServiceLoad
 from almondstair.core.heartbeats import StatusDetail
+from almondstair.core.home_records import HomesReport
 from almondstair.core.homes import Homes
-from almondstair.core.homes import HomesReport
 from almondstair.core.hops import HopTable
 from almondstair.core.loans import Loan
 from almondstair.core.loans import LoanRequest
 from almondstair.core.membership import Membership
-from almondstair.core.membership import incarnation_text
+from almondstair.core.membership_records import incarnation_text
 from almondstair.core.model import Configuration
 from almondstair.core.quarantine import Quarantine
 from almondstair.core.steering import Steering
--- a/almondstair/core/admission.py
+++ b/almondstair/core/admission.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from almondstair.core.health import HealthTable
-from almondstair.core.homes import Duty
+from almondstair.core.home_records import Duty
 from almondstair.core.homes import Homes
 from almondstair.core.model import Configuration
 from almondstair.core.model import Priority
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -18,11 +18,11 @@
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.health import HealthTable
+from almondstair.core.home_records import homed_upstreams
 from almondstair.core.homes import Homes
-from almondstair.core.homes import homed_upstreams
 from almondstair.core.hops import HopTable
 from almondstair.core.membership import Membership
-from almondstair.core.membership import incarnation_text
+from almondstair.core.membership_records import incarnation_text
 from almondstair.core.model import Configuration
 from almondstair.core.quarantine import Quarantine
 from almondstair.core.slot_book import SlotBook
--- a/almondstair/heartbeats.py
+++ b/almondstair/heartbeats.py
@@ -23,8 +23,8 @@
 from almondstair.core.heartbeats import read_digest
 from almondstair.core.heartbeats import read_view
 from almondstair.core.heartbeats import zone_names
-from almondstair.core.membership import Heard
 from almondstair.core.membership import Membership
+from almondstair.core.membership_records import Heard
 from almondstair.messages import Heartbeat
 from almondstair.peers import Peers
 
--- a/almondstair/messages.py
+++ b/almondstair/messages.py
@@ -19,7 +19,7 @@
 from almondstair.core.heartbeats import GroupView
 from almondstair.core.heartbeats import StatusDetail
 from almondstair.core.heartbeats import ZoneDigest
-from almondstair.core.homes import HomesReport
+from almondstair.core.home_records import HomesReport
 from almondstair.core.loans import Loan
 from almondstair.core.loans import LoanRequest
 from almondstair.errors import AlmondstairError
--- a/almondstair/table_keeper.py
+++ b/almondstair/table_keeper.py
@@ -7,7 +7,7 @@
 from almondstair import log
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.membership import Membership
-from almondstair.core.membership import VmObservation
+from almondstair.core.membership_records import VmObservation
 from almondstair.errors import AlmondstairError
 from almondstair.platform.base import VmList
 from almondstair.platform.base import VmState
--- a/almondstair/watch_turns.py
+++ b/almondstair/watch_turns.py
@@ -9,7 +9,7 @@
 
 from almondstair.core.heartbeats import holds_watch
 from almondstair.core.membership import Membership
-from almondstair.store import Follower
+from almondstair.store_follower import Follower
 
 
 class WatchTurns:
--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -11,8 +11,8 @@
 from almondstair.core.admission import SlotTable
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
+from almondstair.core.home_records import homed_upstreams
 from almondstair.core.homes import Homes
-from almondstair.core.homes import homed_upstreams
 from almondstair.core.model import Configuration
 from almondstair.core.slot_book import SlotBook
 from almondstair.settings import read_configuration
--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -16,8 +16,8 @@
 from almondstair.core.admission import SlotTable
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
+from almondstair.core.home_records import homed_upstreams
 from almondstair.core.homes import Homes
-from almondstair.core.homes import homed_upstreams
 from almondstair.core.links import LinkShare
 from almondstair.core.loans import Loan
 from almondstair.core.model import Configuration
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -14,7 +14,7 @@
 from almondstair.core.admission_queue import Waiting
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
-from almondstair.core.homes import HomedUpstream
+from almondstair.core.home_records import HomedUpstream
 from almondstair.core.homes import Homes
 from almondstair.core.model import Configuration
 from almondstair.core.model import PolicyName
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -18,10 +18,10 @@
 from almondstair.core.heartbeats import make_digest
 from almondstair.core.heartbeats import make_view
 from almondstair.core.heartbeats import read_digest
-from almondstair.core.membership import Heard
 from almondstair.core.membership import Membership
-from almondstair.core.membership import VmObservation
-from almondstair.core.membership import incarnation_text
+from almondstair.core.membership_records import Heard
+from almondstair.core.membership_records import VmObservation
+from almondstair.core.membership_records import incarnation_text
 from almondstair.core.quarantine import Mark
 from almondstair.errors import AlmondstairError
 from almondstair.heartbeats import Heartbeats
--- a/features/support/homes_run.py
+++ b/features/support/homes_run.py
@@ -13,9 +13,9 @@
 from almondstair.core.admission import SlotTable
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
+from almondstair.core.home_records import HomesReport
+from almondstair.core.home_records import homed_upstreams
 from almondstair.core.homes import Homes
-from almondstair.core.homes import HomesReport
-from almondstair.core.homes import homed_upstreams
 from almondstair.core.model import Configuration
 from almondstair.core.model import PolicyName
 from almondstair.core.model import Priority
