Remember upstreams that left, so that a late write does not bring them back

Found while the order of words was looked at for a model: a mark of leaving is kept while the upstream is registered, but after its registration is gone a write from before, which the store makes seconds later, made it a new upstream. The scenario fails without the memory.

--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -1,6 +1,7 @@
 """What one entry believes of the deployment: routes, upstreams, entries."""
 
 from collections import Counter
+from collections import OrderedDict
 from collections.abc import Iterable
 import math
 from typing import NamedTuple
@@ -34,6 +35,9 @@
 REPLACED_MEMORY_S = 5.0
 # How old the use of a service may be; requests run for longer.
 USE_AGE_S = 0.1
+# Upstreams that left and are remembered, 100 bytes each. Ids are never given
+# again, and the store makes late writes within seconds.
+LEFT_MEMORY = 4096
 
 
 def upstream_hash(upstream_id: str) -> int:
@@ -105,6 +109,7 @@
         self._takers_stale = False
         self.takers_version = 0
         self.entries_version = 0
+        self._left: OrderedDict[str, None] = OrderedDict()
         self._lapses_at_s: dict[str, float] = {}
         self._replaced_at_s: dict[int, float] = {}
         self._entry_lapse_s: dict[str, float] = {}
@@ -188,6 +193,10 @@
         return changed or colder
 
     def _add_upstream(self, record: UpstreamRecord, now_s: float) -> None:
+        if record.upstream_id in self._left:
+            # A write from before its leaving that the store made late: without
+            # this it would get requests again, and has nobody who ends it.
+            record = record._replace(draining=True)
         region = self._zones.get(record.availability_zone, "")
         state = UpstreamState(record=record, region=region)
         cold_s = record.cold_left_s
@@ -261,9 +270,14 @@
     def _remove(self, upstream_id: str) -> None:
         self._lapses_at_s.pop(upstream_id, None)
         state = self._upstreams.pop(upstream_id, None)
-        if state is not None:
-            self.by_hash.pop(upstream_hash(upstream_id), None)
-            self._takers_stale = True
+        if state is None:
+            return
+        self.by_hash.pop(upstream_hash(upstream_id), None)
+        self._takers_stale = True
+        if state.record.draining:
+            self._left[upstream_id] = None
+            if len(self._left) > LEFT_MEMORY:
+                self._left.popitem(last=False)
 
     def misdirected(self, upstream_id: str, *, now_s: float) -> None:
         """Another incarnation answers at an upstream's address."""
--- a/features/gateway_core.feature
+++ b/features/gateway_core.feature
@@ -107,3 +107,11 @@
     Given a region of 2 zones with 2 large VMs and 12 small ones each
     When a small VM ends
     Then only lists that named it have changed, by one VM each
+
+  # Symptom: an upstream that left gets requests. Sequence: it says that it
+  # leaves, its registration is removed, and a write from before is made late.
+  # Cause: nothing was remembered of an upstream that is gone.
+  Scenario: A late word does not bring back an upstream that left
+    Given a service with 2 upstreams of 3 slots each
+    When one of them drains and is removed, and an older word of it comes
+    Then only the other one gets new work
--- a/features/steps/gateway_core_steps.py
+++ b/features/steps/gateway_core_steps.py
@@ -256,6 +256,20 @@
         context.fleet.take_upstream(record, now_s=0.0)
 
 
+@when("one of them drains and is removed, and an older word of it comes")
+def step_late_word(context):
+    ready = context.fleet.takers("s")[0].record
+    context.fleet.take_upstream(ready._replace(draining=True), now_s=1.0)
+    context.fleet.drop_upstream(ready.upstream_id, now_s=2.0)
+    context.fleet.take_upstream(ready, now_s=3.0)
+
+
+@then("only the other one gets new work")
+def step_only_other(context):
+    names = [state.record.upstream_id for state in context.fleet.takers("s")]
+    assert names == ["u1"], names
+
+
 @when("one of them holds {count:d} requests and the other none")
 def step_holds(context, count):
     context.fleet.takers("s")[0].others = count
