--- a/spec/check.py
+++ b/spec/check.py
@@ -14,7 +14,7 @@
 
 from spec.checked_model import CheckedModel
 
-MODULES = ("loans", "homes", "reserve", "claims", "shares")
+MODULES = ("loans", "homes", "reserve", "claims", "shares", "words")
 MOST_STATES = 1_000_000
 
 
