--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from almondstair.core.placement import PlacementOrders
+from almondstair.core.routing import Route
 from almondstair.core.routing import RoutingConfiguration
 from almondstair.core.routing import RoutingTable
 from almondstair.core.upstream_state import UpstreamRecord
@@ -106,6 +107,7 @@
         self._zones = zones
         self._upstreams: dict[str, UpstreamState] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
+        self._regions_by_service: dict[str, set[str]] = {}
         self._takers_stale = False
         self.takers_version = 0
         self.entries_version = 0
@@ -313,6 +315,7 @@
         self._takers_stale = False
         self.takers_version += 1
         self._by_service = {}
+        self._regions_by_service = {}
         for state in self._upstreams.values():
             if state.record.draining:
                 continue
@@ -320,6 +323,10 @@
                 continue
             found = self._by_service.setdefault(state.record.service, [])
             found.append(state)
+            regions = self._regions_by_service.setdefault(
+                state.record.service, set()
+            )
+            regions.add(state.region)
         self._orders.forget()
 
     def upstreams(self) -> Iterable[UpstreamState]:
@@ -345,6 +352,15 @@
         self._refresh_takers()
         return self._by_service.get(service, [])
 
+    def may_stay(self, service: str, *, route: Route) -> bool:
+        """Whether a route's requests may run in this entry's own region."""
+        self._refresh_takers()
+        allowed = route.allowed_regions
+        if allowed and self._own_region not in allowed:
+            return False
+        regions = self._regions_by_service.get(service, set())
+        return self._own_region in regions
+
     def order(self, *, service: str, key: str) -> list[UpstreamState]:
         """Returns the takers of a service in the order for a key."""
         self._refresh_takers()
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -189,7 +189,9 @@
                 raise self._no_room(call, cause)
             if call.tried and not self._second_try(call):
                 raise self._spent(call, cause)
-            self._region_shares.note_sent(choice.upstream.region, now_s=now_s())
+            if self._fleet.may_stay(call.service, route=call.route):
+                region = choice.upstream.region
+                self._region_shares.note_sent(region, now_s=now_s())
             outcome = await self._tries.send(call, choice)
             self._measures.tries.labels(call.service, outcome.verdict).inc()
             if outcome.verdict is Verdict.ANSWERED:
@@ -203,7 +205,13 @@
                 raise self._spent(call, cause)
 
     def _choose(self, call: Call) -> Choice | None:
-        """Returns the upstream for a call, of the regions that may get it."""
+        """Returns the upstream for a call, of the regions that may get it.
+
+        Requests that cannot run in their own region do not move to another
+        one: they are not counted as moves, and never held back.
+        """
+        if not self._fleet.may_stay(call.service, route=call.route):
+            return self._choose_without(call, frozenset())
         limits = self._limits()
         if limits.due:
             others = self._fleet.regions() - {limits.due}
--- a/features/gateway_regions.feature
+++ b/features/gateway_regions.feature
@@ -29,6 +29,14 @@
     Then from one 2 s window to the next at most 0.15 of them changed their region
     And at least 0.8 of them were answered 200
 
+  # Symptom: requests of a route that may run in one other region only are
+  # refused while their upstreams are idle. Sequence: their traffic grows beside
+  # that of other routes. Cause: they were held to the shares of the window before.
+  Scenario: Requests that cannot stay are not held back
+    Given a gateway with 2 upstreams in its own region and 2 in another
+    When 40 requests a second are sent for 6 s, then 40 more a second to a route kept to the other region for 6 s
+    Then at least 0.99 of them were answered 200
+
   # Symptom: the system does not come back after a loss of power. Sequence: every
   # process ends while the store is away; the store comes last. Cause: a process
   # that ends, or stops asking, when its first call fails.
--- a/features/steps/gateway_regions_steps.py
+++ b/features/steps/gateway_regions_steps.py
@@ -148,8 +148,9 @@
 class _Steady:
     """Sends new objects at a steady rate, whatever the answers take."""
 
-    def __init__(self, world):
+    def __init__(self, world, *, prefix="/safe/"):
         self._world = world
+        self._prefix = prefix
         self._pool = futures.ThreadPoolExecutor(96)
         self._number = 0
         self._lock = threading.Lock()
@@ -162,7 +163,7 @@
             due_s = began_s + number / rate_per_s
             time.sleep(max(0.0, due_s - time.monotonic()))
             self._number += 1
-            self._pool.submit(self._send, f"/safe/{self._number}")
+            self._pool.submit(self._send, f"{self._prefix}{self._number}")
 
     def _send(self, path):
         status = self._world.send("GET", path).status
@@ -187,6 +188,28 @@
     context.statuses = traffic.statuses
 
 
+@when(
+    "{rate:d} requests a second are sent for {first_s:d} s, then {more:d} more "
+    "a second to a route kept to the other region for {second_s:d} s"
+)
+def step_kept_burst(context, rate, first_s, more, second_s):
+    world = context.world
+    far = route("/far/", allowedRegions=["west"])
+    world.configure([*world.routes, far])
+    first = _Steady(world)
+    kept = _Steady(world, prefix="/far/")
+    thread = threading.Thread(
+        target=first.send_for, args=(first_s + second_s, rate)
+    )
+    thread.start()
+    time.sleep(first_s)
+    kept.send_for(second_s, more)
+    thread.join()
+    first.end()
+    kept.end()
+    context.statuses = first.statuses + kept.statuses
+
+
 def _other_shares(context):
     """Returns the share that ran in the other region, by window."""
     counts = {}
