Move what a gateway shows into a module, and split the making of its parts

No behaviour changes: metrics, status and configurations are in overview.py, the constructor of the daemon is three functions. Features of settings, stops and explaining pass as before.

--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -18,13 +18,13 @@
 from almondstair.core.look_ups import LookUps
 from almondstair.core.region_shares import RegionShares
 from almondstair.core.second_tries import SecondTries
-from almondstair.core.upstream_state import UpstreamState
 from almondstair.errors import AlmondstairError
 from almondstair.gateway.caller_connection import CallerConnection
 from almondstair.gateway.following import Follower
 from almondstair.gateway.forwarding import Forwarder
 from almondstair.gateway.load_sharing import LoadSharing
 from almondstair.gateway.measures import Measures
+from almondstair.gateway.overview import Overview
 from almondstair.gateway.pages import LOOKUP_TTL_S
 from almondstair.gateway.pages import Pages
 from almondstair.gateway.pages import PageSource
@@ -49,8 +49,6 @@
 OPERATOR_PORT = "9464"
 # Overrides the port where several gateways share a VM.
 OPERATOR_PORT_VARIABLE = "ALMONDSTAIR_OPERATOR_PORT"
-# An age beyond this one means that there was no word at all.
-NEVER_S = 1e9
 # How often waiting log lines are tried again.
 LOG_INTERVAL_S = 0.5
 # Pause before upkeep that failed begins anew.
@@ -75,7 +73,6 @@
         self._settings_watch = SettingsWatch(
             path=path, settings=settings, take=self._take_settings
         )
-        bounds = settings.bounds
         self._fleet = Fleet(
             own_name=settings.entry_name,
             own_region=settings.region,
@@ -95,6 +92,33 @@
         self._entries_version = -1
         self._measures = Measures()
         self._suspects = CrashSuspects()
+        self._make_forwarding()
+        self._sharing = LoadSharing(
+            fleet=self._fleet,
+            pool=self._pool,
+            suspects=self._suspects,
+            own_name=settings.entry_name,
+            own_zone=settings.availability_zone,
+        )
+        self._registration = self._make_registration()
+        self._overview = Overview(
+            entry_name=settings.entry_name,
+            fleet=self._fleet,
+            pool=self._pool,
+            client=self._client,
+            follower=self._follower,
+            measures=self._measures,
+            running=self._forwarder.running,
+        )
+        self._pages = Pages(source=self)
+        self._connections: set[CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._leaving = False
+
+    def _make_forwarding(self) -> None:
+        settings = self._settings
+        bounds = settings.bounds
         self._second_tries = SecondTries(
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack,
@@ -126,14 +150,10 @@
             suspects=self._suspects,
             measures=self._measures,
         )
-        self._sharing = LoadSharing(
-            fleet=self._fleet,
-            pool=self._pool,
-            suspects=self._suspects,
-            own_name=settings.entry_name,
-            own_zone=settings.availability_zone,
-        )
-        self._registration = Registration(
+
+    def _make_registration(self) -> Registration:
+        settings = self._settings
+        return Registration(
             client=self._client,
             fleet=self._fleet,
             name=settings.entry_name,
@@ -148,11 +168,6 @@
             ),
             shortest_lease_s=settings.store.shortest_lease_s,
         )
-        self._pages = Pages(source=self)
-        self._connections: set[CallerConnection] = set()
-        self._server: asyncio.Server | None = None
-        self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._leaving = False
 
     # Pages.
 
@@ -181,74 +196,17 @@
 
     def metrics(self) -> bytes:
         """Returns the metrics, with the gauges as of now."""
-        measures = self._measures
-        now = now_s()
-        table = self._fleet.table
-        measures.connections.set(self._pool.opened)
-        measures.store_age_s.set(now - self._follower.heard_at_s)
-        measures.version.set(table.version if table else 0)
-        measures.entries.set(len(self._fleet.entries))
-        measures.running.set(len(self._forwarder.running))
-        for kind, count in self._client.calls.items():
-            measures.store_calls.labels(kind).set(count)
-        for service in self._fleet.services():
-            takers = self._fleet.takers(service)
-            measures.upstreams.labels(service).set(len(takers))
-            use = self._fleet.use(service, now_s=now)
-            measures.use.labels(service).set(use)
-        for event, count in log.left_out().items():
-            measures.left_out.labels(event).set(count)
-        return measures.text()
+        return self._overview.metrics()
 
     def status(self) -> dict[str, object]:
         """Returns what this entry believes, with the age of each figure."""
-        now = now_s()
-        upstreams = []
-        for upstream in self._fleet.upstreams():
-            upstreams.append(describe_upstream(upstream, self._fleet, now))
-        entries = []
-        for entry in self._fleet.entries.values():
-            entries.append(entry._asdict())
-        table = self._fleet.table
-        return {
-            "entry": self._settings.entry_name,
-            "ready": self.is_ready(),
-            "leaving": self._leaving,
-            "configuration_version": table.version if table else None,
-            "store_revision": self._follower.revision,
-            "store_age_s": round(now - self._follower.heard_at_s, 2),
-            "peers_heard": self._fleet.peers_heard,
-            "evacuated": sorted(self._fleet.evacuated),
-            "evacuated_for_s": {
-                zone: round(now - since_s, 2)
-                for zone, since_s in self._fleet.evacuated.items()
-            },
-            "entries": entries,
-            "upstreams": upstreams,
-        }
+        return self._overview.status(
+            ready=self.is_ready(), leaving=self._leaving
+        )
 
     def configuration(self, *, version: int) -> dict[str, object] | None:
         """Returns a configuration that was in force; 0 for the one that is."""
-        found = self._follower.history.find(version)
-        if found is None:
-            return None
-        now = now_s()
-        versions = []
-        for kept in self._follower.history.newest_first():
-            versions.append(
-                {
-                    "version": kept.version,
-                    "revision": kept.revision,
-                    "in_force_s_ago": round(now - kept.since_s, 2),
-                }
-            )
-        return {
-            "entry": self._settings.entry_name,
-            "version": found.version,
-            "store_age_s": round(now - self._follower.heard_at_s, 2),
-            "text": found.text().decode("utf-8", "replace"),
-            "versions": versions,
-        }
+        return self._overview.configuration(version=version)
 
     # Life.
 
@@ -384,30 +342,6 @@
     return [seed for seed in settings.seeds if seed != own]
 
 
-def describe_upstream(
-    upstream: UpstreamState, fleet: Fleet, now: float
-) -> dict[str, object]:
-    """Returns what is believed of an upstream, with the age of its load."""
-    record = upstream.record
-    age_s = upstream.load_age_s(now_s=now)
-    return {
-        "id": record.upstream_id,
-        "service": record.service,
-        "availability_zone": record.availability_zone,
-        "slots": record.slots,
-        "busy": round(
-            upstream.busy(now_s=now, peers_heard=fleet.peers_heard), 1
-        ),
-        "load_age_s": round(age_s, 2) if age_s < NEVER_S else None,
-        "in_flight": upstream.in_flight,
-        "draining": record.draining,
-        "paused": upstream.paused(now_s=now),
-        "cold": upstream.cold(now_s=now),
-        "slowness": round(upstream.slowness(now_s=now), 2),
-        "failure_share": round(upstream.failure_share(now_s=now), 2),
-    }
-
-
 async def _keep_going(name: str, work: Callable[[], Awaitable[None]]) -> None:
     """Does upkeep that must not end, and begins it anew when it fails.
 
