--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -30,8 +30,8 @@
 # Pause after a round in which no source answered.
 FIRST_BACKOFF_S = 0.2
 LONGEST_BACKOFF_S = 0.6
-# Entries of each zone that ask the store; the others ask it, and go to the store
-# themselves when it does not answer or its word is old.
+# Entries of each zone that ask the store; the others ask it, and go to the
+# store themselves when it does not answer or its word is old.
 STORE_READERS = 1
 # A peer's word that is older than this is no better than the own picture.
 STALE_S = 1.5
--- a/features/gateway_fleet.feature
+++ b/features/gateway_fleet.feature
@@ -60,6 +60,13 @@
     When the store is "reset" for 4 s and on, and the second gateway starts anew
     Then the second gateway serves "/safe/x" within 3 s
 
+  # Symptom: a zone's gateways run an old configuration. Sequence: the one that
+  # asks the store for the zone freezes. Cause: the others waited for it.
+  Scenario: A configuration reaches a zone whose reader of the store is frozen
+    Given 2 gateways with 1 upstream that know each other
+    When the zone's reader of the store freezes and a configuration adds "/more/"
+    Then the other gateway serves "/more/x" within 2.0 s
+
   Scenario: A gateway without configuration is not ready and refuses for now
     Given a gateway before the first configuration
     Then it is not ready and answers 503 with a time to come back
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -1,12 +1,15 @@
 """Steps for the gateway's picture of the fleet, and for its stops."""
 
 import json
+import signal
 import threading
 import time
 
 from behave import then
 from behave import when
 
+from almondstair.core import zone_roles
+from almondstair.core.fleet import Entry
 from emulator.documents import HOST
 from emulator.documents import route
 from features.steps.gateway_steps import keep_sending
@@ -250,6 +253,32 @@
     assert time.monotonic() - began_s < limit_s
 
 
+@when(
+    "the zone's reader of the store freezes and a configuration adds "
+    '"{prefix}"'
+)
+def step_reader_freezes(context, prefix):
+    world = context.world
+    entries = []
+    for name in world.gateways:
+        entries.append(Entry(name, "", "", "east", "a1"))
+    reader, other = zone_roles.in_turn(entries, zone="a1")
+    context.other = other.name
+    process = context.processes.children[reader.name].process
+    context.add_cleanup(process.send_signal, signal.SIGCONT)
+    process.send_signal(signal.SIGSTOP)
+    world.configure([*world.routes, route(prefix)])
+
+
+@then('the other gateway serves "{path}" within {limit_s:g} s')
+def step_other_serves(context, path, limit_s):
+    def check():
+        answer = context.world.send("GET", path, gateway=context.other)
+        return answer.status == 200
+
+    harness.wait_until(check, limit_s=limit_s, what="the new route")
+
+
 # Look-ups.
 
 
