--- a/almondstair/admitting.py
+++ b/almondstair/admitting.py
@@ -3,12 +3,12 @@
 import asyncio
 import time
 
-from almondstair.core.admission import Admission
-from almondstair.core.admission import Outcome
-from almondstair.core.admission import Refusal
 from almondstair.core.admission import SlotTable
 from almondstair.core.admission_queue import AdmissionQueue
 from almondstair.core.admission_queue import Waiting
+from almondstair.core.admission_records import Admission
+from almondstair.core.admission_records import Outcome
+from almondstair.core.admission_records import Refusal
 from almondstair.core.model import RequestClass
 from almondstair.errors import AlmondstairError
 
--- a/almondstair/core/admission.py
+++ b/almondstair/core/admission.py
@@ -5,17 +5,21 @@
 what is used, and only for a short time, since such reports lag or lie.
 """
 
-import enum
 import math
 from typing import NamedTuple
 
+from almondstair.core.admission_records import Admission
+from almondstair.core.admission_records import Outcome
+from almondstair.core.admission_records import Refusal
+from almondstair.core.admission_records import ServiceRoom
+from almondstair.core.admission_records import UpstreamReport
+from almondstair.core.admission_records import UpstreamStatus
 from almondstair.core.health import HealthTable
 from almondstair.core.home_records import Duty
 from almondstair.core.homes import Homes
 from almondstair.core.model import Configuration
 from almondstair.core.model import Priority
 from almondstair.core.slot_book import SlotBook
-from almondstair.core.slot_book import Ticket
 from almondstair.core.slow_start import DEFAULT_LIMITS
 from almondstair.core.slow_start import SlowStart
 from almondstair.core.slow_start import SlowStartLimits
@@ -35,78 +39,6 @@
 REPORT_LIMIT_S = 1.0
 
 
-class Outcome(enum.StrEnum):
-    """How a request at an upstream ended."""
-
-    ANSWERED = "answered"
-    FAILED = "failed"
-    REFUSED = "refused"
-    CANCELLED = "cancelled"
-
-
-class Admission(NamedTuple):
-    """A slot taken for one request."""
-
-    ticket: Ticket
-    upstream: str
-    service: str
-    admitted_s: float
-
-
-class Refusal(NamedTuple):
-    """No slot now.
-
-    Attributes:
-      kind: why.
-      retry_after_ms: when coming back helps.
-    """
-
-    kind: ErrorKind
-    retry_after_ms: int
-
-
-class UpstreamReport(NamedTuple):
-    """What an upstream says of itself, on an answer or to a probe."""
-
-    slots: int
-    busy: int
-    draining: bool
-
-
-class UpstreamStatus(NamedTuple):
-    """One upstream as operators see it.
-
-    Attributes:
-      name: its name.
-      allowed_slots: what the home protocol allows this entry.
-      usable_slots: what slow start allows.
-      in_flight: requests of this entry.
-      busy_elsewhere: slots held for other entries' work.
-      leaving: whether it gets new work.
-      report_age_s: age of its last report, None if there was none.
-    """
-
-    name: str
-    allowed_slots: int
-    usable_slots: int
-    in_flight: int
-    busy_elsewhere: int
-    leaving: bool
-    report_age_s: float | None
-
-
-class ServiceRoom(NamedTuple):
-    """Slots of one service at the upstreams that this entry has a duty at.
-
-    Attributes:
-      usable: slots that this entry may fill.
-      free: those of them that interactive work could take now.
-    """
-
-    usable: int
-    free: int
-
-
 class _Room(NamedTuple):
     """What one upstream can take now.
 
--- a/almondstair/core/admission_queue.py
+++ b/almondstair/core/admission_queue.py
@@ -6,9 +6,9 @@
 
 from typing import NamedTuple
 
-from almondstair.core.admission import Admission
-from almondstair.core.admission import Refusal
 from almondstair.core.admission import SlotTable
+from almondstair.core.admission_records import Admission
+from almondstair.core.admission_records import Refusal
 from almondstair.core.model import Priority
 from almondstair.errors import ErrorKind
 
--- a/almondstair/dispatch.py
+++ b/almondstair/dispatch.py
@@ -11,13 +11,13 @@
 from opentelemetry import trace
 from tornado import httputil
 
+from almondstair.calls import Call
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.model import Upstream
 from almondstair.core.requests import RequestProgress
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.errors import Ran
-from almondstair.frontend import Call
 from almondstair.http_client import RECEIVE_BUFFER_BYTES
 from almondstair.http_client import Exchange
 from almondstair.http_client import HttpClient
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -10,6 +10,8 @@
 
 from almondstair import log
 from almondstair.admitting import SlotKeeper
+from almondstair.calls import Call
+from almondstair.calls import CallHandler
 from almondstair.claims import Claims
 from almondstair.configuration_keeper import ConfigurationKeeper
 from almondstair.control import Control
@@ -34,8 +36,6 @@
 from almondstair.document_exchange import DocumentExchange
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
-from almondstair.frontend import Call
-from almondstair.frontend import CallHandler
 from almondstair.frontend import FrontDoor
 from almondstair.heartbeats import Heartbeats
 from almondstair.link_shares import LinkShares
--- a/almondstair/operator_views.py
+++ b/almondstair/operator_views.py
@@ -6,7 +6,7 @@
 
 from almondstair.configuration_keeper import ConfigurationKeeper
 from almondstair.core.admission import SlotTable
-from almondstair.core.admission import UpstreamStatus
+from almondstair.core.admission_records import UpstreamStatus
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.homes import Homes
 from almondstair.core.membership import Membership
--- a/almondstair/probing.py
+++ b/almondstair/probing.py
@@ -12,7 +12,7 @@
 
 from almondstair.body import RequestBody
 from almondstair.core.admission import SlotTable
-from almondstair.core.admission import UpstreamReport
+from almondstair.core.admission_records import UpstreamReport
 from almondstair.core.model import Configuration
 from almondstair.http_client import AnswerSink
 from almondstair.http_client import HttpClient
--- a/almondstair/running.py
+++ b/almondstair/running.py
@@ -9,11 +9,12 @@
 
 from almondstair import log
 from almondstair.admitting import SlotKeeper
+from almondstair.calls import Call
 from almondstair.claims import Claims
 from almondstair.core import ledger
-from almondstair.core.admission import Admission
-from almondstair.core.admission import Outcome
-from almondstair.core.admission import UpstreamReport
+from almondstair.core.admission_records import Admission
+from almondstair.core.admission_records import Outcome
+from almondstair.core.admission_records import UpstreamReport
 from almondstair.core.health import HealthTable
 from almondstair.core.model import Configuration
 from almondstair.core.quarantine import Quarantine
@@ -23,7 +24,6 @@
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.errors import Ran
-from almondstair.frontend import Call
 from almondstair.http_client import Pace
 from almondstair.http_client import Sent
 from almondstair.http_messages import LOAD_HEADER
--- a/almondstair/serving.py
+++ b/almondstair/serving.py
@@ -8,6 +8,7 @@
 from opentelemetry import trace
 
 from almondstair import log
+from almondstair.calls import Call
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.hops import HopTable
 from almondstair.core.membership import Membership
@@ -23,7 +24,6 @@
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.errors import Ran
-from almondstair.frontend import Call
 from almondstair.http_client import Pace
 from almondstair.http_client import no_pace
 from almondstair.metrics import Metric
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -5,13 +5,13 @@
 from behave import when
 
 from almondstair.core import homes as homes_module
-from almondstair.core.admission import Admission
-from almondstair.core.admission import Outcome
-from almondstair.core.admission import Refusal
 from almondstair.core.admission import SlotTable
-from almondstair.core.admission import UpstreamReport
 from almondstair.core.admission_queue import AdmissionQueue
 from almondstair.core.admission_queue import Waiting
+from almondstair.core.admission_records import Admission
+from almondstair.core.admission_records import Outcome
+from almondstair.core.admission_records import Refusal
+from almondstair.core.admission_records import UpstreamReport
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.home_records import HomedUpstream
--- a/features/support/homes_run.py
+++ b/features/support/homes_run.py
@@ -8,9 +8,9 @@
 import random
 from typing import NamedTuple
 
-from almondstair.core.admission import Admission
-from almondstair.core.admission import Outcome
 from almondstair.core.admission import SlotTable
+from almondstair.core.admission_records import Admission
+from almondstair.core.admission_records import Outcome
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.home_records import HomesReport
