--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -385,9 +385,9 @@
             slots += upstream.record.slots
             # What waits in one upstream's queue takes no slot of another.
             # Counted in, a region's queues made a service look full whose other
-            # regions were idle, and requests were refused there: without, 0.01
-            # of the worth was gained on the mean of ten days, and refusals fell
-            # by a quarter.
+            # regions were idle, and requests were refused there: without, the
+            # mean worth of ten days rose by 0.008 and refusals fell by 18 of
+            # 100 (one run each).
             held = upstream.busy(now_s=now_s, peers_heard=self.peers_heard)
             busy += min(upstream.record.slots, held)
         use = busy / slots if slots else 1.0
--- a/almondstair/core/region_shares.py
+++ b/almondstair/core/region_shares.py
@@ -54,7 +54,7 @@
         """
         self._own_region = own_region
         self._buckets: deque[Counter[str]] = deque(maxlen=2 * _BUCKETS)
-        self._bucket = 0
+        self._bucket = -1
         self._before: Counter[str] = Counter()
         self._current: Counter[str] = Counter()
         self._disturbed_until_s = 0.0
