Tell of answers that waited for others of their connection, and of regions held back

Change: event 414, a histogram of the waits, a sentence in 'gateway why'; a refusal names the regions that were held back.

--- a/almondstair/gateway/call_records.py
+++ b/almondstair/gateway/call_records.py
@@ -7,6 +7,7 @@
 from almondstair.errors import AlmondstairError
 from almondstair.gateway.calls import Call
 from almondstair.gateway.calls import Try
+from almondstair.gateway.incoming import AnswerWait
 from almondstair.gateway.incoming import IncomingRequest
 from almondstair.gateway.measures import Measures
 from almondstair.gateway.upstream_connection import Exchange
@@ -82,6 +83,7 @@
             kind=str(error.kind),
             detail=error.detail,
             tried=call.tried,
+            held_back=sorted(call.held_back),
             use=round(self._fleet.use(call.service, now_s=now_s()), 2),
             upstreams=len(self._fleet.takers(call.service)),
             after_ms=call.age_ms(),
@@ -100,15 +102,30 @@
             after_ms=call.age_ms(),
         )
 
+    def waited(self, wait: AnswerWait) -> None:
+        """Tells of a ready answer that waited for the one before it."""
+        delivered = str(wait.delivered).lower()
+        self._measures.waited_s.labels(delivered).observe(wait.waited_s)
+        log.event(
+            log.Event.ANSWER_WAITED,
+            request=_request_id(wait.request),
+            behind=_request_id(wait.behind),
+            waited_ms=round(wait.waited_s * 1000),
+            delivered=wait.delivered,
+        )
+
     def refused(
         self, request: IncomingRequest, error: AlmondstairError
     ) -> None:
         """Tells of a request that did not become a call."""
-        request_id = request.header(names.REQUEST_ID) or b""
         log.event(
             log.Event.GATEWAY_REFUSED,
-            request=request_id.decode("latin-1"),
+            request=_request_id(request),
             kind=str(error.kind),
             detail=error.detail,
             version=self._version(),
         )
+
+
+def _request_id(request: IncomingRequest) -> str:
+    return (request.header(names.REQUEST_ID) or b"").decode("latin-1")
--- a/almondstair/gateway/caller_connection.py
+++ b/almondstair/gateway/caller_connection.py
@@ -16,6 +16,7 @@
 from almondstair.core.routing import CallerLimits
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
+from almondstair.gateway.incoming import AnswerWait
 from almondstair.gateway.incoming import AnswerWriter
 from almondstair.gateway.incoming import Handled
 from almondstair.gateway.incoming import IncomingRequest
@@ -27,6 +28,9 @@
 # How long a refused body is read and dropped: closing with unread bytes would
 # reset the connection before the caller has read the refusal.
 DISCARD_LIMIT_S = 2.0
+# A ready answer that waited this long for those before it is told of; less is
+# lost in what answers take anyway, 0.1 s and more.
+WAIT_TOLD_S = 0.05
 # Kept beyond the stated idle time, for a request that is on its way.
 IDLE_MARGIN_S = 1.0
 
@@ -46,6 +50,10 @@
     def cancellable(self, request: IncomingRequest) -> bool:
         """Whether work for a caller that is gone should stop."""
 
+    @abc.abstractmethod
+    def note_waited(self, wait: AnswerWait) -> None:
+        """Tells of a ready answer that waited for the one before it."""
+
 
 class CallerConnection(asyncio.Protocol, AnswerWriter):
     """Reads requests and writes their answers in order.
@@ -73,6 +81,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._waiting: deque[IncomingRequest] = deque()
         self._current: IncomingRequest | None = None
+        self._answered_last: IncomingRequest | None = None
         self._url = b""
         self._head_bytes = 0
         self._ended_reading = False
@@ -110,6 +119,7 @@
         if self._current is not None:
             self._current.body.abort()
         for request in self._waiting:
+            self._note_waited(request, behind=self._waiting[0], delivered=False)
             self._caller_left(request)
 
     def _caller_left(self, request: IncomingRequest) -> None:
@@ -318,6 +328,10 @@
             if request.state is not Handled.ENDED:
                 return
             self._waiting.popleft()
+            self._note_waited(
+                request, behind=self._answered_last, delivered=True
+            )
+            self._answered_last = request
             self._last_active_s = now_s()
             if request.close_after:
                 self._close_in_order(request)
@@ -331,6 +345,32 @@
             self._room.set()
             self._resume()
 
+    def _note_waited(
+        self,
+        request: IncomingRequest,
+        *,
+        behind: IncomingRequest | None,
+        delivered: bool,
+    ) -> None:
+        """Tells of an answer that was ready and could not be sent.
+
+        What goes wrong without: the log says that a request was answered in
+        time, while its caller waited for another answer of its connection.
+        """
+        if behind is None or behind is request or not request.answered_s:
+            return
+        waited_s = now_s() - request.answered_s
+        if waited_s < WAIT_TOLD_S:
+            return
+        self._handler.note_waited(
+            AnswerWait(
+                request=request,
+                behind=behind,
+                waited_s=waited_s,
+                delivered=delivered,
+            )
+        )
+
     def _close_in_order(self, request: IncomingRequest) -> None:
         assert self._transport is not None
         self._ended_reading = True
--- a/almondstair/gateway/calls.py
+++ b/almondstair/gateway/calls.py
@@ -61,6 +61,8 @@
       attempts: upstreams that had it; another incarnation at an upstream's
         address had it not.
       may_have_run: whether an upstream may have run it.
+      held_back: regions that got none of it at its last choice, because
+        requests change their region step by step.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self.tried: list[str] = []
         self.attempts = 0
         self.may_have_run = False
+        self.held_back: frozenset[str] = frozenset()
         self._fingerprint: int | None = None
 
     @property
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -24,6 +24,7 @@
 from almondstair.gateway.calls import Try
 from almondstair.gateway.calls import Verdict
 from almondstair.gateway.calls import reply_head
+from almondstair.gateway.incoming import AnswerWait
 from almondstair.gateway.incoming import IncomingRequest
 from almondstair.gateway.measures import Measures
 from almondstair.gateway.tries import Tries
@@ -37,13 +38,13 @@
     header_timeout_s=3.0,
     idle_timeout_s=15.0,
 )
-# When a caller that found no room comes back. A request runs for a few tenths
 # How long a request waits for the first listing, and until when after the
 # start. A listing takes 0.1 s from the farthest region, and one try at the
 # store that is cut off 0.4 s; aims of requests begin at 0.4 s.
 KNOW_WAIT_S = 1.0
 KNOW_SPAN_S = 2.0
 KNOW_POLL_S = 0.02
+# When a caller that found no room comes back. A request runs for a few tenths
 # of a second, so a slot is free by then; later, less of its aim is left.
 NO_ROOM_RETRY_MS = 150
 
@@ -134,6 +135,10 @@
         finally:
             self.running.pop(request, None)
 
+    def note_waited(self, wait: AnswerWait) -> None:
+        """Records a ready answer that waited for the one before it."""
+        self._records.waited(wait)
+
     async def _until_known(self) -> None:
         """Waits a moment, right after the start, for the first listing.
 
@@ -213,6 +218,7 @@
         if not self._fleet.may_stay(call.service, route=call.route):
             return self._choose_without(call, frozenset())
         limits = self._limits()
+        call.held_back = limits.barred
         if limits.due:
             others = self._fleet.regions() - {limits.due}
             choice = self._choose_without(call, others)
--- a/almondstair/gateway/incoming.py
+++ b/almondstair/gateway/incoming.py
@@ -3,8 +3,10 @@
 import abc
 import asyncio
 import enum
+from typing import NamedTuple
 
 from almondstair.body import RequestBody
+from almondstair.clock import now_s
 from almondstair.errors import PROBLEM_CONTENT_TYPE
 from almondstair.errors import AlmondstairError
 from almondstair.gateway.http_wire import LAST_CHUNK
@@ -23,6 +25,22 @@
 BODY_HOLD_BYTES = 512 * 1024
 
 
+class AnswerWait(NamedTuple):
+    """How long a ready answer waited for the one before it.
+
+    Attributes:
+      request: whose answer it is.
+      behind: the request before it on the same connection.
+      waited_s: for how long, in seconds.
+      delivered: whether it was sent, or its caller left before.
+    """
+
+    request: "IncomingRequest"
+    behind: "IncomingRequest"
+    waited_s: float
+    delivered: bool
+
+
 class AnswerWriter(abc.ABC):
     """What a request needs from the connection that it came on.
 
@@ -63,6 +81,7 @@
       body: the body, perhaps still arriving.
       length: stated length of the body; None when it is chunked.
       arrived_s: when its head was complete, on the entry's clock.
+      answered_s: when its answer was whole, on the same clock.
     """
 
     def __init__(self, *, connection: AnswerWriter) -> None:
@@ -74,6 +93,7 @@
         self.body = RequestBody(limit_bytes=BODY_HOLD_BYTES)
         self.length: int | None = 0
         self.arrived_s = 0.0
+        self.answered_s = 0.0
         self.state = Handled.WAITING
         self.read = False
         self.close_after = False
@@ -162,4 +182,5 @@
 
     def _end(self) -> None:
         self.state = Handled.ENDED
+        self.answered_s = now_s()
         self._connection.flush()
--- a/almondstair/gateway/measures.py
+++ b/almondstair/gateway/measures.py
@@ -41,6 +41,11 @@
             "time from a request's head to its answer, in seconds",
             ("outcome",),
         )
+        self.waited_s = self._histogram(
+            "almondstair_answer_wait_seconds",
+            "time that ready answers waited for those before them, in seconds",
+            ("delivered",),
+        )
         self.run_s = self._histogram(
             "almondstair_upstream_seconds",
             "time of a try at an upstream, in seconds",
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -138,6 +138,9 @@
     REQUEST_ABANDONED = EventRule(
         413, logging.INFO, "the caller left before the answer"
     )
+    ANSWER_WAITED = EventRule(
+        414, logging.INFO, "an answer waited for those before it"
+    )
     STORE_LISTED = EventRule(420, logging.INFO, "the store was listed whole")
     STORE_LOST = EventRule(
         421,
--- a/almondstair/tools/stories.py
+++ b/almondstair/tools/stories.py
@@ -11,6 +11,7 @@
 _REFUSED = Event.GATEWAY_REFUSED.value.number
 _FAILED = Event.REQUEST_FAILED.value.number
 _ABANDONED = Event.REQUEST_ABANDONED.value.number
+_WAITED = Event.ANSWER_WAITED.value.number
 _LEFT_OUT = Event.LINES_LEFT_OUT.value.number
 _STORE_LOST = Event.STORE_LOST.value.number
 _STORE_BACK = Event.STORE_BACK.value.number
@@ -125,10 +126,16 @@
     event = own[-1].event
     if event == _ANSWERED:
         return _answered(own, last)
-    if event == _REFUSED:
-        return _refused(last)
     if event == _FAILED:
         return _failed(own, last)
+    if event == _WAITED:
+        return f"{_cause(own[:-1], ordered)}; {_waited(last)}"
+    if event == _REFUSED:
+        return _refused(last)
+    return _unanswered(event, last)
+
+
+def _unanswered(event: int, last: dict[str, Any]) -> str:
     if event == _ABANDONED:
         return f"the caller left after {last.get('after_ms')} ms"
     return "no line tells how it ended; the process may have been killed"
@@ -160,14 +167,28 @@
     return f"{text}, as expected with {last.get('busy')} requests there"
 
 
+def _waited(last: dict[str, Any]) -> str:
+    text = (
+        f"the answer waited {last.get('waited_ms')} ms on its connection "
+        f"behind request {last.get('behind')}"
+    )
+    if last.get("delivered"):
+        return text
+    return f"{text}, and the caller left before it was sent"
+
+
 def _refused(last: dict[str, Any]) -> str:
     kind = last.get("kind")
     if kind == "no_slot":
-        return (
+        text = (
             f"refused, not run: service {last.get('service')} had "
             f"{last.get('use')} of its slots in use at "
             f"{last.get('upstreams')} upstreams"
         )
+        held_back = last.get("held_back")
+        if held_back:
+            text += f"; held back from {', '.join(held_back)}"
+        return text
     if kind == "unknown_path":
         return f"no route: {last.get('detail')}"
     return f"refused, not run: {kind} {last.get('detail')}"
--- a/features/gateway_explaining.feature
+++ b/features/gateway_explaining.feature
@@ -30,3 +30,18 @@
     Given 2 gateways with 1 upstream
     When the second gateway is killed
     Then "gateway status" shows the first one's picture and the second's silence
+
+  # Symptom: a caller complains of a look-up that never came; the log says that
+  # it was answered in time. Sequence: a caller sends a slow request and a quick
+  # one together on a connection. Cause: answers leave in the order of the
+  # requests, and nothing told how long the quick one's lay ready.
+  Scenario Outline: An answer that waited behind another one of its connection
+    Given a gateway with 1 upstream that works 0.6 s
+    When a new object's request and a known one's are sent together, and the caller <leaves>
+    Then "why" tells of the second one "ms on its connection behind request"
+    And "why" tells of the second one "<end>"
+
+    Examples:
+      | leaves               | end                                      |
+      | waits for both       | answered 200                             |
+      | leaves after 0.4 s   | and the caller left before it was sent   |
--- a/features/steps/gateway_explaining_steps.py
+++ b/features/steps/gateway_explaining_steps.py
@@ -1,6 +1,7 @@
 """Steps for logs, the story of a request, and the status of gateways."""
 
 import os
+import socket
 import threading
 import time
 
@@ -12,6 +13,8 @@
 from features.support import operator_tool
 from features.support.gateway_world import GatewayWorld
 
+_RECEIVE_BYTES = 65536
+
 
 @then('"why" tells of a {status:d} "{words}"')
 def step_why(context, status, words):
@@ -91,3 +94,45 @@
         return b'"lines_left_out"' in b"".join(context.pieces)
 
     harness.wait_until(check, limit_s=10, what="a line about lines left out")
+
+
+# Answers that wait for others.
+
+
+def _pipelined(context, path, key):
+    headers = context.world.headers(X_Almondstair_Affinity_Key=key)
+    lines = [f"GET {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    text = "\r\n".join(lines) + "\r\n\r\n"
+    return headers["X-Almondstair-Request-Id"], text.encode()
+
+
+@when(
+    "a new object's request and a known one's are sent together, and the "
+    "caller {leaves}"
+)
+def step_together(context, leaves):
+    known = {"X_Almondstair_Affinity_Key": "known"}
+    context.world.send("GET", "/safe/known", headers=known)
+    _, new = _pipelined(context, "/safe/new", "new")
+    context.second_id, quick = _pipelined(context, "/safe/known", "known")
+    ip, port = context.world.gateways["g1"]["callers"].split(":")
+    with socket.create_connection((ip, int(port)), timeout=10) as connection:
+        connection.sendall(new + quick)
+        if leaves.startswith("leaves"):
+            time.sleep(float(leaves.split()[2]))
+            return
+        received = b""
+        while received.count(b"HTTP/1.1 200") < 2:
+            received += connection.recv(_RECEIVE_BYTES)
+
+
+@then('"why" tells of the second one "{words}"')
+def step_why_second(context, words):
+    log = str(context.processes.children["g1"].log)
+
+    def check():
+        story = operator_tool.run("gateway", "why", context.second_id, log)
+        return words in story
+
+    harness.wait_until(check, what=words)
