Emulate distances and load, and compare two builds or settings on one seed

The stand-ins had no distances, no load of their own and no experiment. A deployment file now gives zones, distances, services, routes and rates; the store shows each zone its own way to an upstream, so that a distance is a proxy. Callers are open-loop and try again by the platform's rules; two sides are played in turns on one seed, with tables and one page of plots. The world of the soak moved into the emulator and takes the same deployments.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -1,24 +1,85 @@
 """The emulator's command line: `python -m emulator --help`."""
 
+import importlib
+from pathlib import Path
+from typing import Any
+
 import fire
 
 from emulator import store
 from emulator import upstream_process
 
+ROOT = Path(__file__).resolve().parents[1]
+
 
 class Commands:
-    """Parts of the platform as processes."""
+    """The users' platform on one machine, and experiments on it."""
 
-    def store(self, address: str) -> None:
+    def run(self, deployment: str, seconds: float = 30.0) -> None:
+        """Runs a deployment with its load, and shows where it is reached.
+
+        Args:
+          deployment: path of the deployment file; see emulator/examples.
+          seconds: length of the load.
+        """
+        _comparing().run(deployment, seconds=seconds)
+
+    def compare(
+        self,
+        deployment: str,
+        *,
+        page: str = "experiment.html",
+        source_a: str = str(ROOT),
+        source_b: str = str(ROOT),
+        bounds_a: dict[str, float] | None = None,
+        bounds_b: dict[str, float] | None = None,
+        seed: int = 1,
+        seconds: float = 20.0,
+        rounds: int = 2,
+    ) -> None:
+        """Plays two builds or two settings in turns and writes a page.
+
+        Args:
+          deployment: path of the deployment file; see emulator/examples.
+          page: where the page with tables and plots is written.
+          source_a: root of the checkout that side a runs.
+          source_b: root of the checkout that side b runs.
+          bounds_a: bounds of side a that differ, as `{maxShift: 0.3}`.
+          bounds_b: the same for side b.
+          seed: seed of the first pair of runs.
+          seconds: length of the load of each run.
+          rounds: how many pairs are played.
+        """
+        comparing = _comparing()
+        comparing.compare(
+            deployment,
+            sides=(
+                comparing.Side("a", Path(source_a), bounds_a or {}),
+                comparing.Side("b", Path(source_b), bounds_b or {}),
+            ),
+            page=Path(page),
+            seed=seed,
+            seconds=seconds,
+            rounds=rounds,
+        )
+
+    def store(self, address: str, views: dict[str, str] | None = None) -> None:
         """Serves an empty key-value store.
 
         Args:
           address: `ip:port` to listen on.
+          views: availability zones by further addresses; each shows upstreams
+            as they are reached from its zone.
         """
-        store.main(address)
+        store.main(address, dict(views or {}))
 
     def upstream(
-        self, address: str, store: str, plan: str = "{}", announce: str = ""
+        self,
+        address: str,
+        store: str,
+        plan: str = "{}",
+        announce: str = "",
+        ways: str = "{}",
     ) -> None:
         """Runs an upstream that registers in a store.
 
@@ -27,8 +88,14 @@
           store: `ip:port` of the store.
           plan: its behaviour as JSON; see `UpstreamPlan`.
           announce: address to register, if it is reached through another.
+          ways: address by availability zone as JSON, where each has its own.
         """
-        upstream_process.main(address, store, plan, announce)
+        upstream_process.main(address, store, plan, announce, ways)
+
+
+def _comparing() -> Any:
+    """Returns what compares; upstreams start without its plots' library."""
+    return importlib.import_module("emulator.comparing")
 
 
 def main() -> None:
--- /dev/null
+++ b/emulator/caller_wire.py
@@ -0,0 +1,96 @@
+"""What callers write and read on their connections."""
+
+import asyncio
+from typing import NamedTuple
+
+from emulator.documents import HOST
+
+
+class Ask(NamedTuple):
+    """A request as its caller sends it.
+
+    Attributes:
+      request: its id.
+      path: its path.
+      key: the object that it is about.
+      deadline_ms: how long its caller waits, in milliseconds.
+      body: its body; one without is a GET.
+    """
+
+    request: str
+    path: str
+    key: str
+    deadline_ms: int
+    body: bytes = b""
+
+
+class Reply(NamedTuple):
+    """An answer as its caller reads it.
+
+    Attributes:
+      status: its status.
+      headers: its headers, names in lower case.
+      body: its body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def seal(self) -> str:
+        """Returns the upstream's signature, empty if there is none."""
+        return self.headers.get("x-almondstair-response-seal", "")
+
+    @property
+    def goes_on(self) -> bool:
+        """Whether the connection takes another request."""
+        return self.headers.get("connection", "") != "close"
+
+    def whole(self, request: str) -> bool:
+        """Whether the body is an emulated upstream's whole one."""
+        return self.body == f"answer to {request}\n".encode() * 8
+
+
+def write_ask(ask: Ask) -> bytes:
+    """Returns a request's bytes."""
+    method = "POST" if ask.body else "GET"
+    head = (
+        f"{method} {ask.path} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"X-Almondstair-Request-Id: {ask.request}\r\n"
+        f"X-Almondstair-Affinity-Key: {ask.key}\r\n"
+        f"X-Almondstair-Deadline-Ms: {ask.deadline_ms}\r\n"
+    )
+    if ask.body:
+        head += f"Content-Length: {len(ask.body)}\r\n"
+    return head.encode() + b"\r\n" + ask.body
+
+
+async def read_reply(reader: asyncio.StreamReader) -> Reply:
+    """Reads an answer.
+
+    Raises:
+      EOFError: the connection ended before it was whole.
+      ValueError: it is no answer.
+    """
+    text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    lines = text.split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    body = await _read_body(reader, headers)
+    return Reply(status=int(lines[0].split()[1]), headers=headers, body=body)
+
+
+async def _read_body(
+    reader: asyncio.StreamReader, headers: dict[str, str]
+) -> bytes:
+    if "content-length" in headers:
+        return await reader.readexactly(int(headers["content-length"]))
+    body = b""
+    while size := int(await reader.readline(), 16):
+        body += await reader.readexactly(size)
+        await reader.readexactly(2)
+    await reader.readexactly(2)
+    return body
--- a/emulator/documents.py
+++ b/emulator/documents.py
@@ -4,6 +4,8 @@
 import json
 from typing import Any, NamedTuple
 
+from emulator.deployment import Deployment
+
 HOST = "shop.example"
 PARTS = ("callers", "ready", "lookups", "control", "peers", "operators")
 BOUNDS = {
@@ -102,17 +104,28 @@
     **limits: Any,
 ) -> str:
     """Returns the operator's configuration."""
-    clusters = []
-    for name in services:
-        clusters.append(
-            {
-                "name": name,
-                "healthPath": "/health",
-                "maxConns": 100,
-                "coldStartS": 3.0,
-                "coldPerS": 5.0,
-            }
-        )
+    clusters = [_cluster(name, 3.0, 5.0) for name in services]
+    return _configuration(version, routes, clusters, limits)
+
+
+def _cluster(
+    name: str, cold_s: float, cold_rate_per_s: float
+) -> dict[str, Any]:
+    return {
+        "name": name,
+        "healthPath": "/health",
+        "maxConns": 100,
+        "coldStartS": cold_s,
+        "coldPerS": cold_rate_per_s,
+    }
+
+
+def _configuration(
+    version: int,
+    rules: list[dict[str, Any]],
+    clusters: list[dict[str, Any]],
+    limits: dict[str, Any],
+) -> str:
     wanted = {
         "maxHeaderBytes": 16384,
         "maxBodyBytes": 4 << 20,
@@ -123,12 +136,34 @@
         {
             "version": f"{version:08x}",
             "limits": wanted | limits,
-            "listeners": [{"hostname": HOST, "ruleSet": routes}],
+            "listeners": [{"hostname": HOST, "ruleSet": rules}],
             "clusters": clusters,
         }
     )
 
 
+def deployment_text(version: int, deployment: Deployment) -> str:
+    """Returns the operator's configuration of a deployment."""
+    rules = []
+    for wanted in deployment.routes:
+        rule = route(
+            wanted.prefix,
+            wanted.service,
+            wanted.kind,
+            timeoutS=wanted.timeout_ms / 1000,
+            attempts=wanted.attempts,
+        )
+        rule["targetLatencyS"] = wanted.aim_ms / 1000
+        rule["priority"] = wanted.priority
+        rules.append(rule)
+    clusters = []
+    for service in deployment.services:
+        clusters.append(
+            _cluster(service.name, service.cold_s, service.cold_rate_per_s)
+        )
+    return _configuration(version, rules, clusters, {})
+
+
 def operator_change(
     puts: dict[str, str] | None = None, remove: list[str] | None = None
 ) -> dict[str, Any]:
--- a/soak/proxy.py
+++ b/emulator/proxy.py
@@ -1,9 +1,14 @@
-"""A loopback TCP proxy that harms the connections through it."""
+"""A loopback TCP proxy: a distance, and harm to the connections through it."""
 
 import asyncio
+from collections import deque
 import enum
+import time
 
 CHUNK_BYTES = 65536
+# How long the end of reset connections is waited for; it takes a few turns of
+# the loop.
+CLOSE_LIMIT_S = 1.0
 
 
 class Harm(enum.StrEnum):
@@ -17,16 +22,22 @@
 
 
 class HarmfulProxy:
-    """Passes bytes on to a target, or not.
+    """Passes bytes on to a target, later or not at all.
 
     Attributes:
       harm: what is done now.
       delay_s: time added each way under `DELAY`, in seconds.
     """
 
-    def __init__(self, *, target: str) -> None:
-        """Makes a proxy to `ip:port`."""
+    def __init__(self, *, target: str, distance_s: float = 0.0) -> None:
+        """Makes a proxy to `ip:port`.
+
+        Args:
+          target: where it leads.
+          distance_s: time that bytes always take each way, in seconds.
+        """
         self._target = target
+        self._distance_s = distance_s
         self.harm = Harm.NONE
         self.delay_s = 0.0
         self._server: asyncio.Server | None = None
@@ -42,6 +53,9 @@
         if self._server is not None:
             self._server.close()
         self.reset_all()
+        until_s = time.monotonic() + CLOSE_LIMIT_S
+        while self._writers and time.monotonic() < until_s:
+            await asyncio.sleep(0)
 
     def reset_all(self) -> None:
         """Resets every open connection."""
@@ -84,16 +98,57 @@
         *,
         back: bool,
     ) -> None:
+        late = _LateWriter(writer=writer)
         try:
             while data := await reader.read(CHUNK_BYTES):
-                if self.harm is Harm.DELAY:
-                    await asyncio.sleep(self.delay_s)
                 if self.harm is Harm.SILENCE:
                     continue
                 if self.harm is Harm.ONE_WAY and back:
                     continue
-                writer.write(data)
-                await writer.drain()
-            writer.close()
+                await late.write(data, delay_s=self._wait_s())
+            late.close(delay_s=self._wait_s())
         except (OSError, asyncio.IncompleteReadError):
             writer.transport.abort()
+
+    def _wait_s(self) -> float:
+        if self.harm is Harm.DELAY:
+            return self._distance_s + self.delay_s
+        return self._distance_s
+
+
+class _LateWriter:
+    """Writes pieces some time after they came, in their order."""
+
+    def __init__(self, *, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+        self._due: deque[tuple[float, bytes]] = deque()
+        self._timer: asyncio.TimerHandle | None = None
+        self._closing = False
+
+    async def write(self, data: bytes, *, delay_s: float) -> None:
+        if not delay_s and not self._due:
+            self._writer.write(data)
+            await self._writer.drain()
+            return
+        self._put(data, delay_s)
+
+    def close(self, *, delay_s: float) -> None:
+        self._closing = True
+        self._put(b"", delay_s)
+
+    def _put(self, data: bytes, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._due.append((loop.time() + delay_s, data))
+        if self._timer is None:
+            self._timer = loop.call_later(delay_s, self._send_due)
+
+    def _send_due(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = None
+        while self._due and self._due[0][0] <= loop.time():
+            _, data = self._due.popleft()
+            self._writer.write(data)
+        if self._due:
+            self._timer = loop.call_at(self._due[0][0], self._send_due)
+        elif self._closing:
+            self._writer.close()
--- /dev/null
+++ b/emulator/report.py
@@ -0,0 +1,312 @@
+"""Tables and plots of an experiment, for the terminal and as one HTML page."""
+
+import html
+from pathlib import Path
+from typing import NamedTuple
+
+import pygal
+from pygal.style import CleanStyle
+
+from emulator.experiment import Round
+from emulator.load import PROMISES
+from emulator.load import Outcome
+
+PERCENTILES = (0.5, 0.9, 0.99)
+# Steps of the latency plots, in milliseconds.
+STEP_MS = 25
+LONGEST_MS = 2000
+
+
+class Row(NamedTuple):
+    """Figures of one side over some requests.
+
+    Attributes:
+      group: which requests.
+      side: which side.
+      sent: how many.
+      served_share: part that was served.
+      in_aim_share: part that was served within its route's aim.
+      refused_share: part that ended with a promise that it has not run.
+      percentiles_ms: latencies of those served at `PERCENTILES`.
+    """
+
+    group: str
+    side: str
+    sent: int
+    served_share: float
+    in_aim_share: float
+    refused_share: float
+    percentiles_ms: tuple[float, ...]
+
+
+class Cost(NamedTuple):
+    """What one side cost.
+
+    Attributes:
+      side: which side.
+      store_calls_per_s: calls to the store a second of load.
+      cpu_ms: processor time of gateways for each request, in milliseconds.
+      memory_mb: the greatest resident memory of a gateway, in MB.
+      runs_per_request: runs of upstreams for each request.
+    """
+
+    side: str
+    store_calls_per_s: float
+    cpu_ms: float
+    memory_mb: float
+    runs_per_request: float
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Returns the value that a share of the sorted values does not exceed."""
+    if not values:
+        return 0.0
+    return values[min(len(values) - 1, int(share * len(values)))]
+
+
+def rows(rounds: list[Round], *, zones: list[str]) -> list[Row]:
+    """Returns the figures of each side, over all, by route and by zone."""
+    found = []
+    sides = list(dict.fromkeys(each.side for each in rounds))
+    routes = []
+    for each in rounds:
+        for outcome in each.outcomes:
+            if outcome.arrival.route.prefix not in routes:
+                routes.append(outcome.arrival.route.prefix)
+    for side in sides:
+        found.append(_row("all", side, _of(rounds, side)))
+    for route in sorted(routes):
+        for side in sides:
+            found.append(_row(route, side, _of(rounds, side, route=route)))
+    for zone in zones:
+        for side in sides:
+            found.append(_row(zone, side, _of(rounds, side, zone=zone)))
+    return found
+
+
+def _of(
+    rounds: list[Round], side: str, *, route: str = "", zone: str = ""
+) -> list[Outcome]:
+    found = []
+    for each in rounds:
+        if each.side != side:
+            continue
+        for outcome in each.outcomes:
+            if route and outcome.arrival.route.prefix != route:
+                continue
+            if zone and outcome.arrival.zone != zone:
+                continue
+            found.append(outcome)
+    return found
+
+
+def _row(group: str, side: str, outcomes: list[Outcome]) -> Row:
+    sent = len(outcomes)
+    latencies_ms = []
+    in_aim = 0
+    refused = 0
+    for outcome in outcomes:
+        if outcome.status in PROMISES:
+            refused += 1
+        if not outcome.served:
+            continue
+        latency_ms = outcome.latency_s * 1000
+        latencies_ms.append(latency_ms)
+        in_aim += latency_ms <= outcome.arrival.route.aim_ms
+    latencies_ms.sort()
+    whole = max(1, sent)
+    return Row(
+        group=group,
+        side=side,
+        sent=sent,
+        served_share=len(latencies_ms) / whole,
+        in_aim_share=in_aim / whole,
+        refused_share=refused / whole,
+        percentiles_ms=tuple(
+            percentile(latencies_ms, share) for share in PERCENTILES
+        ),
+    )
+
+
+def costs(rounds: list[Round], *, seconds: float) -> list[Cost]:
+    """Returns what each side cost, as means over its rounds."""
+    found = []
+    for side in dict.fromkeys(each.side for each in rounds):
+        own = [each for each in rounds if each.side == side]
+        sent = max(1, sum(len(each.outcomes) for each in own))
+        calls = sum(sum(each.store_calls.values()) for each in own)
+        found.append(
+            Cost(
+                side=side,
+                store_calls_per_s=calls / (seconds * len(own)),
+                cpu_ms=sum(each.gateway_cpu_s for each in own) / sent * 1000,
+                memory_mb=max(each.gateway_peak_bytes for each in own) / 1e6,
+                runs_per_request=sum(each.runs for each in own) / sent,
+            )
+        )
+    return found
+
+
+_ROW_TITLES = (
+    "requests",
+    "side",
+    "sent",
+    "served",
+    "in aim",
+    "refused",
+    "p50 ms",
+    "p90 ms",
+    "p99 ms",
+)
+_COST_TITLES = (
+    "side",
+    "store calls/s",
+    "gateway cpu ms/request",
+    "gateway MB",
+    "runs/request",
+)
+
+
+def _row_cells(row: Row) -> list[str]:
+    cells = [row.group, row.side, str(row.sent)]
+    for share in (row.served_share, row.in_aim_share, row.refused_share):
+        cells.append(f"{share:.3f}")
+    cells += [f"{value:.0f}" for value in row.percentiles_ms]
+    return cells
+
+
+def _cost_cells(cost: Cost) -> list[str]:
+    return [
+        cost.side,
+        f"{cost.store_calls_per_s:.1f}",
+        f"{cost.cpu_ms:.2f}",
+        f"{cost.memory_mb:.0f}",
+        f"{cost.runs_per_request:.3f}",
+    ]
+
+
+def _table(titles: tuple[str, ...], lines: list[list[str]]) -> str:
+    widths = [len(title) for title in titles]
+    for line in lines:
+        for index, cell in enumerate(line):
+            widths[index] = max(widths[index], len(cell))
+    shown = []
+    for line in [list(titles), *lines]:
+        cells = [
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ]
+        shown.append("  ".join(cells).rstrip())
+    return "\n".join(shown)
+
+
+def text(found: list[Row], cost: list[Cost]) -> str:
+    """Returns both tables for a terminal."""
+    figures = _table(_ROW_TITLES, [_row_cells(row) for row in found])
+    spent = _table(_COST_TITLES, [_cost_cells(each) for each in cost])
+    return f"{figures}\n\n{spent}"
+
+
+def write_page(
+    path: Path,
+    *,
+    title: str,
+    rounds: list[Round],
+    found: list[Row],
+    cost: list[Cost],
+) -> None:
+    """Writes one HTML page with both tables and the plots inside."""
+    parts = [
+        "<!doctype html><meta charset=utf-8>",
+        f"<title>{html.escape(title)}</title>",
+        "<style>body{font:14px sans-serif;margin:2em}table{border-collapse:"
+        "collapse;margin:1em 0}td,th{padding:.2em .8em;text-align:left;"
+        "border-bottom:1px solid #ccc}figure{max-width:60em;margin:1em 0}"
+        "</style>",
+        f"<h1>{html.escape(title)}</h1>",
+        _html_table(_ROW_TITLES, [_row_cells(row) for row in found]),
+        _html_table(_COST_TITLES, [_cost_cells(each) for each in cost]),
+    ]
+    for chart in (
+        _latency_chart(rounds),
+        _share_chart(found),
+        _calls_chart(rounds),
+    ):
+        drawn = chart.render(is_unicode=True, disable_xml_declaration=True)
+        parts.append(f"<figure>{drawn}</figure>")
+    path.write_text("\n".join(parts), encoding="utf-8")
+
+
+def _html_table(titles: tuple[str, ...], lines: list[list[str]]) -> str:
+    head = "".join(f"<th>{html.escape(title)}</th>" for title in titles)
+    body = []
+    for line in lines:
+        cells = "".join(f"<td>{html.escape(cell)}</td>" for cell in line)
+        body.append(f"<tr>{cells}</tr>")
+    return f"<table><tr>{head}</tr>{''.join(body)}</table>"
+
+
+def _latency_chart(rounds: list[Round]) -> pygal.XY:
+    """Draws which part of all requests was served within each time."""
+    chart = pygal.XY(
+        title="served within (ms), part of all requests",
+        style=CleanStyle,
+        dots_size=1,
+        js=[],
+    )
+    sides = list(dict.fromkeys(each.side for each in rounds))
+    prefixes = sorted(
+        {
+            outcome.arrival.route.prefix
+            for each in rounds
+            for outcome in each.outcomes
+        }
+    )
+    for prefix in prefixes:
+        for side in sides:
+            points = _curve(_of(rounds, side, route=prefix))
+            chart.add(f"{prefix} {side}", points)
+    return chart
+
+
+def _curve(outcomes: list[Outcome]) -> list[tuple[float, float]]:
+    latencies_ms = sorted(
+        outcome.latency_s * 1000 for outcome in outcomes if outcome.served
+    )
+    points = []
+    reached = 0
+    for limit_ms in range(0, LONGEST_MS + 1, STEP_MS):
+        while reached < len(latencies_ms) and latencies_ms[reached] <= limit_ms:
+            reached += 1
+        points.append((float(limit_ms), reached / max(1, len(outcomes))))
+    return points
+
+
+def _share_chart(found: list[Row]) -> pygal.Bar:
+    chart = pygal.Bar(
+        title="part served within the aim",
+        style=CleanStyle,
+        range=(0, 1),
+        js=[],
+    )
+    groups = list(dict.fromkeys(row.group for row in found))
+    chart.x_labels = groups
+    for side in dict.fromkeys(row.side for row in found):
+        by_group = {row.group: row for row in found if row.side == side}
+        chart.add(side, [by_group[group].in_aim_share for group in groups])
+    return chart
+
+
+def _calls_chart(rounds: list[Round]) -> pygal.Bar:
+    chart = pygal.Bar(
+        title="calls to the store by kind, a run", style=CleanStyle, js=[]
+    )
+    kinds = sorted({kind for each in rounds for kind in each.store_calls})
+    chart.x_labels = kinds
+    for side in dict.fromkeys(each.side for each in rounds):
+        own = [each for each in rounds if each.side == side]
+        means = []
+        for kind in kinds:
+            total = sum(each.store_calls.get(kind, 0) for each in own)
+            means.append(total / len(own))
+        chart.add(side, means)
+    return chart
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -1,6 +1,7 @@
 """The platform's key-value store as a process, with faults to order."""
 
 import asyncio
+import base64
 import time
 from typing import Any
 
@@ -9,6 +10,7 @@
 from tornado import netutil
 from tornado import web
 
+from emulator.handler_connection import connection_of
 from emulator.store_state import StoreState
 
 PAGE_ITEMS = 500
@@ -16,6 +18,9 @@
 EXPIRY_S = 0.05
 # Longer than any caller of the store waits.
 SILENCE_S = 60.0
+# Field of a registration with an upstream's address by availability zone. Only
+# the emulator has it; the store takes it out of what it shows.
+WAYS_FIELD = "ways"
 
 
 class StoreFaults(msgspec.Struct, kw_only=True):
@@ -46,38 +51,48 @@
         self.calls: dict[str, int] = {}
         self.changed = asyncio.Condition()
         self._writes = 0
-        self._server: httpserver.HTTPServer | None = None
+        self._servers: list[httpserver.HTTPServer] = []
         self._task: asyncio.Task[None] | None = None
 
-    def listen(self, ip: str, port: int) -> int:
-        """Binds an address, port 0 for any; returns the port."""
+    def listen(self, ip: str, port: int, zone: str = "") -> int:
+        """Binds an address, port 0 for any; returns the port.
+
+        Args:
+          ip: where to listen.
+          port: port, 0 for any.
+          zone: availability zone as which callers of this address see
+            upstreams that are reached by different ways; empty for none.
+        """
+        options = {"store": self, "zone": zone}
         application = web.Application(
             [
-                (r"/kv-key", _Key, {"store": self}),
-                (r"/kv-range", _Range, {"store": self}),
-                (r"/kv-watch", _Watch, {"store": self}),
-                (r"/kv-txn", _Transaction, {"store": self}),
-                (r"/kv-lease", _Lease, {"store": self}),
-                (r"/kv-keep/(\d+)", _Keep, {"store": self}),
-                (r"/kv-lease-end/(\d+)", _End, {"store": self}),
-                (r"/faults", _Faults, {"store": self}),
-                (r"/operator", _Operator, {"store": self}),
+                (r"/kv-key", _Key, options),
+                (r"/kv-range", _Range, options),
+                (r"/kv-watch", _Watch, options),
+                (r"/kv-txn", _Transaction, options),
+                (r"/kv-lease", _Lease, options),
+                (r"/kv-keep/(\d+)", _Keep, options),
+                (r"/kv-lease-end/(\d+)", _End, options),
+                (r"/faults", _Faults, options),
+                (r"/operator", _Operator, options),
             ],
             log_function=lambda handler: None,
         )
         sockets = netutil.bind_sockets(port, address=ip)
-        self._server = httpserver.HTTPServer(application)
-        self._server.add_sockets(sockets)
-        self._task = asyncio.ensure_future(self._expire())
+        server = httpserver.HTTPServer(application)
+        server.add_sockets(sockets)
+        self._servers.append(server)
+        if self._task is None:
+            self._task = asyncio.ensure_future(self._expire())
         return sockets[0].getsockname()[1]
 
     async def close(self) -> None:
         """Stops listening and ends every connection."""
         if self._task is not None:
             self._task.cancel()
-        if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
+        for server in self._servers:
+            server.stop()
+            await server.close_all_connections()
 
     async def _expire(self) -> None:
         while True:
@@ -115,8 +130,9 @@
     kind = ""
     faulty = True
 
-    def initialize(self, store: Store) -> None:
+    def initialize(self, store: Store, zone: str) -> None:
         self.store = store
+        self.zone = zone
 
     def compute_etag(self) -> None:
         return None
@@ -143,7 +159,7 @@
         self.finish()
 
     def cut(self) -> None:
-        self.request.connection.stream.close()
+        connection_of(self).stream.close()
         raise web.Finish
 
     def answer(self, body: Any, status: int = 200) -> None:
@@ -174,7 +190,8 @@
         if item is None:
             self.answer({"asOf": self.store.state.revision}, 404)
             return
-        self.answer(dict(item) | {"asOf": self.store.state.revision})
+        shown = _seen_from(self.zone, dict(item))
+        self.answer(shown | {"asOf": self.store.state.revision})
 
 
 class _Range(_Handler):
@@ -187,7 +204,8 @@
             PAGE_ITEMS,
         )
         revision = self.store.state.revision
-        self.answer({"items": items, "hasMore": more, "asOf": revision})
+        shown = [_seen_from(self.zone, dict(item)) for item in items]
+        self.answer({"items": shown, "hasMore": more, "asOf": revision})
 
 
 class _Watch(_Handler):
@@ -206,7 +224,8 @@
             left_s = until_s - time.monotonic()
             if events or left_s <= 0:
                 revision = self.store.state.revision
-                self.answer({"events": events, "asOf": revision})
+                shown = [_seen_from(self.zone, dict(each)) for each in events]
+                self.answer({"events": shown, "asOf": revision})
                 return
             await self._wait(left_s)
 
@@ -292,12 +311,39 @@
         self.answer(body, status)
 
 
-async def _serve(address: str) -> None:
+def _seen_from(zone: str, item: dict[str, Any]) -> dict[str, Any]:
+    """Returns an item with the address that leads there from a zone.
+
+    On one machine a distance is a proxy, and each zone has one of its own to
+    each upstream. An upstream writes them all; each zone is shown its own.
+    """
+    if item.get("removed") or not item["key"].startswith("servers/"):
+        return item
+    record = msgspec.json.decode(base64.b64decode(item["value"]))
+    ways = record.pop(WAYS_FIELD, {})
+    if not ways:
+        return item
+    record["address"] = ways.get(zone, record["address"])
+    value = base64.b64encode(msgspec.json.encode(record)).decode()
+    return item | {"value": value}
+
+
+async def _serve(address: str, views: dict[str, str]) -> None:
     ip, _, port = address.rpartition(":")
-    Store().listen(ip, int(port))
+    store = Store()
+    store.listen(ip, int(port))
+    for view, zone in views.items():
+        ip, _, port = view.rpartition(":")
+        store.listen(ip, int(port), zone)
     await asyncio.Event().wait()
 
 
-def main(address: str) -> None:
-    """Serves an empty store at `ip:port` until it is ended."""
-    asyncio.run(_serve(address))
+def main(address: str, views: dict[str, str]) -> None:
+    """Serves an empty store at `ip:port` until it is ended.
+
+    Args:
+      address: where to listen.
+      views: availability zones by further addresses, each of which shows
+        upstreams as they are reached from there.
+    """
+    asyncio.run(_serve(address, views))
--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from almondstair.platform import headers as names
+from emulator.handler_connection import connection_of
 
 KNOWN_SHARE = 0.3
 OWN_PREFIX = "/emulator"
@@ -267,7 +268,7 @@
         raise web.Finish
 
     def stream(self) -> iostream.IOStream:
-        return self.request.connection.stream
+        return connection_of(self).stream
 
     def reply(self, fault: str) -> None:
         body = f"answer to {self.request_id}\n".encode() * 8
@@ -305,12 +306,12 @@
             stream.write(whole)
             loop = asyncio.get_running_loop()
             loop.call_later(0.02, _write_open, stream, whole)
-            self.request.connection.finish()
+            connection_of(self).finish()
             raise web.Finish
         if fault != "extra":
             stream.close()
         else:
-            self.request.connection.finish()
+            connection_of(self).finish()
         raise web.Finish
 
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,9 @@
 from soak.run import Size
 from soak.run import Soak
 
+# How much of each process's log is shown after a broken promise.
+LOG_LINES = 12
+LOG_LINE_CHARACTERS = 300
 KEPT = Path(__file__).with_name("seeds.toml")
 
 
@@ -22,7 +25,21 @@
         directory = Path(logs or folder)
         directory.mkdir(parents=True, exist_ok=True)
         soak = Soak(seed=seed, seconds=seconds, directory=directory, size=size)
-        return asyncio.run(soak.run())
+        report = asyncio.run(soak.run())
+        if report.faults:
+            show_logs(directory)
+        return report
+
+
+def show_logs(directory: Path) -> None:
+    """Prints what gateways warned of last, and how upstreams ended."""
+    for path in sorted(directory.glob("[gu]*.log")):
+        lines = []
+        for line in path.read_text("utf-8", "replace").splitlines():
+            if '"INFO"' not in line:
+                lines.append(line[:LOG_LINE_CHARACTERS])
+        for line in lines[-LOG_LINES:]:
+            print(f"  {path.stem}: {line}")
 
 
 def show(report: Report) -> None:
@@ -36,6 +53,10 @@
         return
     for step in report.steps:
         print(f"  {step.at_s:6.2f} s {step.kind} {step.how} {step.for_s:.1f} s")
+    for (gateway, status), count in sorted(report.outcomes.items()):
+        print(
+            f"  at the end {gateway} answered {count} with {status or 'none'}"
+        )
     for fault in report.faults[:5]:
         print(f"  BROKEN {fault.promise}: {fault.detail}", flush=True)
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,10 +5,13 @@
 import time
 import uuid
 
-from emulator.documents import HOST
+from emulator.caller_wire import Ask
+from emulator.caller_wire import read_reply
+from emulator.caller_wire import write_ask
 from soak.checks import Sent
 
 ANSWER_TIMEOUT_S = 4.0
+DEADLINE_MS = 3000
 PAUSE_S = 0.03
 KEYS = 30
 
@@ -77,72 +80,34 @@
     ) -> bool:
         """Sends one request; returns whether the connection goes on."""
         prefix = self._chance.choice(prefixes)
-        path = f"{prefix}{self._chance.randrange(KEYS)}"
-        request = uuid.uuid4().hex[:16]
+        key = str(self._chance.randrange(KEYS))
         repeatable = not prefix.startswith("/unsafe")
-        body = b"" if repeatable else b"x" * self._chance.randrange(1, 3000)
+        ask = Ask(
+            request=uuid.uuid4().hex[:16],
+            path=f"{prefix}{key}",
+            key=key,
+            deadline_ms=DEADLINE_MS,
+            body=b"" if repeatable else b"x" * self._chance.randrange(1, 3000),
+        )
         sent_s = time.monotonic()
-        status, seal, whole, goes_on = 0, "", False, False
+        reply = None
         try:
-            writer.write(_message(request, path, repeatable, body))
+            writer.write(write_ask(ask))
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                status, headers = await _read_head(reader)
-                data = await _read_body(reader, headers)
-            seal = headers.get("x-almondstair-response-seal", "")
-            whole = data == f"answer to {request}\n".encode() * 8
-            goes_on = headers.get("connection", "") != "close"
+                reply = await read_reply(reader)
         except (OSError, EOFError, ValueError, TimeoutError):
-            goes_on = False
-        self.gateway_of[request] = name
+            reply = None
+        self.gateway_of[ask.request] = name
         self.sent.append(
             Sent(
-                request=request,
-                path=path,
+                request=ask.request,
+                path=ask.path,
                 repeatable=repeatable,
                 sent_s=sent_s,
                 ended_s=time.monotonic(),
-                status=status,
-                seal=seal,
-                whole=whole,
+                status=reply.status if reply else 0,
+                seal=reply.seal if reply else "",
+                whole=reply is not None and reply.whole(ask.request),
             )
         )
-        return goes_on
-
-
-def _message(request: str, path: str, repeatable: bool, body: bytes) -> bytes:
-    method = "GET" if repeatable else "POST"
-    key = path.rpartition("/")[2]
-    head = (
-        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-        f"X-Almondstair-Request-Id: {request}\r\n"
-        f"X-Almondstair-Affinity-Key: {key}\r\n"
-        "X-Almondstair-Deadline-Ms: 3000\r\n"
-    )
-    if body:
-        head += f"Content-Length: {len(body)}\r\n"
-    return head.encode() + b"\r\n" + body
-
-
-async def _read_head(
-    reader: asyncio.StreamReader,
-) -> tuple[int, dict[str, str]]:
-    text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    lines = text.split("\r\n")
-    headers = {}
-    for line in lines[1:]:
-        name, _, value = line.partition(":")
-        headers[name.lower()] = value.strip()
-    return int(lines[0].split()[1]), headers
-
-
-async def _read_body(
-    reader: asyncio.StreamReader, headers: dict[str, str]
-) -> bytes:
-    if "content-length" in headers:
-        return await reader.readexactly(int(headers["content-length"]))
-    body = b""
-    while size := int(await reader.readline(), 16):
-        body += await reader.readexactly(size)
-        await reader.readexactly(2)
-    await reader.readexactly(2)
-    return body
+        return reply is not None and reply.goes_on
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from emulator.world import Ran
+
 # A clock that is read by two processes, and a packet on its way.
 SLACK_S = 0.5
 COLD_BOUND_PER_S = 5 * 1.5 + 5
@@ -34,16 +36,6 @@
     read: bool = True
 
 
-class Ran(NamedTuple):
-    """One run as its upstream saw it."""
-
-    upstream: str
-    request: str
-    path: str
-    at_s: float
-    ended: str
-
-
 class Span(NamedTuple):
     """A time in which something holds, monotonic seconds."""
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,12 @@
 import time
 from typing import NamedTuple
 
+from emulator.deployment import Deployment
+from emulator.deployment import Service
+from emulator.proxy import Harm
+from emulator.proxy import HarmfulProxy
+from emulator.world import Ran
+from emulator.world import World
 from soak import checks
 from soak import plan
 from soak.callers import Caller
@@ -15,9 +21,6 @@
 from soak.checks import Span
 from soak.plan import Kind
 from soak.plan import Step
-from soak.proxy import Harm
-from soak.proxy import HarmfulProxy
-from soak.world import World
 
 # From a change's acknowledgement until it must hold, and what a disturbance
 # adds: the bounds of the emulated platform.
@@ -29,8 +32,15 @@
 # How long a killed process stays away.
 BACK_S = 0.5
 STOP_LIMIT_S = 4.0
+# The calm time at the end in which most requests must be served, and what of
+# it is left out, because the last answers may not have come.
+LAST_SPAN_S = 3.0
+LAST_MARGIN_S = 0.5
 DRAINED_S = 3.5
 LEAST_SERVED = 0.9
+# How long upstreams are cold after a start.
+COLD_S = 1.0
+ZONES = {"a1": "east", "a2": "east", "b1": "west"}
 
 
 class Size(NamedTuple):
@@ -40,15 +50,49 @@
     gateways: int = 3
     callers: int = 8
 
+    def deployment(self) -> Deployment:
+        """Returns the deployment of this size, in two regions."""
+        return Deployment(
+            zones=ZONES,
+            gateways=_spread(self.gateways),
+            services=[
+                Service(
+                    name="service",
+                    upstreams=_spread(self.upstreams),
+                    slots=4,
+                    work_ms=40.0,
+                    cold_s=COLD_S,
+                )
+            ],
+            routes=[],
+        )
+
+
+def _spread(count: int) -> dict[str, int]:
+    counts = dict.fromkeys(ZONES, 0)
+    for number in range(count):
+        counts[list(ZONES)[number % len(ZONES)]] += 1
+    return counts
+
 
 class Report(NamedTuple):
-    """What a run showed."""
+    """What a run showed.
+
+    Attributes:
+      seed: its seed.
+      sent: requests sent.
+      served: requests answered with success.
+      steps: what was done.
+      faults: promises that were broken.
+      outcomes: requests of the last calm span by gateway and status.
+    """
 
     seed: int
     sent: int
     served: int
     steps: list[Step]
     faults: list[Fault]
+    outcomes: dict[tuple[str, int], int]
 
 
 class Soak:
@@ -61,11 +105,7 @@
         self._seed = seed
         self._seconds = seconds
         self._steps = plan.make(seed, seconds=seconds)
-        self._world = World(
-            directory=directory,
-            upstreams=size.upstreams,
-            gateways=size.gateways,
-        )
+        self._world = World(deployment=size.deployment(), directory=directory)
         self._callers = [
             Caller(chance=random.Random(seed * 1000 + number))
             for number in range(size.callers)
@@ -79,6 +119,7 @@
         self._faults: list[Fault] = []
         self._end_s = 0.0
         self._held: set[str] = set()
+        self._ended: set[str] = set()
 
     async def run(self) -> Report:
         """Starts, plays, ends, checks."""
@@ -112,6 +153,16 @@
             for name in list(self._world.upstreams):
                 if name not in self._held:
                     await self._world.collect(name)
+            self._check_alive()
+
+    def _check_alive(self) -> None:
+        """Notes gateways that ended although nothing struck them."""
+        for name in self._world.gateways:
+            code = self._world.procs[name].exit_code
+            if code is None or name in self._held or name in self._ended:
+                continue
+            self._ended.add(name)
+            self._faults.append(Fault("gateways go on", f"{name} code {code}"))
 
     async def _play(self, began_s: float) -> None:
         tasks = []
@@ -213,7 +264,7 @@
     async def _start_upstream(self, name: str) -> None:
         await self._world.start_upstream(name)
         started_s = time.monotonic()
-        self._cold.append(Span(name, started_s, started_s + 1.0))
+        self._cold.append(Span(name, started_s, started_s + COLD_S))
         self._held.discard(name)
 
     async def _upstream_drain(self, step: Step) -> None:
@@ -343,12 +394,14 @@
             )
         calm = [each for each in sent if not self._disturbed_at(each.sent_s)]
         self._faults += checks.check_configuration(calm, self._routes)
-        last = Span("the end", self._end_s - 3.0, self._end_s - 0.5)
+        last = Span(
+            "the end", self._end_s - LAST_SPAN_S, self._end_s - LAST_MARGIN_S
+        )
         self._faults += checks.check_recovery(
             sent, [last], least_share=LEAST_SERVED
         )
 
-    def _excused(self, run: checks.Ran) -> bool:
+    def _excused(self, run: Ran) -> bool:
         """Bounds in time hold only where nothing else disturbs."""
         for span in self._disturbed:
             if span.name in (Kind.UPSTREAM_DRAIN, Kind.EVACUATE):
@@ -359,7 +412,7 @@
 
     @staticmethod
     def _certainly_read(
-        sent: list[checks.Sent], ran: list[checks.Ran]
+        sent: list[checks.Sent], ran: list[Ran]
     ) -> list[checks.Sent]:
         """Keeps requests that an upstream ran: those were read."""
         ran_ids = {run.request for run in ran}
@@ -368,13 +421,20 @@
     def _report(self) -> Report:
         sent = 0
         served = 0
+        outcomes: dict[tuple[str, int], int] = {}
         for caller in self._callers:
             sent += len(caller.sent)
             served += sum(1 for each in caller.sent if each.status == 200)
+            for each in caller.sent:
+                if each.sent_s < self._end_s - LAST_SPAN_S:
+                    continue
+                outcome = (caller.gateway_of[each.request], each.status)
+                outcomes[outcome] = outcomes.get(outcome, 0) + 1
         return Report(
             seed=self._seed,
             sent=sent,
             served=served,
             steps=self._steps,
             faults=self._faults,
+            outcomes=outcomes,
         )
