--- a/almondstair/core/homes.py
+++ b/almondstair/core/homes.py
@@ -20,8 +20,12 @@
 of the last table go on.
 """
 
-from typing import NamedTuple
-
+from almondstair.core.duty_records import NEVER_S
+from almondstair.core.duty_records import NOBODY
+from almondstair.core.duty_records import DutyOffer
+from almondstair.core.duty_records import DutySource
+from almondstair.core.duty_records import HeldDuty
+from almondstair.core.duty_records import HomePeer
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.home_records import NO_DUTY
@@ -34,64 +38,6 @@
 
 RESERVE_SLOTS = 1
 LEAST_SLOTS_WITH_RESERVE = 2
-NEVER_S = float("-inf")
-
-
-class _Source(NamedTuple):
-    """The process, and its record, that a duty was taken over from."""
-
-    entry: str
-    incarnation: str
-    held_epoch: int
-
-
-NOBODY = _Source("", "", 0)
-
-
-class _Token(NamedTuple):
-    """The duty of one upstream as this entry holds or last held it.
-
-    Attributes:
-      held_epoch: last epoch in which this entry held it.
-      busy_until_s: one time for each slot taken by another's work.
-      source: whose word may free those slots sooner; None for nobody's.
-    """
-
-    held_epoch: int
-    busy_until_s: tuple[float, ...] = ()
-    source: _Source | None = None
-
-
-class _Offer(NamedTuple):
-    """A record received under the current epoch, in this entry's time."""
-
-    source: _Source
-    busy_until_s: tuple[float, ...]
-
-    @property
-    def held_epoch(self) -> int:
-        """Last epoch in which the sender held the duty."""
-        return self.source.held_epoch
-
-
-class _Peer(NamedTuple):
-    """What was last heard of one entry.
-
-    Attributes:
-      report: its newest report by its own clock.
-      report_s: when that came.
-      heard_s: when anything came from it.
-      settled_s: when it was first heard settled under the report's epoch.
-      echo_epoch: epoch of the newest echo.
-      echo_sent_s: this entry's own clock at the report that was echoed.
-    """
-
-    report: HomesReport
-    report_s: float
-    heard_s: float
-    settled_s: float
-    echo_epoch: int = 0
-    echo_sent_s: float = NEVER_S
 
 
 class Homes:
@@ -129,8 +75,8 @@
         self._applied_s = NEVER_S
         self._lost_s = NEVER_S
         self._ranks = Ranks()
-        self._tokens: dict[str, _Token] = {}
-        self._peers: dict[str, _Peer] = {}
+        self._tokens: dict[str, HeldDuty] = {}
+        self._peers: dict[str, HomePeer] = {}
         self._pending: set[str] = set()
         self._rows: dict[str, EntryRow] = {}
         self._settled_cache: dict[str, float | None] = {}
@@ -292,7 +238,7 @@
     def _rank(self, *, upstream: str) -> tuple[str, ...]:
         return self._ranks.first(upstream=upstream)
 
-    def _peer(self, *, report: HomesReport, now_s: float) -> _Peer:
+    def _peer(self, *, report: HomesReport, now_s: float) -> HomePeer:
         """Returns what is known of a sender, the report's word included.
 
         What a report says of settling and its records are kept together, also
@@ -300,7 +246,7 @@
         remembered and the other dropped, the last holder would look like an
         entry that never held anything, and its work would not be counted.
         """
-        fresh = _Peer(report, now_s, now_s, now_s)
+        fresh = HomePeer(report, now_s, now_s, now_s)
         peer = self._peers.get(report.entry)
         if peer is None or peer.report.incarnation != report.incarnation:
             return fresh
@@ -311,7 +257,7 @@
             settled_s = now_s
         return peer._replace(report=report, report_s=now_s, settled_s=settled_s)
 
-    def _with_echo(self, *, peer: _Peer, report: HomesReport) -> _Peer:
+    def _with_echo(self, *, peer: HomePeer, report: HomesReport) -> HomePeer:
         if report.echo_sent_s is None:
             return peer
         if report.echo_incarnation != self._incarnation:
@@ -323,7 +269,7 @@
             sent_s = max(sent_s, peer.echo_sent_s)
         return peer._replace(echo_epoch=report.epoch, echo_sent_s=sent_s)
 
-    def _offers(self, *, upstream: str) -> tuple[_Offer, ...]:
+    def _offers(self, *, upstream: str) -> tuple[DutyOffer, ...]:
         """Returns what others reported of an upstream under this epoch."""
         offers = []
         for peer in self._peers.values():
@@ -334,16 +280,16 @@
                     offers.append(self._offer(peer=peer, record=record))
         return tuple(offers)
 
-    def _offer(self, *, peer: _Peer, record: HeldRecord) -> _Offer:
+    def _offer(self, *, peer: HomePeer, record: HeldRecord) -> DutyOffer:
         until = []
         for left_s in record.busy_left_s:
             until.append(peer.report_s + left_s + self._margin_s)
-        source = _Source(
+        source = DutySource(
             peer.report.entry, peer.report.incarnation, record.held_epoch
         )
-        return _Offer(source, tuple(until))
+        return DutyOffer(source, tuple(until))
 
-    def _counts(self, *, peer: _Peer) -> bool:
+    def _counts(self, *, peer: HomePeer) -> bool:
         """Says whether a report is of a member and of the table in use.
 
         Only the very epoch counts: an entry that is ahead may be home under a
@@ -354,7 +300,7 @@
             return False
         return peer.report.epoch == self._table.epoch
 
-    def _free_ended_work(self, *, peer: _Peer) -> None:
+    def _free_ended_work(self, *, peer: HomePeer) -> None:
         """Frees slots as the work of the former holder ends."""
         if not self._counts(peer=peer):
             return
@@ -382,7 +328,7 @@
         return tuple(records)
 
     def _busy_left_s(
-        self, *, upstream: str, token: _Token, now_s: float
+        self, *, upstream: str, token: HeldDuty, now_s: float
     ) -> tuple[float, ...]:
         left = []
         for until_s in token.busy_until_s:
@@ -490,27 +436,27 @@
         best = self._last_holder(upstream=upstream)
         if best is None:
             return
-        token = _Token(self._table.epoch, best.busy_until_s, best.source)
+        token = HeldDuty(self._table.epoch, best.busy_until_s, best.source)
         if not self._accounts_for_lost(holder=best):
             # The slots are held for the lost entry, so no report of another
             # may free them: the token has no source.
             busy = self._all_busy(upstream=upstream, now_s=now_s)
-            token = _Token(self._table.epoch, busy)
+            token = HeldDuty(self._table.epoch, busy)
         self._tokens[upstream.name] = token
         self._pending.discard(upstream.name)
 
-    def _last_holder(self, *, upstream: HomedUpstream) -> _Offer | None:
+    def _last_holder(self, *, upstream: HomedUpstream) -> DutyOffer | None:
         """Returns the last holder's record, None while it is not known.
 
         An epoch has one home, so a record of the epoch just before is the last.
         Otherwise every entry must have settled under this epoch, lest one that
         is frozen, or whose report was lost, still dispatches.
         """
-        best = _Offer(NOBODY, ())
+        best = DutyOffer(NOBODY, ())
         own = self._tokens.get(upstream.name)
         if own is not None:
-            source = _Source(self._name, self._incarnation, own.held_epoch)
-            best = _Offer(source, own.busy_until_s)
+            source = DutySource(self._name, self._incarnation, own.held_epoch)
+            best = DutyOffer(source, own.busy_until_s)
         for offer in self._offers(upstream=upstream.name):
             if offer.held_epoch > best.held_epoch:
                 best = offer
@@ -520,13 +466,13 @@
             return None
         return best
 
-    def _accounts_for_lost(self, *, holder: _Offer) -> bool:
+    def _accounts_for_lost(self, *, holder: DutyOffer) -> bool:
         """Says whether no entry can have been lost holding the duty."""
         if holder.held_epoch >= self._table.lost_epoch:
             return True
         return self._held_just_before(holder=holder)
 
-    def _held_just_before(self, *, holder: _Offer) -> bool:
+    def _held_just_before(self, *, holder: DutyOffer) -> bool:
         if holder.source == NOBODY:
             return False
         return holder.held_epoch == self._table.epoch - 1
--- a/almondstair/core/steering.py
+++ b/almondstair/core/steering.py
@@ -11,12 +11,9 @@
   work for which it has free slots, low priority refused first.
 """
 
-from typing import NamedTuple
-
 from almondstair.core import ramps
 from almondstair.core.admission import KEPT_FRACTION
 from almondstair.core.health import HealthTable
-from almondstair.core.health import HealthView
 from almondstair.core.loads import RegionLoad
 from almondstair.core.loads import configured_slots
 from almondstair.core.model import Configuration
@@ -26,6 +23,11 @@
 from almondstair.core.policies import RegionView
 from almondstair.core.policies import RegionWeight
 from almondstair.core.policies import SteeringInput
+from almondstair.core.steering_records import DEFAULT_LIMITS
+from almondstair.core.steering_records import Flow
+from almondstair.core.steering_records import RegionStatus
+from almondstair.core.steering_records import SteeringLimits
+from almondstair.core.steering_records import WeightsInForce
 
 STEP_INTERVAL_S = 0.05
 # A pause of this process is no licence to move much at once afterwards.
@@ -42,68 +44,6 @@
 ALWAYS_TRIED = (Priority.INTERACTIVE, Priority.COMMIT)
 
 
-class SteeringLimits(NamedTuple):
-    """Constants of steering.
-
-    Attributes:
-      report_limit_s: age at which a load report counts as unknown.
-      floor_weight: weight down to which an unknown region decays.
-      decay_half_life_s: time in which the weight of an unknown region halves.
-    """
-
-    report_limit_s: float = 3.0
-    floor_weight: float = 0.02
-    decay_half_life_s: float = 1.0
-
-
-DEFAULT_LIMITS = SteeringLimits()
-
-
-class RegionStatus(NamedTuple):
-    """One region of one service as steering sees it, for status pages.
-
-    Attributes:
-      region: name.
-      live: whether it takes work at all.
-      known: whether a report within the limit exists.
-      age_s: age of the youngest report, None if there never was one.
-      slots: slots reported, else configured.
-      free_slots: free slots claimed, less what was sent since.
-      health: averages of the answers seen.
-    """
-
-    region: str
-    live: bool
-    known: bool
-    age_s: float | None
-    slots: float
-    free_slots: float
-    health: HealthView
-
-
-class _Flow(NamedTuple):
-    """Work that shares weights.
-
-    Lower priorities have their own: they see a smaller region, so they are
-    moved away, or refused, before higher ones notice anything.
-    """
-
-    service: str
-    availability_zone: str
-    priority: Priority
-
-
-class _InForce:
-    """Weights in force for one flow."""
-
-    __slots__ = ("started_s", "stepped_s", "weights")
-
-    def __init__(self, *, weights: ramps.Weights, started_s: float) -> None:
-        self.weights = weights
-        self.started_s = started_s
-        self.stepped_s = started_s
-
-
 class Steering:
     """Views of all regions and the weights in force."""
 
@@ -121,7 +61,7 @@
         """
         self._limits = limits
         self._loads: dict[tuple[str, str], RegionLoad] = {}
-        self._flows: dict[_Flow, _InForce] = {}
+        self._flows: dict[Flow, WeightsInForce] = {}
         self._lost: set[str] = set()
         self._link_headroom: dict[tuple[str, str], float] = {}
         self._latency_ms: dict[tuple[str, str], float] = {}
@@ -295,7 +235,7 @@
         chosen = ramps.drawn(weights=list(weights), draw=draw)
         order = [chosen]
         room = self._with_room(
-            flow=_Flow(service, availability_zone, priority),
+            flow=Flow(service, availability_zone, priority),
             weights=weights,
             now_s=now_s,
         )
@@ -318,10 +258,10 @@
         priority: Priority = Priority.INTERACTIVE,
     ) -> tuple[RegionWeight, ...]:
         """Returns the weights in force for live regions, heaviest first."""
-        flow = _Flow(service, availability_zone, priority)
+        flow = Flow(service, availability_zone, priority)
         in_force = self._flows.get(flow)
         if in_force is None:
-            in_force = _InForce(
+            in_force = WeightsInForce(
                 weights=self._initial(flow=flow, now_s=now_s), started_s=now_s
             )
             self._flows[flow] = in_force
@@ -362,7 +302,7 @@
         return load.totals(now_s=now_s).slots > 0
 
     def _with_room(
-        self, *, flow: _Flow, weights: tuple[RegionWeight, ...], now_s: float
+        self, *, flow: Flow, weights: tuple[RegionWeight, ...], now_s: float
     ) -> list[str]:
         """Returns the regions with room for the flow's work, heaviest first.
 
@@ -409,7 +349,7 @@
         self._latency_ms[key] = distance_ms
         return distance_ms
 
-    def _live_regions(self, *, flow: _Flow, now_s: float) -> list[str]:
+    def _live_regions(self, *, flow: Flow, now_s: float) -> list[str]:
         """Returns the live regions, nearest first."""
         distances: list[tuple[float, str]] = []
         for region in self._configuration.regions:
@@ -431,7 +371,7 @@
         self,
         *,
         region: str,
-        flow: _Flow,
+        flow: Flow,
         slots: float,
         free_slots: float,
         now_s: float,
@@ -458,7 +398,7 @@
         )
 
     def _policy_weights(
-        self, *, flow: _Flow, views: list[RegionView]
+        self, *, flow: Flow, views: list[RegionView]
     ) -> ramps.Weights:
         profile = self._profile(service=flow.service)
         rows = POLICIES[profile.policy].weights(
@@ -473,7 +413,7 @@
             weights[row.region] = row.weight
         return weights
 
-    def _initial(self, *, flow: _Flow, now_s: float) -> ramps.Weights:
+    def _initial(self, *, flow: Flow, now_s: float) -> ramps.Weights:
         """Returns the weights to start from: the policy on configured slots.
 
         Nothing has been heard yet, so this is a place to start and not a
@@ -493,7 +433,7 @@
         return self._policy_weights(flow=flow, views=views)
 
     def _holds_lost(
-        self, *, flow: _Flow, in_force: _InForce, now_s: float
+        self, *, flow: Flow, in_force: WeightsInForce, now_s: float
     ) -> bool:
         """Returns whether a region that is not live still has weight."""
         for region in in_force.weights:
@@ -503,7 +443,9 @@
                 return True
         return False
 
-    def _step(self, *, flow: _Flow, in_force: _InForce, now_s: float) -> None:
+    def _step(
+        self, *, flow: Flow, in_force: WeightsInForce, now_s: float
+    ) -> None:
         """Moves the weights of a flow on to now."""
         elapsed_s = min(MAX_STEP_S, now_s - in_force.stepped_s)
         in_force.stepped_s = now_s
@@ -540,7 +482,7 @@
         )
 
     def _trusted_regions(
-        self, *, flow: _Flow, live: list[str], now_s: float
+        self, *, flow: Flow, live: list[str], now_s: float
     ) -> list[str]:
         """Returns the live regions that are neither silent nor failing."""
         trusted: list[str] = []
@@ -557,7 +499,7 @@
     def _target(
         self,
         *,
-        flow: _Flow,
+        flow: Flow,
         live: list[str],
         trusted: list[str],
         current: ramps.Weights,
@@ -598,7 +540,7 @@
     def _left_at_once(
         self,
         *,
-        flow: _Flow,
+        flow: Flow,
         live: list[str],
         trusted: list[str],
         current: ramps.Weights,
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -31,13 +31,15 @@
 from almondstair.core.quarantine import Quarantine
 from almondstair.core.slot_book import SlotBook
 from almondstair.core.steering import Steering
-from almondstair.core.steering import SteeringLimits
+from almondstair.core.steering_records import SteeringLimits
 from almondstair.dispatch import Sender
 from almondstair.document_exchange import DocumentExchange
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.frontend import FrontDoor
 from almondstair.heartbeats import Heartbeats
+from almondstair.leaving import Leaving
+from almondstair.leaving import LeavingParts
 from almondstair.link_shares import LinkShares
 from almondstair.lookups import LookupBody
 from almondstair.lookups import Lookups
@@ -73,12 +75,9 @@
 START_ASK_S = 2.0
 READY_LIMIT_S = 5.0
 METRICS_INTERVAL_S = 1.0
-STOP_POLL_S = 0.05
-HAND_OVER_POLL_S = 0.2
 # Time in which a few announcements of requests that crashed an upstream go out
 # at once; see core/announcing.py.
 STRIKE_INTERVAL_S = 0.02
-RELEASE_LIMIT_S = 3.0
 
 
 # Before the first configuration is in force.
@@ -101,7 +100,6 @@
         self._seed_text = loaded.configuration_text
         self._incarnation = secrets.randbits(63)
         self.own = _own_row(settings, self._incarnation)
-        self._refusing = False
         self._strike_words = Announcing(interval_s=STRIKE_INTERVAL_S)
         self._platform_out = False
         self._timers: list[asyncio.Task[None]] = []
@@ -329,6 +327,7 @@
         self._forward_door = FrontDoor(
             handler=self, own_zone=zone, for_entries=True
         )
+        self._leaving = self._make_leaving()
         views = OperatorViews(
             parts=ViewParts(
                 own=self.own,
@@ -341,13 +340,30 @@
                 heartbeats=self.heartbeats,
                 configuration=self.configuration_keeper,
                 table=self.table_keeper,
-                running=self._running,
+                running=self._leaving.running,
             )
         )
         self._operators = OperatorServer(handler=views)
 
     # What the front doors ask.
 
+    def _make_leaving(self) -> Leaving:
+        timing = self._settings.timing
+        return Leaving(
+            parts=LeavingParts(
+                membership=self.membership,
+                heartbeats=self.heartbeats,
+                table_keeper=self.table_keeper,
+                homes=self.homes,
+                shares=self._shares,
+                claims=self._claims,
+                caller_door=self._caller_door,
+                forward_door=self._forward_door,
+            ),
+            serve_s=(timing.lookup_ttl_ms + timing.drain_margin_ms) / 1000,
+            finish_s=timing.stop_limit_ms / 1000,
+        )
+
     def configuration(self) -> Configuration:
         """Returns the configuration in force.
 
@@ -381,7 +397,7 @@
 
     def refusing(self) -> bool:
         """Whether new requests are refused."""
-        return self._refusing
+        return self._leaving.refusing
 
     # Start.
 
@@ -485,76 +501,12 @@
     # Stop.
 
     async def stop(self) -> None:
-        """Leaves without cutting off a request.
-
-        Callers hold the answers of look-ups for a while, so this entry serves
-        on for that long after it has dropped out of them; its duties go to
-        others meanwhile.
-        """
+        """Leaves without cutting off a request."""
         log.event(log.Event.STOPPING, entry=self.own.name)
-        self.membership.leaving = True
-        self._caller_door.end_keep_alive()
-        self._forward_door.end_keep_alive()
-        self.heartbeats.announce()
-        timing = self._settings.timing
-        until_s = time.monotonic()
-        until_s += (timing.lookup_ttl_ms + timing.drain_margin_ms) / 1000
-        await self._hand_over(until_s)
-        await asyncio.sleep(max(0.0, until_s - time.monotonic()))
-        self._refusing = True
-        self._caller_door.stop_listening()
-        await self._finish_running()
-        await self._release()
+        await self._leaving.run()
         await self._close()
         log.event(log.Event.STOPPED, entry=self.own.name)
 
-    async def _hand_over(self, until_s: float) -> None:
-        """Has the row marked as leaving, so that the duties go to others.
-
-        Tried until it holds: given up after one lost call, this entry would
-        stay the home of its upstreams until it is gone, and they would stand
-        idle meanwhile.
-        """
-        while True:
-            await self.table_keeper.change(
-                lambda table: self.membership.plan_leaving(table=table)
-            )
-            row = self.membership.table.row(name=self.own.name)
-            if row is None or row.leaving or time.monotonic() >= until_s:
-                return
-            await asyncio.sleep(HAND_OVER_POLL_S)
-
-    async def _finish_running(self) -> None:
-        limit_s = self._settings.timing.stop_limit_ms / 1000
-        until_s = time.monotonic() + limit_s
-        while self._running() and time.monotonic() < until_s:
-            await asyncio.sleep(STOP_POLL_S)
-        if self._running():
-            log.event(log.Event.STOP_CUT, running=self._running())
-        await self._claims.drain(timeout_s=RELEASE_LIMIT_S)
-
-    def _running(self) -> int:
-        return len(self._caller_door.running) + len(self._forward_door.running)
-
-    async def _release(self) -> None:
-        """Gives up links and homes, and has the row dropped."""
-        until_s = time.monotonic() + RELEASE_LIMIT_S
-        self._shares.release()
-        while not self.homes.idle(now_s=time.monotonic()):
-            if time.monotonic() > until_s:
-                break
-            await asyncio.sleep(STOP_POLL_S)
-        if not self.homes.nothing_held(now_s=time.monotonic()):
-            return
-        # While the platform is out the row stays. The others drop it on the
-        # word `finished` once the platform is back; without that word they
-        # would hold its upstreams' slots back for the longest deadline.
-        self._forward_door.stop_listening()
-        await self.table_keeper.change(
-            lambda table: self.membership.plan_release(table=table)
-        )
-        self.heartbeats.announce(finished=True)
-
     async def _close(self) -> None:
         self._control.stop()
         self._prober.stop()
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -4,7 +4,6 @@
 from behave import then
 from behave import when
 
-from almondstair.core import homes as homes_module
 from almondstair.core.admission import SlotTable
 from almondstair.core.admission_queue import AdmissionQueue
 from almondstair.core.admission_queue import Waiting
@@ -12,6 +11,8 @@
 from almondstair.core.admission_records import Outcome
 from almondstair.core.admission_records import Refusal
 from almondstair.core.admission_records import UpstreamReport
+from almondstair.core.duty_records import NOBODY
+from almondstair.core.duty_records import DutyOffer
 from almondstair.core.entry_table import EntryRow
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.home_records import HomedUpstream
@@ -33,7 +34,7 @@
 SHORT_S = 1.0
 SLOTS = 3
 NO_ADDRESSES = ("", "", "", "")
-NOBODY_HELD = homes_module._Offer(homes_module.NOBODY, ())
+NOBODY_HELD = DutyOffer(NOBODY, ())
 
 
 class WithoutT1(Homes):
