--- a/emulator/world.py
+++ b/emulator/world.py
@@ -171,7 +171,7 @@
         *command: str,
         environment: dict[str, str] | None = None,
     ) -> None:
-        module = "almondstair.gateway.daemon" if not command else "emulator"
+        module = "emulator" if command else self._gateway_module()
         root = _ROOT if command else self._source
         log = (self.directory / f"{name}.log").open("ab")
         process = await asyncio.create_subprocess_exec(
@@ -192,6 +192,13 @@
         log.close()
         self.procs[name] = Proc(name=name, process=process)
 
+    def _gateway_module(self) -> str:
+        """Returns how the checkout that is played starts its gateway."""
+        package = self._source / "almondstair" / "gateway"
+        if (package / "__main__.py").exists():
+            return "almondstair.gateway"
+        return "almondstair.gateway.daemon"
+
     async def start_upstream(self, name: str) -> None:
         """Starts an upstream; a later start is another incarnation."""
         service, zone = self._places[name]
--- a/features/gateway_settings.feature
+++ b/features/gateway_settings.feature
@@ -35,3 +35,15 @@
     Then the request is answered 200
     And its log says that "listen" needs a restart
     And "/safe/y" is answered 200 within 3.0 s
+
+  # Symptom: a gateway that was just restarted ends again. Sequence: the platform
+  # says that the settings file changed, or stops it, while its modules are still
+  # being imported. Cause: nothing had taken the signal yet.
+  Scenario Outline: A signal comes while the gateway is being started
+    When <signal> comes as the gateway's modules are imported
+    Then the process <ends>
+
+    Examples:
+      | signal  | ends                                     |
+      | SIGHUP  | goes on and says what its settings lack  |
+      | SIGTERM | ends with 0                              |
--- a/features/steps/gateway_settings_steps.py
+++ b/features/steps/gateway_settings_steps.py
@@ -1,7 +1,10 @@
 """Steps for a settings file that changes while a gateway runs."""
 
 import json
+import os
 import signal
+import subprocess
+import sys
 import time
 
 from behave import given
@@ -112,3 +115,50 @@
 
     found = harness.wait_until(check, limit_s=3.0, what="the log line")
     assert found[0]["after_restart"] == [field], found
+
+
+# Signals during a start.
+
+# Sends itself a signal at the import of the daemon, as the platform may.
+_STARTS_AND_IS_SIGNALLED = """
+import os
+import runpy
+import sys
+
+
+class Signalling:
+    def find_spec(self, name, path=None, target=None):
+        if name == "almondstair.gateway.daemon":
+            os.kill(os.getpid(), {number})
+        return None
+
+
+sys.meta_path.insert(0, Signalling())
+runpy.run_module("almondstair.gateway", run_name="__main__")
+"""
+
+
+@when("{name} comes as the gateway's modules are imported")
+def step_signal_at_import(context, name):
+    number = int(signal.Signals[name])
+    script = _STARTS_AND_IS_SIGNALLED.replace("{number}", str(number))
+    context.done = subprocess.run(
+        [sys.executable, "-c", script],
+        cwd=harness.ROOT,
+        env={**os.environ, "ALMONDSTAIR_BOOT": ""},
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+
+
+@then("the process goes on and says what its settings lack")
+def step_went_on(context):
+    assert context.done.returncode == 2, context.done
+    assert "ALMONDSTAIR_BOOT" in context.done.stderr, context.done
+
+
+@then("the process ends with 0")
+def step_ended(context):
+    assert context.done.returncode == 0, context.done
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -143,7 +143,7 @@
         child = self.processes.start(
             name,
             "-m",
-            "almondstair.gateway.daemon",
+            "almondstair.gateway",
             environment={
                 "ALMONDSTAIR_BOOT": str(path),
                 "ALMONDSTAIR_OPERATOR_PORT": addresses["operators"].split(":")[
