Ask a store that has just failed last

Cause: an entry that the store left without answer waited 1 s for it in each round before it asked others, so a zone's reader had word 2.3 s old and its zone followed that late. Change: for 2 s after a failure the store is asked after the peers.

--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -33,6 +33,9 @@
 # Entries of each zone that ask the store; the others ask it, and go to the
 # store themselves when it does not answer or its word is old.
 STORE_READERS = 1
+# How long a store that failed is asked last. It turns entries away for seconds,
+# and each wait for an answer that does not come takes 1 s.
+STORE_REST_S = 2.0
 # A peer's word that is older than this is no better than the own picture.
 STALE_S = 1.5
 # Peers of other zones that are asked when the store turns this entry away.
@@ -85,6 +88,7 @@
         self.take_seeds(seeds)
         self._peers: dict[str, PeerSource] = {}
         self._down = False
+        self._store_rest_until_s = 0.0
         self.heard_at_s = 0.0
         self.revision = 0
 
@@ -138,6 +142,8 @@
                 batch = await source.fetch(after=self.revision)
             except AlmondstairError as error:
                 failure = failure or error
+                if source is self._store:
+                    self._store_rest_until_s = now_s() + STORE_REST_S
                 continue
             # One that knows nothing yet relies on an old word too.
             fresh = batch.age_s <= STALE_S or not self._fleet.ready
@@ -150,6 +156,11 @@
     def _sources(self) -> list[Source]:
         """Returns where to ask, best first.
 
+        A store that has just failed comes last. What goes wrong without: one
+        that leaves a reader without answer is waited for in each round, the
+        reader's word grows too old for its zone meanwhile, and the zone has a
+        configuration after 4 s.
+
         What goes wrong without peers: the store turns some entries away for
         seconds while it serves the operator, and those run an old
         configuration and send to upstreams that have left.
@@ -160,6 +171,8 @@
         readers = self._readers(self._own_zone)
         own = [entry for entry in readers if entry.name != self._own_name]
         peers: list[Source] = [self._peer(entry) for entry in own]
+        if now_s() < self._store_rest_until_s:
+            return [*peers, *self._far_peers(), self._store]
         if len(own) < len(readers) or not readers:
             return [self._store, *peers, *self._far_peers()]
         return [*peers, self._store, *self._far_peers()]
