--- a/almondstair/gateway/sources.py
+++ b/almondstair/gateway/sources.py
@@ -147,5 +147,5 @@
         except (OSError, TimeoutError, msgspec.MsgspecError) as error:
             raise AlmondstairError(
                 kind=ErrorKind.PLATFORM_UNAVAILABLE,
-                detail=f"peer {self.address}: {error or 'no answer in time'}",
+                detail=f"peer {self.address}: {str(error) or 'no answer in time'}",
             ) from error
--- a/almondstair/platform/kv.py
+++ b/almondstair/platform/kv.py
@@ -104,7 +104,7 @@
         except (OSError, TimeoutError) as error:
             raise AlmondstairError(
                 kind=ErrorKind.PLATFORM_UNAVAILABLE,
-                detail=f"{kind}: {error or 'no answer in time'}",
+                detail=f"{kind}: {str(error) or 'no answer in time'}",
             ) from error
 
     @staticmethod
