--- a/almondstair/gateway/sources.py
+++ b/almondstair/gateway/sources.py
@@ -145,7 +145,8 @@
                 raise OSError(f"status {status}")
             return _PAGE.decode(body)
         except (OSError, TimeoutError, msgspec.MsgspecError) as error:
+            cause = str(error) or "no answer in time"
             raise AlmondstairError(
                 kind=ErrorKind.PLATFORM_UNAVAILABLE,
-                detail=f"peer {self.address}: {str(error) or 'no answer in time'}",
+                detail=f"peer {self.address}: {cause}",
             ) from error
