--- a/features/gateway_explaining.feature
+++ b/features/gateway_explaining.feature
@@ -45,3 +45,11 @@
       | leaves               | end                                      |
       | waits for both       | answered 200                             |
       | leaves after 0.4 s   | and the caller left before it was sent   |
+
+  # Symptom: a refusal is put down to a lack of room while another region's
+  # upstreams are idle. Sequence: a burst; requests change their region step by
+  # step. Cause: the line did not say which regions had had their part.
+  Scenario: A refusal names the regions that it was held back from
+    Given a gateway with 1 upstream in its own region and 1 in another
+    When 30 requests a second are sent for 5 s and then 200 a second for 2 s
+    Then a refusal's line names the other region as held back, and "why" says so
--- a/features/steps/gateway_explaining_steps.py
+++ b/features/steps/gateway_explaining_steps.py
@@ -14,6 +14,7 @@
 from features.support.gateway_world import GatewayWorld
 
 _RECEIVE_BYTES = 65536
+_REFUSED = 412
 
 
 @then('"why" tells of a {status:d} "{words}"')
@@ -136,3 +137,33 @@
         return words in story
 
     harness.wait_until(check, what=words)
+
+
+# Regions held back.
+
+
+@given("a gateway with 1 upstream in its own region and 1 in another")
+def step_two_regions(context):
+    world = GatewayWorld(processes=context.processes)
+    context.world = world
+    for name, zone in (("u1", "a1"), ("u2", "b1")):
+        world.start_upstream(name, zone=zone, slots=12, queue=36, work_s=0.2)
+    world.configure()
+    world.start_gateway()
+    world.until_served()
+
+
+@then(
+    'a refusal\'s line names the other region as held back, and "why" says so'
+)
+def step_held_back(context):
+    def check():
+        for line in context.world.log_events("g1", _REFUSED):
+            if line.get("held_back") == ["west"]:
+                return line["request"]
+        return ""
+
+    request = harness.wait_until(check, what="a refusal that was held back")
+    log = str(context.processes.children["g1"].log)
+    told = operator_tool.run("gateway", "why", request, log)
+    assert "held back from west" in told, told
--- a/spec/checked_model.py
+++ b/spec/checked_model.py
@@ -23,6 +23,25 @@
     guard: str = ""
 
 
+def with_guards(
+    protocol: Callable[[str, Any, Any], minicheck.Protocol], guards: Any
+) -> Callable[[str, Any, str], minicheck.Protocol]:
+    """Returns what makes a protocol with all of its guards but one.
+
+    Args:
+      protocol: makes a protocol from a name, a start and its guards.
+      guards: every guard in place, as a named tuple of truths.
+    """
+
+    def build(name: str, start: Any, without: str) -> minicheck.Protocol:
+        kept = guards
+        if without:
+            kept = guards._replace(**{without: False})
+        return protocol(name, start, kept)
+
+    return build
+
+
 def checked_models(
     *,
     module: str,
--- a/spec/claims.py
+++ b/spec/claims.py
@@ -20,6 +20,7 @@
 from minicheck import Protocol
 
 from spec.checked_model import checked_models
+from spec.checked_model import with_guards
 
 ENTRY_OF_ATTEMPT = (0, 1, 0)
 
@@ -397,16 +398,9 @@
 )
 
 
-def _build(name: str, bounds: Bounds, without: str) -> Protocol:
-    guards = Guards()
-    if without:
-        guards = guards._replace(**{without: False})
-    return protocol(name, bounds, guards)
-
-
 MODELS = checked_models(
     module="claims",
-    build=_build,
+    build=with_guards(protocol, Guards()),
     right=(
         ("sent twice, written twice", TWICE),
         ("sent three times", THRICE),
--- a/spec/homes.py
+++ b/spec/homes.py
@@ -21,6 +21,7 @@
 from minicheck import Protocol
 
 from spec.checked_model import checked_models
+from spec.checked_model import with_guards
 
 SLOTS = 1
 LONGEST_DEADLINE = 2
@@ -502,16 +503,9 @@
 )
 
 
-def _build(name: str, start: State, without: str) -> Protocol:
-    guards = Guards()
-    if without:
-        guards = guards._replace(**{without: False})
-    return protocol(name, start, guards)
-
-
 MODELS = checked_models(
     module="homes",
-    build=_build,
+    build=with_guards(protocol, Guards()),
     right=(
         ("two entries from the first table on", START),
         ("a running pair and a third entry", PAIR),
--- a/spec/reserve.py
+++ b/spec/reserve.py
@@ -17,6 +17,7 @@
 from minicheck import Protocol
 
 from spec.checked_model import checked_models
+from spec.checked_model import with_guards
 
 SLOTS = 2
 ORDINARY_SLOTS = 1
@@ -417,16 +418,9 @@
 )
 
 
-def _build(name: str, plan: Plan, without: str) -> Protocol:
-    guards = Guards()
-    if without:
-        guards = guards._replace(**{without: False})
-    return protocol(name, plan, guards)
-
-
 MODELS = checked_models(
     module="reserve",
-    build=_build,
+    build=with_guards(protocol, Guards()),
     right=(
         ("the successor moves", SUCCESSOR_MOVES),
         ("the home moves", HOME_MOVES),
--- a/spec/shares.py
+++ b/spec/shares.py
@@ -15,6 +15,7 @@
 from minicheck import Protocol
 
 from spec.checked_model import checked_models
+from spec.checked_model import with_guards
 
 NODES = 2
 LEASE = 2
@@ -206,8 +207,9 @@
     return state._replace(nodes=tuple(nodes))
 
 
-def protocol(name: str, guards: Guards) -> Protocol:
+def protocol(name: str, start: None, guards: Guards) -> Protocol:
     """Returns the protocol for the checker."""
+    del start
     model = Model(guards=guards)
 
     def within_bound(fields: dict) -> bool:
@@ -223,17 +225,9 @@
     )
 
 
-def _build(name: str, start: None, without: str) -> Protocol:
-    del start
-    guards = Guards()
-    if without:
-        guards = guards._replace(**{without: False})
-    return protocol(name, guards)
-
-
 MODELS = checked_models(
     module="shares",
-    build=_build,
+    build=with_guards(protocol, Guards()),
     right=(("entries join, leave and are cut off", None),),
     mutants=(
         ("waits_to_join", None),
--- a/spec/words.py
+++ b/spec/words.py
@@ -16,6 +16,7 @@
 from minicheck import Protocol
 
 from spec.checked_model import checked_models
+from spec.checked_model import with_guards
 
 NODES = 2
 VERSIONS = 2
@@ -212,11 +213,9 @@
     return not any(node.fault for node in fields["nodes"])
 
 
-def _build(name: str, start: None, without: str) -> Protocol:
+def protocol(name: str, start: None, guards: Guards) -> Protocol:
+    """Returns the protocol under a set of guards; it has one start."""
     del start
-    guards = Guards()
-    if without:
-        guards = guards._replace(**{without: False})
     model = Model(guards=guards)
     return Protocol(
         name=name,
@@ -230,7 +229,7 @@
 
 MODELS = checked_models(
     module="words",
-    build=_build,
+    build=with_guards(protocol, Guards()),
     right=(("words come in any order", None),),
     mutants=(
         ("newer_only", None),
