Take from a peer only what is newer than what is known

Cause: since old words are taken, an entry that asks a peer for the first time applies its whole listing, and with it what each upstream said of its cold start when it registered: warm upstreams count as cold for 3 s, again with each new peer, while the store is away. Before: the new scenario fails; after: passes.

--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -254,6 +254,12 @@
         if fresh:
             self._note_up(batch)
         for item in batch.items:
+            if item.revision <= self.revision:
+                # A peer that is asked for the first time tells everything.
+                # Applied again, a registration from an upstream's start would
+                # make it cold for as long as it said then, and its service
+                # would refuse half of its requests meanwhile.
+                continue
             self._apply(item)
         if batch.listing:
             self._drop_unlisted({item.key for item in batch.items})
--- a/features/gateway_following.feature
+++ b/features/gateway_following.feature
@@ -41,3 +41,12 @@
   Scenario: Work for a zone goes to the VM that carries most
     Given entries of a zone with links of 10, 100 and 10 Mbit/s
     Then the one with 100 Mbit/s works for the zone, whatever the names
+
+  # Symptom: while the store is away a service refuses many times as much.
+  # Sequence: an entry asks a peer for the first time and is told everything.
+  # Cause: what upstreams said of their cold start was taken as of now.
+  Scenario: What is known already is not taken again from another peer
+    Given an entry at configuration 2 that follows a peer
+    And an upstream that registered with 3 s of coldness, which are over
+    When another peer is asked for the first time, and its word is 2 s old
+    Then the upstream is not cold
--- a/features/steps/gateway_following_steps.py
+++ b/features/steps/gateway_following_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import json
 from unittest import mock
 
 from behave import given
@@ -205,3 +206,43 @@
             )
         first = zone_roles.in_turn(entries, zone="a1")[0]
         assert first.link_mbps == most, (names, first)
+
+
+# What is known already.
+
+
+@given(
+    "an upstream that registered with {cold_s:g} s of coldness, which are over"
+)
+def step_warm(context, cold_s):
+    context.revision += 1
+    record = {
+        "service": "service",
+        "address": "127.0.0.1:2",
+        "zone": "a1",
+        "slots": 3,
+        "state": "ready",
+        "coldLeftS": cold_s,
+    }
+    context.mirror.put(
+        documents.UPSTREAM_PREFIX + "i-1",
+        json.dumps(record).encode(),
+        context.revision,
+    )
+    assert _ask(context, 0.0)
+    [context.upstream] = context.fleet.upstreams()
+    assert context.upstream.cold(now_s=now_s())
+    context.upstream.cold_until_s = now_s()
+
+
+@when(
+    "another peer is asked for the first time, and its word is {age_s:g} s old"
+)
+def step_another_peer(context, age_s):
+    context.peer = PeerSource(address=_PEER)
+    _ask(context, age_s)
+
+
+@then("the upstream is not cold")
+def step_not_cold(context):
+    assert not context.upstream.cold(now_s=now_s())
