Tell repeated registrations by their own revision; take listings whole

Now only the coldness of a registration that was taken before, by its own revision, is not taken again.

--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -89,6 +89,8 @@
         self._peers: dict[str, PeerSource] = {}
         self._down = False
         self._store_rest_until_s = 0.0
+        # Revision of the last registration taken, by the upstream's id.
+        self._registered_at: dict[str, int] = {}
         self.heard_at_s = 0.0
         self.revision = 0
 
@@ -254,12 +256,6 @@
         if fresh:
             self._note_up(batch)
         for item in batch.items:
-            if item.revision <= self.revision:
-                # A peer that is asked for the first time tells everything.
-                # Applied again, a registration from an upstream's start would
-                # make it cold for as long as it said then, and its service
-                # would refuse half of its requests meanwhile.
-                continue
             self._apply(item)
         if batch.listing:
             self._drop_unlisted({item.key for item in batch.items})
@@ -335,6 +331,13 @@
         if record is None:
             log.event(log.Event.REGISTRATION_BAD, key=item.key)
             return
+        if self._registered_at.get(upstream_id) == item.revision:
+            # A peer that is asked for the first time tells everything. Taken
+            # as of now, a registration from an upstream's start would make it
+            # cold for as long as it said then, and its service would refuse
+            # requests meanwhile.
+            record = record._replace(cold_left_s=0.0)
+        self._registered_at[upstream_id] = item.revision
         if self._fleet.take_upstream(record, now_s=now):
             self._mirror.put(item.key, item.value, item.revision)
             log.event(
@@ -348,6 +351,7 @@
             )
 
     def _upstream_gone(self, upstream_id: str) -> None:
+        self._registered_at.pop(upstream_id, None)
         self._pool.forget(upstream_id=upstream_id)
         key = documents.UPSTREAM_PREFIX + upstream_id
         self._mirror.remove(key, self.revision)
--- a/features/gateway_following.feature
+++ b/features/gateway_following.feature
@@ -50,3 +50,13 @@
     And an upstream that registered with 3 s of coldness, which are over
     When another peer is asked for the first time, and its word is 2 s old
     Then the upstream is not cold
+
+  # Symptom: requests reach an upstream seconds after it said that it leaves.
+  # Sequence: the store's watches hear nothing for a second, then its history is
+  # dropped; the listing after that has what was missed, written before the
+  # revision that the entry thinks it is at. Cause: it was taken for known.
+  Scenario: A listing is taken whole, whatever its changes' revisions
+    Given an entry at configuration 2 that follows a peer
+    And an upstream that registered with 3 s of coldness, which are over
+    When the entry has heard of revision 10, and a listing has the upstream's leaving at revision 5
+    Then the upstream is leaving
--- a/features/steps/gateway_following_steps.py
+++ b/features/steps/gateway_following_steps.py
@@ -224,6 +224,7 @@
         "state": "ready",
         "coldLeftS": cold_s,
     }
+    context.record = record
     context.mirror.put(
         documents.UPSTREAM_PREFIX + "i-1",
         json.dumps(record).encode(),
@@ -246,3 +247,26 @@
 @then("the upstream is not cold")
 def step_not_cold(context):
     assert not context.upstream.cold(now_s=now_s())
+
+
+@when(
+    "the entry has heard of revision {heard:d}, and a listing has the "
+    "upstream's leaving at revision {written:d}"
+)
+def step_missed(context, heard, written):
+    context.revision = heard
+    assert _ask(context, 0.0)
+    assert context.follower.revision == heard
+    record = dict(context.record, state="draining", coldLeftS=0.0)
+    context.mirror.put(
+        documents.UPSTREAM_PREFIX + "i-1",
+        json.dumps(record).encode(),
+        written,
+    )
+    context.peer = PeerSource(address=_PEER)
+    assert _ask(context, 0.0)
+
+
+@then("the upstream is leaving")
+def step_leaving(context):
+    assert context.upstream.record.draining
