Keep reports of duties from entries that have just left the table

Cause: a report was dropped where its heartbeat did not count. Now the report counts as before, and the word on leaving upstreams is taken from the heartbeat, counted or not, until the VM list is read.

--- a/almondstair/control.py
+++ b/almondstair/control.py
@@ -73,6 +73,7 @@
         self._lost_regions: frozenset[str] = frozenset()
         self._homes_seen: dict[str, str | None] = {}
         self._leaving_upstreams: frozenset[str] = frozenset()
+        self._early_leaving: set[str] = set()
         self._far_sources: set[str] = set()
         self._loads: tuple[ServiceLoad, ...] = ()
         self._loads_s = float("-inf")
@@ -162,6 +163,7 @@
         self, name: str, incarnation: int, heartbeat: Heartbeat
     ) -> None:
         self._exchange.follow_heartbeat(name=name, heartbeat=heartbeat)
+        self._note_early_leaving(heartbeat)
         counts = self._heartbeats.receive(
             name=name, incarnation=incarnation, heartbeat=heartbeat
         )
@@ -178,6 +180,22 @@
         for load in heartbeat.detail.loads:
             self._observe(row, load, now_s)
 
+    def _note_early_leaving(self, heartbeat: Heartbeat) -> None:
+        """Takes a peer's word on leaving upstreams, whether it counts or not.
+
+        A heartbeat does not count while its sender is not in the table here;
+        the report of duties behind it does, since an entry that has just left
+        the table hands its duties over by it. What goes wrong without: a home
+        that has started while the VM list is out takes a duty from that report
+        and gives work to an upstream that its sender knows to be leaving.
+        """
+        if self._table.list_described_s is not None:
+            return
+        if heartbeat.detail is None:
+            return
+        self._early_leaving.update(heartbeat.detail.leaving_upstreams)
+        self.set_leaving()
+
     def _observe(self, row: EntryRow, load: ServiceLoad, now_s: float) -> None:
         self._parts.steering.observe(
             region=row.region,
@@ -202,14 +220,6 @@
             return
         if report.incarnation != incarnation_text(incarnation):
             return
-        heard = self._parts.membership.last_heard(name=name)
-        if heard is None or heard.incarnation != incarnation:
-            # The heartbeat before it did not count, as the sender is not in
-            # the table here yet. With it went the word on which upstreams
-            # leave: a home that has just started would take a duty from this
-            # report and give work to an upstream that its sender knows to be
-            # leaving. The next report comes with the next heartbeat.
-            return
         self._parts.homes.heard(report=report, now_s=time.monotonic())
         self._parts.keeper.advance_all()
 
@@ -337,6 +347,7 @@
         if self._table.list_described_s is None:
             # A new process that cannot read the VM list yet would send new
             # work to an upstream that all others know to be leaving.
+            names.update(self._early_leaving)
             for heard in self._heartbeats.details.values():
                 names.update(heard.detail.leaving_upstreams)
         configuration = self._configuration.configuration
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -31,9 +31,7 @@
     # Cause: the heartbeat, with the list's marks, did not count; the report did.
     Given a home that has just started, without the VM list and the entry table
     When a peer's heartbeat and its report of duties come
-    Then no duty was taken from it
-    When the table comes, and the peer's next heartbeat and report
-    Then the duty was taken, with the peer's mark known
+    Then the duty was taken, with the peer's mark known before
 
   Scenario: Rolling restarts under load with callers that cache look-ups
     # Symptom: a planned stop cuts requests off.
