--- a/almondstair/gateway/mirror.py
+++ b/almondstair/gateway/mirror.py
@@ -10,8 +10,8 @@
 # listing; one polls twice a second.
 REMOVAL_MEMORY = 2000
 # Values from this size on are told compressed. Registrations have a few hundred
-# bytes, a configuration of 1,400 routes half a megabyte and compressed a
-# twentieth of that.
+# bytes; a configuration of the emulator's with 1,400 routes 292 kB, and 8.9 kB
+# compressed.
 PACK_BYTES = 4096
 PACK_LEVEL = 1
 
@@ -46,7 +46,7 @@
     """Returns an item, compressed once for all entries that will ask for it.
 
     What goes wrong without: a reader behind a link of 10 Mbit/s gives a
-    configuration of half a megabyte to each entry of its zone, which takes
+    large configuration to each entry of its zone, which takes
     longer than the operators allow for all of them.
     """
     if len(value) < PACK_BYTES:
--- a/features/gateway_following.feature
+++ b/features/gateway_following.feature
@@ -18,7 +18,7 @@
 
   # Symptom: entries of one zone have a large configuration seconds after the
   # others. Sequence: 1,400 routes are added; a reader behind a small link gives
-  # half a megabyte to each entry of its zone. Cause: it was told as it was stored.
+  # hundreds of kilobytes to each entry of its zone. Cause: it was told as it was stored.
   Scenario: A large configuration is told in few bytes
     Given an entry at configuration 2 that follows a peer
     When the peer gets configuration 4 with 1400 routes, and is asked
