--- a/almondstair/gateway/mirror.py
+++ b/almondstair/gateway/mirror.py
@@ -45,9 +45,9 @@
 def _told(key: str, value: bytes, revision: int) -> MirrorItem:
     """Returns an item, compressed once for all entries that will ask for it.
 
-    What goes wrong without: a reader behind a link of 10 Mbit/s gives a
-    large configuration to each entry of its zone, which takes
-    longer than the operators allow for all of them.
+    What goes wrong without: a reader behind a link of 10 Mbit/s gives a large
+    configuration to each entry of its zone, which takes longer than the
+    operators allow for all of them.
     """
     if len(value) < PACK_BYTES:
         return MirrorItem(key=key, value=value, revision=revision)
