Send a second try after a lost answer by a new connection

Cause: an upstream forgets idle connections sooner than it states; a safe request is lost on one, and its second try took a kept connection to the other upstream, which had forgotten it as well. Both tries were lost within 3 ms and the caller got 502 upstream_lost.

Test: both upstreams' kept connections are equally old. Conclusion: kept; a new connection costs one round trip and is made only for requests whose answer was lost.

--- a/almondstair/gateway/tries.py
+++ b/almondstair/gateway/tries.py
@@ -128,6 +128,14 @@
     async def _connection(
         self, call: Call, choice: Choice
     ) -> UpstreamConnection | None:
+        """Returns a kept connection, or a new one; None if there is neither.
+
+        A request whose answer was lost goes on by a new connection. What goes
+        wrong without: upstreams drop idle connections, and a caller is failed
+        because each upstream that it is sent to has dropped the kept one.
+        """
+        if call.may_have_run:
+            return await self._open(choice)
         record = choice.upstream.record
         connection = self._pool.take_idle(
             upstream_id=record.upstream_id,
--- a/features/gateway_health.feature
+++ b/features/gateway_health.feature
@@ -45,3 +45,12 @@
       | unsafe | 0.5  |
       | safe   | 1.5  |
       | unsafe | 1.5  |
+
+  # Symptom: a request fails though both upstreams are well. Sequence: both
+  # forget their idle connections; a request is lost on one, and its second try
+  # on the other. Cause: the second try was sent on a kept connection, too.
+  Scenario: Both upstreams have forgotten the connections kept to them
+    Given a gateway with 2 upstreams that state an idle time of 1 s and forget after 0.4 s
+    And a safe request has just run at each of them
+    When a safe request comes after 0.5 s without any
+    Then it was answered 200 within 0.5 s, and ran once
--- a/features/steps/gateway_health_steps.py
+++ b/features/steps/gateway_health_steps.py
@@ -9,6 +9,7 @@
 from behave import when
 
 from emulator.documents import BOUNDS
+from features.support import harness
 from features.support.gateway_world import GatewayWorld
 from features.support.steady_traffic import SteadyTraffic
 
@@ -128,6 +129,23 @@
         world.upstream_faults(name, forget_idle_s=forgets_s)
 
 
+@given("a safe request has just run at each of them")
+def step_each_kept(context):
+    world = context.world
+    known = {run["request"] for run in world.all_runs()}
+
+    def each_ran():
+        key = str(time.monotonic_ns())
+        headers = {"X_Almondstair_Affinity_Key": key}
+        assert world.send("GET", f"/safe/{key}", headers=headers).status == 200
+        for name in world.upstreams:
+            if known.issuperset(run["request"] for run in world.runs(name)):
+                return False
+        return True
+
+    harness.wait_until(each_ran, what="a request at each upstream")
+
+
 @when("a {kind} request comes after {idle_s:g} s without any")
 def step_after_idle(context, kind, idle_s):
     world = context.world
