--- a/almondstair/control.py
+++ b/almondstair/control.py
@@ -197,7 +197,7 @@
         self.set_leaving()
 
     def _observe(self, row: EntryRow, load: ServiceLoad, now_s: float) -> None:
-        self._parts.steering.observe(
+        self._parts.steering.regions.observe(
             region=row.region,
             service=load.service,
             source=row.name,
@@ -293,7 +293,7 @@
         for name in tuple(self._heartbeats.details):
             if name not in known:
                 self._parts.hops.forget(entry=name)
-                self._parts.steering.forget_source(source=name)
+                self._parts.steering.regions.forget_source(source=name)
         self._heartbeats.refresh_table(partners=self._partners(table))
         self._parts.keeper.advance_all()
         self._log_homes()
@@ -394,7 +394,7 @@
         # Counted beside the words of its entries, or for ever after the last
         # digest, a zone would have more free slots than there are.
         for zone in self._far_sources - known:
-            self._parts.steering.forget_source(source=zone)
+            self._parts.steering.regions.forget_source(source=zone)
         self._far_sources = known
 
     def _far_zones(self, now_s: float) -> dict[str, list[EntryRow]]:
@@ -413,7 +413,7 @@
     def _observe_zone(
         self, zone: str, rows: list[EntryRow], load: ServiceLoad, now_s: float
     ) -> None:
-        self._parts.steering.observe(
+        self._parts.steering.regions.observe(
             region=rows[0].region,
             service=load.service,
             source=zone,
@@ -461,14 +461,14 @@
             alive.add(row.region)
         lost = frozenset(configuration.regions) - alive
         for region in lost - self._lost_regions:
-            self._parts.steering.region_lost(region=region)
+            self._parts.steering.regions.region_lost(region=region)
         for region in self._lost_regions - lost:
-            self._parts.steering.region_back(region=region)
+            self._parts.steering.regions.region_back(region=region)
         self._lost_regions = lost
 
     def _note_links(self, now_s: float) -> None:
         for region in self._parts.pacers.regions():
-            self._parts.steering.observe_link(
+            self._parts.steering.regions.observe_link(
                 availability_zone=self._parts.own.availability_zone,
                 region=region,
                 headroom=self._parts.pacers.headroom(
--- /dev/null
+++ b/almondstair/core/known_regions.py
@@ -0,0 +1,279 @@
+"""What an entry knows of each region: reports, answers, links, and losses."""
+
+from almondstair.core.admission import KEPT_FRACTION
+from almondstair.core.health import HealthTable
+from almondstair.core.loads import RegionLoad
+from almondstair.core.loads import Totals
+from almondstair.core.loads import configured_slots
+from almondstair.core.model import Configuration
+from almondstair.core.model import Priority
+from almondstair.core.policies import RegionView
+from almondstair.core.steering_records import Flow
+from almondstair.core.steering_records import RegionStatus
+
+# A region that fails this part of its answers is left like a lost one.
+FAILED_AS_LOST = 0.8
+
+
+class KnownRegions:
+    """Keeps reports and answers by region and service."""
+
+    def __init__(
+        self, *, configuration: Configuration, report_limit_s: float
+    ) -> None:
+        """Starts with nothing heard.
+
+        Args:
+          configuration: regions, links, upstreams and services.
+          report_limit_s: age at which a load report counts as unknown.
+        """
+        self._report_limit_s = report_limit_s
+        self._loads: dict[tuple[str, str], RegionLoad] = {}
+        self._lost: set[str] = set()
+        self._link_headroom: dict[tuple[str, str], float] = {}
+        self._distances_ms: dict[tuple[str, str], float] = {}
+        self._health = HealthTable()
+        self.configure(configuration=configuration)
+
+    def configure(self, *, configuration: Configuration) -> None:
+        """Takes a new configuration; what was heard of its regions stays."""
+        self._configuration = configuration
+        self._distances_ms.clear()
+        loads: dict[tuple[str, str], RegionLoad] = {}
+        slots_by_key = configured_slots(configuration=configuration)
+        for key, slots in slots_by_key.items():
+            load = self._loads.get(key)
+            if load is None:
+                load = RegionLoad(
+                    configured_slots=slots, limit_s=self._report_limit_s
+                )
+            load.configured_slots = slots
+            loads[key] = load
+        self._loads = loads
+
+    def configured_slots(self, *, region: str, service: str) -> float:
+        """Returns the slots that the configuration gives a region."""
+        return self._loads[(region, service)].configured_slots
+
+    def totals(self, *, region: str, service: str, now_s: float) -> Totals:
+        """Returns what the reports on a region add up to."""
+        return self._loads[(region, service)].totals(now_s=now_s)
+
+    def observe(
+        self,
+        *,
+        region: str,
+        service: str,
+        source: str,
+        slots: int,
+        free_slots: int,
+        age_s: float,
+        now_s: float,
+        limit_s: float | None = None,
+    ) -> None:
+        """Takes a load report; one on an unknown region or service is dropped.
+
+        Args:
+          region: region reported on.
+          service: service reported on.
+          source: who reports; sources of one region add up.
+          slots: slots of the service that the source answers for.
+          free_slots: free ones among them.
+          age_s: age of the measurement when it arrived.
+          now_s: now.
+          limit_s: age at which this report no longer counts, for digests that
+            take long over several relays; None for the usual limit.
+        """
+        load = self._loads.get((region, service))
+        if load is None:
+            return
+        load.report(
+            source=source,
+            slots=slots,
+            free_slots=free_slots,
+            measured_s=now_s - age_s,
+            limit_s=limit_s,
+        )
+
+    def forget_source(self, *, source: str) -> None:
+        """Drops the reports of an entry that left the entry table."""
+        for load in self._loads.values():
+            load.forget(source=source)
+
+    def observe_link(
+        self, *, availability_zone: str, region: str, headroom: float
+    ) -> None:
+        """Takes the unused part of a link's cap, 0 to 1."""
+        self._link_headroom[(availability_zone, region)] = headroom
+
+    def region_lost(self, *, region: str) -> None:
+        """Leaves a region at once: all its entries are silent or gone."""
+        self._lost.add(region)
+
+    def region_back(self, *, region: str) -> None:
+        """Lets a region take work again; its weight grows from nothing."""
+        self._lost.discard(region)
+
+    def sent(self, *, region: str, service: str) -> None:
+        """Counts a request sent to a region."""
+        load = self._loads.get((region, service))
+        if load is not None:
+            load.sent()
+
+    def returned(self, *, region: str, service: str) -> None:
+        """Counts the end of a request that tells nothing of the region.
+
+        A caller that left, or whose own deadline was too short, or a claim
+        that the platform did not answer, is no fault of the region.
+        """
+        load = self._loads.get((region, service))
+        if load is not None:
+            load.returned()
+
+    def answered(
+        self,
+        *,
+        region: str,
+        service: str,
+        priority: Priority,
+        request_class: str,
+        latency_ms: float,
+        now_s: float,
+    ) -> None:
+        """Counts a whole answer of a region."""
+        self.returned(region=region, service=service)
+        self._health.accepted(
+            name=_refusals_name(region, service, priority), now_s=now_s
+        )
+        self._health.answered(
+            name=_health_name(region, service),
+            request_class=request_class,
+            latency_ms=latency_ms,
+            now_s=now_s,
+        )
+
+    def refused(
+        self, *, region: str, service: str, priority: Priority, now_s: float
+    ) -> None:
+        """Counts a refusal by a region: certainly not run.
+
+        Refusals count by priority, since low priority is refused first and
+        that says nothing about the room for higher ones.
+        """
+        self.returned(region=region, service=service)
+        name = _refusals_name(region, service, priority)
+        self._health.refused(name=name, now_s=now_s)
+
+    def failed(self, *, region: str, service: str, now_s: float) -> None:
+        """Counts a failed, lost or late answer of a region."""
+        self.returned(region=region, service=service)
+        name = _health_name(region, service)
+        self._health.failed(name=name, now_s=now_s)
+
+    def status(self, *, service: str, now_s: float) -> tuple[RegionStatus, ...]:
+        """Returns every region of a service with the age of its report."""
+        rows: list[RegionStatus] = []
+        for region in self._configuration.regions:
+            load = self._loads[(region, service)]
+            totals = load.totals(now_s=now_s)
+            name = _health_name(region, service)
+            row = RegionStatus(
+                region=region,
+                live=self.is_live(region=region, service=service, now_s=now_s),
+                known=totals.known,
+                age_s=load.youngest_age_s(now_s=now_s),
+                slots=totals.slots,
+                free_slots=totals.free_slots,
+                health=self._health.view(name=name, now_s=now_s),
+            )
+            rows.append(row)
+        return tuple(rows)
+
+    def is_live(self, *, region: str, service: str, now_s: float) -> bool:
+        """Says whether a region takes work of a service at all."""
+        if region in self._lost:
+            return False
+        load = self._loads.get((region, service))
+        if load is None or load.configured_slots == 0:
+            return False
+        return load.totals(now_s=now_s).slots > 0
+
+    def is_failing(self, *, region: str, service: str, now_s: float) -> bool:
+        """Says whether nearly all answers of a region have failed."""
+        name = _health_name(region, service)
+        view = self._health.view(name=name, now_s=now_s)
+        return view.failed >= FAILED_AS_LOST
+
+    def distance_ms(self, *, availability_zone: str, region: str) -> float:
+        """Returns the latency to a region, infinite without a link to it."""
+        key = (availability_zone, region)
+        known_ms = self._distances_ms.get(key)
+        if known_ms is not None:
+            return known_ms
+        distance_ms = float("inf")
+        link = self._configuration.link(
+            availability_zone=availability_zone, region=region
+        )
+        if link is not None:
+            distance_ms = link.latency_ms
+        own = self._configuration.region_of(availability_zone=availability_zone)
+        if region == own:
+            distance_ms = 0.0
+        self._distances_ms[key] = distance_ms
+        return distance_ms
+
+    def view(
+        self,
+        *,
+        region: str,
+        flow: Flow,
+        slots: float,
+        free_slots: float,
+        now_s: float,
+    ) -> RegionView:
+        """Returns a region as work of this priority sees it."""
+        answers = self._health.view(
+            name=_health_name(region, flow.service), now_s=now_s
+        )
+        refusals = self._health.view(
+            name=_refusals_name(region, flow.service, flow.priority),
+            now_s=now_s,
+        )
+        kept_free = slots * KEPT_FRACTION[flow.priority]
+        link_key = (flow.availability_zone, region)
+        return RegionView(
+            region=region,
+            latency_ms=self.distance_ms(
+                availability_zone=flow.availability_zone, region=region
+            ),
+            slots=slots - kept_free,
+            free_slots=max(0.0, free_slots - kept_free),
+            health=answers.factor * refusals.factor,
+            link_headroom=self._link_headroom.get(link_key, 1.0),
+        )
+
+    def live(self, *, flow: Flow, now_s: float) -> list[str]:
+        """Returns the live regions of a flow, nearest first."""
+        distances: list[tuple[float, str]] = []
+        for region in self._configuration.regions:
+            if not self.is_live(
+                region=region, service=flow.service, now_s=now_s
+            ):
+                continue
+            distance_ms = self.distance_ms(
+                availability_zone=flow.availability_zone, region=region
+            )
+            distances.append((distance_ms, region))
+        distances.sort()
+        regions: list[str] = []
+        for _, region in distances:
+            regions.append(region)
+        return regions
+
+
+def _health_name(region: str, service: str) -> str:
+    return f"{region}/{service}"
+
+
+def _refusals_name(region: str, service: str, priority: Priority) -> str:
+    return f"{region}/{service}/{priority}"
--- a/almondstair/core/steering.py
+++ b/almondstair/core/steering.py
@@ -13,9 +13,7 @@
 
 from almondstair.core import ramps
 from almondstair.core.admission import KEPT_FRACTION
-from almondstair.core.health import HealthTable
-from almondstair.core.loads import RegionLoad
-from almondstair.core.loads import configured_slots
+from almondstair.core.known_regions import KnownRegions
 from almondstair.core.model import Configuration
 from almondstair.core.model import Priority
 from almondstair.core.model import Profile
@@ -25,7 +23,6 @@
 from almondstair.core.policies import SteeringInput
 from almondstair.core.steering_records import DEFAULT_LIMITS
 from almondstair.core.steering_records import Flow
-from almondstair.core.steering_records import RegionStatus
 from almondstair.core.steering_records import SteeringLimits
 from almondstair.core.steering_records import WeightsInForce
 
@@ -37,15 +34,17 @@
 # be served from far away for seconds after each start. Until a flow is this
 # old its weights follow their target at once; they have no history to keep.
 SETTLING_S = 3.0
-# A region that fails this part of its answers is left like a lost one.
-FAILED_AS_LOST = 0.8
 # Work that is tried even where no slot is reported free: admission beside the
 # upstreams knows better than a report that lags.
 ALWAYS_TRIED = (Priority.INTERACTIVE, Priority.COMMIT)
 
 
 class Steering:
-    """Views of all regions and the weights in force."""
+    """The weights in force.
+
+    Attributes:
+      regions: what is known of the regions.
+    """
 
     def __init__(
         self,
@@ -60,144 +59,20 @@
           limits: constants.
         """
         self._limits = limits
-        self._loads: dict[tuple[str, str], RegionLoad] = {}
         self._flows: dict[Flow, WeightsInForce] = {}
-        self._lost: set[str] = set()
-        self._link_headroom: dict[tuple[str, str], float] = {}
-        self._latency_ms: dict[tuple[str, str], float] = {}
-        self._health = HealthTable()
-        self.configure(configuration=configuration)
+        self._configuration = configuration
+        self.regions = KnownRegions(
+            configuration=configuration, report_limit_s=limits.report_limit_s
+        )
 
     def configure(self, *, configuration: Configuration) -> None:
         """Takes a new configuration; weights go on from where they are."""
         self._configuration = configuration
-        self._latency_ms.clear()
-        loads: dict[tuple[str, str], RegionLoad] = {}
-        slots_by_key = configured_slots(configuration=configuration)
-        for key, slots in slots_by_key.items():
-            load = self._loads.get(key)
-            if load is None:
-                load = RegionLoad(
-                    configured_slots=slots, limit_s=self._limits.report_limit_s
-                )
-            load.configured_slots = slots
-            loads[key] = load
-        self._loads = loads
+        self.regions.configure(configuration=configuration)
         for flow in list(self._flows):
             if flow.service not in configuration.services:
                 del self._flows[flow]
 
-    def observe(
-        self,
-        *,
-        region: str,
-        service: str,
-        source: str,
-        slots: int,
-        free_slots: int,
-        age_s: float,
-        now_s: float,
-        limit_s: float | None = None,
-    ) -> None:
-        """Takes a load report; one on an unknown region or service is dropped.
-
-        Args:
-          region: region reported on.
-          service: service reported on.
-          source: who reports; sources of one region add up.
-          slots: slots of the service that the source answers for.
-          free_slots: free ones among them.
-          age_s: age of the measurement when it arrived.
-          now_s: now.
-          limit_s: age at which this report no longer counts, for digests that
-            take long over several relays; None for the usual limit.
-        """
-        load = self._loads.get((region, service))
-        if load is None:
-            return
-        load.report(
-            source=source,
-            slots=slots,
-            free_slots=free_slots,
-            measured_s=now_s - age_s,
-            limit_s=limit_s,
-        )
-
-    def forget_source(self, *, source: str) -> None:
-        """Drops the reports of an entry that left the entry table."""
-        for load in self._loads.values():
-            load.forget(source=source)
-
-    def observe_link(
-        self, *, availability_zone: str, region: str, headroom: float
-    ) -> None:
-        """Takes the unused part of a link's cap, 0 to 1."""
-        self._link_headroom[(availability_zone, region)] = headroom
-
-    def region_lost(self, *, region: str) -> None:
-        """Leaves a region at once: all its entries are silent or gone."""
-        self._lost.add(region)
-
-    def region_back(self, *, region: str) -> None:
-        """Lets a region take work again; its weight grows from nothing."""
-        self._lost.discard(region)
-
-    def sent(self, *, region: str, service: str) -> None:
-        """Counts a request sent to a region."""
-        load = self._loads.get((region, service))
-        if load is not None:
-            load.sent()
-
-    def returned(self, *, region: str, service: str) -> None:
-        """Counts the end of a request that tells nothing of the region.
-
-        A caller that left, or whose own deadline was too short, or a claim
-        that the platform did not answer, is no fault of the region.
-        """
-        load = self._loads.get((region, service))
-        if load is not None:
-            load.returned()
-
-    def answered(
-        self,
-        *,
-        region: str,
-        service: str,
-        priority: Priority,
-        request_class: str,
-        latency_ms: float,
-        now_s: float,
-    ) -> None:
-        """Counts a whole answer of a region."""
-        self.returned(region=region, service=service)
-        self._health.accepted(
-            name=_refusals_name(region, service, priority), now_s=now_s
-        )
-        self._health.answered(
-            name=_health_name(region, service),
-            request_class=request_class,
-            latency_ms=latency_ms,
-            now_s=now_s,
-        )
-
-    def refused(
-        self, *, region: str, service: str, priority: Priority, now_s: float
-    ) -> None:
-        """Counts a refusal by a region: certainly not run.
-
-        Refusals count by priority, since low priority is refused first and
-        that says nothing about the room for higher ones.
-        """
-        self.returned(region=region, service=service)
-        name = _refusals_name(region, service, priority)
-        self._health.refused(name=name, now_s=now_s)
-
-    def failed(self, *, region: str, service: str, now_s: float) -> None:
-        """Counts a failed, lost or late answer of a region."""
-        self.returned(region=region, service=service)
-        name = _health_name(region, service)
-        self._health.failed(name=name, now_s=now_s)
-
     def choose(
         self,
         *,
@@ -274,33 +149,6 @@
         live.sort(key=_by_weight, reverse=True)
         return tuple(live)
 
-    def status(self, *, service: str, now_s: float) -> tuple[RegionStatus, ...]:
-        """Returns every region of a service with the age of its report."""
-        rows: list[RegionStatus] = []
-        for region in self._configuration.regions:
-            load = self._loads[(region, service)]
-            totals = load.totals(now_s=now_s)
-            name = _health_name(region, service)
-            row = RegionStatus(
-                region=region,
-                live=self._is_live(region=region, service=service, now_s=now_s),
-                known=totals.known,
-                age_s=load.youngest_age_s(now_s=now_s),
-                slots=totals.slots,
-                free_slots=totals.free_slots,
-                health=self._health.view(name=name, now_s=now_s),
-            )
-            rows.append(row)
-        return tuple(rows)
-
-    def _is_live(self, *, region: str, service: str, now_s: float) -> bool:
-        if region in self._lost:
-            return False
-        load = self._loads.get((region, service))
-        if load is None or load.configured_slots == 0:
-            return False
-        return load.totals(now_s=now_s).slots > 0
-
     def _with_room(
         self, *, flow: Flow, weights: tuple[RegionWeight, ...], now_s: float
     ) -> list[str]:
@@ -313,14 +161,15 @@
         follows_load = POLICIES[profile.policy].follows_load
         room: list[str] = []
         for weight in weights:
-            distance_ms = self._distance_ms(
+            distance_ms = self.regions.distance_ms(
                 availability_zone=flow.availability_zone, region=weight.region
             )
             if weight.weight <= ramps.NEGLIGIBLE:
                 if distance_ms > profile.latency_bound_ms:
                     continue
-            load = self._loads[(weight.region, flow.service)]
-            totals = load.totals(now_s=now_s)
+            totals = self.regions.totals(
+                region=weight.region, service=flow.service, now_s=now_s
+            )
             kept_free = totals.slots * KEPT_FRACTION[flow.priority]
             if follows_load and totals.known:
                 if totals.free_slots <= kept_free:
@@ -332,71 +181,6 @@
         name = self._configuration.services[service].profile
         return self._configuration.profiles[name]
 
-    def _distance_ms(self, *, availability_zone: str, region: str) -> float:
-        key = (availability_zone, region)
-        known_ms = self._latency_ms.get(key)
-        if known_ms is not None:
-            return known_ms
-        distance_ms = float("inf")
-        link = self._configuration.link(
-            availability_zone=availability_zone, region=region
-        )
-        if link is not None:
-            distance_ms = link.latency_ms
-        own = self._configuration.region_of(availability_zone=availability_zone)
-        if region == own:
-            distance_ms = 0.0
-        self._latency_ms[key] = distance_ms
-        return distance_ms
-
-    def _live_regions(self, *, flow: Flow, now_s: float) -> list[str]:
-        """Returns the live regions, nearest first."""
-        distances: list[tuple[float, str]] = []
-        for region in self._configuration.regions:
-            if not self._is_live(
-                region=region, service=flow.service, now_s=now_s
-            ):
-                continue
-            distance_ms = self._distance_ms(
-                availability_zone=flow.availability_zone, region=region
-            )
-            distances.append((distance_ms, region))
-        distances.sort()
-        regions: list[str] = []
-        for _, region in distances:
-            regions.append(region)
-        return regions
-
-    def _view(
-        self,
-        *,
-        region: str,
-        flow: Flow,
-        slots: float,
-        free_slots: float,
-        now_s: float,
-    ) -> RegionView:
-        """Returns a region as work of this priority sees it."""
-        answers = self._health.view(
-            name=_health_name(region, flow.service), now_s=now_s
-        )
-        refusals = self._health.view(
-            name=_refusals_name(region, flow.service, flow.priority),
-            now_s=now_s,
-        )
-        kept_free = slots * KEPT_FRACTION[flow.priority]
-        link_key = (flow.availability_zone, region)
-        return RegionView(
-            region=region,
-            latency_ms=self._distance_ms(
-                availability_zone=flow.availability_zone, region=region
-            ),
-            slots=slots - kept_free,
-            free_slots=max(0.0, free_slots - kept_free),
-            health=answers.factor * refusals.factor,
-            link_headroom=self._link_headroom.get(link_key, 1.0),
-        )
-
     def _policy_weights(
         self, *, flow: Flow, views: list[RegionView]
     ) -> ramps.Weights:
@@ -420,9 +204,11 @@
         claim that the regions are idle: until reports come, nothing grows.
         """
         views: list[RegionView] = []
-        for region in self._live_regions(flow=flow, now_s=now_s):
-            slots = self._loads[(region, flow.service)].configured_slots
-            view = self._view(
+        for region in self.regions.live(flow=flow, now_s=now_s):
+            slots = self.regions.configured_slots(
+                region=region, service=flow.service
+            )
+            view = self.regions.view(
                 region=region,
                 flow=flow,
                 slots=slots,
@@ -437,7 +223,7 @@
     ) -> bool:
         """Returns whether a region that is not live still has weight."""
         for region in in_force.weights:
-            if not self._is_live(
+            if not self.regions.is_live(
                 region=region, service=flow.service, now_s=now_s
             ):
                 return True
@@ -449,7 +235,7 @@
         """Moves the weights of a flow on to now."""
         elapsed_s = min(MAX_STEP_S, now_s - in_force.stepped_s)
         in_force.stepped_s = now_s
-        live = self._live_regions(flow=flow, now_s=now_s)
+        live = self.regions.live(flow=flow, now_s=now_s)
         if not live:
             in_force.weights = {}
             return
@@ -487,12 +273,14 @@
         """Returns the live regions that are neither silent nor failing."""
         trusted: list[str] = []
         for region in live:
-            if self._is_failing(
+            if self.regions.is_failing(
                 region=region, service=flow.service, now_s=now_s
             ):
                 continue
-            load = self._loads[(region, flow.service)]
-            if load.totals(now_s=now_s).known:
+            totals = self.regions.totals(
+                region=region, service=flow.service, now_s=now_s
+            )
+            if totals.known:
                 trusted.append(region)
         return trusted
 
@@ -514,9 +302,10 @@
         views: list[RegionView] = []
         for region in live:
             if region in trusted:
-                load = self._loads[(region, flow.service)]
-                totals = load.totals(now_s=now_s)
-                view = self._view(
+                totals = self.regions.totals(
+                    region=region, service=flow.service, now_s=now_s
+                )
+                view = self.regions.view(
                     region=region,
                     flow=flow,
                     slots=totals.slots,
@@ -556,7 +345,7 @@
         for region in live:
             if not trusted:
                 break
-            if self._is_failing(
+            if self.regions.is_failing(
                 region=region, service=flow.service, now_s=now_s
             ):
                 held = cut.get(region, 0.0)
@@ -565,19 +354,6 @@
             current=cut, live=live, heirs=trusted, target=target
         )
 
-    def _is_failing(self, *, region: str, service: str, now_s: float) -> bool:
-        name = _health_name(region, service)
-        view = self._health.view(name=name, now_s=now_s)
-        return view.failed >= FAILED_AS_LOST
-
-
-def _health_name(region: str, service: str) -> str:
-    return f"{region}/{service}"
-
-
-def _refusals_name(region: str, service: str, priority: Priority) -> str:
-    return f"{region}/{service}/{priority}"
-
 
 def _by_weight(weight: RegionWeight) -> float:
     return weight.weight
--- a/almondstair/operator_views.py
+++ b/almondstair/operator_views.py
@@ -283,7 +283,7 @@
                 "report_age_s": None,
             }
         for service in configuration.services:
-            for row in self._parts.steering.status(
+            for row in self._parts.steering.regions.status(
                 service=service, now_s=now_s
             ):
                 total = totals[row.region]
--- a/almondstair/serving.py
+++ b/almondstair/serving.py
@@ -339,7 +339,7 @@
         )
         call.answer.pace = transfer.answer
         self._parts.hops.sent(entry=hop.row.name, service=service)
-        self._parts.steering.sent(region=hop.region, service=service)
+        self._parts.steering.regions.sent(region=hop.region, service=service)
         error: AlmondstairError | None = AlmondstairError(
             kind=ErrorKind.UPSTREAM_TIMEOUT
         )
@@ -390,14 +390,14 @@
         now_s = time.monotonic()
         service = call.head.service
         request_class = call.head.request_class
-        steering = self._parts.steering
+        regions = self._parts.steering.regions
         if error is None and call.answer.status >= SERVER_ERROR:
             # A whole answer to the caller, but no sign that the region works:
             # one that fails everything quickly would look the least loaded.
-            steering.failed(region=hop.region, service=service, now_s=now_s)
+            regions.failed(region=hop.region, service=service, now_s=now_s)
             return
         if error is None:
-            steering.answered(
+            regions.answered(
                 region=hop.region,
                 service=service,
                 priority=request_class.priority,
@@ -411,7 +411,7 @@
                 entry=hop.row.name, service=service, now_s=now_s
             )
         if error.kind in _REGION_REFUSALS:
-            steering.refused(
+            regions.refused(
                 region=hop.region,
                 service=service,
                 priority=request_class.priority,
@@ -422,9 +422,9 @@
         timed_out = error.kind is ErrorKind.UPSTREAM_TIMEOUT
         too_short = timed_out and (now_s - started_s) * 1000 < fair_ms
         if error.kind in _FAILURES and not too_short:
-            steering.failed(region=hop.region, service=service, now_s=now_s)
+            regions.failed(region=hop.region, service=service, now_s=now_s)
             return
-        steering.returned(region=hop.region, service=service)
+        regions.returned(region=hop.region, service=service)
 
     def _may_go_on(
         self, call: Call, error: AlmondstairError, budget: RetryBudget
--- a/benchmarks/lookup_cost.py
+++ b/benchmarks/lookup_cost.py
@@ -136,7 +136,7 @@
 
 
 def _report(*, steering: Steering, source: int, now_s: float) -> None:
-    steering.observe(
+    steering.regions.observe(
         region=f"region-{source % REGIONS}",
         service="work",
         source=f"entry-{source}",
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -56,7 +56,7 @@
 
 
 def _digest(world, age_s, limit_s, region, free):
-    world.steering.observe(
+    world.steering.regions.observe(
         region=region,
         service=SERVICE,
         source=f"digest-{region}",
@@ -96,7 +96,9 @@
 @then('"{region}" is no longer known')
 def no_longer_known(context, region):
     world = context.world
-    for row in world.steering.status(service=SERVICE, now_s=world.now_s):
+    for row in world.steering.regions.status(
+        service=SERVICE, now_s=world.now_s
+    ):
         if row.region == region:
             assert not row.known, row
 
@@ -126,7 +128,9 @@
 )
 def fails(context, free, length_s, region):
     def fail(world):
-        world.steering.failed(region=region, service=SERVICE, now_s=world.now_s)
+        world.steering.regions.failed(
+            region=region, service=SERVICE, now_s=world.now_s
+        )
 
     _run_with_answers(context, free=free, length_s=length_s, each=fail)
 
@@ -137,7 +141,7 @@
 )
 def refuses(context, free, length_s, region):
     def refuse(world):
-        world.steering.refused(
+        world.steering.regions.refused(
             region=region,
             service=SERVICE,
             priority=Priority.INTERACTIVE,
@@ -153,7 +157,7 @@
 )
 def answers(context, free, length_s, region, latency_ms):
     def answer(world):
-        world.steering.answered(
+        world.steering.regions.answered(
             region=region,
             service=SERVICE,
             priority=Priority.INTERACTIVE,
@@ -168,7 +172,7 @@
 @when('"{region}" reports that it has no slots')
 def no_slots(context, region):
     world = context.world
-    world.steering.observe(
+    world.steering.regions.observe(
         region=region,
         service=SERVICE,
         source=f"entry-{region}",
@@ -181,18 +185,18 @@
 
 @when('the region "{region}" is lost')
 def region_lost(context, region):
-    context.world.steering.region_lost(region=region)
+    context.world.steering.regions.region_lost(region=region)
 
 
 @when('the region "{region}" is back')
 def region_back(context, region):
     context.world.mark_s = context.world.now_s
-    context.world.steering.region_back(region=region)
+    context.world.steering.regions.region_back(region=region)
 
 
 @when('the link to "{region}" has a headroom of {headroom:g}')
 def link_headroom(context, region, headroom):
-    context.world.steering.observe_link(
+    context.world.steering.regions.observe_link(
         availability_zone=ZONE, region=region, headroom=headroom
     )
 
@@ -200,7 +204,7 @@
 @when('{count:d} requests are sent to "{region}"')
 def requests_sent(context, count, region):
     for _ in range(count * SCALE):
-        context.world.steering.sent(region=region, service=SERVICE)
+        context.world.steering.regions.sent(region=region, service=SERVICE)
 
 
 def _assert_weight(context, region, weight, priority):
--- a/features/support/steering_world.py
+++ b/features/support/steering_world.py
@@ -99,7 +99,7 @@
 
     def report(self, free_slots: dict[str, float]) -> None:
         for region, free in free_slots.items():
-            self.steering.observe(
+            self.steering.regions.observe(
                 region=region,
                 service=SERVICE,
                 source=f"entry-{region}",
