Move an entry's start, and plans of the entry table, out of long files

A start stands beside a stop (joining.py, leaving.py); changes of the table that an entry may make stand in core/table_plans.py.

--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -1,7 +1,6 @@
 """One entry put together: the core, the sockets round it, start and stop."""
 
 import asyncio
-import contextlib
 import secrets
 import time
 
@@ -38,6 +37,8 @@
 from almondstair.errors import ErrorKind
 from almondstair.frontend import FrontDoor
 from almondstair.heartbeats import Heartbeats
+from almondstair.joining import Joining
+from almondstair.joining import JoiningParts
 from almondstair.leaving import Leaving
 from almondstair.leaving import LeavingParts
 from almondstair.link_shares import LinkShares
@@ -71,9 +72,6 @@
 RESERVE_DEADLINE_S = 2.0
 # Clock drift, and the time an upstream takes to notice a closed connection.
 SLOT_MARGIN_S = 0.25
-START_POLL_S = 0.1
-START_ASK_S = 2.0
-READY_LIMIT_S = 5.0
 METRICS_INTERVAL_S = 1.0
 # Time in which a few announcements of requests that crashed an upstream go out
 # at once; see core/announcing.py.
@@ -97,7 +95,6 @@
         """
         settings = loaded.settings
         self._settings = settings
-        self._seed_text = loaded.configuration_text
         self._incarnation = secrets.randbits(63)
         self.own = _own_row(settings, self._incarnation)
         self._strike_words = Announcing(interval_s=STRIKE_INTERVAL_S)
@@ -118,6 +115,7 @@
         self._make_control()
         self._make_serving()
         self._make_listeners()
+        self._joining = self._make_joining(loaded.configuration_text)
 
     def _make_core(self) -> None:
         timing = self._settings.timing
@@ -345,7 +343,20 @@
         )
         self._operators = OperatorServer(handler=views)
 
-    # What the front doors ask.
+    def _make_joining(self, seed_text: str) -> Joining:
+        return Joining(
+            parts=JoiningParts(
+                membership=self.membership,
+                heartbeats=self.heartbeats,
+                table_keeper=self.table_keeper,
+                configuration_keeper=self.configuration_keeper,
+                exchange=self._exchange,
+                shares=self._shares,
+                control=self._control,
+            ),
+            peer_addresses=tuple(self._settings.entry.peer_addresses),
+            seed_text=seed_text,
+        )
 
     def _make_leaving(self) -> Leaving:
         timing = self._settings.timing
@@ -364,6 +375,8 @@
             finish_s=timing.stop_limit_ms / 1000,
         )
 
+    # What the front doors ask.
+
     def configuration(self) -> Configuration:
         """Returns the configuration in force.
 
@@ -413,61 +426,9 @@
         self._caller_door.listen(self.own.caller_address)
         self.heartbeats.start()
         self._control.start()
-        self._timers.append(asyncio.ensure_future(self._join()))
+        self._timers.append(asyncio.ensure_future(self._joining.run()))
         self._timers.append(asyncio.ensure_future(self._flush_metrics()))
 
-    async def _join(self) -> None:
-        await self._ask_peers()
-        while self.configuration_keeper.configuration is None:
-            # The next round tries again; the adapter's outcome is logged.
-            with contextlib.suppress(AlmondstairError):
-                await self.configuration_keeper.seed(self._seed_text)
-            self._exchange.ask_addresses(self._settings.entry.peer_addresses)
-            await asyncio.sleep(START_POLL_S)
-        await self.table_keeper.register()
-        await self._until_ready()
-        self.membership.joining = False
-        self._control.note_live()
-        self.heartbeats.announce()
-        log.event(log.Event.STARTED, entry=self.own.name)
-
-    async def _until_ready(self) -> None:
-        """Waits until a request of a caller would not be refused here.
-
-        A new process has no share of its links for a while. Named in look-ups
-        at once, it would refuse callers that other entries would serve. The
-        wait is bounded: a frozen entry of the zone holds shares back.
-        """
-        until_s = time.monotonic() + READY_LIMIT_S
-        while not self._shares.ready() and time.monotonic() < until_s:
-            await asyncio.sleep(START_POLL_S)
-
-    async def _ask_peers(self) -> None:
-        """Asks the peers of the settings before anything is written.
-
-        A platform that was wiped looks like one never used; a peer that runs
-        knows better. Without an answer of any peer the wait is bounded.
-        """
-        addresses = self._settings.entry.peer_addresses
-        until_s = time.monotonic() + START_ASK_S
-        while addresses and time.monotonic() < until_s:
-            self._exchange.ask_addresses(addresses)
-            await asyncio.sleep(START_POLL_S)
-            # A platform that was rolled back has a table as well. Only one
-            # that a peer has in force shows whether it is the latest.
-            if not self._exchange.peer_epoch:
-                continue
-            if self.configuration_keeper.configuration is not None:
-                return
-            if await self._platform_has_one():
-                return
-
-    async def _platform_has_one(self) -> bool:
-        try:
-            return await self.configuration_keeper.read()
-        except AlmondstairError:
-            return False
-
     async def _flush_metrics(self) -> None:
         counted = self._peers.counts
         while True:
--- a/almondstair/leaving.py
+++ b/almondstair/leaving.py
@@ -82,10 +82,9 @@
         idle meanwhile.
         """
         membership = self._parts.membership
+        keeper = self._parts.table_keeper
         while True:
-            await self._parts.table_keeper.change(
-                lambda table: membership.plan_leaving(table=table)
-            )
+            await keeper.change(lambda table: keeper.plans.leaving(table=table))
             row = membership.table.row(name=membership.own.name)
             if row is None or row.leaving or time.monotonic() >= until_s:
                 return
@@ -119,7 +118,6 @@
         # word `finished` once the platform is back; without that word they
         # would hold its upstreams' slots back for the longest deadline.
         parts.forward_door.stop_listening()
-        await parts.table_keeper.change(
-            lambda table: parts.membership.plan_release(table=table)
-        )
+        keeper = parts.table_keeper
+        await keeper.change(lambda table: keeper.plans.release(table=table))
         parts.heartbeats.announce(finished=True)
--- a/almondstair/table_keeper.py
+++ b/almondstair/table_keeper.py
@@ -8,6 +8,7 @@
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.membership import Membership
 from almondstair.core.membership_records import VmObservation
+from almondstair.core.table_plans import TablePlans
 from almondstair.errors import AlmondstairError
 from almondstair.platform.base import VmList
 from almondstair.platform.base import VmState
@@ -20,7 +21,11 @@
 
 
 class TableKeeper:
-    """Brings this entry's view and the platform's entry table together."""
+    """Brings this entry's view and the platform's entry table together.
+
+    Attributes:
+      plans: changes of the table that this entry may make.
+    """
 
     def __init__(
         self,
@@ -40,6 +45,7 @@
             read it from the platform.
         """
         self._membership = membership
+        self.plans = TablePlans(membership=membership)
         self._store = store
         self._vm_list = vm_list
         self._on_table = on_table
@@ -76,24 +82,19 @@
         """Gets this process into the table; tries until it is in it."""
         while not self._membership.registered:
             await self.change(
-                lambda table: self._membership.plan_registration(table=table)
+                lambda table: self.plans.registration(table=table)
             )
             if not self._membership.registered:
                 await asyncio.sleep(REGISTER_AGAIN_S)
         self.joined = True
 
-    def _plan_registration(self, table: EntryTable) -> EntryTable | None:
-        return self._membership.plan_registration(table=table)
-
     def _on_base(
         self, plan: Callable[[EntryTable], EntryTable | None]
     ) -> Callable[[EntryTable], EntryTable | None]:
         """Has a change start from the table that it must start from."""
 
         def planned(table: EntryTable) -> EntryTable | None:
-            base = self._membership.base_table(
-                table=table, now_s=time.monotonic()
-            )
+            base = self.plans.base(table=table, now_s=time.monotonic())
             if base is None:
                 log.event(
                     log.Event.ENTRY_TABLE_OLDER,
@@ -173,7 +174,9 @@
         """
         if self.joined and not self._membership.registered:
             # Dropped by mistake, or by a platform that lost the table.
-            await self.change(self._plan_registration)
+            await self.change(
+                lambda table: self.plans.registration(table=table)
+            )
             return
         table = self._membership.table
         gone = self._membership.gone_names() & set(table.names())
@@ -188,9 +191,7 @@
             return
         self._changing = True
         try:
-            await self.change(
-                lambda table: self._membership.plan_change(table=table)
-            )
+            await self.change(lambda table: self.plans.change(table=table))
         finally:
             self._changing = False
             self._planned_since_s = None
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -23,6 +23,7 @@
 from almondstair.core.membership_records import VmObservation
 from almondstair.core.membership_records import incarnation_text
 from almondstair.core.quarantine import Mark
+from almondstair.core.table_plans import TablePlans
 from almondstair.errors import AlmondstairError
 from almondstair.heartbeats import Heartbeats
 from almondstair.messages import Heartbeat
@@ -117,7 +118,7 @@
 def step_registers_unheard(context, name):
     table = context.membership.table
     newcomer = Membership(own=row(name), silence_limit_s=SILENCE_LIMIT_S)
-    planned = newcomer.plan_registration(table=table)
+    planned = TablePlans(membership=newcomer).registration(table=table)
     context.membership.replace_table(table=planned, now_s=context.now_s)
 
 
@@ -216,7 +217,9 @@
     newcomer = Membership(
         own=row(name, incarnation=2), silence_limit_s=SILENCE_LIMIT_S
     )
-    planned = newcomer.plan_registration(table=context.membership.table)
+    planned = TablePlans(membership=newcomer).registration(
+        table=context.membership.table
+    )
     assert not newcomer.registered
     newcomer.replace_table(table=context.membership.table, now_s=context.now_s)
     assert not newcomer.registered
@@ -240,7 +243,9 @@
 
 @then('"a" plans no change')
 def step_no_change(context):
-    planned = context.membership.plan_change(table=context.membership.table)
+    planned = TablePlans(membership=context.membership).change(
+        table=context.membership.table
+    )
     assert planned is None, planned
 
 
@@ -260,7 +265,9 @@
 
 
 def step_plans(context, names, epoch, lost_epoch):
-    planned = context.membership.plan_change(table=context.membership.table)
+    planned = TablePlans(membership=context.membership).change(
+        table=context.membership.table
+    )
     assert planned is not None
     assert list(planned.names()) == names_of(names), planned
     assert planned.epoch == epoch, planned
@@ -281,7 +288,7 @@
     newcomer = Membership(own=row(name), silence_limit_s=SILENCE_LIMIT_S)
 
     def plan(table):
-        return newcomer.plan_registration(table=table)
+        return TablePlans(membership=newcomer).registration(table=table)
 
     return await context.store.change(plan=plan)
 
@@ -331,7 +338,9 @@
     )
     context.error = None
     try:
-        stranger.plan_registration(table=context.membership.table)
+        TablePlans(membership=stranger).registration(
+            table=context.membership.table
+        )
     except ValueError as error:
         context.error = error
 
@@ -705,7 +714,7 @@
     'a change on the platform\'s table of epoch {epoch:d} starts from "{names}"'
 )
 def step_starts_from(context, epoch, names):
-    base = context.membership.base_table(
+    base = TablePlans(membership=context.membership).base(
         table=EntryTable(epoch), now_s=context.now_s
     )
     assert base is not None
@@ -715,7 +724,7 @@
 
 @then("no change is made on the platform's table of epoch {epoch:d}")
 def step_no_base(context, epoch):
-    base = context.membership.base_table(
+    base = TablePlans(membership=context.membership).base(
         table=EntryTable(epoch), now_s=context.now_s
     )
     assert base is None, base
