--- a/features/soak.feature
+++ b/features/soak.feature
@@ -20,6 +20,13 @@
   Scenario: The same seed makes the same plan
     Then two plans of seed 7 are equal, and seed 8's differs
 
+  Scenario: A pause of the soak's own loop is noted
+    # Symptom: gateways look broken on a busy machine. Sequence: the loop gets
+    # no processor; calls through its proxies time out. Cause: it could not be
+    # told from a gateway that fails.
+    When the soak's own loop stands still for 0.3 s
+    Then a pause of at least 0.25 s was noted
+
   Scenario: A short soak of kept seeds keeps every promise
     When the soak plays seed 42 for 14 s
     Then it broke no promise and most requests were served
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,8 +1,10 @@
 """Steps for the soak and its checks."""
 
+import asyncio
 import re
 import subprocess
 import sys
+import time
 
 from behave import then
 from behave import when
@@ -13,6 +15,8 @@
 from soak.checks import Ran
 from soak.checks import Sent
 from soak.checks import Span
+from soak.loop_watch import TURN_S
+from soak.loop_watch import LoopWatch
 
 _CALM_SENT = [
     Sent("a", "/safe/1", True, 1.0, 1.1, 200, "seal-a", True),
@@ -90,6 +94,26 @@
     assert first != plan.make(8, seconds=30)
 
 
+@when("the soak's own loop stands still for {length_s:g} s")
+def step_stands_still(context, length_s):
+    context.watch = LoopWatch()
+
+    async def stand_still():
+        watching = asyncio.ensure_future(context.watch.run())
+        await asyncio.sleep(2 * TURN_S)
+        time.sleep(length_s)
+        await asyncio.sleep(2 * TURN_S)
+        watching.cancel()
+
+    asyncio.run(stand_still())
+
+
+@then("a pause of at least {length_s:g} s was noted")
+def step_noted(context, length_s):
+    longest_s = max(pause.length_s for pause in context.watch.pauses)
+    assert longest_s >= length_s, context.watch.pauses
+
+
 @when("the soak plays seed {seed:d} for {seconds:d} s")
 def step_soak(context, seed, seconds):
     context.done = subprocess.run(
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -49,6 +49,11 @@
         f"{len(report.faults)} broken promises",
         flush=True,
     )
+    for pause in report.pauses:
+        print(
+            f"  own loop stood still for {pause.length_s:.2f} s until "
+            f"{pause.at_s:.2f} s"
+        )
     if not report.faults:
         return
     for step in report.steps:
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,6 +19,8 @@
 from soak.callers import Caller
 from soak.checks import Fault
 from soak.checks import Span
+from soak.loop_watch import LoopWatch
+from soak.loop_watch import Pause
 from soak.plan import Kind
 from soak.plan import Step
 
@@ -85,6 +87,7 @@
       steps: what was done.
       faults: promises that were broken.
       outcomes: requests of the last calm span by gateway and status.
+      pauses: spans in which the soak's own loop stood still.
     """
 
     seed: int
@@ -93,6 +96,7 @@
     steps: list[Step]
     faults: list[Fault]
     outcomes: dict[tuple[str, int], int]
+    pauses: list[Pause]
 
 
 class Soak:
@@ -118,11 +122,13 @@
         self._disturbed: list[Span] = []
         self._faults: list[Fault] = []
         self._end_s = 0.0
+        self._watch = LoopWatch()
         self._held: set[str] = set()
         self._ended: set[str] = set()
 
     async def run(self) -> Report:
         """Starts, plays, ends, checks."""
+        watching = asyncio.ensure_future(self._watch.run())
         try:
             await self._world.start()
             await self._world.configure(self._prefixes)
@@ -139,6 +145,7 @@
             for name in self._world.upstreams:
                 await self._world.collect(name)
         finally:
+            watching.cancel()
             await self._world.end()
         self._check()
         return self._report()
@@ -441,4 +448,5 @@
             steps=self._steps,
             faults=self._faults,
             outcomes=outcomes,
+            pauses=self._watch.pauses,
         )
