Give gateways of an emulated deployment their distances to each other

Each gateway's address for others has a way from every zone, for connections and for datagrams; the store shows each zone its own. Upstreams no longer register their ways: the store is told all of them once.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -69,7 +69,7 @@
         Args:
           address: `ip:port` to listen on.
           views: availability zones by further addresses; each shows upstreams
-            as they are reached from its zone.
+            and gateways as they are reached from its zone.
         """
         store.main(address, dict(views or {}))
 
@@ -79,7 +79,6 @@
         store: str,
         plan: str = "{}",
         announce: str = "",
-        ways: str = "{}",
     ) -> None:
         """Runs an upstream that registers in a store.
 
@@ -88,9 +87,8 @@
           store: `ip:port` of the store.
           plan: its behaviour as JSON; see `UpstreamPlan`.
           announce: address to register, if it is reached through another.
-          ways: address by availability zone as JSON, where each has its own.
         """
-        upstream_process.main(address, store, plan, announce, ways)
+        upstream_process.main(address, store, plan, announce)
 
 
 def _comparing() -> Any:
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Mapping
 import time
 from typing import Any
 
@@ -18,9 +19,6 @@
 EXPIRY_S = 0.05
 # Longer than any caller of the store waits.
 SILENCE_S = 60.0
-# Field of a registration with an upstream's address by availability zone. Only
-# the emulator has it; the store takes it out of what it shows.
-WAYS_FIELD = "ways"
 
 
 class StoreFaults(msgspec.Struct, kw_only=True):
@@ -49,6 +47,7 @@
         self.state = StoreState()
         self.faults = StoreFaults()
         self.calls: dict[str, int] = {}
+        self.ways: dict[str, dict[str, str]] = {}
         self.changed = asyncio.Condition()
         self._writes = 0
         self._servers: list[httpserver.HTTPServer] = []
@@ -61,7 +60,7 @@
           ip: where to listen.
           port: port, 0 for any.
           zone: availability zone as which callers of this address see
-            upstreams that are reached by different ways; empty for none.
+            places that are reached by different ways; empty for none.
         """
         options = {"store": self, "zone": zone}
         application = web.Application(
@@ -75,6 +74,7 @@
                 (r"/kv-lease-end/(\d+)", _End, options),
                 (r"/faults", _Faults, options),
                 (r"/operator", _Operator, options),
+                (r"/ways", _Ways, options),
             ],
             log_function=lambda handler: None,
         )
@@ -167,6 +167,9 @@
         self.set_header("Content-Type", "application/json")
         self.finish(msgspec.json.encode(body))
 
+    def seen(self, item: Mapping[str, Any]) -> dict[str, Any]:
+        return _seen_from(self.zone, dict(item), self.store.ways)
+
     def body(self) -> dict[str, Any]:
         return msgspec.json.decode(self.request.body or b"{}")
 
@@ -190,7 +193,7 @@
         if item is None:
             self.answer({"asOf": self.store.state.revision}, 404)
             return
-        shown = _seen_from(self.zone, dict(item))
+        shown = self.seen(item)
         self.answer(shown | {"asOf": self.store.state.revision})
 
 
@@ -204,7 +207,7 @@
             PAGE_ITEMS,
         )
         revision = self.store.state.revision
-        shown = [_seen_from(self.zone, dict(item)) for item in items]
+        shown = [self.seen(item) for item in items]
         self.answer({"items": shown, "hasMore": more, "asOf": revision})
 
 
@@ -224,7 +227,7 @@
             left_s = until_s - time.monotonic()
             if events or left_s <= 0:
                 revision = self.store.state.revision
-                shown = [_seen_from(self.zone, dict(each)) for each in events]
+                shown = [self.seen(each) for each in events]
                 self.answer({"events": shown, "asOf": revision})
                 return
             await self._wait(left_s)
@@ -311,19 +314,39 @@
         self.answer(body, status)
 
 
-def _seen_from(zone: str, item: dict[str, Any]) -> dict[str, Any]:
-    """Returns an item with the address that leads there from a zone.
+class _Ways(_Handler):
+    """Takes the ways by which places are reached from each zone."""
+
+    kind = "ways"
+    faulty = False
+
+    def put(self) -> None:
+        self.store.ways = self.body()
+        self.answer({})
+
+
+def _seen_from(
+    zone: str, item: dict[str, Any], ways: dict[str, dict[str, str]]
+) -> dict[str, Any]:
+    """Returns an item with the addresses that lead there from a zone.
 
     On one machine a distance is a proxy, and each zone has one of its own to
-    each upstream. An upstream writes them all; each zone is shown its own.
+    each upstream and gateway. They register where they listen; each zone is
+    shown its own way instead.
+
+    Args:
+      zone: the zone; empty for what was written.
+      item: the item.
+      ways: for an address as written, the one that leads there by zone.
     """
-    if item.get("removed") or not item["key"].startswith("servers/"):
+    if not zone or item.get("removed") or item["key"].startswith("op/"):
         return item
     record = msgspec.json.decode(base64.b64decode(item["value"]))
-    ways = record.pop(WAYS_FIELD, {})
-    if not ways:
+    if not isinstance(record, dict):
         return item
-    record["address"] = ways.get(zone, record["address"])
+    for field, value in record.items():
+        if isinstance(value, str) and value in ways:
+            record[field] = ways[value].get(zone, value)
     value = base64.b64encode(msgspec.json.encode(record)).decode()
     return item | {"value": value}
 
@@ -344,6 +367,6 @@
     Args:
       address: where to listen.
       views: availability zones by further addresses, each of which shows
-        upstreams as they are reached from there.
+        upstreams and gateways as they are reached from there.
     """
     asyncio.run(_serve(address, views))
--- a/emulator/upstream_process.py
+++ b/emulator/upstream_process.py
@@ -9,7 +9,6 @@
 import msgspec
 from tornado import httpclient
 
-from emulator.store import WAYS_FIELD
 from emulator.upstream import Upstream
 from emulator.upstream import UpstreamPlan
 
@@ -22,19 +21,13 @@
 class _Registrar:
     """Writes an upstream's registration."""
 
-    def __init__(
-        self, *, store: str, upstream: Upstream, ways: dict[str, str]
-    ) -> None:
-        self._ways = ways
+    def __init__(self, *, store: str, upstream: Upstream) -> None:
         self._url = f"http://{store}/operator"
         self._upstream = upstream
         self._client = httpclient.AsyncHTTPClient()
 
     async def write(self) -> None:
-        record = self._upstream.record()
-        if self._ways:
-            record[WAYS_FIELD] = self._ways
-        text = json.dumps(record)
+        text = json.dumps(self._upstream.record())
         value = base64.b64encode(text.encode()).decode()
         await self._send({"puts": [{"key": self._key(), "value": value}]})
 
@@ -55,17 +48,13 @@
 
 
 async def _run(
-    address: str,
-    store: str,
-    plan: UpstreamPlan,
-    announce: str,
-    ways: dict[str, str],
+    address: str, store: str, plan: UpstreamPlan, announce: str
 ) -> int:
     upstream = Upstream(plan=plan)
     ip, _, port = address.rpartition(":")
     upstream.listen(ip, int(port))
     upstream.address = announce or upstream.address
-    registrar = _Registrar(store=store, upstream=upstream, ways=ways)
+    registrar = _Registrar(store=store, upstream=upstream)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
@@ -95,7 +84,6 @@
     store: str,
     plan: str | dict[str, Any],
     announce: str = "",
-    ways: str | dict[str, str] = "{}",
 ) -> None:
     """Runs an upstream until SIGTERM or a crash.
 
@@ -104,13 +92,9 @@
       store: `ip:port` of the store.
       plan: its behaviour; see `UpstreamPlan`.
       announce: address to register, if it is reached through another one.
-      ways: address by availability zone, where each has its own way to it.
     """
     if isinstance(plan, str):
         plan = json.loads(plan)
-    if isinstance(ways, str):
-        ways = json.loads(ways)
     decoded = msgspec.convert(plan, UpstreamPlan)
-    ways_by_zone = msgspec.convert(ways, dict[str, str])
-    code = asyncio.run(_run(address, store, decoded, announce, ways_by_zone))
+    code = asyncio.run(_run(address, store, decoded, announce))
     raise SystemExit(code)
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -1,7 +1,7 @@
 """The processes of a deployment: a store, upstreams and gateways.
 
-Distances are proxies in this process. The way between two gateways has none:
-their words on loads are as fresh as on one machine.
+Distances are proxies in this process: from each zone to each upstream and to
+what each gateway serves other gateways, and from each gateway to the store.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 from tornado import httpclient
 
 from emulator import documents
+from emulator.datagrams import DatagramWay
 from emulator.deployment import Deployment
 from emulator.deployment import Service
 from emulator.ports import free_address
@@ -85,6 +86,8 @@
       deployment: what is emulated.
       callers: callers' address of each gateway.
       ran: what upstreams told of their runs, over all incarnations.
+      ways: for each zone and gateway, the way of datagrams between them,
+        where places are apart.
     """
 
     def __init__(
@@ -116,7 +119,8 @@
         self._places: dict[str, tuple[Service, str]] = {}
         self._zone_of: dict[str, str] = {}
         self._entrances: dict[str, str] = {}
-        self._ways: dict[str, dict[str, str]] = {}
+        self.ways: dict[tuple[str, str], DatagramWay] = {}
+        self._way_addresses: dict[str, dict[str, str]] = {}
         self._views: dict[str, str] = {}
         self._all_proxies: list[HarmfulProxy] = []
         self._client = httpclient.AsyncHTTPClient()
@@ -159,11 +163,31 @@
         self.proxies[name] = self._all_proxies[-1]
         if not self.deployment.delayed:
             return
-        ways = {}
+        await self._make_ways(name, self._entrances[name])
+
+    async def _make_ways(self, name: str, address: str) -> dict[str, str]:
+        """Makes a way from each zone to an address of a place."""
+        ways: dict[str, str] = {}
         for zone in self.deployment.zones:
             distance_s = self.deployment.delay_s(zone, self.zone_of(name))
-            ways[zone] = await self._proxy(self._entrances[name], distance_s)
-        self._ways[name] = ways
+            ways[zone] = await self._proxy(address, distance_s)
+        self._way_addresses[address] = ways
+        await self._client.fetch(
+            f"http://{self.store}/ways",
+            method="PUT",
+            body=json.dumps(self._way_addresses),
+        )
+        return ways
+
+    async def _make_gateway_ways(self, name: str, address: str) -> None:
+        """Makes ways for connections and for datagrams to a gateway."""
+        for zone, way in (await self._make_ways(name, address)).items():
+            datagrams = DatagramWay(
+                target=address,
+                distance_s=self.deployment.delay_s(zone, self.zone_of(name)),
+            )
+            await datagrams.listen(way)
+            self.ways[zone, name] = datagrams
 
     async def _spawn(
         self,
@@ -221,8 +245,6 @@
             self.store,
             "--announce",
             self._entrances[name],
-            "--ways",
-            json.dumps(self._ways.get(name, {})),
             "--plan",
             msgspec.json.encode(plan).decode(),
         )
@@ -250,6 +272,8 @@
             zones=self.deployment.zones,
             bounds=documents.BOUNDS | self.deployment.bounds,
         )
+        if self.deployment.delayed:
+            await self._make_gateway_ways(name, addresses["peers"])
         await self.start_gateway(name)
         self.callers[name] = addresses["callers"]
 
@@ -370,6 +394,8 @@
             await proc.wait()
         for proxy in self._all_proxies:
             await proxy.close()
+        for way in self.ways.values():
+            way.close()
 
 
 async def _until_open(address: str) -> None:
--- a/features/emulator.feature
+++ b/features/emulator.feature
@@ -42,10 +42,22 @@
     When 50 pieces are sent through it at once
     Then they come back in order, whole, after 80 to 200 ms
 
-  Scenario: Each zone is shown its own way to an upstream
-    Given a store with a view for zone "b1", and an upstream with a way of its own from there
-    Then the view shows the way from "b1", and the store the upstream's address
-    And neither shows the other ways
+  Scenario Outline: Each zone is shown its own way to an upstream and a gateway
+    Given a store with a view for zone "b1", and "<key>" with its address as "<field>" and a way of its own from there
+    Then the view shows the way from "b1", and the store what was written
+
+    Examples:
+      | key                    | field   |
+      | servers/i-1            | address |
+      | almondstair/entries/g1 | peers   |
+
+  Scenario: Gateways speak to each other over their distance
+    # Symptom: an experiment shows far regions' loads as fresh as near ones.
+    # Sequence: gateways of two regions ask each other. Cause: each was told
+    # where the other listens, past its distance.
+    Given a small deployment whose regions are 10 ms apart
+    When its gateways have taken callers for 3 s
+    Then each gateway was reached by the other's way, and by none from its own zone
 
   Scenario: Both sides come first equally often
     Then the sides of 4 rounds are "a b b a a b b a"
--- a/features/steps/emulator_steps.py
+++ b/features/steps/emulator_steps.py
@@ -4,6 +4,7 @@
 import base64
 import json
 from pathlib import Path
+import tempfile
 import time
 
 from behave import given
@@ -27,8 +28,8 @@
 from emulator.load import Outcome
 from emulator.ports import free_address
 from emulator.proxy import HarmfulProxy
-from emulator.store import WAYS_FIELD
 from emulator.store import Store
+from emulator.world import World
 from features.support import control
 from features.support.harness import ROOT
 
@@ -189,18 +190,17 @@
 # Views of the store.
 
 
-async def _registered(zone):
+async def _registered(zone, key, field):
     store = Store()
     whole = store.listen("127.0.0.1", 0)
     view = store.listen("127.0.0.1", 0, zone)
-    record = {"address": "127.0.0.1:1", WAYS_FIELD: {zone: "127.0.0.1:2"}}
-    await store.put_text("servers/i-1", json.dumps(record))
+    store.ways = {"127.0.0.1:1": {zone: "127.0.0.1:2", "c1": "127.0.0.1:3"}}
+    record = {field: "127.0.0.1:1", "zone": "a1"}
+    await store.put_text(key, json.dumps(record))
     client = httpclient.AsyncHTTPClient()
     shown = []
     for port in (view, whole):
-        answer = await client.fetch(
-            f"http://127.0.0.1:{port}/kv-key?key=servers/i-1"
-        )
+        answer = await client.fetch(f"http://127.0.0.1:{port}/kv-key?key={key}")
         value = json.loads(answer.body)["value"]
         shown.append(json.loads(base64.b64decode(value)))
     await store.close()
@@ -208,24 +208,19 @@
 
 
 @given(
-    'a store with a view for zone "{zone}", and an upstream with a way of its '
-    "own from there"
+    'a store with a view for zone "{zone}", and "{key}" with its address as '
+    '"{field}" and a way of its own from there'
 )
-def step_view(context, zone):
-    context.shown = asyncio.run(_registered(zone))
+def step_view(context, zone, key, field):
+    context.field = field
+    context.shown = asyncio.run(_registered(zone, key, field))
 
 
-@then('the view shows the way from "b1", and the store the upstream\'s address')
+@then('the view shows the way from "b1", and the store what was written')
 def step_views(context):
     view, whole = context.shown
-    assert view["address"] == "127.0.0.1:2", view
-    assert whole["address"] == "127.0.0.1:1", whole
-
-
-@then("neither shows the other ways")
-def step_no_ways(context):
-    for shown in context.shown:
-        assert WAYS_FIELD not in shown, shown
+    assert view == {context.field: "127.0.0.1:2", "zone": "a1"}, view
+    assert whole == {context.field: "127.0.0.1:1", "zone": "a1"}, whole
 
 
 # Experiments.
@@ -283,6 +278,38 @@
     )
 
 
+@given("a small deployment whose regions are 10 ms apart")
+def step_apart(context):
+    context.deployment = _small()
+
+
+async def _ways_used(deployment, seconds):
+    """Plays a deployment; returns datagrams by zone and gateway."""
+    with tempfile.TemporaryDirectory() as folder:
+        world = World(deployment=deployment, directory=Path(folder))
+        try:
+            await world.start()
+            await world.configure_deployment()
+            await world.until_ready()
+            await asyncio.sleep(seconds)
+        finally:
+            await world.end()
+        return {way: datagrams.passed for way, datagrams in world.ways.items()}
+
+
+@when("its gateways have taken callers for {seconds:d} s")
+def step_play(context, seconds):
+    context.ways = asyncio.run(_ways_used(context.deployment, seconds))
+
+
+@then(
+    "each gateway was reached by the other's way, and by none from its own zone"
+)
+def step_ways(context):
+    used = {way for way, count in context.ways.items() if count}
+    assert used == {("a1", "g1"), ("b1", "g0")}, context.ways
+
+
 @when("two settings are compared on a small deployment for {seconds:g} s")
 def step_compare(context, seconds):
     context.rounds = asyncio.run(
