--- /dev/null
+++ b/features/steps/heartbeat_steps.py
@@ -0,0 +1,370 @@
+"""Steps of membership.feature: what heartbeats say and whom they reach."""
+
+import asyncio
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import zmq
+
+from almondstair import messages
+from almondstair.core.configuration import ConfigurationState
+from almondstair.core.configuration import StoredConfiguration
+from almondstair.core.entry_table import EntryTable
+from almondstair.core.heartbeat_words import MemberWord
+from almondstair.core.heartbeat_words import ServiceLoad
+from almondstair.core.heartbeat_words import StatusDetail
+from almondstair.core.heartbeat_words import make_digest
+from almondstair.core.heartbeat_words import make_view
+from almondstair.core.heartbeat_words import read_digest
+from almondstair.core.heartbeats import FanOut
+from almondstair.core.membership import Membership
+from almondstair.core.quarantine import Mark
+from almondstair.errors import AlmondstairError
+from almondstair.heartbeats import Heartbeats
+from almondstair.messages import Heartbeat
+from almondstair.peers import Peers
+from features.support.entry_rows import row
+from features.support.heartbeat_entries import Steps
+from features.support.heartbeat_entries import oldest_age_s
+
+SILENCE_LIMIT_S = 1.5
+INTERVAL_S = 0.25
+FIRST_PORT = 27100
+# A thread that a busy machine leaves waiting runs within some tenths of a
+# second.
+NOTICE_LIMIT_S = 2.0
+
+
+@given("{count:d} entries in {zones:d} availability zones")
+def step_zones(context, count, zones):
+    rows = []
+    for number in range(count):
+        zone = f"region{number % zones // 2}-{number % zones}"
+        rows.append(row(f"e{number}", availability_zone=zone))
+    context.entry_table = EntryTable(1, tuple(rows))
+
+
+@when("heartbeats are sent for {seconds:d} second")
+@when("heartbeats are sent for {seconds:d} seconds")
+def step_sent(context, seconds):
+    context.sent = []
+    # At the target size, each twentieth entry stands for the others.
+    for own in context.entry_table.entries[
+        :: max(1, len(context.entry_table.entries) // 40)
+    ]:
+        fan_out = FanOut(own=own, interval_s=INTERVAL_S)
+        fan_out.set_table(table=context.entry_table)
+        near, all_names = set(), set()
+        for _ in range(int(seconds / INTERVAL_S)):
+            sending = fan_out.tick()
+            near.update(sending.near)
+            all_names.update(sending.near, sending.far, sending.partners)
+        context.sent.append((near, all_names))
+
+
+@then("every entry has sent to all {count:d} others")
+@then("every entry has sent to all {count:d} others of its zone")
+def step_sent_all(context, count):
+    for near, _ in context.sent:
+        assert len(near) == count, len(near)
+
+
+@then("no entry has sent to more than {count:d} entries")
+def step_sent_few(context, count):
+    for _, all_names in context.sent:
+        assert len(all_names) <= count, len(all_names)
+
+
+@when(
+    "{count:d} entries of one zone exchange heartbeats for {seconds:d} seconds"
+)
+def step_exchange(context, count, seconds):
+    context.steps = Steps(count, 1)
+    context.steps.run(seconds)
+    context.sent_per_s = context.steps.sent_bytes / count / seconds
+
+
+@then("no word on any entry is older than {limit:d} seconds")
+def step_words_fresh(context, limit):
+    entries = list(context.steps.entries.values())
+    oldest_s = oldest_age_s(entries, context.steps.now_s)
+    assert oldest_s <= limit, oldest_s
+
+
+@then("no entry sent more than {limit:d} bytes a second")
+def step_sent_bytes(context, limit):
+    assert context.sent_per_s <= limit, context.sent_per_s
+
+
+@when('"{name}" was heard {age:d} seconds ago and has version {version:d} of 7')
+def step_words(context, name, age, version):
+    context.words = []
+    for other in sorted(context.membership.table.names()):
+        if other == name:
+            context.words.append(MemberWord(other, True, float(age), version))
+        else:
+            context.words.append(MemberWord(other, True, 0.0, 7))
+
+
+def reader(context, *, epoch):
+    """Returns the heartbeats of an entry that heard nothing yet."""
+    own = context.membership.own
+    membership = Membership(own=own, silence_limit_s=SILENCE_LIMIT_S)
+    table = EntryTable(epoch, context.membership.table.entries)
+    membership.replace_table(table=table, now_s=0.0)
+    context.peers = Peers(
+        context=zmq.Context.instance(),
+        name=own.name,
+        incarnation=1,
+        peer_address=own.peer_address,
+        on_message=lambda *_: None,
+    )
+    reading = Heartbeats(
+        own=own,
+        membership=membership,
+        configuration=ConfigurationState(),
+        peers=context.peers,
+        clock=lambda: context.now_s,
+        own_detail=StatusDetail,
+        companions=lambda name: (),
+        interval_ms=250,
+        silence_limit_ms=1500,
+    )
+    reading.refresh_table()
+    return membership, reading
+
+
+def hear_view(context, *, reader_epoch):
+    async def hear():
+        view = make_view(epoch=1, words=context.words, configuration_version=7)
+        frame = messages.encode(Heartbeat(1, 1, 7, view=view))
+        membership, reading = reader(context, epoch=reader_epoch)
+        reading.receive(
+            name="e5", incarnation=3, heartbeat=messages.decode(frame)
+        )
+        return membership
+
+    return asyncio.run(hear())
+
+
+@then(
+    'a reader of the view hears of "{name}" {age:d} seconds ago with version '
+    "{version:d}"
+)
+def step_view(context, name, age, version):
+    known = hear_view(context, reader_epoch=1).last_heard(name=name)
+    assert known.configuration_version == version, known
+    assert 0 <= context.now_s - known.heard_s - age <= 0.3, known
+
+
+@then("a reader with another epoch learns nothing")
+def step_view_epoch(context):
+    assert hear_view(context, reader_epoch=2).last_heard(name="e3") is None
+
+
+@then('a reader of the digest learns that "{name}" lacks version {version:d}')
+def step_digest(context, name, version):
+    digest = make_digest(
+        availability_zone="west-1",
+        epoch=1,
+        words=context.words,
+        version=version,
+        loads=(),
+    )
+    names = sorted(context.membership.table.names())
+    for word in read_digest(digest=digest, names=names):
+        assert word.live, word
+        assert (word.version < version) == (word.name == name), word
+
+
+class RecordingPeers:
+    """Stands for the sockets and keeps what is sent."""
+
+    def __init__(self):
+        """Starts with nothing sent."""
+        self.sent = []
+
+    def set_rows(self, rows):
+        """Needs no addresses."""
+
+    def connect(self, name):
+        """Needs no connection."""
+
+    def send(self, name, *parts):
+        """Keeps messages."""
+        for message in parts:
+            self.sent.append((name, messages.decode(messages.encode(message))))
+        return True
+
+
+@when(
+    "one entry has marked a request and sends heartbeats for {seconds:d} "
+    "seconds"
+)
+def step_marked(context, seconds):
+    context.mark = Mark(fingerprint=7, upstream=3, remaining_s=60)
+    context.now_s = 0.0
+    own = context.entry_table.entries[0]
+    membership = Membership(own=own, silence_limit_s=SILENCE_LIMIT_S)
+    membership.replace_table(table=context.entry_table, now_s=0.0)
+    context.peers = RecordingPeers()
+    load = ServiceLoad("matching", 3, 3, 0)
+    sending = Heartbeats(
+        own=own,
+        membership=membership,
+        configuration=ConfigurationState(),
+        peers=context.peers,
+        clock=lambda: context.now_s,
+        own_detail=lambda: StatusDetail((load,), (), (context.mark,)),
+        companions=lambda name: (),
+        interval_ms=int(INTERVAL_S * 1000),
+        silence_limit_ms=int(SILENCE_LIMIT_S * 1000),
+    )
+    sending.refresh_table()
+    for _ in range(int(seconds / INTERVAL_S)):
+        context.now_s += INTERVAL_S
+        sending.send_round()
+
+
+@then("entries of all {count:d} availability zones have the mark")
+def step_mark_everywhere(context, count):
+    zones = set()
+    for name, heartbeat in context.peers.sent:
+        if heartbeat.detail is None or not heartbeat.detail.marks:
+            continue
+        assert heartbeat.detail.marks == (context.mark,), heartbeat
+        zones.add(context.entry_table.row(name=name).availability_zone)
+    assert len(zones) == count, zones
+
+
+class LiveEntry:
+    """An entry with real sockets and heartbeats, without the rest."""
+
+    def __init__(self, *, own, table):
+        """Takes its row and the table; `start` opens the sockets."""
+        self.own = own
+        self.membership = Membership(own=own, silence_limit_s=SILENCE_LIMIT_S)
+        self.membership.replace_table(table=table, now_s=time.monotonic())
+        self.configuration = ConfigurationState()
+        self.configuration.offer(StoredConfiguration(1, "id", "x", "", ""))
+        self.peers = Peers(
+            context=zmq.Context.instance(),
+            name=own.name,
+            incarnation=7,
+            peer_address=own.peer_address,
+            on_message=self.take,
+        )
+        self.heartbeats = Heartbeats(
+            own=own,
+            membership=self.membership,
+            configuration=self.configuration,
+            peers=self.peers,
+            clock=time.monotonic,
+            own_detail=StatusDetail,
+            companions=lambda name: (),
+            interval_ms=50,
+            silence_limit_ms=1500,
+        )
+
+    def start(self):
+        """Binds and sends."""
+        self.peers.start()
+        self.heartbeats.refresh_table()
+        self.heartbeats.start()
+
+    def stop(self):
+        """Closes the sockets."""
+        self.heartbeats.stop()
+        self.peers.stop()
+
+    def take(self, name, incarnation, message):
+        """Takes a message in."""
+        self.heartbeats.receive(
+            name=name, incarnation=incarnation, heartbeat=message
+        )
+
+
+@given("two entries with real sockets")
+def step_two(context):
+    rows = (row("p", port=FIRST_PORT), row("q", port=FIRST_PORT + 1))
+    context.entry_table = EntryTable(1, rows)
+
+
+@when("they hear each other within {seconds:d} seconds and one stops")
+def step_hear(context, seconds):
+    asyncio.run(talk(context, seconds))
+
+
+async def talk(context, seconds):
+    first = LiveEntry(
+        own=context.entry_table.entries[0], table=context.entry_table
+    )
+    second = LiveEntry(
+        own=context.entry_table.entries[1], table=context.entry_table
+    )
+    first.start()
+    second.start()
+    end_s = time.monotonic() + seconds
+    while time.monotonic() < end_s:
+        await asyncio.sleep(0.05)
+        now_s = time.monotonic()
+        if len(first.membership.live(now_s=now_s)) < 2:
+            continue
+        if len(second.membership.live(now_s=now_s)) == 2:
+            break
+    context.live_counts = (
+        len(first.membership.live(now_s=now_s)),
+        len(second.membership.live(now_s=now_s)),
+    )
+    second.stop()
+    context.first_sends_took_s, _ = _send_to_dead(first)
+    await _until_noticed(first)
+    context.sends_took_s, context.dropped = _send_to_dead(first)
+    first.stop()
+    assert context.live_counts == (2, 2), context.live_counts
+
+
+def _send_to_dead(entry):
+    """Sends 2000 times; returns the seconds taken and the sends dropped."""
+    before = entry.peers.counts.dropped_messages
+    start_s = time.monotonic()
+    for _ in range(2000):
+        entry.peers.send("q", Heartbeat(1, 1, 1))
+    took_s = time.monotonic() - start_s
+    return took_s, entry.peers.counts.dropped_messages - before
+
+
+async def _until_noticed(entry):
+    """Waits until the sockets' thread has seen the connection's end.
+
+    Before that the queue takes what is sent: 31 messages where the thread runs
+    at once, 120 were seen where it had to wait for a processor.
+    """
+    end_s = time.monotonic() + NOTICE_LIMIT_S
+    while entry.peers.send("q", Heartbeat(1, 1, 1)):
+        assert time.monotonic() < end_s, "the dead peer is not noticed"
+        await asyncio.sleep(0.05)
+
+
+@then(
+    "{count:d} sends to it take less than {seconds:d} second and are counted "
+    "as dropped"
+)
+def step_dropped(context, count, seconds):
+    assert context.first_sends_took_s < seconds, context.first_sends_took_s
+    assert context.sends_took_s < seconds, context.sends_took_s
+    assert context.dropped == count, context.dropped
+
+
+@then('these frames are refused as "{kind}": empty, unknown tag, cut short')
+def step_frames(context, kind):
+    whole = messages.encode(Heartbeat(1, 1, 1))
+    for frame in (b"", b"\xff" + whole[1:], whole[:-1]):
+        try:
+            messages.decode(frame)
+        except AlmondstairError as error:
+            assert error.kind == kind, error
+            continue
+        raise AssertionError(f"{frame!r} was taken")
