--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -1,6 +1,5 @@
-"""Steps of http.feature."""
+"""Steps of http.feature: bodies, framing, headers, and callers that leave."""
 
-import itertools
 import json
 import time
 
@@ -15,18 +14,16 @@
 from features.support.deployment import Shape
 from features.support.harness import Processes
 from features.support.harness import free_address
-from features.support.harness import post
 from features.support.harness import send
 from features.support.harness import wait_until
+from features.support.http_parts import UPSTREAM
+from features.support.http_parts import address
+from features.support.http_parts import journal
+from features.support.http_parts import open_wire
 
 MIB = 1 << 20
-UPSTREAM = "bkk-u0"
 RAW_UPSTREAM = "bkk-raw"
 HEAD_PAUSE_S = 1.5
-# Quick work before slow work, and how long all of that may take to start.
-QUICK_LOOK_UPS = 30
-TAKEN_LIMIT_S = 0.5
-SLOW_WORK_TRIES = 5
 READY_REQUESTS = (("GET", "/statements/1"), ("PUT", "/batches/1"))
 BIG_LINK_BYTES_PER_S = 2_000_000_000
 FIRST = "PUT /matching/batches/1 HTTP/1.1\r\nHost: x\r\n"
@@ -73,10 +70,10 @@
     context.deployment = context.http
     context.control = context.deployment.control
     context.control(UPSTREAM, cut=0)
-    wait_until(lambda: not _journal(context)["busy"], what="an idle upstream")
+    wait_until(lambda: not journal(context)["busy"], what="an idle upstream")
     context.raw.answer = wire.NOTHING
     wait_until(lambda: _all_serve(context), what="upstreams that take work")
-    context.runs_before = len(_journal(context)["runs"])
+    context.runs_before = len(journal(context)["runs"])
     context.raw.heads.clear()
 
 
@@ -87,7 +84,7 @@
         for service in ("matching", "raw"):
             for method, path in READY_REQUESTS:
                 answer = send(
-                    method, _address(context, entry), f"/{service}{path}"
+                    method, address(context, entry), f"/{service}{path}"
                 )
                 if answer.status != 200:
                     return False
@@ -116,16 +113,8 @@
     context.add_cleanup(raw.end, layer="feature")
 
 
-def _journal(context):
-    return context.deployment.journal(UPSTREAM)
-
-
-def _address(context, entry):
-    return context.deployment.entries[entry]["caller"]
-
-
 def _new_runs(context):
-    return _journal(context)["runs"][context.runs_before :]
+    return journal(context)["runs"][context.runs_before :]
 
 
 def _resident(context, field):
@@ -136,12 +125,6 @@
     return found
 
 
-def _wire(context, entry):
-    opened = wire.Wire(_address(context, entry))
-    context.add_cleanup(opened.close)
-    return opened
-
-
 # Long bodies.
 
 
@@ -152,7 +135,7 @@
 
     def sent():
         context.sent = wire.upload(
-            _address(context, entry),
+            address(context, entry),
             "/matching/batches/1",
             size_bytes=64 * MIB,
             chunked=framing == "chunks",
@@ -176,7 +159,7 @@
     path = f"/matching/statements/1?answer_bytes={64 * MIB}"
 
     def read():
-        got = wire.download(_address(context, entry), path)
+        got = wire.download(address(context, entry), path)
         return got if got.answer.status != 503 else None
 
     got = wait_until(read, what="a statement that is not refused")
@@ -191,7 +174,7 @@
     context.resident_before = _resident(context, "VmRSS")
 
     def started():
-        opened = _wire(context, entry)
+        opened = open_wire(context, entry)
         opened.write(
             f"GET /matching/statements/1?answer_bytes={64 * MIB} HTTP/1.1\r\n"
             "Host: x\r\n\r\n".encode()
@@ -200,7 +183,7 @@
 
     wait_until(started, what="a statement that is not refused")
     time.sleep(HEAD_PAUSE_S)
-    assert _journal(context)["busy"] == 1, "the statement did not wait"
+    assert journal(context)["busy"] == 1, "the statement did not wait"
 
 
 @when("64 MiB are sent through {entry} to an upstream that reads nothing")
@@ -212,7 +195,7 @@
     head = f"PUT /raw/batches/1 HTTP/1.1\r\nContent-Length: {64 * MIB}\r\n"
 
     def started():
-        opened = _wire(context, entry)
+        opened = open_wire(context, entry)
         opened.write((head + "Host: x\r\n\r\n").encode())
         sent = opened.write_until_full(64 * MIB, limit_s=HEAD_PAUSE_S)
         return sent if context.raw.heads else 0
@@ -242,14 +225,14 @@
     "{size:d} of 100 bytes of a body are sent to {entry} with {left:d} ms left"
 )
 def step_part(context, size, entry, left):
-    context.wire = _wire(context, entry)
+    context.wire = open_wire(context, entry)
     head = f"{FIRST}Content-Length: 100\r\nDeadline-Ms: {left}\r\n\r\n"
     context.wire.write(head.encode() + bytes(size))
 
 
 @when("the head of an upload to {entry} asks for {expectation}")
 def step_expect(context, entry, expectation):
-    context.wire = _wire(context, entry)
+    context.wire = open_wire(context, entry)
     context.wire.write(f"{FIRST}{LENGTH}Expect: {expectation}\r\n\r\n".encode())
 
 
@@ -272,7 +255,7 @@
 @when('"{method} {path}" and a look-up go to {entry} on one connection')
 def step_two_on_one(context, method, path, entry):
     context.method = method
-    context.wire = _wire(context, entry)
+    context.wire = open_wire(context, entry)
     context.wire.write(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
 
 
@@ -298,7 +281,7 @@
     """Sends until it is not refused, as a caller would; returns the wire."""
 
     def running():
-        opened = _wire(context, entry)
+        opened = open_wire(context, entry)
         opened.write(data)
         return opened if opened.is_silent(limit_s=0.3) else None
 
@@ -350,7 +333,7 @@
         b"Almondstair-Answer: no_slot;no;100\r\nTrailer: X-Sum\r\n"
         b"Upstream-Load: slots=4;busy=1\r\n\r\n"
     )
-    context.wire = _wire(context, entry)
+    context.wire = open_wire(context, entry)
     context.wire.write(
         b"GET /raw/orders/1 HTTP/1.1\r\nHost: x\r\nX-Kept: 1\r\n"
         b"Connection: X-Dropped, keep-alive\r\nX-Dropped: 1\r\n"
@@ -384,7 +367,7 @@
 
 @when("{shape} is sent to {entry}")
 def step_shape(context, shape, entry):
-    context.wire = _wire(context, entry)
+    context.wire = open_wire(context, entry)
     context.wire.write(SHAPES[shape].encode())
 
 
@@ -418,7 +401,7 @@
         sent[name] = value
     body = bytes(size) if size else None
     context.answer = send(
-        method, _address(context, entry), path, body=body, headers=sent
+        method, address(context, entry), path, body=body, headers=sent
     )
 
 
@@ -426,7 +409,7 @@
 def step_chunked_approval(context, size, entry):
     context.answer = send(
         "POST",
-        _address(context, entry),
+        address(context, entry),
         "/matching/approvals",
         body=iter([bytes(size // 2), bytes(size // 2)]),
         headers={"Idempotency-Key": "k"},
@@ -445,239 +428,3 @@
     assert problem["status"] == status, problem
     comes_back = problem["retry_after_ms"] is not None
     assert comes_back == ("Retry-After" in answer.headers), answer
-
-
-def _send_slow_work(context):
-    opened = []
-    for _ in range(context.deployment.shape.slots):
-        each = _wire(context, "bkk-e0")
-        each.write(
-            b"GET /matching/orders/1?work_ms=1900 HTTP/1.1\r\nHost: x\r\n\r\n"
-        )
-        opened.append(each)
-    return opened
-
-
-def _all_busy(context):
-    return _journal(context)["busy"] == context.deployment.shape.slots
-
-
-def _is_busy_in_time(context):
-    until_s = time.monotonic() + TAKEN_LIMIT_S
-    while time.monotonic() < until_s:
-        if _all_busy(context):
-            return True
-    return False
-
-
-@given("quick work has opened every slot of the upstream")
-def step_quick_work(context):
-    # The entry uses more slots with each quick answer, a slot a second at most.
-    until_s = time.monotonic() + context.deployment.shape.slots + 1
-    while time.monotonic() < until_s:
-        send("GET", _address(context, "bkk-e0"), "/matching/orders/1")
-
-
-def _take_all_slots(context):
-    """Sends slow work to all slots right after quick work.
-
-    Returns:
-      Whether all of it runs at once; else its callers have left again.
-    """
-    for _ in range(QUICK_LOOK_UPS):
-        send("GET", _address(context, "bkk-e0"), "/matching/orders/1")
-    opened = _send_slow_work(context)
-    if _is_busy_in_time(context):
-        return True
-    for each in opened:
-        each.close()
-    wait_until(lambda: not _journal(context)["busy"], what="an idle upstream")
-    return False
-
-
-@when("as many slow look-ups as it has slots come right after an answer")
-def step_slow_after_answer(context):
-    # On a busy machine quick answers may seem slow, and the entry uses fewer
-    # slots for a while; so a few times.
-    context.at_once = False
-    for _ in range(SLOW_WORK_TRIES):
-        context.at_once = context.at_once or _take_all_slots(context)
-
-
-@then("all of them run at once")
-def step_at_once(context):
-    assert context.at_once, _journal(context)["max_in_flight"]
-
-
-@given("every slot of the upstream is taken")
-def step_take_slots(context):
-    wait_until(
-        lambda: _take_all_slots(context), limit_s=20.0, what="a busy upstream"
-    )
-
-
-@then("the problem has a Retry-After")
-def step_retry_after(context):
-    problem = context.answer.json()
-    assert context.answer.status == 503, context.answer
-    assert problem["ran"] == "no", problem
-    assert problem["retry_after_ms"] > 0, problem
-    seconds = int(context.answer.headers["Retry-After"])
-    assert seconds * 1000 >= problem["retry_after_ms"] > seconds * 1000 - 1000
-
-
-# Cut answers.
-
-
-@given("the upstream cuts its next answer after {size:d} bytes")
-def step_cut(context, size):
-    context.control(UPSTREAM, cut=1, cut_after_bytes=size)
-
-
-@when("a statement of {size:d} bytes {framing} is read from {entry}")
-def step_read_statement(context, size, framing, entry):
-    path = f"/matching/orders/1?answer_bytes={size}"
-    if framing == "in chunks":
-        path += "&answer_chunked=1"
-    context.size = size
-    context.wire = _wire(context, entry)
-    context.wire.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
-
-
-@then("the caller's connection ends without the end of the body")
-def step_cut_seen(context):
-    head = context.wire.head()
-    assert head.status == 200, head
-    rest = context.wire.rest()
-    if head.headers.get("transfer-encoding") == "chunked":
-        assert not rest.endswith(b"0\r\n\r\n"), "the body was ended"
-        return
-    assert head.headers["content-length"] == str(context.size), head
-    assert 0 < len(rest) < context.size, len(rest)
-
-
-@given("the upstream answers without a length")
-def step_no_length(context):
-    context.raw.answer = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf"
-
-
-@given("an entry and an upstream each in bkk and cnx")
-def step_two_regions(context):
-    context.deployment = Deployment(
-        processes=context.processes,
-        shape=Shape(
-            entries={"bkk": 1, "cnx": 1}, upstreams={"bkk": 1, "cnx": 1}
-        ),
-    )
-    context.deployment.start()
-
-
-@given("{upstream} cuts its answers before the first byte")
-def step_cut_first(context, upstream):
-    _cut(context, [upstream])
-
-
-def _cut(context, names):
-    # A retry needs a budget, which first tries earn.
-    for entry in context.deployment.entries:
-        for _ in range(12):
-            send("GET", _address(context, entry), "/matching/orders/0")
-    context.cutting = names
-    for name in names:
-        context.deployment.control(name, cut=1000, cut_after_bytes=0)
-
-
-def _cut_runs(context):
-    found = []
-    for name in context.cutting:
-        for run in context.deployment.journal(name)["runs"]:
-            if run["outcome"] == "cut":
-                found.append(run)
-    return found
-
-
-@when("approvals go to {entry} until an answer is cut")
-def step_approvals_until_cut(context, entry):
-    keys = itertools.count()
-
-    def cut():
-        context.key = f"a-{next(keys)}"
-        context.answer = post(
-            _address(context, entry),
-            "/matching/approvals",
-            {"amount": 1},
-            headers={"Idempotency-Key": context.key},
-        )
-        return _cut_runs(context)
-
-    wait_until(cut, what="a cut answer")
-
-
-@then("it ran once in all")
-def step_ran_once(context):
-    runs = []
-    for name in context.deployment.upstreams:
-        for run in context.deployment.journal(name)["runs"]:
-            if run["key"] == context.key:
-                runs.append(run)
-    assert len(runs) == 1, runs
-
-
-@given("two entries of bkk with upstreams, and an entry in cnx")
-def step_two_homes(context):
-    context.deployment = Deployment(
-        processes=context.processes,
-        shape=Shape(entries={"bkk": 2, "cnx": 1}, upstreams={"bkk": 4}),
-    )
-    context.deployment.start()
-
-
-@given("the upstreams of one entry cut their answers before the first byte")
-def step_cut_one_home(context):
-    deployment = context.deployment
-    homes = {}
-    for name in deployment.upstreams:
-        home = deployment.home_of(name, asked="cnx-e0")
-        homes.setdefault(home, []).append(name)
-    assert len(homes) == 2, homes
-    _cut(context, sorted(homes.values())[0])
-
-
-@when("orders go to {entry} until an answer is cut")
-def step_until_cut(context, entry):
-    def cut():
-        context.answer = send(
-            "GET", _address(context, entry), "/matching/orders/1"
-        )
-        return _cut_runs(context)
-
-    wait_until(cut, what="a cut answer")
-
-
-@then("the answer is whole nevertheless")
-def step_whole_nevertheless(context):
-    assert context.answer.status == 200, context.answer
-
-
-@when("{entry} is told to stop")
-def step_stop(context, entry):
-    context.entry = entry
-    context.deployment.processes.children[entry].process.terminate()
-
-
-@then("its answers to callers end their connections")
-def step_ends_connections(context):
-    def says_close():
-        context.wire = _wire(context, context.entry)
-        context.wire.write(
-            b"GET /v1/entries?service=matching HTTP/1.1\r\nHost: x\r\n\r\n"
-        )
-        head = context.wire.head()
-        assert head.status == 200, head
-        context.wire.body(head)
-        return head.headers.get("connection") == "close"
-
-    wait_until(says_close, what="an answer of a leaving entry")
-    # Well before the entry ends.
-    assert not context.wire.is_silent(limit_s=0.5), "it stays open"
-    assert context.wire.rest() == b""
