Take a request's id as it was typed

Cause: almondstairctl gateway why refused an id that fire reads as a number; one of several hundred ids of 16 hexadecimal digits has only digits, or digits and one e. Ruled out: load (the answer is the command line's own). Test: three such ids; two failed before (the third was read as text already), three pass.

--- a/almondstair/tools/gateway_commands.py
+++ b/almondstair/tools/gateway_commands.py
@@ -5,6 +5,7 @@
 import sys
 from typing import Any
 
+from fire import decorators
 from rich import table as rich_table
 
 from almondstair import errors
@@ -102,6 +103,9 @@
             gateway_tables.ages(bodies),
         )
 
+    # What goes wrong without: one in several hundred ids has only digits, or
+    # digits and one e; fire takes it for a number, and the story is refused.
+    @decorators.SetParseFns(request=str)
     @commands.command
     def why(self, request: str, *files: str) -> None:
         """Tells the story of one request from the logs of several VMs.
@@ -114,7 +118,7 @@
           almondstairctl gateway why 9c41d07be2a35f68 /var/log/gateway-*.log
           cat *.log | almondstairctl gateway why 9c41d07be2a35f68 --json
         """
-        story = stories.tell(str(request), _read(files))
+        story = stories.tell(request, _read(files))
         body = story._asdict()
         body["lines"] = [line.fields for line in story.lines]
         body["around"] = [line.fields for line in story.around]
--- a/features/gateway_explaining.feature
+++ b/features/gateway_explaining.feature
@@ -26,6 +26,18 @@
     When 1 requests go to "/safe/x"
     Then "why" tells of a 200 "was slow"
 
+  # Symptom: "why" refuses an id that stands in the log. Sequence: the id has
+  # only digits, or digits and one e. Cause: it was read as a number.
+  Scenario Outline: A request id that looks like a number
+    Given a log with a refusal of request "<id>"
+    Then "why" tells of that request "refused, not run"
+
+    Examples:
+      | id               |
+      | 6398699704284366 |
+      | 0398699704284366 |
+      | 639869970428e366 |
+
   Scenario: The status shows the age of what it shows
     Given 2 gateways with 1 upstream
     When the second gateway is killed
--- a/features/steps/gateway_explaining_steps.py
+++ b/features/steps/gateway_explaining_steps.py
@@ -1,5 +1,6 @@
 """Steps for logs, the story of a request, and the status of gateways."""
 
+import json
 import os
 import socket
 import threading
@@ -32,6 +33,29 @@
     harness.wait_until(check, what=words)
 
 
+@given('a log with a refusal of request "{request}"')
+def step_log(context, request):
+    context.request = request
+    context.log = context.processes.directory / "gateway.log"
+    line = {
+        "time": "2026-01-01 00:00:00,000",
+        "event": _REFUSED,
+        "event_name": "gateway_refused",
+        "request": request,
+        "kind": "no_slot",
+        "detail": "Every slot for this work is taken",
+    }
+    context.log.write_text(json.dumps(line) + "\n", encoding="utf-8")
+
+
+@then('"why" tells of that request "{words}"')
+def step_why_that(context, words):
+    log = str(context.log)
+    told = operator_tool.run("gateway", "why", context.request, log)
+    assert f"request {context.request}" in told, told
+    assert words in told, told
+
+
 @then(
     "\"gateway status\" shows the first one's picture and the second's silence"
 )
