--- a/features/gateway_core.feature
+++ b/features/gateway_core.feature
@@ -115,3 +115,17 @@
     Given a service with 2 upstreams of 3 slots each
     When one of them drains and is removed, and an older word of it comes
     Then only the other one gets new work
+
+  # Symptom: hundreds of lines say that upstreams came and went; requests meet
+  # upstreams that are long gone. Sequence: an upstream's address has another
+  # incarnation; its registration stays while the store's leases stand still.
+  # Cause: it was dropped, and each listing brought it back.
+  Scenario Outline: An upstream that was found replaced does not come back
+    Given a service with 2 upstreams of 3 slots each
+    When one of them is found replaced <by>, and a listing still has it
+    Then only the other one gets new work
+
+    Examples:
+      | by               |
+      | here             |
+      | by another entry |
--- a/features/steps/gateway_core_steps.py
+++ b/features/steps/gateway_core_steps.py
@@ -11,6 +11,7 @@
 from almondstair.core.choosing import choose
 from almondstair.core.cold_starts import ColdStarts
 from almondstair.core.fleet import Fleet
+from almondstair.core.fleet import upstream_hash
 from almondstair.core.region_shares import RegionShares
 from almondstair.core.routing import CallerLimits
 from almondstair.core.routing import Destination
@@ -264,6 +265,16 @@
     context.fleet.take_upstream(ready, now_s=3.0)
 
 
+@when("one of them is found replaced {by}, and a listing still has it")
+def step_replaced(context, by):
+    listed = context.fleet.takers("s")[0].record
+    if by == "here":
+        context.fleet.misdirected(listed.upstream_id, now_s=1.0)
+    else:
+        context.fleet.note_replaced(upstream_hash(listed.upstream_id))
+    context.fleet.take_upstream(listed, now_s=2.0)
+
+
 @then("only the other one gets new work")
 def step_only_other(context):
     names = [state.record.upstream_id for state in context.fleet.takers("s")]
