--- a/features/support/leaving.py
+++ b/features/support/leaving.py
@@ -1,5 +1,6 @@
 """Load on a deployment whose parts leave, and what came of it."""
 
+import contextlib
 import http.client
 import threading
 import time
@@ -178,7 +179,9 @@
     connection = http.client.HTTPConnection(ip, int(port), timeout=30)
     headers = {"Content-Length": str(chunks * len(chunk))}
     path = f"/{SERVICE}/batches/1"
-    connection.request("PUT", path, body=body(), headers=headers)
+    # One that is refused halfway has an answer that tells why.
+    with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+        connection.request("PUT", path, body=body(), headers=headers)
     answer = connection.getresponse()
     return Answer(answer.status, answer.headers, answer.read())
 
