Let requests with long aims wait at the entry while short ones need the queue

Cause: arquivo serves scans (aim 250 ms) and histories (aim 1 s) in the same slots. Queues grew to what a history bears; scans found each of them too long.

Now a request whose aim is twice the shortest of its service joins no queue for the first half of its aim and waits at the entry, bounded in number, bytes, time and looks, until a slot is free.

--- a/almondstair/core/choosing.py
+++ b/almondstair/core/choosing.py
@@ -1,6 +1,7 @@
 """Which upstream takes a request, and when none should."""
 
 from collections.abc import Collection, Iterable
+import math
 from typing import NamedTuple
 
 from almondstair.core.cold_starts import ColdStarts
@@ -46,6 +47,7 @@
       expected_s: when an answer is expected, in seconds from now.
       run_s: how long the request is expected to run, in seconds.
       waits: whether it is expected to wait for a slot.
+      wait_s: how long it is expected to wait, in seconds.
     """
 
     upstream: UpstreamState
@@ -55,6 +57,7 @@
     expected_s: float
     run_s: float
     waits: bool
+    wait_s: float
 
 
 class Wanted(NamedTuple):
@@ -75,6 +78,7 @@
       joined: whether the others count this entry among them.
       peers_heard: whether every entry tells its load.
       barred_regions: regions that get none of the requests for now.
+      most_queue_s: longest wait in an upstream's queue, in seconds.
       now_s: the entry's clock.
     """
 
@@ -93,6 +97,7 @@
     peers_heard: bool
     barred_regions: frozenset[str]
     now_s: float
+    most_queue_s: float = math.inf
 
 
 def choose(
@@ -155,6 +160,7 @@
         expected_s=way_s + wait_s + run_s,
         run_s=run_s,
         waits=busy + 1 > slots,
+        wait_s=wait_s,
     )
     cost_s = choice.expected_s + risk_s + PLACE_COST_S * place
     if not warm:
@@ -166,6 +172,8 @@
 def _fits(choice: Choice, wanted: Wanted) -> bool:
     if not choice.waits:
         return True
+    if choice.wait_s > wanted.most_queue_s:
+        return False
     if choice.expected_s > TIME_USED_SHARE * wanted.left_s:
         return False
     return choice.expected_s <= WAIT_AIM_SHARE * wanted.aim_left_s
--- a/almondstair/core/routing.py
+++ b/almondstair/core/routing.py
@@ -109,6 +109,15 @@
         for route in configuration.routes:
             prefixes = self._hosts.setdefault(route.hostname.lower(), {})
             prefixes[route.prefix] = route
+        self._shortest_aim_s: dict[str, float] = {}
+        for route in configuration.routes:
+            for part in route.destinations:
+                before_s = self._shortest_aim_s.get(part.service, route.aim_s)
+                self._shortest_aim_s[part.service] = min(before_s, route.aim_s)
+
+    def shortest_aim_s(self, service: str) -> float:
+        """Returns the shortest aim of the routes to a service, in seconds."""
+        return self._shortest_aim_s.get(service, 0.0)
 
     def match(self, *, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of `path`, if any.
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -4,11 +4,13 @@
 
 from almondstair import log
 from almondstair.clock import now_s
+from almondstair.core import entry_waits
 from almondstair.core.choosing import Choice
 from almondstair.core.choosing import Wanted
 from almondstair.core.choosing import choose
 from almondstair.core.cold_starts import ColdStarts
 from almondstair.core.crash_suspects import CrashSuspects
+from almondstair.core.entry_waits import EntryWaits
 from almondstair.core.fleet import Fleet
 from almondstair.core.region_shares import Limits
 from almondstair.core.region_shares import RegionShares
@@ -24,6 +26,7 @@
 from almondstair.gateway.calls import Try
 from almondstair.gateway.calls import Verdict
 from almondstair.gateway.calls import reply_head
+from almondstair.gateway.incoming import BODY_HOLD_BYTES
 from almondstair.gateway.incoming import AnswerWait
 from almondstair.gateway.incoming import IncomingRequest
 from almondstair.gateway.measures import Measures
@@ -89,6 +92,7 @@
         self._turns = WeightedTurns()
         self._records = CallRecords(fleet=fleet, measures=measures)
         self._tries = tries
+        self._waits = EntryWaits()
         self.running: dict[IncomingRequest, Call] = {}
         self.refusing = False
         self._began_s = now_s()
@@ -189,7 +193,7 @@
         while True:
             if self._suspects.refused(call.fingerprint(), now_s=now_s()):
                 raise self._quarantined(call)
-            choice = self._choose(call)
+            choice = await self._place(call)
             if choice is None:
                 raise self._no_room(call, cause)
             if call.tried and not self._second_try(call):
@@ -209,6 +213,47 @@
             if not self._may_repeat(call, outcome):
                 raise self._spent(call, cause)
 
+    async def _place(self, call: Call) -> Choice | None:
+        """Returns the upstream for a call, after a wait where that helps.
+
+        A request that was sent before does not wait: its caller has waited for
+        that try, and a second one uses the budget of all.
+        """
+        choice = self._choose(call)
+        if choice is not None or call.tried:
+            return choice
+        held_bytes = call.request.length
+        if held_bytes is None:
+            held_bytes = BODY_HOLD_BYTES
+        if not self._waits.has_room(body_bytes=held_bytes):
+            return None
+        with self._waits.place(body_bytes=held_bytes):
+            while choice is None and self._goes_on(call):
+                await asyncio.sleep(self._waits.look_s)
+                choice = self._choose(call)
+        return choice
+
+    def _goes_on(self, call: Call) -> bool:
+        """Whether a call that found no slot may wait for one."""
+        if not self._fleet.takers(call.service) or call.request.caller_gone:
+            return False
+        aim_s = call.route.aim_s
+        times = self._tries.run_times.expected(
+            route=call.route.name, aim_s=aim_s
+        )
+        return entry_waits.goes_on(
+            aim_s=aim_s,
+            shortest_aim_s=self._shortest_aim_s(call),
+            age_s=now_s() - call.request.arrived_s,
+            run_s=times.known_s,
+        )
+
+    def _shortest_aim_s(self, call: Call) -> float:
+        table = self._fleet.table
+        if table is None:
+            return call.route.aim_s
+        return table.shortest_aim_s(call.service)
+
     def _choose(self, call: Call) -> Choice | None:
         """Returns the upstream for a call, of the regions that may get it.
 
@@ -260,6 +305,11 @@
             peers_heard=self._fleet.peers_heard,
             barred_regions=barred,
             now_s=now,
+            most_queue_s=entry_waits.most_queue_s(
+                aim_s=aim_s,
+                shortest_aim_s=self._shortest_aim_s(call),
+                age_s=now - call.request.arrived_s,
+            ),
         )
         return choose(
             order=self._fleet.order(service=call.service, key=call.key),
