Take an upstream that could not be reached for cold; soak restarts under an id

Where registrations tell when an upstream was born it may come back under its id before its new registration is read. Emulated upstreams tell it; the soak restarts them under their id and leaves words of another writer. Kept seeds draw from the kinds that they were found with and so play the same plans.

--- a/almondstair/core/upstream_state.py
+++ b/almondstair/core/upstream_state.py
@@ -75,6 +75,8 @@
       in_flight: requests of this entry that it holds now.
       others: requests of other entries that it holds, as they tell.
       cold_until_s: until when it is cold, on the entry's clock.
+      was_unreachable: whether no connection was accepted since the last one
+        failed.
     """
 
     def __init__(self, *, record: UpstreamRecord, region: str) -> None:
@@ -85,6 +87,7 @@
         self.in_flight = 0
         self.cold_until_s = 0.0
         self.others = 0
+        self.was_unreachable = False
         self._told_others = 0.0
         self._told_at_s = -math.inf
         self._paused_until_s = 0.0
@@ -136,15 +139,21 @@
         # After a pause one request at a time finds out whether it is back.
         return self._pause_s > 0 and self._trial_running
 
-    def note_unreachable(self, *, now_s: float) -> None:
-        """Counts a failure to reach it and starts a pause."""
+    def note_unreachable(self, *, now_s: float) -> float:
+        """Counts a failure to reach it and starts a pause.
+
+        Returns:
+          Until when it is left alone, on the entry's clock.
+        """
         self._trial_running = False
+        self.was_unreachable = True
         if now_s < self._paused_until_s:
-            return
+            return self._paused_until_s
         self._pause_s = min(
             LONGEST_PAUSE_S, max(FIRST_PAUSE_S, 2 * self._pause_s)
         )
         self._paused_until_s = now_s + self._pause_s
+        return self._paused_until_s
 
     def note_sent(self) -> None:
         """Counts a request that goes to it."""
--- a/almondstair/gateway/tries.py
+++ b/almondstair/gateway/tries.py
@@ -153,10 +153,11 @@
                 address=record.address, timeout_s=CONNECT_TIMEOUT_S
             )
             self._note_round_trip(choice.upstream.region, now_s() - began_s)
+            self._fleet.note_reached(choice.upstream, now_s=now_s())
             return connection
         except (OSError, TimeoutError) as error:
             now = now_s()
-            choice.upstream.note_unreachable(now_s=now)
+            self._fleet.note_unreachable(choice.upstream, now_s=now)
             self._suspects.note_gone(
                 incarnation_hash(choice.upstream.incarnation), now_s=now
             )
--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -86,11 +86,17 @@
 class Upstream:
     """One incarnation of an upstream."""
 
-    def __init__(self, *, plan: UpstreamPlan) -> None:
-        """Makes an upstream that has not started."""
+    def __init__(self, *, plan: UpstreamPlan, upstream_id: str = "") -> None:
+        """Makes an upstream that has not started.
+
+        Args:
+          plan: its behaviour.
+          upstream_id: the id of a start before it; empty for a new one.
+        """
         self.plan = plan
         self.faults = UpstreamFaults()
-        self.upstream_id = f"i-{uuid.uuid4().hex[:10]}"
+        self.upstream_id = upstream_id or f"i-{uuid.uuid4().hex[:10]}"
+        self.born_ms = int(time.time() * 1000)
         self.runs: list[Run] = []
         self.arrivals: list[float] = []
         self.draining = False
@@ -140,6 +146,7 @@
             "state": "draining" if self.draining else "ready",
             "coldLeftS": max(0.0, self.cold_until_s - time.monotonic()),
             "seq": len(self.runs),
+            "born": self.born_ms,
         }
 
     def strikes(self) -> bool:
--- a/emulator/upstream_process.py
+++ b/emulator/upstream_process.py
@@ -48,9 +48,13 @@
 
 
 async def _run(
-    address: str, store: str, plan: UpstreamPlan, announce: str
+    address: str,
+    store: str,
+    plan: UpstreamPlan,
+    announce: str,
+    upstream_id: str,
 ) -> int:
-    upstream = Upstream(plan=plan)
+    upstream = Upstream(plan=plan, upstream_id=upstream_id)
     ip, _, port = address.rpartition(":")
     upstream.listen(ip, int(port))
     upstream.address = announce or upstream.address
@@ -84,6 +88,7 @@
     store: str,
     plan: str | dict[str, Any],
     announce: str = "",
+    upstream_id: str = "",
 ) -> None:
     """Runs an upstream until SIGTERM or a crash.
 
@@ -92,9 +97,10 @@
       store: `ip:port` of the store.
       plan: its behaviour; see `UpstreamPlan`.
       announce: address to register, if it is reached through another one.
+      upstream_id: id of the start before it, which it takes again.
     """
     if isinstance(plan, str):
         plan = json.loads(plan)
     decoded = msgspec.convert(plan, UpstreamPlan)
-    code = asyncio.run(_run(address, store, decoded, announce))
+    code = asyncio.run(_run(address, store, decoded, announce, upstream_id))
     raise SystemExit(code)
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -12,6 +12,7 @@
 import sys
 import time
 from typing import Any, NamedTuple
+import uuid
 
 import msgspec
 from tornado import httpclient
@@ -85,6 +86,7 @@
     Attributes:
       deployment: what is emulated.
       callers: callers' address of each gateway.
+      upstream_ids: the id under which each upstream registered last.
       ran: what upstreams told of their runs, over all incarnations.
       ways: for each zone and gateway, the way of datagrams between them,
         where places are apart.
@@ -110,6 +112,7 @@
         self.store = free_address()
         self.procs: dict[str, Proc] = {}
         self.upstreams: dict[str, str] = {}
+        self.upstream_ids: dict[str, str] = {}
         self.proxies: dict[str, HarmfulProxy] = {}
         self.store_proxies: dict[str, HarmfulProxy] = {}
         self.gateways: dict[str, documents.GatewayPlace] = {}
@@ -223,8 +226,15 @@
             return "almondstair.gateway"
         return "almondstair.gateway.daemon"
 
-    async def start_upstream(self, name: str) -> None:
-        """Starts an upstream; a later start is another incarnation."""
+    async def start_upstream(self, name: str, *, same_id: bool = False) -> None:
+        """Starts an upstream; a later start is another incarnation.
+
+        Args:
+          name: the upstream's name here.
+          same_id: whether it takes the id of its start before again.
+        """
+        if not same_id or name not in self.upstream_ids:
+            self.upstream_ids[name] = f"i-{uuid.uuid4().hex[:10]}"
         service, zone = self._places[name]
         plan = UpstreamPlan(
             service=service.name,
@@ -247,6 +257,8 @@
             self._entrances[name],
             "--plan",
             msgspec.json.encode(plan).decode(),
+            "--upstream_id",
+            self.upstream_ids[name],
         )
 
     def zone_of(self, name: str) -> str:
--- a/features/gateway_incarnations.feature
+++ b/features/gateway_incarnations.feature
@@ -11,6 +11,15 @@
     And no kept connection of the earlier start is used
     And a word of another entry on the earlier start changes nothing
 
+  # Symptom: an upstream that has just come back gets more than it bears while
+  # cold. Sequence: it crashes and starts again under its id and at its address;
+  # its registration is read 0.6 s later. Cause: it was taken for the warm one
+  # that could not be reached for a moment.
+  Scenario: An upstream that could not be reached may come back cold
+    Given an entry that follows the store, with upstream "i-1" born at 1000
+    When "i-1" cannot be reached, and takes a connection 4 s later
+    Then "i-1" is taken for cold for 3 s from then
+
   # Symptom: requests go to the address of an upstream that is long gone.
   # Sequence: "i-1" starts again; a peer's page, a listing or a late write brings
   # its registration from before. Cause: the word that came last was taken.
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -30,3 +30,7 @@
   Scenario: A short soak of kept seeds keeps every promise
     When the soak plays seed 42 for 14 s
     Then it broke no promise and most requests were served
+
+  Scenario: Upstreams that start again under their id, and another writer
+    When the soak plays seed 10 with all kinds for 16 s
+    Then it broke no promise and most requests were served
--- a/features/steps/gateway_incarnations_steps.py
+++ b/features/steps/gateway_incarnations_steps.py
@@ -233,6 +233,25 @@
     assert state.others == 0
 
 
+@when('"{name}" cannot be reached, and takes a connection {later_s:g} s later')
+def step_unreachable(context, name, later_s):
+    [state] = context.fleet.takers("s")
+    # Its coldness as a new one is over.
+    context.then_s = now_s() + 100
+    assert not state.cold(now_s=context.then_s)
+    context.fleet.note_unreachable(state, now_s=context.then_s)
+    assert state.cold(now_s=context.then_s + 1)
+    context.then_s += later_s
+    context.fleet.note_reached(state, now_s=context.then_s)
+
+
+@then('"{name}" is taken for cold for {span_s:g} s from then')
+def step_taken_for_cold(context, name, span_s):
+    [state] = context.fleet.takers("s")
+    assert state.cold(now_s=context.then_s + span_s)
+    assert not state.cold(now_s=context.then_s + span_s + 1)
+
+
 # Registrations of another writer.
 
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -114,11 +114,10 @@
     assert longest_s >= length_s, context.watch.pauses
 
 
-@when("the soak plays seed {seed:d} for {seconds:d} s")
-def step_soak(context, seed, seconds):
+def _soak(context, seed, seconds, *options):
     context.done = subprocess.run(
         [sys.executable, "-m", "soak", "run", str(seed)]
-        + ["--seconds", str(seconds)],
+        + ["--seconds", str(seconds), *options],
         cwd=ROOT,
         capture_output=True,
         text=True,
@@ -127,6 +126,19 @@
     )
 
 
+@when("the soak plays seed {seed:d} for {seconds:d} s")
+def step_soak(context, seed, seconds):
+    _soak(context, seed, seconds, "--first_kinds")
+
+
+@when("the soak plays seed {seed:d} with all kinds for {seconds:d} s")
+def step_soak_all(context, seed, seconds):
+    kinds = {step.kind for step in plan.make(seed, seconds=seconds)}
+    for kind in (plan.Kind.UPSTREAM_RESTART, plan.Kind.FOREIGN_WRITER):
+        assert kind in kinds, kinds
+    _soak(context, seed, seconds)
+
+
 @then("it broke no promise and most requests were served")
 def step_kept(context):
     done = context.done
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """The soak's command line: `python -m soak --help`."""
 
 import asyncio
+from collections.abc import Sequence
 from pathlib import Path
 import random
 import sys
@@ -9,6 +10,8 @@
 
 import fire
 
+from soak.plan import FIRST_KINDS
+from soak.plan import Kind
 from soak.run import Report
 from soak.run import Size
 from soak.run import Soak
@@ -19,12 +22,24 @@
 KEPT = Path(__file__).with_name("seeds.toml")
 
 
-def play(seed: int, seconds: float, size: Size, logs: str = "") -> Report:
+def play(
+    seed: int,
+    seconds: float,
+    size: Size,
+    logs: str = "",
+    kinds: Sequence[Kind] = tuple(Kind),
+) -> Report:
     """Plays one seed; logs are kept in a folder if it names one."""
     with tempfile.TemporaryDirectory(prefix="almondstair-soak-") as folder:
         directory = Path(logs or folder)
         directory.mkdir(parents=True, exist_ok=True)
-        soak = Soak(seed=seed, seconds=seconds, directory=directory, size=size)
+        soak = Soak(
+            seed=seed,
+            seconds=seconds,
+            directory=directory,
+            size=size,
+            kinds=kinds,
+        )
         report = asyncio.run(soak.run())
         if report.faults:
             show_logs(directory)
@@ -75,6 +90,7 @@
         seconds: float = 30,
         size: tuple[int, int, int] = (6, 3, 8),
         logs: str = "",
+        first_kinds: bool = False,
     ) -> None:
         """Plays one seed.
 
@@ -83,8 +99,11 @@
           seconds: length of the run.
           size: how many upstreams, gateways and callers.
           logs: folder for the processes' logs; by default they are dropped.
+          first_kinds: whether faults are drawn from the kinds that the kept
+            seeds were found with; with all kinds a seed plays another plan.
         """
-        report = play(seed, seconds, Size(*size), logs)
+        kinds = FIRST_KINDS if first_kinds else tuple(Kind)
+        report = play(seed, seconds, Size(*size), logs, kinds)
         show(report)
         sys.exit(1 if report.faults else 0)
 
@@ -107,7 +126,8 @@
         seeds = tomllib.loads(KEPT.read_text(encoding="utf-8"))["seeds"]
         broken = []
         for row in seeds:
-            report = play(row["seed"], row["seconds"], Size())
+            kinds = tuple(Kind) if row.get("all_kinds") else FIRST_KINDS
+            report = play(row["seed"], row["seconds"], Size(), kinds=kinds)
             show(report)
             if report.faults:
                 broken.append(row["seed"])
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -1,5 +1,6 @@
 """What a seed does and when."""
 
+from collections.abc import Sequence
 import enum
 import random
 from typing import NamedTuple
@@ -27,6 +28,13 @@
     CONFIGURE = "configure"
     EVACUATE = "evacuate"
     HISTORY = "history"
+    UPSTREAM_RESTART = "upstream_restart"
+    FOREIGN_WRITER = "foreign_writer"
+
+
+# The kinds that the kept seeds were found with; with more of them a seed would
+# play another plan.
+FIRST_KINDS = tuple(Kind)[: tuple(Kind).index(Kind.UPSTREAM_RESTART)]
 
 
 class Step(NamedTuple):
@@ -60,27 +68,38 @@
     "trailing",
     "slow",
 )
+# What another writer leaves among the registrations: under an upstream's own
+# key, or under one of its own.
+FOREIGN_WORDS = ("own_key", "no_text", "no_slots", "no_address", "no_state")
 _VARIANTS = {
     Kind.STORE: STORE_MODES,
     Kind.STORE_PROXY: HARMS,
     Kind.UPSTREAM_PROXY: HARMS,
     Kind.UPSTREAM_FAULT: UPSTREAM_FAULTS,
+    Kind.FOREIGN_WRITER: FOREIGN_WORDS,
 }
 
 
-def make(seed: int, *, seconds: float, count: int = 0) -> list[Step]:
+def make(
+    seed: int,
+    *,
+    seconds: float,
+    count: int = 0,
+    kinds: Sequence[Kind] = tuple(Kind),
+) -> list[Step]:
     """Returns the steps of a seed; they overlap and come in series.
 
     Args:
       seed: the seed.
       seconds: length of the run.
       count: how many steps; by default one for each 1.5 s.
+      kinds: the kinds to draw from.
     """
     chance = random.Random(seed)
     span_s = max(1.0, seconds - FIRST_S - CALM_S)
     steps = []
     for _ in range(count or max(2, int(span_s / 1.5))):
-        kind = chance.choice(list(Kind))
+        kind = chance.choice(kinds)
         steps.append(
             Step(
                 at_s=FIRST_S + chance.random() * span_s,
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,7 +1,8 @@
 """Plays a plan on a world while callers send, then checks what was seen."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
+import json
 from pathlib import Path
 import random
 import signal
@@ -70,6 +71,29 @@
         )
 
 
+def foreign_text(how: str) -> str:
+    """Returns what another writer leaves in place of a registration."""
+    record: dict[str, object] = {
+        "service": "service",
+        "address": "127.0.0.1:9",
+        "zone": "a1",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "coldLeftS": 0,
+        "seq": 1,
+    }
+    if how == "no_text":
+        return "\x00{"
+    if how == "no_slots":
+        record["slots"] = 0
+    if how == "no_address":
+        record["address"] = "nowhere"
+    if how in ("no_state", "own_key"):
+        record["state"] = "lost"
+    return json.dumps(record)
+
+
 def _spread(count: int) -> dict[str, int]:
     counts = dict.fromkeys(ZONES, 0)
     for number in range(count):
@@ -103,12 +127,18 @@
     """One run of one seed."""
 
     def __init__(
-        self, *, seed: int, seconds: float, directory: Path, size: Size
+        self,
+        *,
+        seed: int,
+        seconds: float,
+        directory: Path,
+        size: Size,
+        kinds: Sequence[Kind] = tuple(Kind),
     ) -> None:
         """Makes the plan; nothing is started yet."""
         self._seed = seed
         self._seconds = seconds
-        self._steps = plan.make(seed, seconds=seconds)
+        self._steps = plan.make(seed, seconds=seconds, kinds=kinds)
         self._world = World(deployment=size.deployment(), directory=directory)
         self._callers = [
             Caller(chance=random.Random(seed * 1000 + number))
@@ -195,6 +225,8 @@
             Kind.CONFIGURE: self._configure,
             Kind.EVACUATE: self._evacuate,
             Kind.HISTORY: self._history,
+            Kind.UPSTREAM_RESTART: self._upstream_restart,
+            Kind.FOREIGN_WRITER: self._foreign_writer,
         }
         began_s = time.monotonic()
         await actions[step.kind](step)
@@ -257,7 +289,24 @@
         self._held.add(name)
         return True
 
-    async def _upstream_kill(self, step: Step) -> None:
+    async def _upstream_restart(self, step: Step) -> None:
+        """Ends an upstream and starts it again under its id."""
+        await self._upstream_kill(step, same_id=True)
+
+    async def _foreign_writer(self, step: Step) -> None:
+        """Leaves a word that names no upstream among the registrations."""
+        name = self._upstream(step)
+        key = f"servers/foreign-{step.target}"
+        if step.how == "own_key":
+            key = f"servers/{self._world.upstream_ids[name]}"
+        await self._world.operate(puts={key: foreign_text(step.how)})
+        await asyncio.sleep(step.for_s)
+        if step.how != "own_key":
+            await self._world.operate(remove=[key])
+
+    async def _upstream_kill(
+        self, step: Step, *, same_id: bool = False
+    ) -> None:
         name = self._upstream(step)
         if not await self._hold(name):
             return
@@ -266,10 +315,12 @@
         proc.signal(signal.SIGKILL)
         await proc.wait()
         await asyncio.sleep(step.for_s)
-        await self._start_upstream(name)
+        await self._start_upstream(name, same_id=same_id)
 
-    async def _start_upstream(self, name: str) -> None:
-        await self._world.start_upstream(name)
+    async def _start_upstream(
+        self, name: str, *, same_id: bool = False
+    ) -> None:
+        await self._world.start_upstream(name, same_id=same_id)
         started_s = time.monotonic()
         self._cold.append(Span(name, started_s, started_s + COLD_S))
         self._held.discard(name)
