Tell lost and late requests by cause from the logs of gateways

almondstairctl gateway losses FILES: in all, by route, by log and by time. Lines of answers (event 410) tell the aim, the queue and the way that were expected.

--- a/almondstair/core/choosing.py
+++ b/almondstair/core/choosing.py
@@ -48,6 +48,7 @@
       run_s: how long the request is expected to run, in seconds.
       waits: whether it is expected to wait for a slot.
       wait_s: how long it is expected to wait, in seconds.
+      way_s: the way there and back, in seconds.
     """
 
     upstream: UpstreamState
@@ -58,6 +59,7 @@
     run_s: float
     waits: bool
     wait_s: float
+    way_s: float
 
 
 class Wanted(NamedTuple):
@@ -161,6 +163,7 @@
         run_s=run_s,
         waits=busy + 1 > slots,
         wait_s=wait_s,
+        way_s=way_s,
     )
     cost_s = choice.expected_s + risk_s + PLACE_COST_S * place
     if not warm:
--- a/almondstair/gateway/call_records.py
+++ b/almondstair/gateway/call_records.py
@@ -45,6 +45,9 @@
             busy=round(choice.busy, 1),
             warm=choice.warm,
             expected_ms=round(choice.expected_s * 1000),
+            queue_ms=round(choice.wait_s * 1000),
+            way_ms=round(choice.way_s * 1000),
+            aim_ms=round(call.route.aim_s * 1000),
             status=exchange.head.status,
             took_ms=call.age_ms(),
         )
--- a/almondstair/tools/gateway_commands.py
+++ b/almondstair/tools/gateway_commands.py
@@ -14,6 +14,7 @@
 from almondstair.tools import gateway_config_commands
 from almondstair.tools import gateway_tables
 from almondstair.tools import gateway_views
+from almondstair.tools import losses as losses_module
 from almondstair.tools import session as session_module
 from almondstair.tools import stories
 
@@ -129,6 +130,26 @@
             gateway_tables.lines("Around it", story.around),
         )
 
+    @commands.command
+    def losses(self, *files: str) -> None:
+        """Tells which requests were lost or late and why, from logs.
+
+        Args:
+          *files: log files of gateways; standard input if none is named.
+
+        Examples:
+          almondstairctl gateway losses /var/log/gateway-*.log
+          cat *.log | almondstairctl gateway losses --json
+        """
+        told = losses_module.tell(_read(files))
+        self._session.show(
+            losses_module.as_json(told),
+            gateway_tables.losses("All", [told.total]),
+            gateway_tables.losses("By route", told.routes),
+            gateway_tables.losses("By log", told.sources),
+            gateway_tables.losses("By time", told.windows),
+        )
+
 
 def _read(files: tuple[str, ...]) -> list[stories.Line]:
     if not files:
--- a/almondstair/tools/gateway_tables.py
+++ b/almondstair/tools/gateway_tables.py
@@ -6,6 +6,7 @@
 from rich import table as rich_table
 
 from almondstair.tools import gateway_views
+from almondstair.tools import losses as losses_module
 from almondstair.tools import stories
 from almondstair.tools import tables
 
@@ -182,3 +183,14 @@
             f"{row['in_force_s_ago']:.1f} s ago",
         )
     return table
+
+
+def losses(title: str, rows: list[losses_module.Row]) -> rich_table.Table:
+    """Returns a table of lost and late requests by cause."""
+    table = tables.make_table(title, ("part", "requests", "lost or late, why"))
+    for row in rows:
+        causes = []
+        for cause, count in losses_module.lost(row):
+            causes.append(f"{count} {cause}")
+        table.add_row(row.part, str(row.asked), ", ".join(causes) or "none")
+    return table
--- a/features/gateway_explaining.feature
+++ b/features/gateway_explaining.feature
@@ -65,3 +65,30 @@
     Given a gateway with 1 upstream in its own region and 1 in another
     When 30 requests a second are sent for 5 s and then 200 a second for 2 s
     Then a refusal's line names the other region as held back, and "why" says so
+
+  # Symptom: a service is late for many, and nobody knows whether it lacks slots,
+  # sends badly, or waits on its upstreams. Sequence: any. Cause: logs tell of
+  # requests one by one.
+  Scenario Outline: Lost and late requests are told by cause
+    Given a log with a request that <ended>
+    Then "losses" counts 1 request, "<cause>"
+
+    Examples:
+      | ended                                                   | cause                              |
+      | was answered 200 after 90 of 100 ms                     | in its aim                         |
+      | was answered 500 after 90 of 100 ms                     | failed by its upstream             |
+      | was refused with no_slot at a use of 0.4                | refused with slots free            |
+      | was refused with no_slot at a use of 0.95               | refused, service full              |
+      | was refused with entry_not_ready at a use of 0          | refused, entry starting or leaving |
+      | was late by 200 ms with tries of 2                      | late after failed tries            |
+      | was late by 200 ms with queue_ms of 80                  | late after a queue                 |
+      | was late by 200 ms with warm of false                   | late, ran as new                   |
+      | was late by 200 ms with expected_ms of 60               | late, slower than where known      |
+      | was late by 20 ms with way_ms of 70                     | late by the way                    |
+      | was late by 200 ms with busy of 3                       | late otherwise                     |
+
+  Scenario: Losses of a real gateway
+    Given a gateway with 1 upstream
+    And the upstream is 25 times slower
+    When 2 requests go to "/safe/x"
+    Then "losses" counts 2 late requests of its log
--- a/features/steps/gateway_explaining_steps.py
+++ b/features/steps/gateway_explaining_steps.py
@@ -191,3 +191,72 @@
     log = str(context.processes.children["g1"].log)
     told = operator_tool.run("gateway", "why", request, log)
     assert "held back from west" in told, told
+
+
+# Lost and late requests.
+
+_ANSWER = {
+    "event": 410,
+    "route": "r",
+    "aim_ms": 100,
+    "took_ms": 90,
+    "status": 200,
+    "tries": 1,
+    "warm": True,
+    "expected_ms": 300,
+    "queue_ms": 0,
+    "way_ms": 0,
+}
+
+
+def _write_log(context, line):
+    line["time"] = "2026-01-01 00:00:00,000"
+    context.log = context.processes.directory / "gateway.log"
+    context.log.write_text(json.dumps(line) + "\n", encoding="utf-8")
+
+
+@given(
+    "a log with a request that was answered {status:d} after {took_ms:d} of "
+    "100 ms"
+)
+def step_log_answered(context, status, took_ms):
+    _write_log(context, {**_ANSWER, "status": status, "took_ms": took_ms})
+
+
+@given("a log with a request that was refused with {kind} at a use of {use:g}")
+def step_log_refused(context, kind, use):
+    line = {"event": _REFUSED, "route": "r", "kind": kind, "use": use}
+    _write_log(context, line)
+
+
+@given(
+    "a log with a request that was late by {late_ms:d} ms with {field} of "
+    "{value}"
+)
+def step_log_late(context, late_ms, field, value):
+    took_ms = _ANSWER["aim_ms"] + late_ms
+    line = {**_ANSWER, "took_ms": took_ms, field: json.loads(value)}
+    _write_log(context, line)
+
+
+def _losses(log):
+    return json.loads(operator_tool.run("gateway", "losses", log, "--json"))
+
+
+@then('"losses" counts {count:d} request, "{cause}"')
+def step_losses(context, count, cause):
+    told = _losses(str(context.log))
+    assert told["total"]["causes"] == {cause: count}, told
+    assert told["routes"][0]["asked"] == count, told
+
+
+@then('"losses" counts {count:d} late requests of its log')
+def step_losses_late(context, count):
+    log = str(context.processes.children["g1"].log)
+
+    def check():
+        causes = _losses(log)["total"]["causes"]
+        late = [causes[cause] for cause in causes if cause.startswith("late")]
+        return sum(late) == count
+
+    harness.wait_until(check, what="late requests in the log")
