--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -3,13 +3,15 @@
 from collections import Counter
 from collections.abc import Iterable
 import math
-from typing import NamedTuple
 
 from almondstair.core.incarnations import EndedIncarnations
 from almondstair.core.incarnations import incarnation_hash
 from almondstair.core.placement import PlacementOrders
 from almondstair.core.placement_plan import EMPTY
 from almondstair.core.placement_plan import Plan
+from almondstair.core.registered import Entry
+from almondstair.core.registered import Lapsed
+from almondstair.core.registered import Taken
 from almondstair.core.routing import Route
 from almondstair.core.routing import RoutingConfiguration
 from almondstair.core.routing import RoutingTable
@@ -34,61 +36,6 @@
 SHARING_AGE_S = 3.0
 # How old the use of a service may be; requests run for longer.
 USE_AGE_S = 0.1
-# What a core forwards: 1 ms of it a request (benchmarks/hops), at an assumed
-# 20 kB each way, which was not measured.
-MBPS_A_CORE = 300.0
-
-
-class Entry(NamedTuple):
-    """An entry of the fleet as it is registered.
-
-    Attributes:
-      name: name of its VM.
-      callers: `ip:port` for callers.
-      peers: `ip:port` for other entries.
-      region: its region.
-      availability_zone: its availability zone.
-      cores: processors that it may use, 0 where it does not tell.
-      link_mbps: what its link carries, 0 where it does not tell.
-    """
-
-    name: str
-    callers: str
-    peers: str
-    region: str
-    availability_zone: str
-    cores: float = 0.0
-    link_mbps: float = 0.0
-
-    @property
-    def carries_mbps(self) -> float:
-        """Returns what its VM carries, by the scarcer of its means.
-
-        Not in proportion to the others' means: those change with each entry
-        that comes or goes.
-        """
-        return min(self.link_mbps, self.cores * MBPS_A_CORE)
-
-
-class Taken(NamedTuple):
-    """What a registration of an upstream has changed.
-
-    Attributes:
-      used: whether it is of the newest incarnation.
-      changed: whether it changes what is sent.
-      ended: the incarnation that a newer one took the place of, or empty.
-    """
-
-    used: bool
-    changed: bool
-    ended: str = ""
-
-
-class Lapsed(NamedTuple):
-    """Registrations whose grace is over."""
-
-    upstreams: list[UpstreamRecord]
-    entries: list[str]
 
 
 class Fleet:
--- a/almondstair/core/look_ups.py
+++ b/almondstair/core/look_ups.py
@@ -17,7 +17,7 @@
 
 import xxhash
 
-from almondstair.core.fleet import Entry
+from almondstair.core.registered import Entry
 
 # Addresses that callers take at most.
 MOST_NAMED = 64
--- a/almondstair/core/zone_roles.py
+++ b/almondstair/core/zone_roles.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from almondstair.core.fleet import Entry
+from almondstair.core.registered import Entry
 
 
 def in_turn(entries: Iterable[Entry], *, zone: str) -> list[Entry]:
--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -7,8 +7,8 @@
 from almondstair import log
 from almondstair.clock import now_s
 from almondstair.core import zone_roles
-from almondstair.core.fleet import Entry
 from almondstair.core.fleet import Fleet
+from almondstair.core.registered import Entry
 from almondstair.errors import AlmondstairError
 from almondstair.gateway.configuration_history import ConfigurationHistory
 from almondstair.gateway.mirror import Mirror
--- a/almondstair/gateway/load_sharing.py
+++ b/almondstair/gateway/load_sharing.py
@@ -21,11 +21,11 @@
 from almondstair.core import zone_roles
 from almondstair.core.crash_suspects import CrashSuspects
 from almondstair.core.crash_suspects import Strike
-from almondstair.core.fleet import Entry
 from almondstair.core.fleet import Fleet
 from almondstair.core.placement_plan import EMPTY
 from almondstair.core.placement_plan import Plan
 from almondstair.core.placement_plan import Planner
+from almondstair.core.registered import Entry
 from almondstair.gateway.upstream_pool import UpstreamPool
 
 # Pause between two messages: the least, and how much longer for each entry, so
--- a/almondstair/gateway/registrations.py
+++ b/almondstair/gateway/registrations.py
@@ -5,8 +5,8 @@
 
 from almondstair import log
 from almondstair.clock import now_s
-from almondstair.core.fleet import Entry
 from almondstair.core.fleet import Fleet
+from almondstair.core.registered import Entry
 from almondstair.core.upstream_state import UpstreamRecord
 from almondstair.gateway.mirror import Mirror
 from almondstair.gateway.upstream_pool import UpstreamPool
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -9,7 +9,7 @@
 from behave import when
 
 from almondstair.core import zone_roles
-from almondstair.core.fleet import Entry
+from almondstair.core.registered import Entry
 from emulator.documents import HOST
 from emulator.documents import route
 from features.steps.gateway_steps import keep_sending
--- a/features/steps/gateway_following_steps.py
+++ b/features/steps/gateway_following_steps.py
@@ -13,8 +13,8 @@
 
 from almondstair.clock import now_s
 from almondstair.core import zone_roles
-from almondstair.core.fleet import Entry
 from almondstair.core.fleet import Fleet
+from almondstair.core.registered import Entry
 from almondstair.gateway.following import Follower
 from almondstair.gateway.http_calls import HttpCaller
 from almondstair.gateway.mirror import Mirror
--- a/features/steps/gateway_lookup_steps.py
+++ b/features/steps/gateway_lookup_steps.py
@@ -7,8 +7,8 @@
 from behave import then
 from behave import when
 
-from almondstair.core.fleet import Entry
 from almondstair.core.look_ups import LookUps
+from almondstair.core.registered import Entry
 
 _CALLERS = [f"10.9.{number // 250}.{number % 250}" for number in range(2000)]
 
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -7,12 +7,12 @@
 from behave import when
 
 from almondstair.clock import now_s
-from almondstair.core.fleet import Entry
 from almondstair.core.fleet import Fleet
 from almondstair.core.incarnations import incarnation_hash
 from almondstair.core.placement import PlacementOrders
 from almondstair.core.placement_plan import Plan
 from almondstair.core.placement_plan import Planner
+from almondstair.core.registered import Entry
 from almondstair.core.routing import CallerLimits
 from almondstair.core.routing import RoutingConfiguration
 from almondstair.core.routing import ServiceRule
--- a/spec/check.py
+++ b/spec/check.py
@@ -14,7 +14,15 @@
 
 from spec.checked_model import CheckedModel
 
-MODULES = ("loans", "homes", "reserve", "claims", "shares", "words")
+MODULES = (
+    "loans",
+    "homes",
+    "reserve",
+    "claims",
+    "shares",
+    "words",
+    "incarnations",
+)
 MOST_STATES = 1_000_000
 
 
