--- a/features/gateway_waiting.feature
+++ b/features/gateway_waiting.feature
@@ -29,3 +29,12 @@
   Scenario: What waits at an entry is bounded
     Then at most 64 requests and 8388608 bytes wait, and look 134 times a second
     And a request waits no longer than 2 s, and not when it cannot be timely
+
+  # Symptom: work that must not repeat is lost, or runs twice, after a wait at the
+  # entry; or it stands in an upstream's queue in front of short work. Sequence:
+  # more of it comes at once than there are slots.
+  Scenario: Requests that wait at the entry run once, each in a slot of its own
+    Given a gateway with 1 upstream that works 0.15 s
+    And a route "/short/" with an aim of 0.3 s and "/long/" with one of 1.5 s
+    When 7 requests to "/long/x" are sent side by side
+    Then each was answered and ran once, and none of them joined a queue
--- a/features/steps/gateway_waiting_steps.py
+++ b/features/steps/gateway_waiting_steps.py
@@ -1,4 +1,7 @@
-"""Steps for waits at the entry: a mixed load in virtual time."""
+"""Steps for waits at the entry: a mixed load in virtual time, and processes."""
+
+import json
+from pathlib import Path
 
 from behave import given
 from behave import then
@@ -6,6 +9,8 @@
 
 from almondstair.core import entry_waits
 from almondstair.core.entry_waits import EntryWaits
+from emulator import documents
+from features.support import harness
 from features.support.mixed_load import Kind
 from features.support.mixed_load import MixedLoad
 
@@ -93,3 +98,52 @@
     assert goes_on(aim_s=1.0, age_s=0.4, run_s=0.5)
     assert not goes_on(aim_s=1.0, age_s=0.6, run_s=0.5)
     assert not goes_on(aim_s=0.4, age_s=0.0, run_s=0.1)
+
+
+@given(
+    'a route "{first}" with an aim of {first_s:g} s and "{second}" with one '
+    "of {second_s:g} s"
+)
+def step_routes(context, first, first_s, second, second_s):
+    routes = []
+    for prefix, aim_s in ((first, first_s), (second, second_s)):
+        rule = documents.route(prefix, kind="unsafe")
+        rule["targetLatencyS"] = aim_s
+        routes.append(rule)
+    context.world.configure([*context.world.routes, *routes])
+
+    def in_force():
+        answer = harness.get(
+            context.world.gateways["g1"]["callers"],
+            second + "known",
+            headers=context.world.headers(),
+        )
+        return answer.status == 200
+
+    harness.wait_until(in_force, what=f"route {second}")
+
+
+@then("each was answered and ran once, and none of them joined a queue")
+def step_no_queue(context):
+    statuses = [answer.status for _, answer, _ in context.answers]
+    assert set(statuses) == {200}, statuses
+    log = Path(context.processes.children["g1"].log)
+    wanted = {request_id for request_id, _, _ in context.answers}
+
+    def answered():
+        found = {}
+        for row in log.read_text(encoding="utf-8").splitlines():
+            if '"request_answered"' not in row:
+                continue
+            line = json.loads(row[row.index("{") :])
+            if line["request"] in wanted:
+                found.setdefault(line["request"], []).append(line)
+        return found if len(found) == len(wanted) else None
+
+    found = harness.wait_until(answered, what="all answers in the log")
+    for lines in found.values():
+        assert [line["queue_ms"] for line in lines] == [0], lines
+        assert lines[0]["tries"] == 1, lines
+    ran = [run["request"] for run in context.world.all_runs()]
+    for request_id in wanted:
+        assert ran.count(request_id) == 1, ran
