--- a/almondstair/claims.py
+++ b/almondstair/claims.py
@@ -10,13 +10,13 @@
 import time
 from typing import NamedTuple
 
+from almondstair import batching
 from almondstair import log
 from almondstair.core import ledger
 from almondstair.core.outage import OutageGate
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.platform import base
-from almondstair.platform import batching
 from almondstair.settling import Settling
 
 LEASE_PERIOD_S = 3600.0
