--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -141,9 +141,8 @@
 
         try:
             wait_until(is_answered, limit_s=limit_s, what=f"look-up at {entry}")
-        except AssertionError:
-            print("refused with", Counter(refused))
-            raise
+        except AssertionError as error:
+            raise AssertionError(f"{error}: {Counter(refused)}") from error
 
 
 @then(
