Take a peer's strikes as of when their word usually comes

Possible cause, found by reading: a strike learned from a peer counted as of the arrival of its word. Held up for longer than the look-up had run, it seemed to have started after the other strike, and the path was quarantined there for five minutes. Two scenarios of quarantine.feature fail without the change (250 and 900 ms late).

--- a/almondstair/control.py
+++ b/almondstair/control.py
@@ -20,6 +20,7 @@
 from almondstair.core.loans import LoanRequest
 from almondstair.core.membership import Membership
 from almondstair.core.membership_records import incarnation_text
+from almondstair.core.message_delays import MessageDelays
 from almondstair.core.model import Configuration
 from almondstair.core.peer_marks import PeerMarks
 from almondstair.core.quarantine import Quarantine
@@ -74,6 +75,7 @@
         self._homes_seen: dict[str, str | None] = {}
         self._leaving_upstreams: frozenset[str] = frozenset()
         self._peer_marks = PeerMarks()
+        self._delays = MessageDelays()
         self._far_sources: set[str] = set()
         self._loads: tuple[ServiceLoad, ...] = ()
         self._loads_s = float("-inf")
@@ -173,10 +175,31 @@
         self._note_return(name, now_s)
         row = self._parts.membership.table.row(name=name)
         assert row is not None
-        self._parts.quarantine.merge(marks=heartbeat.detail.marks, now_s=now_s)
+        self._take_strikes(name, incarnation, heartbeat, now_s)
         for load in heartbeat.detail.loads:
             self._observe(row, load, now_s)
 
+    def _take_strikes(
+        self, name: str, incarnation: int, heartbeat: Heartbeat, now_s: float
+    ) -> None:
+        """Takes a peer's strikes as of when they would have come usually.
+
+        Whether a strike counts depends on whether its request started after the
+        strike before. What goes wrong without: a heartbeat is held up for
+        longer than the requests ran that a lost rack took along; its strikes
+        seem to be later ones, and their path is refused for minutes here.
+        """
+        assert heartbeat.detail is not None
+        delay_s = self._delays.delay_s(
+            sender=name,
+            incarnation=incarnation,
+            sent_s=heartbeat.sent_s,
+            now_s=now_s,
+        )
+        self._parts.quarantine.merge(
+            marks=heartbeat.detail.marks, now_s=now_s - delay_s
+        )
+
     def _note_peer_marks(
         self, name: str, incarnation: int, heartbeat: Heartbeat
     ) -> None:
@@ -301,6 +324,7 @@
         for name in tuple(self._heartbeats.details):
             if name not in known:
                 self._parts.hops.forget(entry=name)
+                self._delays.forget(sender=name)
                 self._parts.steering.regions.forget_source(source=name)
         self._peer_marks.forget(
             known=_processes(table), since_s=self._table.list_described_s
--- a/almondstair/heartbeats.py
+++ b/almondstair/heartbeats.py
@@ -174,6 +174,7 @@
             detail=detail,
             view=view,
             digests=digests,
+            sent_s=round(self._clock(), 4),
         )
         self._peers.send(name, heartbeat, *self._companions(name))
 
--- a/almondstair/messages.py
+++ b/almondstair/messages.py
@@ -63,6 +63,7 @@
       detail: the sender's upstreams.
       view: whom the sender heard in its group, when the group is large.
       digests: availability zones beyond the group.
+      sent_s: the sender's clock at sending; only differences tell anything.
     """
 
     sequence: int
@@ -73,6 +74,7 @@
     detail: StatusDetail | None = None
     view: GroupView | None = None
     digests: tuple[ZoneDigest, ...] = ()
+    sent_s: float = 0.0
 
 
 class TableRequest(NamedTuple):
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -42,6 +42,30 @@
     When strikes come at 0, 13 and 16 ms
     Then they are announced at 0, 13 and 16 ms
 
+  Scenario Outline: A heartbeat that is held up does not make a strike a later one
+    # Symptom: after a rack was lost, look-ups of one path are refused with
+    # "quarantined" through one entry only, for minutes.
+    # Events: two upstreams die 5 ms apart, each 200 ms into the same look-up; the
+    # word of the first strike is held up on its way to the entry of the second.
+    # Cause: the strike was taken for as old as its word said at its arrival, so
+    # its look-up seemed to have started after the other strike.
+    Given quarantines of 2 entries whose heartbeats usually take 30 ms
+    When upstreams of both die 5 ms apart while they run one look-up for 200 ms
+    And the heartbeats that tell it take <held_ms> ms
+    Then the request is not quarantined on any entry
+
+    Examples: as usual, and held up for longer than the look-up ran
+      | held_ms |
+      | 30      |
+      | 250     |
+      | 900     |
+
+  Scenario: A strike that is really later counts though its word is held up
+    Given quarantines of 2 entries whose heartbeats usually take 30 ms
+    When upstreams of both die 300 ms apart while they run one look-up for 100 ms
+    And the heartbeats that tell it take 900 ms
+    Then the request is quarantined on every entry
+
   Scenario: A lost rack's strikes are told in few announcements, the last too
     Given announcements that are spaced by 20 ms
     When 200 strikes come within 10 ms
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -5,6 +5,7 @@
 from behave import when
 
 from almondstair.core.announcing import Announcing
+from almondstair.core.message_delays import MessageDelays
 from almondstair.core.quarantine import Quarantine
 from almondstair.core.quarantine import Verdict
 from almondstair.core.quarantine import body_digest
@@ -189,3 +190,68 @@
 def step_count_announced(context, count, after_ms):
     assert len(context.announced_s) == count - 1, context.announced_s
     assert abs(context.planned_s - after_ms / 1000) < 1e-9, context.planned_s
+
+
+@given(
+    "quarantines of {count:d} entries whose heartbeats usually take "
+    "{usual_ms:d} ms"
+)
+def usual_heartbeats(context, count, usual_ms):
+    quarantines(context, count)
+    context.now_s = 1000.0
+    # Entries share no clock.
+    context.ahead_s = [700.0 * number for number in range(count)]
+    context.delays = [MessageDelays() for _ in range(count)]
+    for _ in range(5):
+        _timed_exchange(context, transit_s=usual_ms / 1000)
+
+
+def _timed_exchange(context, *, transit_s):
+    """Exchanges heartbeats that tell when they were sent."""
+    sent = []
+    for number, quarantine in enumerate(context.quarantines):
+        clock_s = context.now_s + context.ahead_s[number]
+        sent.append((clock_s, quarantine.digest(now_s=clock_s)))
+    context.now_s += transit_s
+    for number, quarantine in enumerate(context.quarantines):
+        clock_s = context.now_s + context.ahead_s[number]
+        for sender, (sent_s, marks) in enumerate(sent):
+            if sender == number:
+                continue
+            delay_s = context.delays[number].delay_s(
+                sender=str(sender), incarnation=1, sent_s=sent_s, now_s=clock_s
+            )
+            quarantine.merge(marks=marks, now_s=clock_s - delay_s)
+
+
+@when(
+    "upstreams of both die {apart_ms:d} ms apart while they run one look-up "
+    "for {ran_ms:d} ms"
+)
+def both_die(context, apart_ms, ran_ms):
+    for number, quarantine in enumerate(context.quarantines):
+        quarantine.strike(
+            fingerprint=CRASHING,
+            upstream=f"upstream-{number}",
+            ran_s=ran_ms / 1000,
+            now_s=context.now_s + context.ahead_s[number],
+        )
+        context.now_s += apart_ms / 1000
+
+
+@when("the heartbeats that tell it take {held_ms:d} ms")
+def held_up(context, held_ms):
+    _timed_exchange(context, transit_s=held_ms / 1000)
+
+
+def _verdicts(context):
+    found = []
+    for number, quarantine in enumerate(context.quarantines):
+        clock_s = context.now_s + context.ahead_s[number]
+        found.append(quarantine.verdict(fingerprint=CRASHING, now_s=clock_s))
+    return found
+
+
+@then("the request is not quarantined on any entry")
+def not_quarantined(context):
+    assert Verdict.QUARANTINED not in _verdicts(context), _verdicts(context)
