--- a/almondstair/control.py
+++ b/almondstair/control.py
@@ -175,30 +175,17 @@
         self._note_return(name, now_s)
         row = self._parts.membership.table.row(name=name)
         assert row is not None
-        self._take_strikes(name, incarnation, heartbeat, now_s)
-        for load in heartbeat.detail.loads:
-            self._observe(row, load, now_s)
-
-    def _take_strikes(
-        self, name: str, incarnation: int, heartbeat: Heartbeat, now_s: float
-    ) -> None:
-        """Takes a peer's strikes as of when they would have come usually.
-
-        Whether a strike counts depends on whether its request started after the
-        strike before. What goes wrong without: a heartbeat is held up for
-        longer than the requests ran that a lost rack took along; its strikes
-        seem to be later ones, and their path is refused for minutes here.
-        """
-        assert heartbeat.detail is not None
-        delay_s = self._delays.delay_s(
+        usual_s = self._delays.usual_arrival_s(
             sender=name,
             incarnation=incarnation,
             sent_s=heartbeat.sent_s,
             now_s=now_s,
         )
         self._parts.quarantine.merge(
-            marks=heartbeat.detail.marks, now_s=now_s - delay_s
+            marks=heartbeat.detail.marks, now_s=usual_s
         )
+        for load in heartbeat.detail.loads:
+            self._observe(row, load, now_s)
 
     def _note_peer_marks(
         self, name: str, incarnation: int, heartbeat: Heartbeat
--- a/almondstair/core/message_delays.py
+++ b/almondstair/core/message_delays.py
@@ -4,6 +4,11 @@
 the difference between its arrival here and its sending there hardly changes
 while messages take their usual time. What a message took longer than the
 quickest one lately is its delay.
+
+Strikes against requests need it: one counts if its request started after the
+strike before. What goes wrong without: a heartbeat is held up for longer than
+the requests ran that a lost rack took along; its strikes seem to be later ones,
+and their path is refused for minutes by the entry that it comes to.
 """
 
 from typing import NamedTuple
@@ -36,10 +41,10 @@
         """Starts with no sender."""
         self._senders: dict[str, _Quickest] = {}
 
-    def delay_s(
+    def usual_arrival_s(
         self, *, sender: str, incarnation: int, sent_s: float, now_s: float
     ) -> float:
-        """Returns by how much a message came later than usual, in seconds.
+        """Returns when a message would have come usually, by the clock here.
 
         Args:
           sender: name of the entry that sent it.
@@ -58,7 +63,7 @@
             known = known._replace(current_s=least_s)
         self._senders[sender] = known
         usual_s = min(known.current_s, known.before_s)
-        return max(0.0, difference_s - usual_s)
+        return now_s - max(0.0, difference_s - usual_s)
 
     def forget(self, *, sender: str) -> None:
         """Drops an entry that left the entry table."""
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -218,10 +218,10 @@
         for sender, (sent_s, marks) in enumerate(sent):
             if sender == number:
                 continue
-            delay_s = context.delays[number].delay_s(
+            usual_s = context.delays[number].usual_arrival_s(
                 sender=str(sender), incarnation=1, sent_s=sent_s, now_s=clock_s
             )
-            quarantine.merge(marks=marks, now_s=clock_s - delay_s)
+            quarantine.merge(marks=marks, now_s=usual_s)
 
 
 @when(
