Decide in core/placing.py where a request goes, apart from the calls that carry it

forwarding.py had put the inputs of a choice together itself; the model that replays loads needs the same decision. No change of what is decided.

--- a/almondstair/core/choosing.py
+++ b/almondstair/core/choosing.py
@@ -1,6 +1,6 @@
 """Which upstream takes a request, and when none should."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 import math
 from typing import NamedTuple
 
@@ -93,7 +93,7 @@
     use: float
     aim_left_s: float
     left_s: float
-    round_trips_s: dict[str, float]
+    round_trips_s: Mapping[str, float]
     entry_names: frozenset[str]
     joined: bool
     peers_heard: bool
--- /dev/null
+++ b/almondstair/core/placing.py
@@ -0,0 +1,177 @@
+"""Where a request goes, from what an entry knows; None where it has no room.
+
+The path of a decision: the order of upstreams for the request's key
+(`placement`), the choice among them (`choosing`), and how long the request may
+wait for a slot at the entry where there is none (`entry_waits`).
+"""
+
+from collections.abc import Collection, Mapping
+from typing import NamedTuple
+
+from almondstair.core import entry_waits
+from almondstair.core.choosing import Choice
+from almondstair.core.choosing import Wanted
+from almondstair.core.choosing import choose
+from almondstair.core.cold_starts import ColdStarts
+from almondstair.core.fleet import Fleet
+from almondstair.core.region_shares import Limits
+from almondstair.core.region_shares import RegionShares
+from almondstair.core.routing import Route
+from almondstair.core.run_times import RunTimes
+
+
+class Asked(NamedTuple):
+    """A request to be placed.
+
+    Attributes:
+      route: its route.
+      service: the service that takes it.
+      key: the key by which it is placed.
+      arrived_s: when it arrived, on the entry's clock.
+      ends_s: when its caller or the operator gives up on it.
+      tried: ids of upstreams that had it already.
+    """
+
+    route: Route
+    service: str
+    key: str
+    arrived_s: float
+    ends_s: float
+    tried: Collection[str]
+
+
+class Placed(NamedTuple):
+    """What was decided.
+
+    Attributes:
+      choice: the upstream and why; None when none has room.
+      held_back: regions that get none of it, because requests change their
+        region step by step.
+    """
+
+    choice: Choice | None
+    held_back: frozenset[str]
+
+
+class Placing:
+    """Places requests of one entry."""
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        run_times: RunTimes,
+        region_shares: RegionShares,
+        cold_starts: ColdStarts,
+        round_trips_s: Mapping[str, float],
+    ) -> None:
+        """Makes the placing of one entry.
+
+        Args:
+          fleet: what is known of the deployment; its table must be there.
+          run_times: how long requests run.
+          region_shares: bound on how fast requests change their region.
+          cold_starts: bound on requests to cold upstreams.
+          round_trips_s: round trip to each other region, in seconds, as they
+            are learned.
+        """
+        self._fleet = fleet
+        self._run_times = run_times
+        self._region_shares = region_shares
+        self._cold_starts = cold_starts
+        self._round_trips_s = round_trips_s
+        self._takers_version = 0
+
+    def place(self, asked: Asked, *, now_s: float) -> Placed:
+        """Returns the upstream for a request, of the regions that may get it.
+
+        Requests that cannot run in their own region do not move to another
+        one: they are not counted as moves, and never held back.
+        """
+        if not self._fleet.may_stay(asked.service, route=asked.route):
+            choice = self._choose(asked, frozenset(), now_s)
+            return Placed(choice, frozenset())
+        limits = self._limits(now_s)
+        if limits.due:
+            others = self._fleet.regions() - {limits.due}
+            choice = self._choose(asked, others, now_s)
+            if choice is not None and not choice.waits:
+                return Placed(choice, limits.barred)
+        choice = self._choose(asked, limits.barred, now_s)
+        return Placed(choice, limits.barred)
+
+    def note_sent(self, asked: Asked, choice: Choice, *, now_s: float) -> None:
+        """Counts a request that goes to the upstream chosen for it."""
+        if self._fleet.may_stay(asked.service, route=asked.route):
+            region = choice.upstream.region
+            self._region_shares.note_sent(region, now_s=now_s)
+
+    def note_disturbed(self, *, now_s: float) -> None:
+        """A try failed: its upstream's requests have to move."""
+        self._region_shares.note_disturbed(now_s=now_s)
+
+    def waits_on(self, asked: Asked, *, now_s: float) -> bool:
+        """Whether a request that found no slot may wait for one."""
+        if not self._fleet.takers(asked.service):
+            return False
+        aim_s = asked.route.aim_s
+        times = self._run_times.expected(route=asked.route.name, aim_s=aim_s)
+        return entry_waits.goes_on(
+            aim_s=aim_s,
+            shortest_aim_s=self._shortest_aim_s(asked),
+            age_s=now_s - asked.arrived_s,
+            run_s=times.known_s,
+        )
+
+    def _shortest_aim_s(self, asked: Asked) -> float:
+        table = self._fleet.table
+        if table is None:
+            return asked.route.aim_s
+        return table.shortest_aim_s(asked.service)
+
+    def _limits(self, now_s: float) -> Limits:
+        version = self._fleet.takers_version
+        if version != self._takers_version:
+            self._takers_version = version
+            self._region_shares.note_disturbed(now_s=now_s)
+        return self._region_shares.limits(now_s=now_s)
+
+    def _choose(
+        self, asked: Asked, barred: frozenset[str], now_s: float
+    ) -> Choice | None:
+        assert self._fleet.table is not None
+        services = self._fleet.table.configuration.services
+        route = asked.route
+        times = self._run_times
+        age_s = now_s - asked.arrived_s
+        wanted = Wanted(
+            route=route,
+            service=services.get(asked.service),
+            tried=asked.tried,
+            warm_places=times.warm_places(
+                service=asked.service, key=asked.key, now_s=now_s
+            ),
+            expected=times.expected(route=route.name, aim_s=route.aim_s),
+            service_s=times.service_s(
+                service=asked.service, default_s=route.aim_s
+            ),
+            use=self._fleet.use(asked.service, now_s=now_s),
+            aim_left_s=route.aim_s - age_s,
+            left_s=asked.ends_s - now_s,
+            round_trips_s=self._round_trips_s,
+            entry_names=self._fleet.entry_names,
+            joined=self._fleet.joined(now_s=now_s),
+            peers_heard=self._fleet.peers_heard,
+            barred_regions=barred,
+            now_s=now_s,
+            most_queue_s=entry_waits.most_queue_s(
+                aim_s=route.aim_s,
+                shortest_aim_s=self._shortest_aim_s(asked),
+                age_s=age_s,
+            ),
+        )
+        return choose(
+            order=self._fleet.order(service=asked.service, key=asked.key),
+            wanted=wanted,
+            cold_starts=self._cold_starts,
+        )
--- a/almondstair/gateway/calls.py
+++ b/almondstair/gateway/calls.py
@@ -5,6 +5,7 @@
 
 from almondstair.clock import now_s
 from almondstair.core.crash_suspects import fingerprint
+from almondstair.core.placing import Asked
 from almondstair.core.routing import Route
 from almondstair.gateway.http_wire import Headers
 from almondstair.gateway.http_wire import ReplyHead
@@ -97,6 +98,17 @@
         """Returns the request's id for logs."""
         return self.request_id.decode("latin-1", "replace")
 
+    def asked(self) -> Asked:
+        """Returns what decides where the call goes."""
+        return Asked(
+            route=self.route,
+            service=self.service,
+            key=self.key,
+            arrived_s=self.request.arrived_s,
+            ends_s=self.deadline_s,
+            tried=self.tried,
+        )
+
     def left_s(self) -> float:
         """Returns the time left, in seconds."""
         return self.deadline_s - now_s()
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -16,7 +16,9 @@
 from almondstair.core.crash_suspects import CrashSuspects
 from almondstair.core.fleet import Fleet
 from almondstair.core.look_ups import LookUps
+from almondstair.core.placing import Placing
 from almondstair.core.region_shares import RegionShares
+from almondstair.core.run_times import RunTimes
 from almondstair.core.second_tries import SecondTries
 from almondstair.errors import AlmondstairError
 from almondstair.gateway.caller_connection import CallerConnection
@@ -140,6 +142,7 @@
             own_region=settings.region,
             regions=settings.zones.values(),
         )
+        run_times = RunTimes()
         tries = Tries(
             fleet=self._fleet,
             pool=self._pool,
@@ -147,14 +150,20 @@
             suspects=self._suspects,
             measures=self._measures,
             reaching=self._reaching,
+            run_times=run_times,
+        )
+        placing = Placing(
+            fleet=self._fleet,
+            run_times=run_times,
+            region_shares=self._region_shares,
+            cold_starts=self._cold_starts,
+            round_trips_s=self._reaching.round_trips_s,
         )
         self._forwarder = Forwarder(
             fleet=self._fleet,
             tries=tries,
-            reaching=self._reaching,
+            placing=placing,
             second_tries=self._second_tries,
-            region_shares=self._region_shares,
-            cold_starts=self._cold_starts,
             suspects=self._suspects,
             measures=self._measures,
         )
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -4,16 +4,11 @@
 
 from almondstair import log
 from almondstair.clock import now_s
-from almondstair.core import entry_waits
 from almondstair.core.choosing import Choice
-from almondstair.core.choosing import Wanted
-from almondstair.core.choosing import choose
-from almondstair.core.cold_starts import ColdStarts
 from almondstair.core.crash_suspects import CrashSuspects
 from almondstair.core.entry_waits import EntryWaits
 from almondstair.core.fleet import Fleet
-from almondstair.core.region_shares import Limits
-from almondstair.core.region_shares import RegionShares
+from almondstair.core.placing import Placing
 from almondstair.core.routing import CallerLimits
 from almondstair.core.routing import WeightedTurns
 from almondstair.core.second_tries import SecondTries
@@ -30,7 +25,6 @@
 from almondstair.gateway.incoming import AnswerWait
 from almondstair.gateway.incoming import IncomingRequest
 from almondstair.gateway.measures import Measures
-from almondstair.gateway.reaching import Reaching
 from almondstair.gateway.tries import Tries
 from almondstair.gateway.upstream_connection import Exchange
 from almondstair.gateway.upstream_connection import ExchangeEnd
@@ -66,10 +60,8 @@
         *,
         fleet: Fleet,
         tries: Tries,
-        reaching: Reaching,
         second_tries: SecondTries,
-        region_shares: RegionShares,
-        cold_starts: ColdStarts,
+        placing: Placing,
         suspects: CrashSuspects,
         measures: Measures,
     ) -> None:
@@ -78,24 +70,19 @@
         Args:
           fleet: what is known of the deployment.
           tries: sends to upstreams.
-          reaching: knows the way to each region.
           second_tries: budget for trying again.
-          region_shares: bound on how fast requests change their region.
-          cold_starts: bound on requests to cold upstreams.
+          placing: decides where requests go.
           suspects: requests that may crash upstreams.
           measures: counters and histograms.
         """
         self._fleet = fleet
         self._second_tries = second_tries
-        self._region_shares = region_shares
-        self._takers_version = 0
-        self._cold_starts = cold_starts
+        self._placing = placing
         self._suspects = suspects
         self._measures = measures
         self._turns = WeightedTurns()
         self._records = CallRecords(fleet=fleet, measures=measures)
         self._tries = tries
-        self._reaching = reaching
         self._waits = EntryWaits()
         self.running: dict[IncomingRequest, Call] = {}
         self.refusing = False
@@ -202,9 +189,7 @@
                 raise self._no_room(call, cause)
             if call.tried and not self._second_try(call):
                 raise self._spent(call, cause)
-            if self._fleet.may_stay(call.service, route=call.route):
-                region = choice.upstream.region
-                self._region_shares.note_sent(region, now_s=now_s())
+            self._placing.note_sent(call.asked(), choice, now_s=now_s())
             outcome = await self._tries.send(call, choice)
             self._measures.tries.labels(call.service, outcome.verdict).inc()
             if outcome.verdict is Verdict.ANSWERED:
@@ -212,7 +197,7 @@
                 return
             cause = outcome.cause
             if not _orderly(outcome):
-                self._region_shares.note_disturbed(now_s=now_s())
+                self._placing.note_disturbed(now_s=now_s())
             self._records.try_failed(call, choice, outcome)
             if not self._may_repeat(call, outcome):
                 raise self._spent(call, cause)
@@ -223,7 +208,7 @@
         A request that was sent before does not wait: its caller has waited for
         that try, and a second one uses the budget of all.
         """
-        choice = self._choose(call)
+        choice = self._choice(call)
         if choice is not None or call.tried:
             return choice
         held_bytes = call.request.length
@@ -232,94 +217,20 @@
         if not self._waits.has_room(body_bytes=held_bytes):
             return None
         with self._waits.place(body_bytes=held_bytes):
-            while choice is None and self._goes_on(call):
+            while choice is None and self._waits_on(call):
                 await asyncio.sleep(self._waits.look_s)
-                choice = self._choose(call)
+                choice = self._choice(call)
         return choice
 
-    def _goes_on(self, call: Call) -> bool:
-        """Whether a call that found no slot may wait for one."""
-        if not self._fleet.takers(call.service) or call.request.caller_gone:
-            return False
-        aim_s = call.route.aim_s
-        times = self._tries.run_times.expected(
-            route=call.route.name, aim_s=aim_s
-        )
-        return entry_waits.goes_on(
-            aim_s=aim_s,
-            shortest_aim_s=self._shortest_aim_s(call),
-            age_s=now_s() - call.request.arrived_s,
-            run_s=times.known_s,
-        )
-
-    def _shortest_aim_s(self, call: Call) -> float:
-        table = self._fleet.table
-        if table is None:
-            return call.route.aim_s
-        return table.shortest_aim_s(call.service)
-
-    def _choose(self, call: Call) -> Choice | None:
-        """Returns the upstream for a call, of the regions that may get it.
-
-        Requests that cannot run in their own region do not move to another
-        one: they are not counted as moves, and never held back.
-        """
-        if not self._fleet.may_stay(call.service, route=call.route):
-            return self._choose_without(call, frozenset())
-        limits = self._limits()
-        call.held_back = limits.barred
-        if limits.due:
-            others = self._fleet.regions() - {limits.due}
-            choice = self._choose_without(call, others)
-            if choice is not None and not choice.waits:
-                return choice
-        return self._choose_without(call, limits.barred)
+    def _choice(self, call: Call) -> Choice | None:
+        placed = self._placing.place(call.asked(), now_s=now_s())
+        call.held_back = placed.held_back
+        return placed.choice
 
-    def _limits(self) -> Limits:
-        version = self._fleet.takers_version
-        if version != self._takers_version:
-            self._takers_version = version
-            self._region_shares.note_disturbed(now_s=now_s())
-        return self._region_shares.limits(now_s=now_s())
-
-    def _choose_without(
-        self, call: Call, barred: frozenset[str]
-    ) -> Choice | None:
-        assert self._fleet.table is not None
-        services = self._fleet.table.configuration.services
-        now = now_s()
-        route = call.route
-        times = self._tries.run_times
-        aim_s = route.aim_s
-        wanted = Wanted(
-            route=route,
-            service=services.get(call.service),
-            tried=call.tried,
-            warm_places=times.warm_places(
-                service=call.service, key=call.key, now_s=now
-            ),
-            expected=times.expected(route=route.name, aim_s=aim_s),
-            service_s=times.service_s(service=call.service, default_s=aim_s),
-            use=self._fleet.use(call.service, now_s=now),
-            aim_left_s=call.request.arrived_s + aim_s - now,
-            left_s=call.left_s(),
-            round_trips_s=self._reaching.round_trips_s,
-            entry_names=self._fleet.entry_names,
-            joined=self._fleet.joined(now_s=now),
-            peers_heard=self._fleet.peers_heard,
-            barred_regions=barred,
-            now_s=now,
-            most_queue_s=entry_waits.most_queue_s(
-                aim_s=aim_s,
-                shortest_aim_s=self._shortest_aim_s(call),
-                age_s=now - call.request.arrived_s,
-            ),
-        )
-        return choose(
-            order=self._fleet.order(service=call.service, key=call.key),
-            wanted=wanted,
-            cold_starts=self._cold_starts,
-        )
+    def _waits_on(self, call: Call) -> bool:
+        if call.request.caller_gone:
+            return False
+        return self._placing.waits_on(call.asked(), now_s=now_s())
 
     def _second_try(self, call: Call) -> bool:
         now = now_s()
--- a/almondstair/gateway/tries.py
+++ b/almondstair/gateway/tries.py
@@ -38,11 +38,7 @@
 
 
 class Tries:
-    """Sends calls to upstreams.
-
-    Attributes:
-      run_times: how long requests run, learned from answers.
-    """
+    """Sends calls to upstreams, and learns from their answers."""
 
     def __init__(
         self,
@@ -53,6 +49,7 @@
         suspects: CrashSuspects,
         measures: Measures,
         reaching: Reaching,
+        run_times: RunTimes,
     ) -> None:
         """Makes the sender of one entry.
 
@@ -63,6 +60,7 @@
           suspects: requests that may crash upstreams.
           measures: counters and histograms.
           reaching: opens connections.
+          run_times: learns how long requests run.
         """
         self._fleet = fleet
         self._pool = pool
@@ -70,7 +68,7 @@
         self._suspects = suspects
         self._measures = measures
         self._reaching = reaching
-        self.run_times = RunTimes()
+        self._run_times = run_times
 
     async def send(self, call: Call, choice: Choice) -> Try:
         """Sends a call to the chosen upstream and judges what came back."""
@@ -151,7 +149,7 @@
             run_s=run_s, expected_s=choice.run_s + wait_s, now_s=now
         )
         if call.route.by_key:
-            self.run_times.note_served(
+            self._run_times.note_served(
                 service=call.service,
                 key=call.key,
                 incarnation=upstream.incarnation,
@@ -160,7 +158,7 @@
         if choice.waits:
             # How much of it was the wait is a guess, and would spoil the mean.
             return
-        self.run_times.note_run(
+        self._run_times.note_run(
             service=call.service,
             route=call.route.name,
             warm=choice.warm,
