Replay load patterns in virtual time with the real decisions

python -m emulator replay PATTERN: entries' own Fleet, Placing, RunTimes, plans and waits against modelled upstreams, callers and distances; mechanisms and constants can be changed for a run and are compared seed by seed. Learning from an answer moves to core/placing.py, so that both use it. No change of what is decided.

--- a/almondstair/core/entry_waits.py
+++ b/almondstair/core/entry_waits.py
@@ -56,13 +56,21 @@
     @contextlib.contextmanager
     def place(self, *, body_bytes: int) -> Iterator[None]:
         """Counts a request while it waits."""
-        self._waiting += 1
-        self._bytes += body_bytes
+        self.enter(body_bytes=body_bytes)
         try:
             yield
         finally:
-            self._waiting -= 1
-            self._bytes -= body_bytes
+            self.leave(body_bytes=body_bytes)
+
+    def enter(self, *, body_bytes: int) -> None:
+        """Counts a request that begins to wait."""
+        self._waiting += 1
+        self._bytes += body_bytes
+
+    def leave(self, *, body_bytes: int) -> None:
+        """Counts a request that waits no more."""
+        self._waiting -= 1
+        self._bytes -= body_bytes
 
 
 def patient(*, aim_s: float, shortest_aim_s: float) -> bool:
--- a/almondstair/core/placing.py
+++ b/almondstair/core/placing.py
@@ -19,6 +19,10 @@
 from almondstair.core.routing import Route
 from almondstair.core.run_times import RunTimes
 
+# When a caller that found no room comes back. A request runs for a few tenths
+# of a second, so a slot is free by then; later, less of its aim is left.
+NO_ROOM_RETRY_MS = 150
+
 
 class Asked(NamedTuple):
     """A request to be placed.
@@ -110,6 +114,40 @@
         """A try failed: its upstream's requests have to move."""
         self._region_shares.note_disturbed(now_s=now_s)
 
+    def note_run(
+        self, asked: Asked, choice: Choice, *, took_s: float, now_s: float
+    ) -> None:
+        """Learns from an answer how long requests run, and where.
+
+        Args:
+          asked: the request.
+          choice: the upstream that answered, and what was expected of it.
+          took_s: time from sending it to the whole answer, in seconds.
+          now_s: the entry's clock.
+        """
+        upstream = choice.upstream
+        way_s = self._round_trips_s.get(upstream.region, 0.0)
+        run_s = max(0.001, took_s - way_s)
+        upstream.note_run(
+            run_s=run_s, expected_s=choice.expected_s - way_s, now_s=now_s
+        )
+        if asked.route.by_key:
+            self._run_times.note_served(
+                service=asked.service,
+                key=asked.key,
+                incarnation=upstream.incarnation,
+                now_s=now_s,
+            )
+        if choice.waits:
+            # How much of it was the wait is a guess, and would spoil the mean.
+            return
+        self._run_times.note_run(
+            service=asked.service,
+            route=asked.route.name,
+            warm=choice.warm,
+            run_s=run_s,
+        )
+
     def waits_on(self, asked: Asked, *, now_s: float) -> bool:
         """Whether a request that found no slot may wait for one."""
         if not self._fleet.takers(asked.service):
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -142,7 +142,13 @@
             own_region=settings.region,
             regions=settings.zones.values(),
         )
-        run_times = RunTimes()
+        placing = Placing(
+            fleet=self._fleet,
+            run_times=RunTimes(),
+            region_shares=self._region_shares,
+            cold_starts=self._cold_starts,
+            round_trips_s=self._reaching.round_trips_s,
+        )
         tries = Tries(
             fleet=self._fleet,
             pool=self._pool,
@@ -150,14 +156,7 @@
             suspects=self._suspects,
             measures=self._measures,
             reaching=self._reaching,
-            run_times=run_times,
-        )
-        placing = Placing(
-            fleet=self._fleet,
-            run_times=run_times,
-            region_shares=self._region_shares,
-            cold_starts=self._cold_starts,
-            round_trips_s=self._reaching.round_trips_s,
+            placing=placing,
         )
         self._forwarder = Forwarder(
             fleet=self._fleet,
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -8,6 +8,7 @@
 from almondstair.core.crash_suspects import CrashSuspects
 from almondstair.core.entry_waits import EntryWaits
 from almondstair.core.fleet import Fleet
+from almondstair.core.placing import NO_ROOM_RETRY_MS
 from almondstair.core.placing import Placing
 from almondstair.core.routing import CallerLimits
 from almondstair.core.routing import WeightedTurns
@@ -42,9 +43,6 @@
 KNOW_WAIT_S = 1.0
 KNOW_SPAN_S = 2.0
 KNOW_POLL_S = 0.02
-# When a caller that found no room comes back. A request runs for a few tenths
-# of a second, so a slot is free by then; later, less of its aim is left.
-NO_ROOM_RETRY_MS = 150
 
 
 class Forwarder(RequestHandler):
--- a/almondstair/gateway/tries.py
+++ b/almondstair/gateway/tries.py
@@ -10,7 +10,7 @@
 from almondstair.core.crash_suspects import Strike
 from almondstair.core.fleet import Fleet
 from almondstair.core.incarnations import incarnation_hash
-from almondstair.core.run_times import RunTimes
+from almondstair.core.placing import Placing
 from almondstair.gateway.calls import Call
 from almondstair.gateway.calls import Try
 from almondstair.gateway.calls import Verdict
@@ -49,7 +49,7 @@
         suspects: CrashSuspects,
         measures: Measures,
         reaching: Reaching,
-        run_times: RunTimes,
+        placing: Placing,
     ) -> None:
         """Makes the sender of one entry.
 
@@ -60,7 +60,7 @@
           suspects: requests that may crash upstreams.
           measures: counters and histograms.
           reaching: opens connections.
-          run_times: learns how long requests run.
+          placing: learns how long requests run.
         """
         self._fleet = fleet
         self._pool = pool
@@ -68,7 +68,7 @@
         self._suspects = suspects
         self._measures = measures
         self._reaching = reaching
-        self._run_times = run_times
+        self._placing = placing
 
     async def send(self, call: Call, choice: Choice) -> Try:
         """Sends a call to the chosen upstream and judges what came back."""
@@ -137,33 +137,10 @@
         finally:
             self._measures.run_s.labels(call.service).observe(now_s() - began_s)
             if answered:
-                self._note_run(call, choice, now_s() - began_s)
-
-    def _note_run(self, call: Call, choice: Choice, took_s: float) -> None:
-        upstream = choice.upstream
-        now = now_s()
-        way_s = self._reaching.round_trips_s.get(upstream.region, 0.0)
-        wait_s = choice.expected_s - choice.run_s - way_s
-        run_s = max(0.001, took_s - way_s)
-        upstream.note_run(
-            run_s=run_s, expected_s=choice.run_s + wait_s, now_s=now
-        )
-        if call.route.by_key:
-            self._run_times.note_served(
-                service=call.service,
-                key=call.key,
-                incarnation=upstream.incarnation,
-                now_s=now,
-            )
-        if choice.waits:
-            # How much of it was the wait is a guess, and would spoil the mean.
-            return
-        self._run_times.note_run(
-            service=call.service,
-            route=call.route.name,
-            warm=choice.warm,
-            run_s=run_s,
-        )
+                now = now_s()
+                self._placing.note_run(
+                    call.asked(), choice, took_s=now - began_s, now_s=now
+                )
 
     async def _exchange(
         self, call: Call, choice: Choice, connection: UpstreamConnection
--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -63,6 +63,33 @@
             rounds=rounds,
         )
 
+    def replay(
+        self,
+        *patterns: str,
+        seeds: int = 20,
+        without: str | tuple[str, ...] = (),
+        constants: str | tuple[str, ...] = (),
+        jobs: int = 4,
+    ) -> None:
+        """Replays load patterns in virtual time with the real decisions.
+
+        Args:
+          *patterns: paths of pattern files; see emulator/patterns.
+          seeds: how many plays of each, side by side.
+          without: mechanisms to do without, separated by commas; the table then
+            compares with and without, seed by seed.
+          constants: other values for constants of almondstair.core, separated
+            by commas, as `choosing.CROWDED_USE=0.9`.
+          jobs: processes that play at a time.
+        """
+        importlib.import_module("emulator.replaying").replay(
+            patterns,
+            seeds=seeds,
+            without=_names(without),
+            constants=_names(constants),
+            jobs=jobs,
+        )
+
     def store(self, address: str, views: dict[str, str] | None = None) -> None:
         """Serves an empty key-value store.
 
@@ -91,6 +118,12 @@
         upstream_process.main(address, store, plan, announce)
 
 
+def _names(given: str | tuple[str, ...]) -> list[str]:
+    """Returns what was given, separated by commas or as a list."""
+    names = given.split(",") if isinstance(given, str) else given
+    return [name for name in names if name]
+
+
 def _comparing() -> Any:
     """Returns what compares; upstreams start without its plots' library."""
     return importlib.import_module("emulator.comparing")
--- /dev/null
+++ b/emulator/modelled_entry.py
@@ -0,0 +1,177 @@
+"""An entry in virtual time: the real decisions, without connections."""
+
+from collections.abc import Iterable, Mapping
+
+from almondstair.core.cold_starts import ColdStarts
+from almondstair.core.entry_waits import EntryWaits
+from almondstair.core.fleet import Fleet
+from almondstair.core.placement_plan import Plan
+from almondstair.core.placing import Placing
+from almondstair.core.region_shares import RegionShares
+from almondstair.core.registered import Entry
+from almondstair.core.routing import CallerLimits
+from almondstair.core.routing import Destination
+from almondstair.core.routing import Route
+from almondstair.core.routing import RouteKind
+from almondstair.core.routing import RoutingConfiguration
+from almondstair.core.routing import ServiceRule
+from almondstair.core.run_times import RunTimes
+from almondstair.core.upstream_state import UpstreamRecord
+from almondstair.core.upstream_state import UpstreamState
+from emulator.load_pattern import Kind
+from emulator.load_pattern import Pattern
+
+# The operators' bounds where a pattern has none of its own.
+MOST_REGION_CHANGE = 0.15
+COLD_OVER = 1.5
+COLD_SLACK = 5.0
+ATTEMPTS = 2
+_LIMITS = CallerLimits(16_384, 1 << 20, 3.0, 15.0)
+
+
+def _route(kind: Kind) -> Route:
+    return Route(
+        name=kind.name,
+        hostname="replay",
+        prefix=f"/{kind.name}/",
+        kind=RouteKind.SAFE if kind.repeatable else RouteKind.UNSAFE,
+        aim_s=kind.aim_s,
+        timeout_s=kind.deadline_s,
+        attempts=ATTEMPTS,
+        priority=kind.priority,
+        by_key=True,
+        destinations=(Destination(kind.service, 1),),
+        allowed_regions=(),
+    )
+
+
+def _configuration(pattern: Pattern) -> RoutingConfiguration:
+    rules = {}
+    for service in pattern.services:
+        rules[service.name] = ServiceRule(service.name, "/", 1000, 0.0, 0.0)
+    routes = tuple(_route(kind) for kind in pattern.kinds)
+    return RoutingConfiguration(1, _LIMITS, routes, rules)
+
+
+class ModelledEntry:
+    """One entry's knowledge and decisions.
+
+    Attributes:
+      name: its name.
+      region: where it stands.
+      routes: the route of each kind of request.
+      placing: decides where requests go.
+      waits: what waits at it.
+    """
+
+    def __init__(
+        self, *, name: str, region: str, pattern: Pattern, names: Iterable[str]
+    ) -> None:
+        """Starts with the upstreams known and nothing learned.
+
+        Args:
+          name: its name.
+          region: where it stands.
+          pattern: what is played.
+          names: names of all entries.
+        """
+        self.name = name
+        self.region = region
+        self._pattern = pattern
+        self._names = tuple(names)
+        self.routes: dict[str, Route] = {}
+        self.restart()
+
+    def restart(self) -> None:
+        """Forgets everything that was learned."""
+        zones = {region: region for region in self._pattern.regions}
+        self._fleet = Fleet(
+            own_name=self.name, own_region=self.region, zones=zones
+        )
+        configuration = _configuration(self._pattern)
+        self._fleet.take_configuration(configuration)
+        for route in configuration.routes:
+            self.routes[route.name] = route
+        for record in upstream_records(self._pattern):
+            self._fleet.take_upstream(record, now_s=0.0)
+        self._fleet.mark_loaded()
+        for other in self._names:
+            self._fleet.take_entry(Entry(other, "", "", "", ""))
+        self._told: dict[str, int] = {}
+        round_trips_s = {}
+        for region in self._pattern.regions:
+            if region != self.region:
+                round_trips_s[region] = self._pattern.round_trip_s
+        self.placing = Placing(
+            fleet=self._fleet,
+            run_times=RunTimes(),
+            region_shares=RegionShares(
+                own_region=self.region, most_change=MOST_REGION_CHANGE
+            ),
+            cold_starts=ColdStarts(
+                own_name=self.name, over=COLD_OVER, slack=COLD_SLACK
+            ),
+            round_trips_s=round_trips_s,
+        )
+        self.waits = EntryWaits()
+
+    def upstream(self, name: str) -> UpstreamState | None:
+        """Returns what it believes of an upstream."""
+        for state in self._fleet.upstreams():
+            if state.record.upstream_id == name:
+                return state
+        return None
+
+    def loads(self) -> dict[str, int]:
+        """Returns how many requests it has at each upstream."""
+        found = {}
+        for state in self._fleet.upstreams():
+            if state.in_flight:
+                found[state.record.upstream_id] = state.in_flight
+        return found
+
+    def hear(
+        self, total: Mapping[str, int], own: Mapping[str, int], plan: Plan
+    ) -> None:
+        """Takes everybody's loads, less what of them is its own."""
+        self._fleet.peers_heard = True
+        for state in self._fleet.upstreams():
+            name = state.record.upstream_id
+            state.others = max(0, total.get(name, 0) - own.get(name, 0))
+        self._fleet.take_plan(plan)
+
+    def takers(self) -> dict[str, list[UpstreamState]]:
+        """Returns the upstreams that may get work, by service."""
+        found = {}
+        for service in self._fleet.services():
+            found[service] = self._fleet.takers(service)
+        return found
+
+    def evacuate(self, region: str, *, now_s: float) -> None:
+        """Gives a region's upstreams nothing."""
+        self._fleet.evacuate(region, now_s=now_s)
+
+    def take_back(self, region: str, *, now_s: float) -> None:
+        """Uses a region's upstreams again."""
+        self._fleet.take_back(region, now_s=now_s)
+
+
+def upstream_records(pattern: Pattern) -> list[UpstreamRecord]:
+    """Returns the registrations of a pattern's upstreams."""
+    found = []
+    for service in pattern.services:
+        for region, count in service.upstreams.items():
+            for number in range(count):
+                name = f"{service.name}-{region}-{number}"
+                record = UpstreamRecord(
+                    upstream_id=name,
+                    service=service.name,
+                    address=name,
+                    availability_zone=region,
+                    software_version="",
+                    slots=service.slots,
+                    draining=False,
+                    cold_left_s=0.0,
+                )
+                found.append(record)
+    return found
--- /dev/null
+++ b/emulator/replaying.py
@@ -0,0 +1,137 @@
+"""The command that replays patterns over seeds and prints what came of it."""
+
+from collections.abc import Iterable
+from concurrent import futures
+import math
+from pathlib import Path
+import statistics
+import sys
+from typing import NamedTuple
+
+from rich.console import Console
+from rich.table import Table
+
+from almondstair.errors import AlmondstairError
+from emulator import load_pattern
+from emulator import replay_switches
+from emulator.load_pattern import Pattern
+from emulator.replay import Replay
+from emulator.replay_outcome import Outcome
+from emulator.replay_switches import Constant
+
+USAGE_CODE = 2
+
+
+class Comparison(NamedTuple):
+    """A figure over seeds, as it is and with other constants.
+
+    Attributes:
+      name: what it is.
+      mean: its mean as it is.
+      changed: its mean with other constants; the same where there are none.
+      error: standard error of the difference, seed by seed.
+    """
+
+    name: str
+    mean: float
+    changed: float
+    error: float
+
+
+def play(
+    pattern: Pattern, *, seeds: int, constants: tuple[Constant, ...], jobs: int
+) -> list[Outcome]:
+    """Plays a pattern with the seeds from 1 on, side by side."""
+    numbers = range(1, seeds + 1)
+    if jobs == 1:
+        return [_play_one(pattern, seed, constants) for seed in numbers]
+    with futures.ProcessPoolExecutor(jobs) as pool:
+        waiting = []
+        for seed in numbers:
+            waiting.append(pool.submit(_play_one, pattern, seed, constants))
+        return [future.result() for future in waiting]
+
+
+def _play_one(
+    pattern: Pattern, seed: int, constants: tuple[Constant, ...]
+) -> Outcome:
+    with replay_switches.using(constants):
+        return Replay(pattern, seed=seed).play()
+
+
+def compare(
+    outcomes: list[Outcome], changed: list[Outcome]
+) -> list[Comparison]:
+    """Returns the figures of two lists of plays with the same seeds."""
+    figures = [("credit", [outcome.credit for outcome in outcomes])]
+    others = [[outcome.credit for outcome in changed]]
+    figures.append(("worst kind", [one.worst_kind for one in outcomes]))
+    others.append([one.worst_kind for one in changed])
+    for kind in outcomes[0].kinds:
+        figures.append((kind, [one.kinds[kind].credit for one in outcomes]))
+        others.append([one.kinds[kind].credit for one in changed])
+    figures.append(("new runs", [one.new_runs / one.runs for one in outcomes]))
+    others.append([one.new_runs / one.runs for one in changed])
+    figures.append(("places a key", [one.places for one in outcomes]))
+    others.append([one.places for one in changed])
+    rows = []
+    for (name, values), after in zip(figures, others, strict=True):
+        rows.append(_comparison(name, values, after))
+    return rows
+
+
+def _comparison(
+    name: str, values: list[float], changed: list[float]
+) -> Comparison:
+    differences = []
+    for before, after in zip(values, changed, strict=True):
+        differences.append(after - before)
+    error = 0.0
+    if len(differences) > 1:
+        error = statistics.stdev(differences) / math.sqrt(len(differences))
+    return Comparison(
+        name, statistics.fmean(values), statistics.fmean(changed), error
+    )
+
+
+def replay(
+    patterns: Iterable[str],
+    *,
+    seeds: int,
+    without: list[str],
+    constants: list[str],
+    jobs: int,
+) -> None:
+    """Replays patterns and prints a table for each."""
+    try:
+        changed = replay_switches.without(without)
+        changed += replay_switches.parse(constants)
+        loaded = [(path, load_pattern.load(Path(path))) for path in patterns]
+    except AlmondstairError as error:
+        print(f"emulator: {error.detail}", file=sys.stderr)
+        sys.exit(USAGE_CODE)
+    for path, pattern in loaded:
+        outcomes = play(pattern, seeds=seeds, constants=(), jobs=jobs)
+        others = outcomes
+        if changed:
+            others = play(pattern, seeds=seeds, constants=changed, jobs=jobs)
+        title = f"{Path(path).stem}, {seeds} seeds: {pattern.shows}"
+        _print(title, compare(outcomes, others), bool(changed))
+
+
+def _print(title: str, rows: list[Comparison], with_change: bool) -> None:
+    console = Console(width=100)
+    console.print(title)
+    table = Table()
+    table.add_column("figure")
+    table.add_column("mean", justify="right")
+    if with_change:
+        table.add_column("changed", justify="right")
+        table.add_column("difference", justify="right")
+    for row in rows:
+        cells = [row.name, f"{row.mean:.3f}"]
+        if with_change:
+            difference = f"{row.changed - row.mean:+.3f} ± {row.error:.3f}"
+            cells += [f"{row.changed:.3f}", difference]
+        table.add_row(*cells)
+    console.print(table)
