--- /dev/null
+++ b/features/replay.feature
@@ -0,0 +1,58 @@
+Feature: Load patterns are replayed in virtual time by the real decisions
+
+  Scenario Outline: A wrong pattern is told by file, place and remedy
+    When a pattern is read with <change>
+    Then the error names the file and "<words>"
+
+    Examples:
+      | change                      | words                      |
+      | an unknown key              | unknown field `sloots`     |
+      | a kind of no service        | no service 'nothing'       |
+      | upstreams in no region      | no region 'nowhere'        |
+      | a trouble that is not known | Invalid enum value 'flood' |
+      | a text in place of a number | Expected `float`           |
+
+  Scenario: Every pattern is read and says what it shows
+    Then each pattern of emulator/patterns is read, a dozen at least
+
+  Scenario: A seed gives the same play again, and every request ends
+    When "burst" is replayed twice with seed 3 and once with seed 4
+    Then the first two plays are equal, and the third is another
+    And each kind of request was asked for within a tenth of its rate
+    And as many requests ended as were asked for
+
+  Scenario Outline: What is played is limited as the pattern says
+    When "<pattern>" is replayed with seeds 1 to 3
+    Then <limit>
+
+    Examples:
+      | pattern      | limit                                                 |
+      | steady       | the credit is at least 0.95                           |
+      | burst-at-2-4 | no more was answered than the slots can run           |
+      | start        | at least as many runs were new as objects ran         |
+
+  Scenario: A mechanism is only off while it is asked for
+    When the mechanism "crowding" is switched off for a while
+    Then its constant has another value meanwhile and its own one afterwards
+    And each mechanism names constants that there are
+
+  Scenario Outline: A change that cannot be made is told
+    When a replay is asked for with <change>
+    Then it ends with exit code 2 and says "<words>"
+
+    Examples:
+      | change                              | words                       |
+      | --without=nothing                   | no mechanism nothing        |
+      | --constants=choosing.NOTHING=1      | choosing.NOTHING=1          |
+      | --constants=choosing.CROWDED_USE=x  | choosing.CROWDED_USE=x      |
+
+  # Each of these replays the load that a mechanism answers, and fails without it.
+  Scenario Outline: A mechanism is worth something under the load that it answers
+    When "<pattern>" is replayed with seeds 1 to 8, with and without "<mechanism>"
+    Then the <figure> is higher with it by at least <least>
+
+    Examples:
+      | pattern                 | mechanism        | figure     | least |
+      | short-and-long-at-1-5   | entry-waits      | worst kind | 0.05  |
+      | shift-beside-free-slots | moves-of-keys    | credit     | 0.02  |
+      | burst-at-2-4            | admission-by-aim | credit     | 0.05  |
--- /dev/null
+++ b/features/steps/replay_steps.py
@@ -0,0 +1,198 @@
+"""Steps for replays of load patterns."""
+
+import contextlib
+import importlib
+import io
+from pathlib import Path
+import tempfile
+
+from behave import then
+from behave import when
+
+from almondstair.core import choosing
+from almondstair.errors import AlmondstairError
+from emulator import load_pattern
+from emulator import replay_switches
+from emulator import replaying
+from emulator.replay import Replay
+
+_PATTERNS = Path(__file__).resolve().parents[2] / "emulator" / "patterns"
+_DOZEN = 12
+_CHANGES = {
+    "an unknown key": ("slots = 6", "sloots = 6"),
+    "a kind of no service": ('service = "short"', 'service = "nothing"'),
+    "upstreams in no region": ("upstreams = { r0", "upstreams = { nowhere"),
+    "a trouble that is not known": ('what = "burst"', 'what = "flood"'),
+    "a text in place of a number": ("span_s = 24.0", 'span_s = "long"'),
+}
+
+
+def _load(name):
+    return load_pattern.load(_PATTERNS / f"{name}.toml")
+
+
+@when("a pattern is read with {change}")
+def step_read(context, change):
+    text = (_PATTERNS / "burst.toml").read_text(encoding="utf-8")
+    old, new = _CHANGES[change]
+    assert old in text, old
+    context.error = None
+    with tempfile.TemporaryDirectory() as directory:
+        context.path = Path(directory) / "pattern.toml"
+        context.path.write_text(text.replace(old, new), encoding="utf-8")
+        try:
+            load_pattern.load(context.path)
+        except AlmondstairError as error:
+            context.error = error
+
+
+@then("each pattern of emulator/patterns is read, a dozen at least")
+def step_all_read(context):
+    paths = sorted(_PATTERNS.glob("*.toml"))
+    assert len(paths) >= _DOZEN, paths
+    for path in paths:
+        assert load_pattern.load(path).shows, path
+
+
+@when(
+    '"{name}" is replayed twice with seed {one:d} and once with seed {other:d}'
+)
+def step_twice(context, name, one, other):
+    context.pattern = _load(name)
+    context.plays = []
+    for seed in (one, one, other):
+        context.plays.append(Replay(context.pattern, seed=seed).play())
+
+
+@then("the first two plays are equal, and the third is another")
+def step_equal(context):
+    first, again, other = context.plays
+    assert first == again
+    assert first != other
+
+
+def _expected(pattern, kind):
+    """Returns how many requests of a kind come after the warm-up."""
+    count = kind.per_s * (pattern.span_s - pattern.warm_up_s)
+    for trouble in pattern.troubles:
+        if trouble.what == "burst" and trouble.kind in ("", kind.name):
+            count += kind.per_s * (trouble.times - 1) * trouble.for_s
+    return count
+
+
+@then("each kind of request was asked for within a tenth of its rate")
+def step_rates(context):
+    for play in context.plays:
+        for kind in context.pattern.kinds:
+            expected = _expected(context.pattern, kind)
+            asked = play.kinds[kind.name].asked
+            assert 0.9 * expected < asked < 1.1 * expected, (asked, expected)
+
+
+@then("as many requests ended as were asked for")
+def step_all_ended(context):
+    for play in context.plays:
+        for kind in play.kinds.values():
+            ended = kind.in_aim + kind.late + kind.refused + kind.failed
+            assert ended == kind.asked, kind
+
+
+@when('"{name}" is replayed with seeds 1 to {last:d}')
+def step_seeds(context, name, last):
+    context.pattern = _load(name)
+    context.plays = replaying.play(
+        context.pattern, seeds=last, constants=(), jobs=1
+    )
+
+
+@then("the credit is at least {least:g}")
+def step_credit(context, least):
+    for play in context.plays:
+        assert play.credit >= least, play
+
+
+@then("no more was answered than the slots can run")
+def step_capacity(context):
+    pattern = context.pattern
+    slots = 0
+    for service in pattern.services:
+        slots += service.slots * sum(service.upstreams.values())
+    quickest_s = min(kind.known_s for kind in pattern.kinds)
+    # The last ones end after the span, and upstreams differ in speed.
+    span_s = pattern.span_s + max(kind.deadline_s for kind in pattern.kinds)
+    for play in context.plays:
+        assert play.runs < 1.5 * slots * span_s / quickest_s, play
+
+
+@then("at least as many runs were new as objects ran")
+def step_new_runs(context):
+    for play in context.plays:
+        assert play.new_runs >= play.places, play
+        assert play.new_runs > 0.01 * play.runs, play
+
+
+@when('the mechanism "{name}" is switched off for a while')
+def step_off(context, name):
+    constants = replay_switches.without([name])
+    context.before = choosing.CROWDED_USE
+    with replay_switches.using(constants):
+        context.meanwhile = choosing.CROWDED_USE
+
+
+@then("its constant has another value meanwhile and its own one afterwards")
+def step_own(context):
+    assert context.meanwhile != context.before
+    assert context.before == choosing.CROWDED_USE
+
+
+@then("each mechanism names constants that there are")
+def step_there(context):
+    for constants in replay_switches.MECHANISMS.values():
+        for constant in constants:
+            module = importlib.import_module(
+                f"almondstair.core.{constant.module}"
+            )
+            assert isinstance(getattr(module, constant.name), int | float)
+
+
+@when("a replay is asked for with {change}")
+def step_asked(context, change):
+    name, _, value = change.partition("=")
+    wanted = {"--without": "without", "--constants": "constants"}[name]
+    given = {"without": [], "constants": []} | {wanted: [value]}
+    context.said = io.StringIO()
+    context.code = 0
+    with contextlib.redirect_stderr(context.said):
+        try:
+            replaying.replay((), seeds=1, jobs=1, **given)
+        except SystemExit as end:
+            context.code = end.code
+
+
+@then('it ends with exit code {code:d} and says "{words}"')
+def step_said(context, code, words):
+    assert context.code == code, context.code
+    assert words in context.said.getvalue(), context.said.getvalue()
+
+
+@when(
+    '"{name}" is replayed with seeds 1 to {last:d}, with and without '
+    '"{mechanism}"'
+)
+def step_with_and_without(context, name, last, mechanism):
+    pattern = _load(name)
+    constants = replay_switches.without([mechanism])
+    played = []
+    for changed in ((), constants):
+        played.append(
+            replaying.play(pattern, seeds=last, constants=changed, jobs=2)
+        )
+    context.rows = {}
+    for row in replaying.compare(*played):
+        context.rows[row.name] = row
+
+
+@then("the {figure} is higher with it by at least {least:g}")
+def step_higher(context, figure, least):
+    row = context.rows[figure]
+    assert row.mean - row.changed >= least, row
