--- a/almondstair/batching.py
+++ b/almondstair/batching.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from almondstair.platform import base
+from almondstair.key_value import base
 
 MAX_BATCH_BYTES = 512 << 10
 """Most bytes of values in a batch; etcd refuses requests over 1.5 MiB."""
--- a/almondstair/claims.py
+++ b/almondstair/claims.py
@@ -16,7 +16,7 @@
 from almondstair.core.outage import OutageGate
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
-from almondstair.platform import base
+from almondstair.key_value import base
 from almondstair.settling import Settling
 
 LEASE_PERIOD_S = 3600.0
--- a/almondstair/core/ledger.py
+++ b/almondstair/core/ledger.py
@@ -20,7 +20,7 @@
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.errors import Ran
-from almondstair.platform import base
+from almondstair.key_value import base
 
 KEY_PREFIX = "almondstair/claims/"
 RECORD_FORMAT = 1
--- a/almondstair/entry.py
+++ b/almondstair/entry.py
@@ -41,6 +41,8 @@
 from almondstair.heartbeats import Heartbeats
 from almondstair.joining import Joining
 from almondstair.joining import JoiningParts
+from almondstair.key_value.etcd import EtcdService
+from almondstair.key_value.etcd import HttpVmList
 from almondstair.leaving import Leaving
 from almondstair.leaving import LeavingParts
 from almondstair.link_shares import LinkShares
@@ -53,8 +55,6 @@
 from almondstair.operators import OperatorServer
 from almondstair.pacing import LinkPacers
 from almondstair.peers import Peers
-from almondstair.platform.etcd import EtcdService
-from almondstair.platform.etcd import HttpVmList
 from almondstair.probing import Prober
 from almondstair.running import Core
 from almondstair.running import Runner
--- a/almondstair/platform/etcd.py
+++ b/almondstair/key_value/etcd.py
@@ -8,20 +8,20 @@
 
 import msgspec
 
-from almondstair.platform import base
-from almondstair.platform.etcd_calls import EtcdCaller
-from almondstair.platform.etcd_watch import EtcdWatch
-from almondstair.platform.etcd_wire import LeaseAnswer
-from almondstair.platform.etcd_wire import RangeAnswer
-from almondstair.platform.etcd_wire import TxnAnswer
-from almondstair.platform.etcd_wire import WireVmList
-from almondstair.platform.etcd_wire import cas_result
-from almondstair.platform.etcd_wire import conditional
-from almondstair.platform.etcd_wire import prefix_end
-from almondstair.platform.etcd_wire import put_operation
-from almondstair.platform.etcd_wire import to_record
-from almondstair.platform.etcd_wire import to_revision
-from almondstair.platform.etcd_wire import to_wire
+from almondstair.key_value import base
+from almondstair.key_value.etcd_calls import EtcdCaller
+from almondstair.key_value.etcd_watch import EtcdWatch
+from almondstair.key_value.etcd_wire import LeaseAnswer
+from almondstair.key_value.etcd_wire import RangeAnswer
+from almondstair.key_value.etcd_wire import TxnAnswer
+from almondstair.key_value.etcd_wire import WireVmList
+from almondstair.key_value.etcd_wire import cas_result
+from almondstair.key_value.etcd_wire import conditional
+from almondstair.key_value.etcd_wire import prefix_end
+from almondstair.key_value.etcd_wire import put_operation
+from almondstair.key_value.etcd_wire import to_record
+from almondstair.key_value.etcd_wire import to_revision
+from almondstair.key_value.etcd_wire import to_wire
 
 _HTTP_OK = 200
 
--- a/almondstair/platform/etcd_calls.py
+++ b/almondstair/key_value/etcd_calls.py
@@ -14,7 +14,7 @@
 from almondstair.http_client import HttpClient
 from almondstair.http_client import Sent
 from almondstair.http_messages import ResponseHead
-from almondstair.platform import base
+from almondstair.key_value import base
 
 MAX_CALLS = 32
 """Calls under way at once; further ones wait here, within their timeout."""
--- a/almondstair/platform/etcd_watch.py
+++ b/almondstair/key_value/etcd_watch.py
@@ -14,14 +14,14 @@
 from almondstair.http_client import AnswerSink
 from almondstair.http_client import HttpClient
 from almondstair.http_messages import ResponseHead
-from almondstair.platform import base
-from almondstair.platform.etcd_wire import WatchLine
-from almondstair.platform.etcd_wire import WatchResult
-from almondstair.platform.etcd_wire import WireEvent
-from almondstair.platform.etcd_wire import prefix_end
-from almondstair.platform.etcd_wire import to_record
-from almondstair.platform.etcd_wire import to_revision
-from almondstair.platform.etcd_wire import to_wire
+from almondstair.key_value import base
+from almondstair.key_value.etcd_wire import WatchLine
+from almondstair.key_value.etcd_wire import WatchResult
+from almondstair.key_value.etcd_wire import WireEvent
+from almondstair.key_value.etcd_wire import prefix_end
+from almondstair.key_value.etcd_wire import to_record
+from almondstair.key_value.etcd_wire import to_revision
+from almondstair.key_value.etcd_wire import to_wire
 
 WATCH_LIFETIME_S = 60.0
 RECONNECT_FIRST_S = 0.2
--- a/almondstair/platform/etcd_wire.py
+++ b/almondstair/key_value/etcd_wire.py
@@ -7,7 +7,7 @@
 import base64
 from typing import Any, TypedDict
 
-from almondstair.platform import base
+from almondstair.key_value import base
 
 
 class WireHeader(TypedDict, total=False):
--- a/almondstair/platform/__init__.py
+++ b/almondstair/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's key-value service and VM list."""
+"""How the gateway's platform speaks: names, formats and calls, no decisions."""
--- a/almondstair/settling.py
+++ b/almondstair/settling.py
@@ -6,7 +6,7 @@
 
 from almondstair import log
 from almondstair.core import ledger
-from almondstair.platform import base
+from almondstair.key_value import base
 
 # Outcomes that are kept while the service is out, and the bytes of their
 # answers; an eighth of the 128 MB that an entry may take.
--- a/almondstair/store.py
+++ b/almondstair/store.py
@@ -36,10 +36,10 @@
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.errors import Ran
-from almondstair.platform.base import KeyValueService
-from almondstair.platform.base import PlatformError
-from almondstair.platform.base import PlatformFailure
-from almondstair.platform.base import Record
+from almondstair.key_value.base import KeyValueService
+from almondstair.key_value.base import PlatformError
+from almondstair.key_value.base import PlatformFailure
+from almondstair.key_value.base import Record
 from almondstair.store_follower import Follower
 
 DEFAULT_PREFIX = "almondstair/"
--- a/almondstair/store_follower.py
+++ b/almondstair/store_follower.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 import logging
 
-from almondstair.platform.base import KeyValueService
-from almondstair.platform.base import PlatformError
-from almondstair.platform.base import Record
-from almondstair.platform.base import Watch
-from almondstair.platform.base import WatchNotice
+from almondstair.key_value.base import KeyValueService
+from almondstair.key_value.base import PlatformError
+from almondstair.key_value.base import Record
+from almondstair.key_value.base import Watch
+from almondstair.key_value.base import WatchNotice
 
 _log = logging.getLogger(__name__)
 
--- a/almondstair/table_keeper.py
+++ b/almondstair/table_keeper.py
@@ -11,8 +11,8 @@
 from almondstair.core.membership_records import VmObservation
 from almondstair.core.table_plans import TablePlans
 from almondstair.errors import AlmondstairError
-from almondstair.platform.base import VmList
-from almondstair.platform.base import VmState
+from almondstair.key_value.base import VmList
+from almondstair.key_value.base import VmState
 from almondstair.store import EntryTableStore
 from almondstair.watch_turns import WatchTurns
 
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -31,7 +31,7 @@
 from almondstair.claims import Claims
 from almondstair.core import ledger
 from almondstair.errors import AlmondstairError
-from almondstair.platform.etcd import EtcdService
+from almondstair.key_value.etcd import EtcdService
 
 ADDRESS = "127.0.0.1:29117"
 STANDIN = "features/support/platform_standin.py"
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -12,7 +12,7 @@
 from almondstair import settling
 from almondstair.core import ledger
 from almondstair.errors import AlmondstairError
-from almondstair.platform import base
+from almondstair.key_value import base
 from features.support.memory_service import Fault
 from features.support.memory_service import MemoryService
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -9,9 +9,9 @@
 from behave import when
 from tornado import web
 
-from almondstair.platform import base
-from almondstair.platform import etcd
-from almondstair.platform import etcd_calls
+from almondstair.key_value import base
+from almondstair.key_value import etcd
+from almondstair.key_value import etcd_calls
 from features.support import harness
 
 KEY = "a/key"
--- a/features/support/memory_platform.py
+++ b/features/support/memory_platform.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
-from almondstair.platform import base
+from almondstair.key_value import base
 from features.support.memory_service import MemoryService
 
 
--- a/features/support/memory_service.py
+++ b/features/support/memory_service.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 import enum
 
-from almondstair.platform import base
+from almondstair.key_value import base
 
 
 class Fault(enum.StrEnum):
