--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,31 +1,29 @@
-"""The main job on loopback: Tallow Brae's example with stand-ins.
+"""The main job on loopback: gateways between callers and upstreams.
 
-Starts the platform and upstream stand-ins and the eight entries of
-examples/tallow-brae as separate processes, sends a few requests of each class,
-marks a VM as leaving, shows a trace and the status table, and stops all.
+Starts the platform's store, four upstreams and three gateways in two regions as
+separate processes, sends requests of each kind, replaces an upstream, ends one
+without a word, tells the story of a request, and stops all gracefully.
 """
 
-import json
-from pathlib import Path
-import shutil
+import signal
 import sys
 import time
-import tomllib
-from typing import Any
 
-from features.support.harness import ROOT
-from features.support.harness import SUPPORT
+from emulator.documents import route
+from features.support import harness
+from features.support import operator_tool
+from features.support.gateway_world import GatewayWorld
+from features.support.harness import Answer
 from features.support.harness import Processes
-from features.support.harness import get
-from features.support.harness import send
-from features.support.harness import wait_until
 
-EXAMPLE = ROOT / "examples" / "tallow-brae"
-READY_LIMIT_S = 60.0
-SMALL_UPLOAD_BYTES = 200_000
-STATEMENT_BYTES = 300_000
-RECORDED_S = 0.5
-LEAVING_UPSTREAM = "matching-se1-1"
+# Names and availability zones; see `gateway_world` for the zones' regions.
+UPSTREAMS = {"u1": "a1", "u2": "a2", "u3": "a1", "u4": "b1"}
+GATEWAYS = {"g1": "a1", "g2": "a2", "g3": "b1"}
+WORK_S = 0.06
+UPLOAD_BYTES = 200_000
+# Longest time until a gateway has read that an upstream leaves.
+LEAVING_LIMIT_S = 3.0
+STOP_LIMIT_S = 30.0
 
 
 class Demo:
@@ -33,235 +31,132 @@
 
     def __init__(self, *, processes: Processes) -> None:
         """Prepares; `run` does the work."""
-        self.processes = processes
-        self.directory = processes.directory
-        self.entries: dict[str, dict[str, Any]] = {}
-        self.deployment: dict[str, Any] = {}
+        self._processes = processes
+        self._world = GatewayWorld(processes=processes)
+        self._objects: dict[str, str] = {}
 
     def run(self) -> None:
         """Starts everything, shows it at work, and stops it."""
-        self.start()
-        self.show_lookup()
-        self.show_requests()
-        self.show_leaving()
-        self.show_trace()
-        self.show_status()
-        self.stop()
-
-    def start(self) -> None:
-        """Starts the platform, the upstreams and the entries."""
-        say("starting the platform, 28 upstreams and 8 entries ...")
+        self._start()
+        self._show_look_up()
+        request = self._show_requests()
+        self._show_leaving()
+        self._show_end()
+        self._show_story(request)
+        self._show_status()
+        self._stop()
+
+    def _start(self) -> None:
+        say(f"starting the store, {len(UPSTREAMS)} upstreams, 3 gateways ...")
         began_s = time.monotonic()
-        text = (EXAMPLE / "deployment.toml").read_text(encoding="utf-8")
-        self.deployment = tomllib.loads(text)
-        shutil.copy(EXAMPLE / "deployment.toml", self.directory)
-        for path in sorted(EXAMPLE.glob("entry-*.toml")):
-            self._prepare_entry(path)
-        self._start_platform()
-        self._start_upstreams()
-        for name in self.entries:
-            settings = str(self.directory / f"{name}.toml")
-            self.processes.start(
-                name, "-m", "almondstair.daemon", "--settings", settings
-            )
-        wait_until(self._is_ready, limit_s=READY_LIMIT_S, what="the entries")
+        for name, zone in UPSTREAMS.items():
+            self._world.start_upstream(name, zone=zone, work_s=WORK_S)
+        routes = [
+            route("/safe/"),
+            route("/unsafe/", kind="unsafe"),
+            route("/upload/", kind="upload"),
+            route("/download/", kind="download"),
+        ]
+        self._world.configure(routes)
+        for name, zone in GATEWAYS.items():
+            self._world.start_gateway(name, zone)
+        for name in GATEWAYS:
+            self._world.until_served(gateway=name)
         say(f"ready after {time.monotonic() - began_s:.1f} s")
 
-    def _prepare_entry(self, path: Path) -> None:
-        text = path.read_text(encoding="utf-8")
-        settings = tomllib.loads(text)
-        name = settings["entry"]["name"]
-        self.entries[name] = settings["entry"]
-        text += f'\n[tracing]\nexporter = "file"\nfile = "{name}.spans"\n'
-        text = text.replace(
-            f'"{name}.spans"', json.dumps(str(self.directory / f"{name}.spans"))
-        )
-        target = self.directory / f"{name}.toml"
-        target.write_text(text, encoding="utf-8")
-
-    def _start_platform(self) -> None:
-        address = "127.0.0.1:20000"
-        script = str(SUPPORT / "platform_standin.py")
-        self.processes.start(
-            "platform", script, "--address", address, address=address
-        )
-        vms = []
-        for name, entry in self.entries.items():
-            zone = entry["availability_zone"]
-            vms.append(_vm(name, entry["caller_address"], zone))
-        for name, upstream in self.deployment["upstreams"].items():
-            zone = upstream["availability_zone"]
-            vms.append(_vm(name, upstream["address"], zone))
-        send("PUT", address, "/vms", body={"vms": vms})
-
-    def _start_upstreams(self) -> None:
-        for name, upstream in self.deployment["upstreams"].items():
-            options = ["--address", upstream["address"], "--name", name]
-            options += ["--slots", str(upstream["slots"]), "--work-ms", "20"]
-            script = str(SUPPORT / "upstream_standin.py")
-            self.processes.start(name, script, *options)
-
-    def _is_ready(self) -> bool:
-        held = 0
-        for name in self.entries:
-            status = self._status(name)
-            if status is None:
-                return False
-            for row in status["upstreams"]:
-                held += row["state"] == "in use"
-            for row in status["entries"]:
-                if row["heard_age_s"] is None or row["leaving"]:
-                    return False
-            if len(status["entries"]) < len(self.entries):
-                return False
-        return held == len(self.deployment["upstreams"])
-
-    def _status(self, name: str) -> dict[str, Any] | None:
-        try:
-            answer = get(self.entries[name]["operator_address"], "/v1/status")
-        except OSError:
-            return None
-        if answer.status != 200:
-            return None
-        return answer.json()
-
-    def show_lookup(self) -> None:
-        """Asks any entry which entries to use."""
-        say("\na caller asks which entries to use:")
-        answer = get(self._any_caller_address(), "/v1/entries?service=matching")
-        say(json.dumps(answer.json(), indent=2))
-
-    def _any_caller_address(self) -> str:
-        return self.entries["scot-east-1a"]["caller_address"]
-
-    def show_requests(self) -> None:
-        """Sends a few requests of each class."""
-        say("\na few requests of each class:")
-        address = self._any_caller_address()
-        for number in range(3):
-            self._request("GET", address, f"/matching/orders/{number}")
-        key = {"Idempotency-Key": "payment-4711"}
-        self._request("POST", address, "/matching/approvals", b"pay", key)
-        say("  the same approval again, through another entry:")
-        # The outcome is recorded behind the answer, within a fraction of a
-        # second; before that a repeat is told that the first one is running.
-        time.sleep(RECORDED_S)
-        other = self.entries["eng-north-1a"]["caller_address"]
-        self._request("POST", other, "/matching/approvals", b"pay", key)
-        batch = bytes(SMALL_UPLOAD_BYTES)
-        self._request("PUT", address, "/intake/batches/17", batch)
-        path = f"/intake/statements/9?answer_bytes={STATEMENT_BYTES}"
-        self._request("GET", address, path)
-        self._request("GET", address, "/matching/nothing/here")
+    def _show_look_up(self) -> None:
+        say("\na caller of region east asks which gateways to use:")
+        address = self._world.gateways["g1"]["lookups"]
+        path = "/resolve?name=service.example&region=east&zone=a1"
+        say(f"  {harness.get(address, path).json()}")
+
+    def _show_requests(self) -> str:
+        """Sends requests of each kind; returns the id of the first."""
+        say("\nrequests of each kind; an object's later ones run quicker:")
+        first = self._request("GET", "/safe/parcel-7", key="parcel-7")
+        self._request("GET", "/safe/parcel-7", key="parcel-7", gateway="g2")
+        self._request("POST", "/unsafe/order", body=b"return it")
+        self._request("PUT", "/upload/scan", body=bytes(UPLOAD_BYTES))
+        self._request("GET", "/download/scan", key="scan")
+        self._request("GET", "/no/such/route")
+        return first
 
     def _request(
         self,
         method: str,
-        address: str,
         path: str,
+        *,
+        key: str = "",
+        gateway: str = "g1",
         body: bytes | None = None,
-        headers: dict[str, str] | None = None,
-    ) -> None:
+    ) -> str:
+        headers = {"X_Almondstair_Affinity_Key": key} if key else {}
+        headers = self._world.headers(**headers)
         began_s = time.monotonic()
-        answer = send(method, address, path, body=body, headers=headers)
+        address = self._world.gateways[gateway]["callers"]
+        answer = harness.send(method, address, path, body=body, headers=headers)
         took_ms = (time.monotonic() - began_s) * 1000
-        ran_at = _upstream_of(answer.body)
         say(
-            f"  {method:4} {path:45} {answer.status} "
-            f"{len(answer.body):7} bytes {took_ms:6.1f} ms  {ran_at}"
+            f"  {method:4} {path:18} through {gateway}  {answer.status} "
+            f"{len(answer.body):7} bytes {took_ms:6.1f} ms  {_cause(answer)}"
         )
-
-    def show_leaving(self) -> None:
-        """Marks an upstream as leaving, with the operators' tool."""
-        say(f"\nan operator marks {LEAVING_UPSTREAM} as leaving:")
-        self._ctl("vm", "leave", LEAVING_UPSTREAM)
-
-    def show_trace(self) -> None:
-        """Prints the spans of the trace with the most hops."""
-        say("\na trace with a span for each hop:")
-        traces: dict[str, list[dict[str, Any]]] = {}
-        for path in self.directory.glob("*.spans"):
-            for line in path.read_text(encoding="utf-8").splitlines():
-                span = json.loads(line)
-                traces.setdefault(span["trace"], []).append(span)
-        spans = max(traces.values(), key=len)
-        _print_spans(spans, parent_of=_roots(spans), depth=1)
-
-    def show_status(self) -> None:
-        """Prints the status table of the operators' tool."""
-        say("\nthe status as one entry knows it:")
-        self._ctl("status")
-
-    def _ctl(self, *arguments: str) -> None:
-        address = self.entries["scot-east-1a"]["operator_address"]
-        child = self.processes.start(
-            "ctl",
-            "-m",
-            "almondstair.tools.almondstairctl",
-            *arguments,
-            f"--entry={address}",
-        )
-        code = child.wait(limit_s=60)
-        say(child.log_text())
-        child.log.unlink()
-        if code != 0:
-            say(f"almondstairctl ended with exit code {code}")
-
-    def stop(self) -> None:
-        """Stops every entry gracefully."""
-        say("\nstopping the entries, each after its callers have moved on ...")
+        return headers["X-Almondstair-Request-Id"]
+
+    def _show_leaving(self) -> None:
+        say("\nupstream u1 is stopped; it says that it leaves, and drains:")
+        self._processes.children["u1"].process.send_signal(signal.SIGTERM)
+        time.sleep(LEAVING_LIMIT_S / 2)
+        self._tool("gateway", "drain", self._world.operator_address("g1"))
+        self._send_some("while it leaves")
+
+    def _show_end(self) -> None:
+        say("\nupstream u2 ends without a word:")
+        self._processes.children["u2"].kill()
+        self._send_some("after that")
+
+    def _send_some(self, when: str, count: int = 12) -> None:
+        statuses = []
+        for number in range(count):
+            answer = self._world.send("GET", f"/safe/parcel-{number}")
+            statuses.append(answer.status)
+        say(f"  {count} requests {when}: {sorted(set(statuses))}")
+
+    def _show_story(self, request: str) -> None:
+        say(f"\nwhat became of request {request}, from the logs:")
+        logs = []
+        for name in GATEWAYS:
+            logs.append(str(self._processes.children[name].log))
+        self._tool("gateway", "why", request, *logs)
+
+    def _show_status(self) -> None:
+        say("\nwhat the gateways believe:")
+        addresses = []
+        for name in GATEWAYS:
+            addresses.append(self._world.operator_address(name))
+        self._tool("gateway", "status", *addresses)
+
+    def _tool(self, *arguments: str) -> None:
+        say(operator_tool.run(*arguments).rstrip())
+
+    def _stop(self) -> None:
+        say("\nstopping the gateways gracefully ...")
         began_s = time.monotonic()
-        for name in self.entries:
-            self.processes.children[name].process.terminate()
+        for name in GATEWAYS:
+            self._processes.children[name].process.terminate()
         codes = []
-        for name in self.entries:
-            codes.append(self.processes.children[name].wait(limit_s=90))
+        for name in GATEWAYS:
+            codes.append(
+                self._processes.children[name].wait(limit_s=STOP_LIMIT_S)
+            )
         say(f"exit codes {codes} after {time.monotonic() - began_s:.1f} s")
         if any(codes):
             sys.exit(1)
 
 
-def _vm(name: str, address: str, zone: str) -> dict[str, str]:
-    return {
-        "name": name,
-        "address": address,
-        "availability_zone": zone,
-        "state": "live",
-    }
-
-
-def _upstream_of(body: bytes) -> str:
-    try:
-        fields = json.loads(body)
-    except ValueError:
+def _cause(answer: Answer) -> str:
+    if answer.status < 300:
         return ""
-    if "kind" in fields:
-        return f"{fields['kind']}, ran: {fields['ran']}"
-    return f"ran at {fields.get('upstream', '')}"
-
-
-def _roots(spans: list[dict[str, Any]]) -> str:
-    known = {span["span"] for span in spans}
-    for span in spans:
-        if span["parent"] not in known:
-            return span["parent"]
-    return ""
-
-
-def _print_spans(
-    spans: list[dict[str, Any]], *, parent_of: str, depth: int
-) -> None:
-    for span in sorted(spans, key=lambda span: span["start_ns"]):
-        if span["parent"] != parent_of:
-            continue
-        took_ms = (span["end_ns"] - span["start_ns"]) / 1e6
-        indent = "  " * depth
-        attributes = json.dumps(span["attributes"])
-        say(
-            f"{indent}{span['name']} on {span['entry']}: "
-            f"{took_ms:.1f} ms {attributes}"
-        )
-        _print_spans(spans, parent_of=span["span"], depth=depth + 1)
+    return str(answer.json().get("kind", ""))
 
 
 def say(text: str) -> None:
--- /dev/null
+++ b/scripts/demo_daemon.py
@@ -0,0 +1,286 @@
+"""The older daemon on loopback: Tallow Brae's example with stand-ins.
+
+Starts the platform and upstream stand-ins and the eight entries of
+examples/tallow-brae as separate processes, sends a few requests of each class,
+marks a VM as leaving, shows a trace and the status table, and stops all.
+"""
+
+import json
+from pathlib import Path
+import shutil
+import sys
+import time
+import tomllib
+from typing import Any
+
+from features.support.harness import ROOT
+from features.support.harness import SUPPORT
+from features.support.harness import Processes
+from features.support.harness import get
+from features.support.harness import send
+from features.support.harness import wait_until
+
+EXAMPLE = ROOT / "examples" / "tallow-brae"
+READY_LIMIT_S = 60.0
+SMALL_UPLOAD_BYTES = 200_000
+STATEMENT_BYTES = 300_000
+RECORDED_S = 0.5
+LEAVING_UPSTREAM = "matching-se1-1"
+
+
+class Demo:
+    """The processes of the demonstration."""
+
+    def __init__(self, *, processes: Processes) -> None:
+        """Prepares; `run` does the work."""
+        self.processes = processes
+        self.directory = processes.directory
+        self.entries: dict[str, dict[str, Any]] = {}
+        self.deployment: dict[str, Any] = {}
+
+    def run(self) -> None:
+        """Starts everything, shows it at work, and stops it."""
+        self.start()
+        self.show_lookup()
+        self.show_requests()
+        self.show_leaving()
+        self.show_trace()
+        self.show_status()
+        self.stop()
+
+    def start(self) -> None:
+        """Starts the platform, the upstreams and the entries."""
+        say("starting the platform, 28 upstreams and 8 entries ...")
+        began_s = time.monotonic()
+        text = (EXAMPLE / "deployment.toml").read_text(encoding="utf-8")
+        self.deployment = tomllib.loads(text)
+        shutil.copy(EXAMPLE / "deployment.toml", self.directory)
+        for path in sorted(EXAMPLE.glob("entry-*.toml")):
+            self._prepare_entry(path)
+        self._start_platform()
+        self._start_upstreams()
+        for name in self.entries:
+            settings = str(self.directory / f"{name}.toml")
+            self.processes.start(
+                name, "-m", "almondstair.daemon", "--settings", settings
+            )
+        wait_until(self._is_ready, limit_s=READY_LIMIT_S, what="the entries")
+        say(f"ready after {time.monotonic() - began_s:.1f} s")
+
+    def _prepare_entry(self, path: Path) -> None:
+        text = path.read_text(encoding="utf-8")
+        settings = tomllib.loads(text)
+        name = settings["entry"]["name"]
+        self.entries[name] = settings["entry"]
+        text += f'\n[tracing]\nexporter = "file"\nfile = "{name}.spans"\n'
+        text = text.replace(
+            f'"{name}.spans"', json.dumps(str(self.directory / f"{name}.spans"))
+        )
+        target = self.directory / f"{name}.toml"
+        target.write_text(text, encoding="utf-8")
+
+    def _start_platform(self) -> None:
+        address = "127.0.0.1:20000"
+        script = str(SUPPORT / "platform_standin.py")
+        self.processes.start(
+            "platform", script, "--address", address, address=address
+        )
+        vms = []
+        for name, entry in self.entries.items():
+            zone = entry["availability_zone"]
+            vms.append(_vm(name, entry["caller_address"], zone))
+        for name, upstream in self.deployment["upstreams"].items():
+            zone = upstream["availability_zone"]
+            vms.append(_vm(name, upstream["address"], zone))
+        send("PUT", address, "/vms", body={"vms": vms})
+
+    def _start_upstreams(self) -> None:
+        for name, upstream in self.deployment["upstreams"].items():
+            options = ["--address", upstream["address"], "--name", name]
+            options += ["--slots", str(upstream["slots"]), "--work-ms", "20"]
+            script = str(SUPPORT / "upstream_standin.py")
+            self.processes.start(name, script, *options)
+
+    def _is_ready(self) -> bool:
+        held = 0
+        for name in self.entries:
+            status = self._status(name)
+            if status is None:
+                return False
+            for row in status["upstreams"]:
+                held += row["state"] == "in use"
+            for row in status["entries"]:
+                if row["heard_age_s"] is None or row["leaving"]:
+                    return False
+            if len(status["entries"]) < len(self.entries):
+                return False
+        return held == len(self.deployment["upstreams"])
+
+    def _status(self, name: str) -> dict[str, Any] | None:
+        try:
+            answer = get(self.entries[name]["operator_address"], "/v1/status")
+        except OSError:
+            return None
+        if answer.status != 200:
+            return None
+        return answer.json()
+
+    def show_lookup(self) -> None:
+        """Asks any entry which entries to use."""
+        say("\na caller asks which entries to use:")
+        answer = get(self._any_caller_address(), "/v1/entries?service=matching")
+        say(json.dumps(answer.json(), indent=2))
+
+    def _any_caller_address(self) -> str:
+        return self.entries["scot-east-1a"]["caller_address"]
+
+    def show_requests(self) -> None:
+        """Sends a few requests of each class."""
+        say("\na few requests of each class:")
+        address = self._any_caller_address()
+        for number in range(3):
+            self._request("GET", address, f"/matching/orders/{number}")
+        key = {"Idempotency-Key": "payment-4711"}
+        self._request("POST", address, "/matching/approvals", b"pay", key)
+        say("  the same approval again, through another entry:")
+        # The outcome is recorded behind the answer, within a fraction of a
+        # second; before that a repeat is told that the first one is running.
+        time.sleep(RECORDED_S)
+        other = self.entries["eng-north-1a"]["caller_address"]
+        self._request("POST", other, "/matching/approvals", b"pay", key)
+        batch = bytes(SMALL_UPLOAD_BYTES)
+        self._request("PUT", address, "/intake/batches/17", batch)
+        path = f"/intake/statements/9?answer_bytes={STATEMENT_BYTES}"
+        self._request("GET", address, path)
+        self._request("GET", address, "/matching/nothing/here")
+
+    def _request(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        began_s = time.monotonic()
+        answer = send(method, address, path, body=body, headers=headers)
+        took_ms = (time.monotonic() - began_s) * 1000
+        ran_at = _upstream_of(answer.body)
+        say(
+            f"  {method:4} {path:45} {answer.status} "
+            f"{len(answer.body):7} bytes {took_ms:6.1f} ms  {ran_at}"
+        )
+
+    def show_leaving(self) -> None:
+        """Marks an upstream as leaving, with the operators' tool."""
+        say(f"\nan operator marks {LEAVING_UPSTREAM} as leaving:")
+        self._ctl("vm", "leave", LEAVING_UPSTREAM)
+
+    def show_trace(self) -> None:
+        """Prints the spans of the trace with the most hops."""
+        say("\na trace with a span for each hop:")
+        traces: dict[str, list[dict[str, Any]]] = {}
+        for path in self.directory.glob("*.spans"):
+            for line in path.read_text(encoding="utf-8").splitlines():
+                span = json.loads(line)
+                traces.setdefault(span["trace"], []).append(span)
+        spans = max(traces.values(), key=len)
+        _print_spans(spans, parent_of=_roots(spans), depth=1)
+
+    def show_status(self) -> None:
+        """Prints the status table of the operators' tool."""
+        say("\nthe status as one entry knows it:")
+        self._ctl("status")
+
+    def _ctl(self, *arguments: str) -> None:
+        address = self.entries["scot-east-1a"]["operator_address"]
+        child = self.processes.start(
+            "ctl",
+            "-m",
+            "almondstair.tools.almondstairctl",
+            *arguments,
+            f"--entry={address}",
+        )
+        code = child.wait(limit_s=60)
+        say(child.log_text())
+        child.log.unlink()
+        if code != 0:
+            say(f"almondstairctl ended with exit code {code}")
+
+    def stop(self) -> None:
+        """Stops every entry gracefully."""
+        say("\nstopping the entries, each after its callers have moved on ...")
+        began_s = time.monotonic()
+        for name in self.entries:
+            self.processes.children[name].process.terminate()
+        codes = []
+        for name in self.entries:
+            codes.append(self.processes.children[name].wait(limit_s=90))
+        say(f"exit codes {codes} after {time.monotonic() - began_s:.1f} s")
+        if any(codes):
+            sys.exit(1)
+
+
+def _vm(name: str, address: str, zone: str) -> dict[str, str]:
+    return {
+        "name": name,
+        "address": address,
+        "availability_zone": zone,
+        "state": "live",
+    }
+
+
+def _upstream_of(body: bytes) -> str:
+    try:
+        fields = json.loads(body)
+    except ValueError:
+        return ""
+    if "kind" in fields:
+        return f"{fields['kind']}, ran: {fields['ran']}"
+    return f"ran at {fields.get('upstream', '')}"
+
+
+def _roots(spans: list[dict[str, Any]]) -> str:
+    known = {span["span"] for span in spans}
+    for span in spans:
+        if span["parent"] not in known:
+            return span["parent"]
+    return ""
+
+
+def _print_spans(
+    spans: list[dict[str, Any]], *, parent_of: str, depth: int
+) -> None:
+    for span in sorted(spans, key=lambda span: span["start_ns"]):
+        if span["parent"] != parent_of:
+            continue
+        took_ms = (span["end_ns"] - span["start_ns"]) / 1e6
+        indent = "  " * depth
+        attributes = json.dumps(span["attributes"])
+        say(
+            f"{indent}{span['name']} on {span['entry']}: "
+            f"{took_ms:.1f} ms {attributes}"
+        )
+        _print_spans(spans, parent_of=span["span"], depth=depth + 1)
+
+
+def say(text: str) -> None:
+    """Prints at once, so that the demonstration can be followed."""
+    print(text, flush=True)
+
+
+def main() -> None:
+    """Runs the demonstration; its processes end with it."""
+    processes = Processes()
+    try:
+        Demo(processes=processes).run()
+    except AssertionError as error:
+        say(f"the demonstration failed: {error}")
+        say(processes.log_tails())
+        sys.exit(1)
+    finally:
+        processes.end()
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/environment.sh
+++ b/scripts/environment.sh
@@ -9,9 +9,9 @@
 if [ ! -x .venv/bin/python ] || [ "$(cat .venv/made-for 2>/dev/null)" != "$wanted" ]; then
   echo "making .venv (a minute or so) ..." >&2
   "$PYTHON" -m venv --clear .venv
-  .venv/bin/python -m pip install --quiet --disable-pip-version-check \
+  .venv/bin/python -m pip install --quiet --quiet --disable-pip-version-check \
     --requirement requirements.txt
-  .venv/bin/python -m pip install --quiet --disable-pip-version-check \
+  .venv/bin/python -m pip install --quiet --quiet --disable-pip-version-check \
     --no-deps --no-build-isolation --editable .
   echo "$wanted" > .venv/made-for
 fi
