--- a/almondstair/control.py
+++ b/almondstair/control.py
@@ -12,7 +12,6 @@
 from almondstair.core.entry_table import EntryTable
 from almondstair.core.heartbeat_words import ServiceLoad
 from almondstair.core.heartbeat_words import StatusDetail
-from almondstair.core.heartbeats import FAR_SILENCE_S
 from almondstair.core.home_records import HomesReport
 from almondstair.core.homes import Homes
 from almondstair.core.hops import HopTable
@@ -35,6 +34,7 @@
 from almondstair.pacing import LinkPacers
 from almondstair.probing import Prober
 from almondstair.table_keeper import TableKeeper
+from almondstair.zone_loads import ZoneLoads
 
 
 class ControlParts(NamedTuple):
@@ -76,10 +76,10 @@
         self._leaving_upstreams: frozenset[str] = frozenset()
         self._peer_marks = PeerMarks()
         self._delays = MessageDelays()
-        self._far_sources: set[str] = set()
         self._loads: tuple[ServiceLoad, ...] = ()
         self._loads_s = float("-inf")
         self._heartbeats: Heartbeats
+        self._zone_loads: ZoneLoads
         self._exchange: DocumentExchange
         self._table: TableKeeper
         self._configuration: ConfigurationKeeper
@@ -94,6 +94,13 @@
     ) -> None:
         """Takes the parts that call back into this one."""
         self._heartbeats = heartbeats
+        self._zone_loads = ZoneLoads(
+            own=self._parts.own,
+            membership=self._parts.membership,
+            heartbeats=heartbeats,
+            steering=self._parts.steering,
+            hops=self._parts.hops,
+        )
         self._exchange = exchange
         self._table = table
         self._configuration = configuration
@@ -126,7 +133,7 @@
     async def _tick(self) -> None:
         now_s = time.monotonic()
         self._observe_own(now_s)
-        self._observe_zones(now_s)
+        self._zone_loads.observe(now_s=now_s)
         self._note_silence(now_s)
         self._note_regions(now_s)
         self._note_links(now_s)
@@ -407,62 +414,6 @@
         self._loads = tuple(loads)
         self._loads_s = now_s
 
-    def _observe_zones(self, now_s: float) -> None:
-        """Takes the load of far zones from their digests."""
-        known = set()
-        for zone, rows in self._far_zones(now_s).items():
-            digest = self._heartbeats.digests.get(
-                availability_zone=zone, now_s=now_s
-            )
-            if digest is None:
-                continue
-            known.add(zone)
-            for load in digest.loads:
-                aged = load._replace(age_ms=load.age_ms + digest.age_ms)
-                self._observe_zone(zone, rows, aged, now_s)
-        # Counted beside the words of its entries, or for ever after the last
-        # digest, a zone would have more free slots than there are.
-        for zone in self._far_sources - known:
-            self._parts.steering.regions.forget_source(source=zone)
-        self._far_sources = known
-
-    def _far_zones(self, now_s: float) -> dict[str, list[EntryRow]]:
-        by_zone: dict[str, list[EntryRow]] = {}
-        near = set()
-        for row in self._parts.membership.live(now_s=now_s):
-            zone = row.availability_zone
-            if row.name in self._heartbeats.details:
-                near.add(zone)
-            by_zone.setdefault(zone, []).append(row)
-        near.add(self._parts.own.availability_zone)
-        for zone in near:
-            by_zone.pop(zone, None)
-        return by_zone
-
-    def _observe_zone(
-        self, zone: str, rows: list[EntryRow], load: ServiceLoad, now_s: float
-    ) -> None:
-        self._parts.steering.regions.observe(
-            region=rows[0].region,
-            service=load.service,
-            source=zone,
-            slots=load.slots,
-            free_slots=load.free_slots,
-            age_s=load.age_ms / 1000,
-            now_s=now_s,
-            limit_s=FAR_SILENCE_S,
-        )
-        # Shared out to the last slot: rounded down, a zone with fewer free
-        # slots than entries would seem full.
-        each, left = divmod(load.free_slots, len(rows))
-        for place, row in enumerate(rows):
-            self._parts.hops.heard(
-                entry=row.name,
-                service=load.service,
-                free_slots=each + (place < left),
-                now_s=now_s,
-            )
-
     def _note_silence(self, now_s: float) -> None:
         silent = frozenset(self._parts.membership.silent(now_s=now_s))
         for name in silent - self._silent:
