--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -1,12 +1,10 @@
 """What is emulated: zones, distances, upstreams, gateways, routes, load."""
 
 from pathlib import Path
-import tomllib
 
 import msgspec
 
-from almondstair.errors import AlmondstairError
-from almondstair.errors import ErrorKind
+from emulator import reading
 
 
 class Delays(
@@ -157,11 +155,7 @@
     Raises:
       AlmondstairError: `settings_invalid`, with file, key and remedy.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-        found = msgspec.convert(tomllib.loads(text), Deployment)
-    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
-        raise _invalid(path, str(error)) from error
+    found = reading.read(path, Deployment)
     _check(path, found)
     return found
 
@@ -173,18 +167,18 @@
         _check_zones(path, found, service.upstreams, f"services {service.name}")
     _check_zones(path, found, found.gateways, "gateways")
     if found.store_zone and found.store_zone not in found.zones:
-        raise _invalid(path, f"store_zone: no zone {found.store_zone}")
+        raise reading.invalid(path, f"store_zone: no zone {found.store_zone}")
     for route in found.routes:
         if route.service not in services:
-            raise _invalid(
+            raise reading.invalid(
                 path, f"routes {route.prefix}: no service {route.service}"
             )
         if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
-            raise _invalid(
+            raise reading.invalid(
                 path, f"routes {route.prefix}: begin and end it with a slash"
             )
     if not found.gateway_zones() or not found.upstream_places():
-        raise _invalid(path, "it needs a gateway and an upstream")
+        raise reading.invalid(path, "it needs a gateway and an upstream")
 
 
 def _check_zones(
@@ -192,10 +186,6 @@
 ) -> None:
     for zone in counts:
         if zone not in found.zones:
-            raise _invalid(path, f"{where}: no zone {zone}; add it to [zones]")
-
-
-def _invalid(path: Path, detail: str) -> AlmondstairError:
-    return AlmondstairError(
-        kind=ErrorKind.SETTINGS_INVALID, detail=f"{path}: {detail}"
-    )
+            raise reading.invalid(
+                path, f"{where}: no zone {zone}; add it to [zones]"
+            )
--- a/emulator/load_pattern.py
+++ b/emulator/load_pattern.py
@@ -1,13 +1,11 @@
 """Load patterns of the replay: who asks for what, and what goes wrong."""
 
 from pathlib import Path
-import tomllib
 from typing import Literal
 
 import msgspec
 
-from almondstair.errors import AlmondstairError
-from almondstair.errors import ErrorKind
+from emulator import reading
 
 
 class Service(
@@ -146,11 +144,7 @@
     Raises:
       AlmondstairError: `settings_invalid`, with file, key and remedy.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-        found = msgspec.convert(tomllib.loads(text), Pattern)
-    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
-        raise _invalid(path, str(error)) from error
+    found = reading.read(path, Pattern)
     _check(path, found)
     return found
 
@@ -173,10 +167,6 @@
 
 def _check_name(path: Path, what: str, name: str, known: set[str]) -> None:
     if name not in known:
-        raise _invalid(path, f"no {what} {name!r}; it has {sorted(known)}")
-
-
-def _invalid(path: Path, detail: str) -> AlmondstairError:
-    return AlmondstairError(
-        kind=ErrorKind.SETTINGS_INVALID, detail=f"{path}: {detail}"
-    )
+        raise reading.invalid(
+            path, f"no {what} {name!r}; it has {sorted(known)}"
+        )
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -15,6 +15,8 @@
 from features.support.gateway_world import GatewayWorld
 from features.support.harness import Answer
 from features.support.harness import Processes
+from scripts.demonstration import say
+from scripts.demonstration import show
 
 # Names and availability zones; see `gateway_world` for the zones' regions.
 UPSTREAMS = {"u1": "a1", "u2": "a2", "u3": "a1", "u4": "b1"}
@@ -159,22 +161,9 @@
     return str(answer.json().get("kind", ""))
 
 
-def say(text: str) -> None:
-    """Prints at once, so that the demonstration can be followed."""
-    print(text, flush=True)
-
-
 def main() -> None:
-    """Runs the demonstration; its processes end with it."""
-    processes = Processes()
-    try:
-        Demo(processes=processes).run()
-    except AssertionError as error:
-        say(f"the demonstration failed: {error}")
-        say(processes.log_tails())
-        sys.exit(1)
-    finally:
-        processes.end()
+    """Runs the demonstration."""
+    show(lambda processes: Demo(processes=processes).run())
 
 
 if __name__ == "__main__":
--- a/scripts/demo_daemon.py
+++ b/scripts/demo_daemon.py
@@ -19,6 +19,8 @@
 from features.support.harness import get
 from features.support.harness import send
 from features.support.harness import wait_until
+from scripts.demonstration import say
+from scripts.demonstration import show
 
 EXAMPLE = ROOT / "examples" / "tallow-brae"
 READY_LIMIT_S = 60.0
@@ -264,22 +266,9 @@
         _print_spans(spans, parent_of=span["span"], depth=depth + 1)
 
 
-def say(text: str) -> None:
-    """Prints at once, so that the demonstration can be followed."""
-    print(text, flush=True)
-
-
 def main() -> None:
-    """Runs the demonstration; its processes end with it."""
-    processes = Processes()
-    try:
-        Demo(processes=processes).run()
-    except AssertionError as error:
-        say(f"the demonstration failed: {error}")
-        say(processes.log_tails())
-        sys.exit(1)
-    finally:
-        processes.end()
+    """Runs the demonstration."""
+    show(lambda processes: Demo(processes=processes).run())
 
 
 if __name__ == "__main__":
