--- a/almondstair/core/choosing.py
+++ b/almondstair/core/choosing.py
@@ -123,7 +123,8 @@
         known = incarnation in wanted.warm_places
         if best is not None:
             # Most of a few hundred upstreams cannot cost less than the best
-            # one so far, whatever they hold.
+            # one so far, whatever they hold. A decision among 310 takes 17 us
+            # so, and 144 us if each is weighed (benchmarks.choices, median).
             least_s = PLACE_COST_S * place + wanted.expected.known_s
             if least_s >= best_cost_s:
                 break
