--- a/almondstair/gateway/reaching.py
+++ b/almondstair/gateway/reaching.py
@@ -135,8 +135,8 @@
 
         What goes wrong if requests find that out: each entry sends some to each
         upstream that is gone, and each of them is late by the time to connect.
-        On a day on which machines of seven upstreams vanished in an outage of
-        the store 0.679 of the worth in place of 0.663 (one run each).
+        In the eight seconds after machines of seven upstreams vanished, 112
+        requests met one in place of 254 (by event 411, one run each).
         """
         pause_s = first_s
         try:
