--- a/emulator/load_pattern.py
+++ b/emulator/load_pattern.py
@@ -27,6 +27,14 @@
     queue: int = 24
     keeps: int = 32
 
+    def places(self) -> list[tuple[str, str]]:
+        """Returns id and region of each upstream."""
+        found = []
+        for region, count in self.upstreams.items():
+            for number in range(count):
+                found.append((f"{self.name}-{region}-{number}", region))
+        return found
+
 
 class Kind(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
--- a/emulator/modelled_entry.py
+++ b/emulator/modelled_entry.py
@@ -97,7 +97,6 @@
         self._fleet.mark_loaded()
         for other in self._names:
             self._fleet.take_entry(Entry(other, "", "", "", ""))
-        self._told: dict[str, int] = {}
         round_trips_s = {}
         for region in self._pattern.regions:
             if region != self.region:
@@ -115,13 +114,6 @@
         )
         self.waits = EntryWaits()
 
-    def upstream(self, name: str) -> UpstreamState | None:
-        """Returns what it believes of an upstream."""
-        for state in self._fleet.upstreams():
-            if state.record.upstream_id == name:
-                return state
-        return None
-
     def loads(self) -> dict[str, int]:
         """Returns how many requests it has at each upstream."""
         found = {}
@@ -160,18 +152,16 @@
     """Returns the registrations of a pattern's upstreams."""
     found = []
     for service in pattern.services:
-        for region, count in service.upstreams.items():
-            for number in range(count):
-                name = f"{service.name}-{region}-{number}"
-                record = UpstreamRecord(
-                    upstream_id=name,
-                    service=service.name,
-                    address=name,
-                    availability_zone=region,
-                    software_version="",
-                    slots=service.slots,
-                    draining=False,
-                    cold_left_s=0.0,
-                )
-                found.append(record)
+        for name, region in service.places():
+            record = UpstreamRecord(
+                upstream_id=name,
+                service=service.name,
+                address=name,
+                availability_zone=region,
+                software_version="",
+                slots=service.slots,
+                draining=False,
+                cold_left_s=0.0,
+            )
+            found.append(record)
     return found
--- a/emulator/modelled_upstream.py
+++ b/emulator/modelled_upstream.py
@@ -35,6 +35,7 @@
 
     Attributes:
       name: its id.
+      service: name of its service.
       region: where it stands.
       lost: whether it takes no connections.
       slow_times: how many times longer it runs requests.
@@ -59,10 +60,11 @@
           later: calls something after a time in seconds.
         """
         self.name = name
+        self.service = service.name
         self.region = region
         self.lost = False
         self.slow_times = 1.0
-        self._service = service
+        self._rule = service
         self._draws = draws
         self._later = later
         self._running = 0
@@ -73,10 +75,10 @@
 
     def take(self, run: Run) -> bool:
         """Runs a request, now or later; returns False where it is full."""
-        if self._running < self._service.slots:
+        if self._running < self._rule.slots:
             self._begin(run)
             return True
-        if len(self._queue) >= self._service.queue:
+        if len(self._queue) >= self._rule.queue:
             return False
         self._queue.append(run)
         return True
@@ -95,7 +97,7 @@
         # It counts as known from its first run's begin, as at the users'.
         self._known[run.key] = None
         self._known.move_to_end(run.key)
-        if len(self._known) > self._service.keeps:
+        if len(self._known) > self._rule.keeps:
             self._known.popitem(last=False)
         mean_s = run.kind.new_s if new else run.kind.known_s
         spread = self._draws.lognormvariate(0.0, RUN_SPREAD)
--- a/emulator/replay.py
+++ b/emulator/replay.py
@@ -103,16 +103,14 @@
     def _make_upstreams(self) -> dict[str, ModelledUpstream]:
         found = {}
         for service in self._pattern.services:
-            for region, count in service.upstreams.items():
-                for number in range(count):
-                    upstream = ModelledUpstream(
-                        name=f"{service.name}-{region}-{number}",
-                        region=region,
-                        service=service,
-                        draws=self._draws,
-                        later=self._later,
-                    )
-                    found[upstream.name] = upstream
+            for name, region in service.places():
+                found[name] = ModelledUpstream(
+                    name=name,
+                    region=region,
+                    service=service,
+                    draws=self._draws,
+                    later=self._later,
+                )
         return found
 
     def _make_entries(self) -> list[ModelledEntry]:
@@ -368,10 +366,11 @@
     def _struck(self, trouble: Trouble) -> list[ModelledUpstream]:
         fitting = []
         for upstream in self._upstreams.values():
-            if not upstream.name.startswith(trouble.service):
+            if trouble.service not in ("", upstream.service):
+                continue
+            if trouble.region not in ("", upstream.region):
                 continue
-            if trouble.region in ("", upstream.region):
-                fitting.append(upstream)
+            fitting.append(upstream)
         return fitting[: round(trouble.share * len(fitting))]
 
     def _lose(self, trouble: Trouble, begins: bool) -> None:
