--- a/features/admission.feature
+++ b/features/admission.feature
@@ -80,6 +80,22 @@
     When its answers take 5 times as long
     Then fewer than 4 slots are usable
 
+  # Symptom: an upstream of three slots gets one request at a time, a third of what
+  # it can run, for as long as its answers are slow.
+  Scenario: Slow answers take away half of an odd number of slots at most
+    Given an entry that is home of an upstream of 3 slots, all warm
+    When its answers take 5 times as long
+    Then 2 slots are usable
+
+  # Symptom: an upload is refused with no_slot for as long as long work runs on an
+  # upstream that has just started, although two of its three slots are free.
+  Scenario: Long work does not keep the other slots of a cold upstream closed
+    Given an entry that is home of an upstream of 3 slots
+    When a request runs on it for 0.4 s
+    Then 1 slot is usable
+    When a request runs on it for 0.6 s
+    Then 2 slots are usable
+
   Scenario: An upstream that says it drains gets no new work
     Given an entry that is home of an upstream of 4 slots, all warm
     When the upstream reports that it drains
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -76,6 +76,14 @@
     Then each of them ends whole
     And "bkk-e0" ended with exit code 0 after them
 
+  # Symptom: an upload is refused with no_slot, though four of six slots are free.
+  # Sequence: upstreams have just started; a download that its caller reads slowly
+  # holds a slot of one, long work a slot of the other.
+  Scenario: An upload comes while a download and long work hold cold upstreams
+    Given a steady deployment of 2 entries and 2 upstreams in bkk
+    When a slow upload, a slow download of 40 MB and long work run through "bkk-e0"
+    Then each of them ends whole
+
   Scenario: An entry stops while the platform is out
     Given a steady deployment of 2 entries and 2 upstreams in bkk
     And look-ups arrive at 40 a second
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -361,6 +361,15 @@
     assert context.bench.usable() < count, context.bench.usable()
 
 
+@when("a request runs on it for {running_s:f} s")
+def request_runs(context, running_s):
+    bench = context.bench
+    if not bench.tables["a"].status(now_s=bench.now_s)[0].in_flight:
+        context.began_s = bench.now_s
+        bench.choose(left_s=LONG_S)
+    bench.now_s = context.began_s + running_s
+
+
 @when("the upstream reports that it drains")
 def drains(context):
     _hear(context.bench, UpstreamReport(slots=4, busy=0, draining=True))
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -291,10 +291,23 @@
 
 @when('a slow upload, a slow download and long work run through "{name}"')
 def step_streams(context, name):
+    run_streams(context, name, DOWNLOAD_BYTES)
+
+
+@when(
+    "a slow upload, a slow download of {size_mb:d} MB and long work run "
+    'through "{name}"'
+)
+def step_long_streams(context, name, size_mb):
+    run_streams(context, name, size_mb * 1_000_000)
+
+
+def run_streams(context, name, download_bytes):
+    context.download_bytes = download_bytes
     address = context.deployment.entries[name]["caller"]
     context.works = [
         Background(slow_upload, address, 50, 0.1),
-        Background(slow_download, address, DOWNLOAD_BYTES, 0.5),
+        Background(slow_download, address, download_bytes, 0.5),
         Background(long_work, address, 5000, "long"),
     ]
     time.sleep(1.0)
@@ -344,7 +357,7 @@
     told = upload.wait()
     assert told.status == 200, told
     assert told.headers["Body-Length"] == "500000", told.headers
-    assert len(download.wait().body) == DOWNLOAD_BYTES
+    assert len(download.wait().body) == context.download_bytes
     assert work.wait().status == 200
 
 
