Check that an upstream that registers again is as it was

Fails: an upstream whose registration lapsed and is made again by the same start of it is taken for cold for all of its cold time.

--- a/features/gateway_incarnations.feature
+++ b/features/gateway_incarnations.feature
@@ -20,6 +20,26 @@
     When "i-1" cannot be reached, and takes a connection 4 s later
     Then "i-1" is taken for cold for 3 s from then
 
+  # Symptom: every request is refused with no_slot for half a second, though all
+  # upstreams are warm and have slots free. Sequence: the store stands still for
+  # longer than its leases run, and ends them all when it goes on; the upstreams
+  # register again at once.
+  Scenario: An upstream whose registration lapsed and is made again is as it was
+    Given an entry that follows the store, with upstream "i-1" born at 1000
+    When "i-1" is removed, and its registration born at 1000 comes
+    Then "i-1" is not cold
+
+  Scenario: An upstream that was cold when its registration lapsed is cold still
+    Given an entry that follows the store, with upstream "i-1" born at 1000
+    When "i-1" says that it is cold for 2 s
+    And "i-1" is removed, and its registration born at 1000 comes
+    Then "i-1" is cold
+
+  Scenario: An upstream that registers for the first time is cold
+    Given an entry that follows the store, with upstream "i-1" born at 1000
+    When "i-1" is removed, and its registration born at 2000 comes
+    Then "i-1" is cold
+
   # Symptom: requests go to the address of an upstream that is long gone.
   # Sequence: "i-1" starts again; a peer's page, a listing or a late write brings
   # its registration from before. Cause: the word that came last was taken.
--- a/features/steps/gateway_incarnations_steps.py
+++ b/features/steps/gateway_incarnations_steps.py
@@ -180,6 +180,25 @@
     assert state.record.born_ms == born, state.record
 
 
+@when('"{name}" says that it is cold for {left_s:d} s')
+def step_says_cold(context, name, left_s):
+    cold = _registration(context.upstream.record.born_ms)
+    cold["coldLeftS"] = left_s
+    _take(context, [_item(name, cold, context.revision + 1)])
+
+
+@then('"{name}" is cold')
+def step_cold(context, name):
+    [state] = context.fleet.takers("s")
+    assert state.cold(now_s=now_s()), name
+
+
+@then('"{name}" is not cold')
+def step_not_cold(context, name):
+    [state] = context.fleet.takers("s")
+    assert not state.cold(now_s=now_s()), name
+
+
 @then('"{name}" is not there')
 def step_not_there(context, name):
     assert not list(context.fleet.upstreams())
