Check that an older word of a cold start does not make an upstream cold

Fails: an entry that lists everything from a peer takes a registration that is older than the one it knows, and the cold time in it as of now.

--- a/features/gateway_incarnations.feature
+++ b/features/gateway_incarnations.feature
@@ -20,10 +20,9 @@
     When "i-1" cannot be reached, and takes a connection 4 s later
     Then "i-1" is taken for cold for 3 s from then
 
-  # Symptom: every request is refused with no_slot for half a second, though all
-  # upstreams are warm and have slots free. Sequence: the store stands still for
-  # longer than its leases run, and ends them all when it goes on; the upstreams
-  # register again at once.
+  # Symptom: a warm upstream gets next to nothing for its service's cold time.
+  # Sequence: its registration lapses, and it registers again. Cause: what was not
+  # registered a moment ago was taken for a new start.
   Scenario: An upstream whose registration lapsed and is made again is as it was
     Given an entry that follows the store, with upstream "i-1" born at 1000
     When "i-1" is removed, and its registration born at 1000 comes
@@ -35,6 +34,16 @@
     And "i-1" is removed, and its registration born at 1000 comes
     Then "i-1" is cold
 
+  # Symptom: every request is refused with no_slot for a second, though all
+  # upstreams are warm and have slots free. Sequence: an entry lists everything from
+  # a peer, which tells the registration that it noted first.
+  Scenario: An older word of an upstream's cold start does not make it cold
+    Given an entry that follows the store, with upstream "i-1" born at 1000
+    When "i-1" says that it is cold for 2 s
+    And that is over, and "i-1" says that it is not cold
+    And a listing has "i-1" as it was when it was cold
+    Then "i-1" is not cold
+
   Scenario: An upstream that registers for the first time is cold
     Given an entry that follows the store, with upstream "i-1" born at 1000
     When "i-1" is removed, and its registration born at 2000 comes
--- a/features/steps/gateway_incarnations_steps.py
+++ b/features/steps/gateway_incarnations_steps.py
@@ -184,7 +184,22 @@
 def step_says_cold(context, name, left_s):
     cold = _registration(context.upstream.record.born_ms)
     cold["coldLeftS"] = left_s
-    _take(context, [_item(name, cold, context.revision + 1)])
+    context.cold_item = _item(name, cold, context.revision + 1)
+    _take(context, [context.cold_item])
+
+
+@when('that is over, and "{name}" says that it is not cold')
+def step_says_warm(context, name):
+    [state] = context.fleet.takers("s")
+    assert state.cold(now_s=now_s())
+    state.cold_until_s = now_s()
+    step_comes(context, name, state.record.born_ms)
+
+
+@when('a listing has "{name}" as it was when it was cold')
+def step_listed_cold(context, name):
+    del name
+    _take(context, [context.cold_item], listing=True)
 
 
 @then('"{name}" is cold')
