Take an upstream that registers again for as warm as it was

Its coldness is remembered with the incarnations that ended. A start that is not known, or that does not tell its time, is taken for cold as before; what a registration itself says of its coldness counts in each case.

--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -188,15 +188,28 @@
             record = record._replace(draining=True)
         region = self._zones.get(record.availability_zone, "")
         state = UpstreamState(record=record, region=region)
-        cold_s = record.cold_left_s
-        if self._loaded:
-            cold_s = max(cold_s, self._cold_s(record.service))
-        if cold_s > 0:
-            state.cold_until_s = now_s + cold_s + COLD_MARGIN_S
+        state.cold_until_s = self._cold_until_s(record, now_s)
         self._upstreams[record.upstream_id] = state
         self.by_hash[incarnation_hash(state.incarnation)] = state
         self._takers_stale = True
 
+    def _cold_until_s(self, record: UpstreamRecord, now_s: float) -> float:
+        """Returns until when an upstream that registers is cold.
+
+        A start that was not known is taken for cold. One that was known and
+        registers again only lost its registration. What goes wrong where it is
+        taken for cold: for the whole cold time of its service it gets next to
+        nothing, though its caches are as warm as before.
+        """
+        known_s = self._ended.cold_until_s(record)
+        cold_s = record.cold_left_s
+        if known_s is None and self._loaded:
+            cold_s = max(cold_s, self._cold_s(record.service))
+        until_s = known_s or 0.0
+        if cold_s > 0:
+            until_s = max(until_s, now_s + cold_s + COLD_MARGIN_S)
+        return until_s
+
     def note_reached(self, state: UpstreamState, *, now_s: float) -> None:
         """A new connection to an upstream was accepted.
 
@@ -287,7 +300,7 @@
             return None
         self.by_hash.pop(incarnation_hash(state.incarnation), None)
         self._takers_stale = True
-        self._ended.note_ended(state.record)
+        self._ended.note_ended(state.record, cold_until_s=state.cold_until_s)
         return state.record
 
     def misdirected(self, record: UpstreamRecord, *, now_s: float) -> None:
--- a/almondstair/core/incarnations.py
+++ b/almondstair/core/incarnations.py
@@ -37,15 +37,25 @@
         """Starts with nothing remembered."""
         self._born_ms: OrderedDict[str, int] = OrderedDict()
         self._left: OrderedDict[str, None] = OrderedDict()
+        self._cold_until_s: OrderedDict[str, float] = OrderedDict()
         self._replaced: OrderedDict[int, None] = OrderedDict()
         self._found_at_s: dict[int, float] = {}
 
-    def note_ended(self, record: UpstreamRecord) -> None:
-        """An incarnation is not registered any more, or a newer one is."""
+    def note_ended(
+        self, record: UpstreamRecord, *, cold_until_s: float
+    ) -> None:
+        """An incarnation is not registered any more, or a newer one is.
+
+        Args:
+          record: its last registration.
+          cold_until_s: until when it was taken for cold, on the entry's clock.
+        """
         born_ms = max(record.born_ms, self._born_ms.get(record.upstream_id, 0))
         _remember(self._born_ms, record.upstream_id, born_ms)
         if record.draining:
             _remember(self._left, record.incarnation, None)
+        if record.born_ms:
+            _remember(self._cold_until_s, record.incarnation, cold_until_s)
 
     def note_replaced(self, name: int) -> None:
         """Another upstream answers at the address of an incarnation.
@@ -77,6 +87,14 @@
             return True
         return incarnation_hash(record.incarnation) in self._replaced
 
+    def cold_until_s(self, record: UpstreamRecord) -> float | None:
+        """Returns until when an incarnation that was known was cold.
+
+        None for one that was not known, or that cannot be told from another
+        start under its id.
+        """
+        return self._cold_until_s.get(record.incarnation)
+
     def left(self, record: UpstreamRecord) -> bool:
         """Whether an incarnation had said that it leaves before it ended."""
         return record.incarnation in self._left
