Withdraw what is too late to be written without blame for its upstream

Callers saw: after each standstill of an entry a slot of three was missing and everything was refused for a tenth of a second. Cause: a request whose deadline passes between its slot and its first byte, or whose slot is not the entry's any more, ended like one whose upstream refused the connection. Evidence: event 204 in the log of an entry whose upstream had taken every connection, usable slots 3.0 and then 2.1 at that moment. Change: such an exchange ends as too late; it is sent on or refused as before, and is no failure of upstream or region.

--- a/almondstair/dispatch.py
+++ b/almondstair/dispatch.py
@@ -176,7 +176,7 @@
         left_ms = remaining_ms(deadline_s=call.head.deadline_s)
         if left_ms <= 0 or not may_write() or not call.progress.dispatch():
             stream.close()
-            return Exchange(sent=Sent.NOT_SENT)
+            return Exchange(sent=Sent.TOO_LATE)
         headers = call.headers.copy()
         headers[DEADLINE_HEADER] = str(left_ms)
         if trace_header:
@@ -250,7 +250,7 @@
 
 
 def _surely_not_run(exchange: Exchange) -> bool:
-    if exchange.sent is Sent.NOT_SENT:
+    if exchange.sent in (Sent.NOT_SENT, Sent.TOO_LATE):
         return True
     if exchange.sent is not Sent.REFUSED:
         return False
@@ -266,6 +266,11 @@
             kind=ErrorKind.NO_UPSTREAM,
             detail=f"upstream {name} cannot be reached",
         )
+    if exchange.sent is Sent.TOO_LATE:
+        return AlmondstairError(
+            kind=ErrorKind.NO_UPSTREAM,
+            detail=f"this entry may not send it to upstream {name} any more",
+        )
     if exchange.sent is Sent.REFUSED:
         return AlmondstairError(
             kind=ErrorKind.NO_SLOT,
@@ -285,6 +290,8 @@
             detail=f"entry {name} cannot be reached",
             ran=Ran.NO,
         )
+    if exchange.sent is Sent.TOO_LATE:
+        return AlmondstairError(kind=ErrorKind.DEADLINE_PASSED)
     if exchange.sent is Sent.REFUSED:
         answer = read_entry_answer(value=exchange.refused)
         assert answer is not None
--- a/almondstair/http_client.py
+++ b/almondstair/http_client.py
@@ -52,7 +52,8 @@
 
     Attributes:
       WHOLE: with a whole answer.
-      NOT_SENT: no byte was written.
+      NOT_SENT: no byte was written, since the other side was not reached.
+      TOO_LATE: no byte was written, since this side may not send it any more.
       REFUSED: the other side refused it without running it.
       LOST: the connection was lost before the head of an answer.
       CUT: the answer has no end that can be told from a cut, or was cut.
@@ -62,6 +63,7 @@
 
     WHOLE = "whole"
     NOT_SENT = "not_sent"
+    TOO_LATE = "too_late"
     REFUSED = "refused"
     LOST = "lost"
     CUT = "cut"
--- a/almondstair/running.py
+++ b/almondstair/running.py
@@ -217,7 +217,7 @@
                 await self._pass_on(call, attempt, claim)
                 return None
             self._note_failure(work, admission.upstream, attempt)
-            if attempt.exchange.sent not in (Sent.NOT_SENT, Sent.REFUSED):
+            if attempt.exchange.sent not in _NOT_RUN:
                 return error
             if not call.answer.untouched or not call.body.replayable:
                 return error
@@ -377,7 +377,10 @@
         if sent is Sent.REFUSED:
             self._core.health.refused(name=name, now_s=now_s)
             return
-        if sent in (Sent.CALLER_GONE, Sent.WITHDRAWN):
+        if sent in _OWN_DOING:
+            # What goes wrong where it counts: after each standstill of this
+            # entry its upstreams look as if they could not be reached, lose a
+            # slot and get nothing for a moment.
             return
         self._core.health.failed(name=name, now_s=now_s)
         log.event(
@@ -397,10 +400,14 @@
 
 
 # After these nothing of the request runs at its upstream.
-_SURELY_OVER = frozenset((Sent.WHOLE, Sent.NOT_SENT, Sent.REFUSED))
+_NOT_RUN = frozenset((Sent.NOT_SENT, Sent.TOO_LATE, Sent.REFUSED))
+_SURELY_OVER = _NOT_RUN | {Sent.WHOLE}
+# What the caller or this entry did, not the upstream.
+_OWN_DOING = frozenset((Sent.CALLER_GONE, Sent.WITHDRAWN, Sent.TOO_LATE))
 _OUTCOMES = {
     Sent.WHOLE: Outcome.ANSWERED,
     Sent.NOT_SENT: Outcome.FAILED,
+    Sent.TOO_LATE: Outcome.CANCELLED,
     Sent.REFUSED: Outcome.REFUSED,
     Sent.LOST: Outcome.FAILED,
     Sent.CUT: Outcome.FAILED,
--- a/features/standing_still.feature
+++ b/features/standing_still.feature
@@ -14,7 +14,10 @@
 
   # Symptom: after a standstill an upstream gets nothing for a tenth of a second and
   # fewer slots then, and a log line says that it cannot be reached. Sequence: the
-  # deadline of a request passes between its slot and its first byte.
+  # deadline of a request passes between its slot and its first byte. Cause: what the
+  # entry did not write, being too late, counted like a refused connection. What
+  # showed it: 204 in the log of an entry whose upstream took every connection, and
+  # usable slots of 3.0, then 2.1, within one standstill.
   Scenario: A request that is too late to be written is no failure of its upstream
     Given an upstream that takes connections
     When a request whose deadline has passed is to be written to it
