Give the slots of one upstream a module of their own

What reports and slow start leave of an upstream's slots stands in core/upstream_slots.py. Long work is measured against the slowest of an upstream's services.

--- a/almondstair/core/admission.py
+++ b/almondstair/core/admission.py
@@ -21,11 +21,11 @@
 from almondstair.core.model import Priority
 from almondstair.core.slot_book import SlotBook
 from almondstair.core.slow_start import DEFAULT_LIMITS
-from almondstair.core.slow_start import SlowStart
 from almondstair.core.slow_start import SlowStartLimits
 from almondstair.core.slow_start import UsualLatency
 from almondstair.core.standstill import Standstill
 from almondstair.core.standstill import judged_ratio
+from almondstair.core.upstream_slots import UpstreamSlots
 from almondstair.errors import ErrorKind
 
 KEPT_FRACTION: dict[Priority, float] = {
@@ -38,7 +38,6 @@
 FIRST_SERVICE_TIME_S = 0.2
 LEAST_RETRY_MS = 100
 MOST_RETRY_MS = 30_000
-REPORT_LIMIT_S = 1.0
 
 
 class _Room(NamedTuple):
@@ -59,25 +58,6 @@
     free_long: int
 
 
-class _UpstreamState:
-    """What admission remembers of one upstream."""
-
-    def __init__(
-        self,
-        *,
-        services: tuple[str, ...],
-        slots: int,
-        limits: SlowStartLimits,
-    ) -> None:
-        self.services = services
-        self.slots = slots
-        self.ramp = SlowStart(slots=slots, limits=limits)
-        self.report: UpstreamReport | None = None
-        self.report_s = float("-inf")
-        self.foreign_busy = 0
-        self.draining = False
-
-
 class SlotTable:
     """Slots of the upstreams that this entry is home or successor of."""
 
@@ -109,7 +89,7 @@
         self._book = book
         self._limits = limits
         self._kept_fraction = kept_fraction or KEPT_FRACTION
-        self._states: dict[str, _UpstreamState] = {}
+        self._states: dict[str, UpstreamSlots] = {}
         self._by_service: dict[str, list[str]] = {}
         self._leaving: frozenset[str] = frozenset()
         self._usual = UsualLatency()
@@ -119,19 +99,13 @@
 
     def set_configuration(self, *, configuration: Configuration) -> None:
         """Takes the upstreams of a configuration, keeping what is known."""
-        states: dict[str, _UpstreamState] = {}
+        states: dict[str, UpstreamSlots] = {}
         self._by_service = {}
         for name, upstream in configuration.upstreams.items():
             state = self._states.get(name)
             if state is None:
-                state = _UpstreamState(
-                    services=upstream.services,
-                    slots=upstream.slots,
-                    limits=self._limits,
-                )
-            state.services = upstream.services
-            state.slots = upstream.slots
-            state.ramp.set_slots(slots=upstream.slots)
+                state = UpstreamSlots(upstream=upstream, limits=self._limits)
+            state.configure(upstream=upstream)
             states[name] = state
             for service in upstream.services:
                 self._by_service.setdefault(service, []).append(name)
@@ -144,19 +118,12 @@
     def heard_upstream(
         self, *, upstream: str, report: UpstreamReport, now_s: float
     ) -> None:
-        """Takes an upstream's report of itself.
-
-        Its word that it drains stands until it says otherwise; silence does
-        not take it back.
-        """
+        """Takes an upstream's report of itself."""
         state = self._states.get(upstream)
         if state is None:
             return
         in_flight = len(self._book.running(upstream=upstream))
-        state.report = report
-        state.report_s = now_s
-        state.foreign_busy = max(0, report.busy - in_flight)
-        state.draining = report.draining
+        state.take_report(report=report, in_flight=in_flight, now_s=now_s)
 
     def choose(
         self,
@@ -367,9 +334,6 @@
             in_flight = len(self._book.running(upstream=name))
             if duty.allowed_slots < 1 and in_flight == 0:
                 continue
-            age_s = None
-            if state.report is not None:
-                age_s = now_s - state.report_s
             rows.append(
                 UpstreamStatus(
                     name=name,
@@ -378,7 +342,7 @@
                     in_flight=in_flight,
                     busy_elsewhere=len(duty.busy_until_s),
                     leaving=self._is_leaving(upstream=name),
-                    report_age_s=age_s,
+                    report_age_s=state.report_age_s(now_s=now_s),
                 )
             )
         return tuple(rows)
@@ -435,38 +399,20 @@
             return min(usable, duty.allowed_slots)
         # What others hold is counted as used, and is not cold start's matter.
         usable += len(duty.busy_until_s)
-        return min(usable, duty.allowed_slots, self._reported(state, now_s))
+        return min(usable, duty.allowed_slots, state.reported(now_s=now_s))
 
     def _opened(self, *, upstream: str, now_s: float) -> int:
-        """Returns the slots that slow start lets this entry use.
-
-        Slow start opens slots by answers. What goes wrong where long work
-        holds those that are open: no answer comes, so nothing is opened, and
-        everything else is refused although most slots are free. Requests that
-        have run for long therefore do not count against it.
-        """
         state = self._states[upstream]
-        opened = state.ramp.usable_slots(now_s=now_s)
-        if not opened:
-            return 0
-        for ticket in self._book.running(upstream=upstream):
-            usual_s = self.service_time_s(service=ticket.service)
-            long_s = max(
+        usual_s = 0.0
+        for service in state.services:
+            usual_s = max(usual_s, self.service_time_s(service=service))
+        return state.opened(
+            running=self._book.running(upstream=upstream),
+            long_s=max(
                 self._limits.long_run_s, self._limits.slow_ratio * usual_s
-            )
-            opened += now_s - ticket.started_s > long_s
-        return min(opened, state.slots)
-
-    def _reported(self, state: _UpstreamState, now_s: float) -> int:
-        """Returns the slots that the upstream's own report leaves.
-
-        It is believed for a short time and never below one: an upstream that
-        reports itself full without end would get no work to disprove it.
-        """
-        if state.report is None or now_s - state.report_s > REPORT_LIMIT_S:
-            return state.slots
-        left = min(state.slots, state.report.slots) - state.foreign_busy
-        return max(1, left)
+            ),
+            now_s=now_s,
+        )
 
     def _used(self, *, upstream: str, duty: Duty, now_s: float) -> int:
         running = self._book.running(upstream=upstream)
