--- a/almondstair/core/standstill.py
+++ b/almondstair/core/standstill.py
@@ -7,8 +7,9 @@
 the upstream answers as quickly as ever.
 """
 
-# Pause between two turns of the loop: a standstill is noticed less up to this.
-TURN_S = 0.02
+# Pause between two turns of the loop. A standstill is counted as shorter by up
+# to this, and each turn costs processor time that control has little of.
+TURN_S = 0.05
 
 
 class Standstill:
