Leave out what a partial run of the scenarios did not select

`sh scripts/test.sh FILE:LINE` counted every other scenario of the file as failed, since behave calls them skipped. In a run of everything a skipped one still counts as failed.

--- a/scripts/run_features.py
+++ b/scripts/run_features.py
@@ -56,6 +56,18 @@
     scenarios: list[dict[str, Any]]
 
 
+def _selected(result: FileResult) -> FileResult:
+    """Leaves out what the arguments did not select; behave calls it skipped.
+
+    In a run of everything a skipped scenario counts as failed.
+    """
+    chosen = []
+    for scenario in result.scenarios:
+        if scenario["status"] != "skipped":
+            chosen.append(scenario)
+    return FileResult(result.code, chosen)
+
+
 def feature_files() -> list[str]:
     """Returns every feature file, the longest first."""
     files = sorted(
@@ -174,7 +186,7 @@
             last = FIRST_PORT + WORKERS * PORTS_PER_WORKER - 1
             report = Path(directory) / "report.json"
             ports = f"{FIRST_PORT}-{last}"
-            results = [run_behave(sys.argv[1:], report, ports)]
+            results = [_selected(run_behave(sys.argv[1:], report, ports))]
         else:
             results = run_all(Path(directory))
     totals = count(results, known_red)
