--- a/almondstair/core/choosing.py
+++ b/almondstair/core/choosing.py
@@ -21,16 +21,13 @@
 # Use of a service above which an object is run where it is known or at its
 # home, the first upstream in its order that takes it, and nowhere else. What
 # would run it as new elsewhere keeps its upstreams so busy with long runs that
-# none of them gets to the known ones. With one region of three evacuated and a
-# zone cold at once, 0.71 instead of 0.65 of the credit was earned (one day).
+# none of them gets to the known ones.
 CROWDED_USE = 0.8
 # Part of an upstream's slots that stays free for the next more urgent rank.
 RESERVE_SHARE = 0.25
 # Until when, as a part of its aim, a request that has to wait must be expected
 # to be answered, and how much of its time that may be. A longer queue serves
-# everybody late and is cut by refusing at once. At 1.6 in place of 1.0 the
-# worth of Tallow Brae's days rose by 0.02 each (three days, one run each); 2.5
-# lost as much on Wattanakul's.
+# everybody late and is cut by refusing at once.
 WAIT_AIM_SHARE = 1.6
 TIME_USED_SHARE = 0.9
 
@@ -123,8 +120,8 @@
         known = incarnation in wanted.warm_places
         if best is not None:
             # Most of a few hundred upstreams cannot cost less than the best
-            # one so far, whatever they hold. A decision among 310 takes 17 us
-            # so, and 144 us if each is weighed (benchmarks.choices, median).
+            # one so far, whatever they hold; passing over them makes a
+            # decision among hundreds several times cheaper.
             least_s = PLACE_COST_S * place + wanted.expected.known_s
             if least_s >= best_cost_s:
                 break
--- a/almondstair/core/entry_waits.py
+++ b/almondstair/core/entry_waits.py
@@ -8,9 +8,7 @@
 So a request whose aim is much longer than the shortest of its service joins no
 queue while it can still be timely. It waits here until a slot is free, and
 queues stay as short as short runs need them; once its aim is over it joins one
-as before, if its queue is short enough for that. On three days with such load
-0.746, 0.720 and 0.741 of the worth in place of 0.712, 0.709 and 0.724 (one run
-each).
+as before, if its queue is short enough for that.
 """
 
 from collections.abc import Iterator
--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -319,8 +319,7 @@
         It stays out until a registration tells of a newer one. What goes wrong
         without: its registration stays while the store's leases stand still,
         so that each listing brings it back and each request for it is lost on
-        the way. On one recorded day, lines of upstreams gone: 1,006 without,
-        197 with it (one run each).
+        the way; lines of events 430 and 431 tell of it in turn.
 
         Returns:
           Its incarnation, empty if it was not registered here.
@@ -416,10 +415,8 @@
                 continue
             slots += upstream.record.slots
             # What waits in one upstream's queue takes no slot of another.
-            # Counted in, a region's queues made a service look full whose other
-            # regions were idle, and requests were refused there: without, the
-            # mean worth of ten days rose by 0.008 and refusals fell by 18 of
-            # 100 (one run each).
+            # Counted in, a region's queues make a service look full whose other
+            # regions are idle, and requests are refused there.
             held = upstream.busy(now_s=now_s, peers_heard=self.peers_heard)
             busy += min(upstream.record.slots, held)
         use = busy / slots if slots else 1.0
--- a/almondstair/core/placement.py
+++ b/almondstair/core/placement.py
@@ -80,8 +80,7 @@
     """Returns shares of which regions with queues keep only a part.
 
     What goes wrong without: callers move to one region, its upstreams have
-    queues, and all keys stay as it had enough capacity for its callers. On a
-    day with such a shift 0.735 of the worth in place of 0.692 (one run each).
+    queues, and all keys stay as it had enough capacity for its callers.
 
     Args:
       shares: which part of its keys belongs to each region.
--- a/almondstair/core/upstream_state.py
+++ b/almondstair/core/upstream_state.py
@@ -192,8 +192,7 @@
 
         Operators see it. Requests are not placed by it: a slow upstream has
         more of its slots taken, which says the same sooner, and one that runs
-        new objects for a while is not slow. Without it the mean worth of six
-        days was 0.664, with it 0.658 (one run each).
+        new objects for a while is not slow.
         """
         age_s = max(0.0, now_s - self._judged_at_s)
         kept = 0.5 ** (age_s / MEMORY_HALF_LIFE_S)
--- a/almondstair/gateway/configuration_history.py
+++ b/almondstair/gateway/configuration_history.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 import zlib
 
-# Versions that are kept. At 10,000 routes one takes 84 kB, compressed in 10 ms
-# (one run on the emulator's routes).
+# Versions that are kept, compressed: some tens of kilobytes each at 10,000
+# routes.
 KEPT_VERSIONS = 8
 
 
--- a/almondstair/gateway/reaching.py
+++ b/almondstair/gateway/reaching.py
@@ -134,9 +134,8 @@
         """Connects now and then until an upstream answers or is not listed.
 
         What goes wrong if requests find that out: each entry sends some to each
-        upstream that is gone, and each of them is late by the time to connect.
-        In the eight seconds after machines of seven upstreams vanished, 112
-        requests met one in place of 254 (by event 411, one run each).
+        upstream that is gone, and each of them is late by the time to connect;
+        the lines of event 411 tell.
         """
         pause_s = first_s
         try:
