Send the counter of standstills at zero too

The counter was sent only after a standstill, and since those under 0.05 s are not counted there need not be one.

--- a/almondstair/loop_watch.py
+++ b/almondstair/loop_watch.py
@@ -32,8 +32,9 @@
     def _turn(self, *, now_s: float) -> None:
         self._standstill.turned(now_s=now_s)
         total_ms = int(self._standstill.total_s(now_s=now_s) * 1000)
-        new_ms = total_ms - self._counted_ms
-        if not new_ms:
-            return
+        # Counted at 0 too: a counter that is not sent looks like one that
+        # nobody keeps.
+        self._metrics.count(
+            Metric.STOOD_STILL_MS, by=total_ms - self._counted_ms
+        )
         self._counted_ms = total_ms
-        self._metrics.count(Metric.STOOD_STILL_MS, by=new_ms)
