Count the load of a scenario from its callers' begin

Cause: MeasuredLoad took the start of the callers' processes for the begin of their load. Beside busy processes a Python program takes about a second to start, so a fifth of the load was missing from the seconds that are counted. Change: the callers wait until all of them run and begin at one time; bounds and rates are as before, so the check is as strict.

--- a/features/support/caller_standin.py
+++ b/features/support/caller_standin.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import math
+from pathlib import Path
 import random
 import time
 from typing import Any
@@ -25,6 +26,7 @@
 CONNECT_TIMEOUT_S = 1.0
 REFUSED_PAUSE_S = 0.05
 LOOK_UP_PAUSE_S = 0.5
+GATE_POLL_S = 0.005
 CLASS_DEFAULTS: dict[str, Any] = {
     "name": "",
     "method": "GET",
@@ -172,7 +174,7 @@
         for work in json.loads(self.options.classes):
             classes.append({**CLASS_DEFAULTS, **work})
         weights = [work["weight"] for work in classes]
-        start_s = time.monotonic()
+        start_s = await self.begin_s()
         calls = []
         for number in range(self.options.count):
             due_s = start_s + number / self.options.rate
@@ -181,6 +183,19 @@
             calls.append(asyncio.ensure_future(self.call(work)))
         await asyncio.gather(*calls)
 
+    async def begin_s(self) -> float:
+        """Returns when the load begins, on the monotonic clock.
+
+        With a gate it says that it is ready, and waits for the time there.
+        """
+        if not self.options.gate:
+            return time.monotonic()
+        Path(f"{self.options.out}.ready").touch()
+        gate = Path(self.options.gate)
+        while not gate.exists():
+            await asyncio.sleep(GATE_POLL_S)
+        return float(gate.read_text(encoding="utf-8"))
+
 
 def is_whole(work: dict[str, Any], call_id: str, body: bytes) -> bool:
     """Says whether this is the whole answer to this very request."""
@@ -205,6 +220,7 @@
     parser.add_argument("--in-flight", type=int, default=4096)
     parser.add_argument("--seed", type=int, default=None)
     parser.add_argument("--out", required=True)
+    parser.add_argument("--gate", default="", help="file with the begin")
     await Caller(parser.parse_args()).run()
 
 
