Sum up the lines of registrations that change at once

Cause: at its start each of 195 entries wrote its first listing as 734 lines of events 430 and 433; the log's limit then left lines out (105) on all of them, others' among them. Change: the first whole listing, and what is beyond 20 changes of one answer, takes one line (434) with counts by event, service and zone. Measured: 734 changes take 3 lines at most, a few changes one each (gateway_change_lines.feature).

--- a/almondstair/gateway/following.py
+++ b/almondstair/gateway/following.py
@@ -122,12 +122,14 @@
         while True:
             await asyncio.sleep(EXPIRY_S)
             lapsed = self._fleet.expire(now_s=now_s())
+            self._registrations.lines.begin(first=False)
             for record in lapsed.upstreams:
                 self._registrations.upstream_gone(
                     record, revision=self.revision
                 )
             for name in lapsed.entries:
                 self._entry_gone(name)
+            self._registrations.lines.end(revision=self.revision)
 
     def mirror_page(self, *, source: str, after: int) -> MirrorPage:
         """Returns what another entry lacks of this one's picture."""
@@ -259,6 +261,8 @@
         """
         if fresh:
             self._note_up(batch)
+        lines = self._registrations.lines
+        lines.begin(first=batch.listing and not self._fleet.upstream_count())
         for item in batch.items:
             self._apply(item)
         if batch.listing:
@@ -271,6 +275,7 @@
                 items=len(batch.items),
                 from_store=batch.from_store,
             )
+        lines.end(revision=batch.revision)
         self.revision = batch.revision
         self.heard_at_s = max(self.heard_at_s, now_s() - batch.age_s)
         self._fleet.as_of_s = self.heard_at_s
@@ -348,8 +353,9 @@
         peer = self._peers.pop(name, None)
         if peer is not None:
             peer.close()
-        log.event(
+        self._registrations.lines.write(
             log.Event.ENTRY_CHANGED,
+            group="gone",
             entry=name,
             registered=False,
             revision=self.revision,
--- a/almondstair/gateway/registrations.py
+++ b/almondstair/gateway/registrations.py
@@ -8,6 +8,7 @@
 from almondstair.core.fleet import Fleet
 from almondstair.core.registered import Entry
 from almondstair.core.upstream_state import UpstreamRecord
+from almondstair.gateway.change_lines import ChangeLines
 from almondstair.gateway.mirror import Mirror
 from almondstair.gateway.upstream_pool import UpstreamPool
 from almondstair.platform import documents
@@ -23,6 +24,9 @@
 
     What names none to use changes nothing: one that had a good registration
     keeps it until the key is removed.
+
+    Attributes:
+      lines: log lines on what changes.
     """
 
     def __init__(
@@ -38,6 +42,7 @@
         self._fleet = fleet
         self._pool = pool
         self._mirror = mirror
+        self.lines = ChangeLines()
         # Revision of the last registration taken, by the upstream's id.
         self._registered_at: dict[str, int] = {}
         self._logged: OrderedDict[str, None] = OrderedDict()
@@ -66,15 +71,20 @@
         taken = self._fleet.take_upstream(record, now_s=now_s())
         if taken.ended:
             self._pool.forget(incarnation=taken.ended)
-            log.event(log.Event.UPSTREAM_GONE, upstream=taken.ended)
+            self.lines.write(
+                log.Event.UPSTREAM_GONE,
+                group=record.service,
+                upstream=taken.ended,
+            )
         if taken.used:
             known = self._registered_at.get(upstream_id, 0)
             self._registered_at[upstream_id] = max(known, item.revision)
         if not taken.changed:
             return
         self._mirror.put(item.key, item.value, item.revision)
-        log.event(
+        self.lines.write(
             log.Event.UPSTREAM_CHANGED,
+            group=f"{record.service} {record.availability_zone}",
             upstream=record.incarnation,
             service=record.service,
             availability_zone=record.availability_zone,
@@ -103,7 +113,11 @@
         self._pool.forget(incarnation=record.incarnation)
         key = documents.UPSTREAM_PREFIX + record.upstream_id
         self._mirror.remove(key, revision)
-        log.event(log.Event.UPSTREAM_GONE, upstream=record.incarnation)
+        self.lines.write(
+            log.Event.UPSTREAM_GONE,
+            group=record.service,
+            upstream=record.incarnation,
+        )
 
     def drop_unlisted_upstreams(
         self, keys: Collection[str], *, revision: int
@@ -141,8 +155,9 @@
         )
         if self._fleet.take_entry(entry):
             self._mirror.put(item.key, item.value, item.revision)
-            log.event(
+            self.lines.write(
                 log.Event.ENTRY_CHANGED,
+                group=entry.availability_zone,
                 entry=name,
                 registered=True,
                 revision=item.revision,
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -167,6 +167,9 @@
         432, logging.INFO, "a zone is evacuated or taken back"
     )
     ENTRY_CHANGED = EventRule(433, logging.INFO, "an entry came or went")
+    REGISTRATIONS_CHANGED = EventRule(
+        434, logging.INFO, "many registrations changed at once"
+    )
 
 
 def setup(*, level: str, file: str) -> None:
--- /dev/null
+++ b/features/gateway_change_lines.feature
@@ -0,0 +1,24 @@
+Feature: Many registrations that change at once take one line
+
+  # Guards against a log that leaves out why requests fail, since each entry of a
+  # large fleet writes its first listing as hundreds of lines.
+  Scenario: The first listing of a large fleet takes a few lines
+    Given an entry that follows a store with 539 upstreams and 195 entries
+    When it takes the first listing
+    Then it has written 3 lines at most
+    And one of them counts 734 changes, by service and zone
+
+  # Guards against a change of one upstream that is lost in a sum.
+  Scenario: A few changes have their own lines
+    Given an entry that follows a store with 539 upstreams and 195 entries
+    When it takes the first listing
+    And 3 upstreams drain
+    Then it has written a line for each of them
+
+  # Guards against a fleet that starts anew: its ends are counted, too.
+  Scenario: Beyond twenty changes of one answer the rest is counted
+    Given an entry that follows a store with 539 upstreams and 195 entries
+    When it takes the first listing
+    And 60 upstreams drain
+    Then it has written 21 lines at most
+    And one of them counts 40 changes, by service and zone
