--- a/almondstair/core/entry_waits.py
+++ b/almondstair/core/entry_waits.py
@@ -21,8 +21,7 @@
 # Longest wait at the entry in seconds, whatever the aim: callers of slow work
 # may as well come back, and a leaving entry ends in time.
 MOST_WAIT_S = 2.0
-# Pause between two looks for a free slot, while few wait. What others have at
-# an upstream is told each 0.05 s.
+# Pause between two looks for a free slot, while few wait.
 LOOK_S = 0.03
 # Requests that look once in a pause; with more the pause grows, so that looks
 # take no more than 134 choices a second, however many wait.
