Tell a lost answer at once, and let all gateways resend to one upstream

What callers saw: a request that crashes its upstream was resent, each resend ended one more, and soon everything was refused with no_slot: nobody was left.

Cause: a strike needed the upstream to be found gone, 0.15 s later, and went on with the next word on loads; until then each gateway sent the request to any upstream.

Change: a lost answer is a doubt, told to every entry before the caller is answered; an entry reads what its peers sent before it lets a request run. With a doubt or strike a request goes to the one upstream that all entries agree on; with doubts at two it is refused until it is known whether they live, which a connection made 5 ms after the loss tells.

--- a/almondstair/core/placing.py
+++ b/almondstair/core/placing.py
@@ -9,10 +9,12 @@
 from typing import NamedTuple
 
 from almondstair.core import entry_waits
+from almondstair.core.agreed_places import agreed_order
 from almondstair.core.choosing import Choice
 from almondstair.core.choosing import Wanted
 from almondstair.core.choosing import choose
 from almondstair.core.cold_starts import ColdStarts
+from almondstair.core.crash_suspects import DOUBT_LIFE_S
 from almondstair.core.fleet import Fleet
 from almondstair.core.known_places import KnownPlaces
 from almondstair.core.known_places import object_hash
@@ -20,6 +22,7 @@
 from almondstair.core.region_shares import RegionShares
 from almondstair.core.routing import Route
 from almondstair.core.run_times import RunTimes
+from almondstair.core.upstream_state import UpstreamState
 
 # When a caller that found no room comes back. A request runs for a few tenths
 # of a second, so a slot is free by then; later, less of its aim is left.
@@ -36,6 +39,8 @@
       arrived_s: when it arrived, on the entry's clock.
       ends_s: when its caller or the operator gives up on it.
       tried: ids of upstreams that had it already.
+      exposed: upstreams that it may have ended, by their hash; where there are
+        any, every entry sends it to the same next one.
     """
 
     route: Route
@@ -44,6 +49,7 @@
     arrived_s: float
     ends_s: float
     tried: Collection[str]
+    exposed: frozenset[int] = frozenset()
 
 
 class Placed(NamedTuple):
@@ -53,10 +59,13 @@
       choice: the upstream and why; None when none has room.
       held_back: regions that get none of it, because requests change their
         region step by step.
+      unsettled: whether it may just have ended the upstream that it would go
+        to, so that no other one may get it yet.
     """
 
     choice: Choice | None
     held_back: frozenset[str]
+    unsettled: bool = False
 
 
 class Placing:
@@ -97,6 +106,8 @@
         Requests that cannot run in their own region do not move to another
         one: they are not counted as moves, and never held back.
         """
+        if asked.exposed:
+            return self._place_suspect(asked, now_s)
         if not self._fleet.may_stay(asked.service, route=asked.route):
             choice = self._choose(asked, frozenset(), now_s)
             return Placed(choice, frozenset())
@@ -183,8 +194,31 @@
             self._region_shares.note_disturbed(now_s=now_s)
         return self._region_shares.limits(now_s=now_s)
 
+    def _place_suspect(self, asked: Asked, now_s: float) -> Placed:
+        """Places a request that may end upstreams where all entries do."""
+        regions = asked.route.allowed_regions
+        order = agreed_order(
+            key=asked.key,
+            upstreams=self._fleet.takers(asked.service),
+            exposed=asked.exposed,
+        )
+        for upstream in order:
+            if regions and upstream.region not in regions:
+                continue
+            if not upstream.was_unreachable:
+                choice = self._choose(asked, frozenset(), now_s, [upstream])
+                return Placed(choice, frozenset())
+            if now_s - upstream.unreachable_at_s <= DOUBT_LIFE_S:
+                # Another entry may have lost it there, and not told so yet.
+                return Placed(None, frozenset(), unsettled=True)
+        return Placed(None, frozenset())
+
     def _choose(
-        self, asked: Asked, barred: frozenset[str], now_s: float
+        self,
+        asked: Asked,
+        barred: frozenset[str],
+        now_s: float,
+        order: list[UpstreamState] | None = None,
     ) -> Choice | None:
         assert self._fleet.table is not None
         services = self._fleet.table.configuration.services
@@ -215,8 +249,6 @@
                 age_s=age_s,
             ),
         )
-        return choose(
-            order=self._fleet.order(service=asked.service, key=asked.key),
-            wanted=wanted,
-            cold_starts=self._cold_starts,
-        )
+        if order is None:
+            order = self._fleet.order(service=asked.service, key=asked.key)
+        return choose(order=order, wanted=wanted, cold_starts=self._cold_starts)
--- a/almondstair/core/upstream_state.py
+++ b/almondstair/core/upstream_state.py
@@ -81,6 +81,7 @@
       cold_until_s: until when it is cold, on the entry's clock.
       was_unreachable: whether no connection was accepted since the last one
         failed.
+      unreachable_at_s: when the first of those failed, on the entry's clock.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         self.in_flight = 0
         self.cold_until_s = 0.0
         self.was_unreachable = False
+        self.unreachable_at_s = -math.inf
         self._told_others = 0.0
         self._told_at_s = -math.inf
         self._on_trial = False
@@ -160,8 +162,10 @@
         # Once it is back, one request at a time finds out whether it works.
         return self._on_trial and self._trial_running
 
-    def note_unreachable(self) -> None:
+    def note_unreachable(self, *, now_s: float = -math.inf) -> None:
         """Counts a failure to reach it: it gets nothing until it is reached."""
+        if not self.was_unreachable:
+            self.unreachable_at_s = now_s
         self._trial_running = False
         self._on_trial = True
         self.was_unreachable = True
--- a/almondstair/gateway/calls.py
+++ b/almondstair/gateway/calls.py
@@ -62,6 +62,7 @@
       attempts: upstreams that had it; another incarnation at an upstream's
         address had it not.
       may_have_run: whether an upstream may have run it.
+      exposed: upstreams that it may have ended, as of its last choice.
       held_back: regions that got none of it at its last choice, because
         requests change their region step by step.
     """
@@ -82,6 +83,7 @@
         self.tried: list[str] = []
         self.attempts = 0
         self.may_have_run = False
+        self.exposed: frozenset[int] = frozenset()
         self.held_back: frozenset[str] = frozenset()
         self._fingerprint: int | None = None
 
@@ -93,6 +95,13 @@
             return self.request_id.decode("latin-1")
         return key.decode("latin-1")
 
+    @property
+    def resent_key(self) -> str:
+        """Returns the key that all resends of the request have in common."""
+        if self.route.by_key and self.request.header(names.KEY) is not None:
+            return self.key
+        return f"{self.fingerprint():x}"
+
     @property
     def text_id(self) -> str:
         """Returns the request's id for logs."""
@@ -103,10 +112,11 @@
         return Asked(
             route=self.route,
             service=self.service,
-            key=self.key,
+            key=self.resent_key if self.exposed else self.key,
             arrived_s=self.request.arrived_s,
             ends_s=self.deadline_s,
             tried=self.tried,
+            exposed=self.exposed,
         )
 
     def left_s(self) -> float:
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -23,6 +23,7 @@
 from almondstair.core.second_tries import SecondTries
 from almondstair.errors import AlmondstairError
 from almondstair.gateway.caller_connection import CallerConnection
+from almondstair.gateway.crash_words import CrashWords
 from almondstair.gateway.following import Follower
 from almondstair.gateway.forwarding import Forwarder
 from almondstair.gateway.load_sharing import LoadSharing
@@ -95,18 +96,23 @@
         self._look_ups = LookUps()
         self._entries_version = -1
         self._measures = Measures()
-        self._suspects = CrashSuspects()
         self._places = KnownPlaces()
-        self._make_forwarding()
+        suspects = CrashSuspects()
         self._sharing = LoadSharing(
             fleet=self._fleet,
             pool=self._pool,
-            suspects=self._suspects,
+            suspects=suspects,
             places=self._places,
             own_name=settings.entry_name,
             own_zone=settings.availability_zone,
             link_mbps=settings.means.link_mbps,
         )
+        self._suspects = CrashWords(
+            suspects=suspects,
+            sharing=self._sharing,
+            own_name=settings.entry_name,
+        )
+        self._make_forwarding()
         self._registration = self._make_registration()
         self._overview = Overview(
             entry_name=settings.entry_name,
@@ -247,9 +253,8 @@
         self._server = await loop.create_server(
             self._accept, ip, int(port), backlog=ACCEPT_BACKLOG
         )
-        await loop.create_datagram_endpoint(
-            lambda: self._sharing,
-            local_addr=(self._settings.ip, self._settings.peer_ports[0]),
+        await self._sharing.listen(
+            ip=self._settings.ip, port=self._settings.peer_ports[0]
         )
         # Last: who gets an answer here may count on every other address.
         # Opened first, on a busy VM it answered 0.1 s before callers could
--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -5,7 +5,7 @@
 from almondstair import log
 from almondstair.clock import now_s
 from almondstair.core.choosing import Choice
-from almondstair.core.crash_suspects import CrashSuspects
+from almondstair.core.crash_suspects import Standing
 from almondstair.core.entry_waits import EntryWaits
 from almondstair.core.fleet import Fleet
 from almondstair.core.placing import NO_ROOM_RETRY_MS
@@ -22,6 +22,7 @@
 from almondstair.gateway.calls import Try
 from almondstair.gateway.calls import Verdict
 from almondstair.gateway.calls import reply_head
+from almondstair.gateway.crash_words import CrashWords
 from almondstair.gateway.incoming import BODY_HOLD_BYTES
 from almondstair.gateway.incoming import AnswerWait
 from almondstair.gateway.incoming import IncomingRequest
@@ -43,6 +44,9 @@
 KNOW_WAIT_S = 1.0
 KNOW_SPAN_S = 2.0
 KNOW_POLL_S = 0.02
+# When a request comes back whose upstreams may have ended: by then it is known
+# whether they have.
+UNSETTLED_RETRY_MS = 200
 
 
 class Forwarder(RequestHandler):
@@ -60,7 +64,7 @@
         tries: Tries,
         second_tries: SecondTries,
         placing: Placing,
-        suspects: CrashSuspects,
+        suspects: CrashWords,
         measures: Measures,
     ) -> None:
         """Makes a forwarder.
@@ -180,8 +184,6 @@
         self._second_tries.note_request(service=call.service, now_s=now_s())
         cause = ""
         while True:
-            if self._suspects.refused(call.fingerprint(), now_s=now_s()):
-                raise self._quarantined(call)
             choice = await self._place(call)
             if choice is None:
                 raise self._no_room(call, cause)
@@ -221,7 +223,19 @@
         return choice
 
     def _choice(self, call: Call) -> Choice | None:
+        """Returns the upstream for a call now, None when none has room.
+
+        Raises:
+          AlmondstairError: it may end upstreams, and does not run.
+        """
+        request = call.fingerprint()
+        standing = self._suspects.standing(request)
+        if standing in (Standing.UNSETTLED, Standing.REFUSED):
+            raise self._quarantined(call, standing)
+        call.exposed = self._suspects.exposed(request)
         placed = self._placing.place(call.asked(), now_s=now_s())
+        if placed.unsettled:
+            raise self._quarantined(call, Standing.UNSETTLED)
         call.held_back = placed.held_back
         return placed.choice
 
@@ -252,12 +266,18 @@
         return True
 
     @staticmethod
-    def _quarantined(call: Call) -> AlmondstairError:
+    def _quarantined(call: Call, standing: Standing) -> AlmondstairError:
         if call.may_have_run:
             return AlmondstairError(
                 kind=ErrorKind.UPSTREAM_LOST, detail="it ended upstreams"
             )
-        return AlmondstairError(kind=ErrorKind.QUARANTINED)
+        if standing is Standing.REFUSED:
+            return AlmondstairError(kind=ErrorKind.QUARANTINED)
+        return AlmondstairError(
+            kind=ErrorKind.QUARANTINED,
+            detail="whether it ended upstreams is being found out",
+            retry_after_ms=UNSETTLED_RETRY_MS,
+        )
 
     def _no_room(self, call: Call, cause: str) -> AlmondstairError:
         if call.may_have_run:
--- a/almondstair/gateway/load_sharing.py
+++ b/almondstair/gateway/load_sharing.py
@@ -14,6 +14,7 @@
 import asyncio
 from collections.abc import Iterable
 import math
+import socket
 from typing import NamedTuple, cast
 
 import msgspec
@@ -32,9 +33,17 @@
 from almondstair.core.load_pace import Telling
 from almondstair.core.load_pace import Word
 from almondstair.core.placement_plan import EMPTY
-from almondstair.core.placement_plan import Plan
 from almondstair.core.placement_plan import Planner
 from almondstair.core.registered import Entry
+from almondstair.gateway import peer_messages
+from almondstair.gateway.peer_messages import GoneTold
+from almondstair.gateway.peer_messages import LossTold
+from almondstair.gateway.peer_messages import Message
+from almondstair.gateway.peer_messages import Own
+from almondstair.gateway.peer_messages import PlacesTold
+from almondstair.gateway.peer_messages import PlanTold
+from almondstair.gateway.peer_messages import Total
+from almondstair.gateway.peer_messages import ZoneSum
 from almondstair.gateway.upstream_pool import UpstreamPool
 
 # An entry that was silent for this long is not counted on any more: three
@@ -48,72 +57,13 @@
 # Upstreams that one message can name; a datagram holds 64 KiB, one upstream
 # takes up to 9 bytes.
 MOST_UPSTREAMS = 5000
+# Datagrams that are read at one time, and the longest one.
+MOST_READ = 256
+DATAGRAM_BYTES = 65536
 # Places that one message can name; one takes up to 11 bytes.
 MOST_PLACES = 1500
 
 
-class Own(msgspec.Struct, array_like=True, tag=0):
-    """One entry's requests, to the reporter of its zone."""
-
-    entry: str
-    loads: Loads
-    replaced: list[int]
-    strikes: list[tuple[int, int]]
-    places: list[Place] = []
-
-
-class ZoneSum(msgspec.Struct, array_like=True, tag=1):
-    """A zone's requests, from its reporter to those of other zones."""
-
-    entry: str
-    zone: str
-    loads: Loads
-    replaced: list[int]
-    strikes: list[tuple[int, int]]
-    places: list[Place] = []
-
-
-class Total(msgspec.Struct, array_like=True, tag=2):
-    """Everybody's requests, from a reporter to its zone.
-
-    Attributes:
-      entry: the reporter.
-      complete: whether every zone's sum is in it.
-      loads: requests by the hash of the upstream's incarnation.
-      replaced: upstreams whose addresses have other incarnations now.
-      strikes: requests that may crash upstreams.
-      places: objects and upstreams that know them, found lately.
-    """
-
-    entry: str
-    complete: bool
-    loads: Loads
-    replaced: list[int]
-    strikes: list[tuple[int, int]]
-    places: list[Place] = []
-
-
-class PlanTold(msgspec.Struct, array_like=True, tag=3):
-    """The plan in force, from its maker to other reporters, and to a zone.
-
-    Attributes:
-      entry: who tells it.
-      zone: the zone whose reporter made it.
-      plan: how keys are dealt out to upstreams.
-    """
-
-    entry: str
-    zone: str
-    plan: Plan
-
-
-class PlacesTold(msgspec.Struct, array_like=True, tag=4):
-    """Objects and upstreams that know them, to an entry that is new."""
-
-    entry: str
-    places: list[Place]
-
-
 class Heard(NamedTuple):
     """What was heard of an entry or a zone, and when."""
 
@@ -124,11 +74,6 @@
     places: list[Place]
 
 
-Message = Own | ZoneSum | Total | PlanTold | PlacesTold
-
-_DECODER = msgspec.msgpack.Decoder(Message)
-
-
 def add_loads(parts: Iterable[Loads]) -> Loads:
     """Returns the sum of several loads."""
     total: Loads = {}
@@ -170,6 +115,7 @@
         self._own_name = own_name
         self._own_zone = own_zone
         self._transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
         self._members: dict[str, Heard] = {}
         self._zones: dict[str, Heard] = {}
         self._alive_s: dict[str, float] = {}
@@ -189,6 +135,37 @@
 
     # Receiving.
 
+    async def listen(self, *, ip: str, port: int) -> None:
+        """Listens for other entries.
+
+        Raises:
+          OSError: the address is not to be had.
+        """
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind((ip, port))
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, sock=self._socket)
+
+    def read_waiting(self) -> None:
+        """Takes every message that has arrived, not one each turn of the loop.
+
+        What goes wrong without: a request that was sent after a peer's word
+        runs before that word is read.
+        """
+        if self._socket is None:
+            return
+        for _ in range(MOST_READ):
+            try:
+                data, address = self._socket.recvfrom(DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # The kernel reports here that an earlier send met nobody.
+                self.error_received(error)
+                continue
+            self.datagram_received(data, address)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the bound socket."""
         # asyncio's own class for it is no subclass of the interface.
@@ -202,7 +179,7 @@
     ) -> None:
         """Takes another entry's message."""
         try:
-            message = _DECODER.decode(data)
+            message = peer_messages.decode(data)
         except msgspec.MsgspecError:
             self._unreadable += 1
             if self._unreadable == 1:
@@ -216,6 +193,9 @@
         if isinstance(message, PlanTold):
             self._hear_plan(message)
             return
+        if isinstance(message, LossTold | GoneTold):
+            self._hear_crash(message, now)
+            return
         self._places.take(message.places, now_s=now)
         if isinstance(message, PlacesTold):
             return
@@ -240,6 +220,16 @@
             if message.complete:
                 self._total_at_s = now
 
+    def _hear_crash(self, message: LossTold | GoneTold, now: float) -> None:
+        upstream = message.upstream
+        if isinstance(message, LossTold):
+            strike = Strike(message.request, upstream)
+            ran_s = message.ran_ms / 1000
+            self._suspects.note_lost(strike, ran_s=ran_s, now_s=now)
+            return
+        for request in message.requests:
+            self._suspects.strike(Strike(request, upstream), now_s=now)
+
     def _greet(self, name: str, now: float) -> None:
         """Tells an entry that was not heard of which places are known.
 
@@ -466,7 +456,11 @@
                 found[heard.entry] = entries[heard.entry]
         return list(found.values())
 
-    def _send(self, message: Message, entries: list[Entry]) -> int:
+    def send_all(self, message: Message) -> None:
+        """Sends a message to every entry before it returns."""
+        self._send(message, self._fleet.entries.values())
+
+    def _send(self, message: Message, entries: Iterable[Entry]) -> int:
         """Sends a message to each of some entries; returns all its bytes."""
         assert self._transport is not None
         data = msgspec.msgpack.encode(message)
--- a/almondstair/gateway/reaching.py
+++ b/almondstair/gateway/reaching.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Iterable
+import math
 
 from almondstair import log
 from almondstair.clock import now_s
-from almondstair.core.crash_suspects import CrashSuspects
 from almondstair.core.fleet import Fleet
 from almondstair.core.upstream_state import UpstreamState
+from almondstair.gateway.crash_words import CrashWords
 from almondstair.gateway.upstream_connection import UpstreamConnection
 from almondstair.gateway.upstream_pool import UpstreamPool
 
@@ -18,9 +19,15 @@
 FIRST_ROUND_TRIP_S = 0.05
 # Weight of the newest connection in the mean round trip to a region.
 ROUND_TRIP_WEIGHT = 0.2
-# How long after a lost answer its upstream is looked after; one that crashes
-# may still accept a connection in the first moment.
+# Pause until the upstream of a lost answer is connected to, and how long after
+# the answer it has to keep that connection to be taken for one that lives: one
+# that crashes may still accept connections in the first moment.
+FIRST_CHECK_S = 0.005
+SETTLED_S = 0.025
+# How long after a lost answer that connection goes on being watched.
 LOOK_AFTER_S = 0.15
+# How often a connection that has to be kept is looked at.
+CHECK_POLL_S = 0.005
 # Pause before the first look at an upstream that could not be reached, how much
 # longer each next one is, and the longest. One that crashed is back after some
 # seconds; a look takes a connection and no caller's time.
@@ -41,7 +48,7 @@
         *,
         fleet: Fleet,
         pool: UpstreamPool,
-        suspects: CrashSuspects,
+        suspects: CrashWords,
         own_region: str,
         regions: Iterable[str],
     ) -> None:
@@ -58,6 +65,7 @@
         self._pool = pool
         self._suspects = suspects
         self._looks: dict[str, asyncio.Task[None]] = {}
+        self._lost_at_s: dict[str, float] = {}
         self._own_region = own_region
         self.round_trips_s: dict[str, float] = {}
         self.know_regions(regions)
@@ -81,7 +89,8 @@
         What goes wrong without: nobody connects to it for a while, and what
         ended it is sent to the next upstream meanwhile.
         """
-        self._look(upstream, LOOK_AFTER_S)
+        self._lost_at_s[upstream.incarnation] = now_s()
+        self._look(upstream, FIRST_CHECK_S)
 
     def close(self) -> None:
         """Looks no more."""
@@ -98,8 +107,8 @@
                 address=record.address, timeout_s=CONNECT_TIMEOUT_S
             )
         except (OSError, TimeoutError) as error:
-            upstream.note_unreachable()
-            self._suspects.note_gone(upstream.name_hash, now_s=now_s())
+            upstream.note_unreachable(now_s=now_s())
+            self._suspects.note_gone(upstream)
             log.event(
                 log.Event.UPSTREAM_UNREACHABLE,
                 upstream=record.upstream_id,
@@ -137,12 +146,14 @@
         pause_s = first_s
         try:
             while not await self._is_back(upstream, pause_s):
-                pause_s = max(FIRST_LOOK_S, LOOK_GROWTH * pause_s)
-                pause_s = min(LONGEST_LOOK_S, pause_s)
+                if upstream.was_unreachable:
+                    pause_s = max(FIRST_LOOK_S, LOOK_GROWTH * pause_s)
+                    pause_s = min(LONGEST_LOOK_S, pause_s)
         finally:
             # Before anything else runs: a request that finds it gone again
             # would take this look for one that goes on, and nobody would look.
             self._looks.pop(upstream.incarnation, None)
+            self._lost_at_s.pop(upstream.incarnation, None)
 
     async def _is_back(self, upstream: UpstreamState, pause_s: float) -> bool:
         """Whether an upstream answers after a pause, or needs no more looks."""
@@ -153,5 +164,20 @@
         connection = await self._connect(upstream)
         if connection is None:
             return False
+        if not await self._stays_open(connection, upstream):
+            return False
         self._pool.give_back(connection, incarnation=upstream.incarnation)
         return True
+
+    async def _stays_open(
+        self, connection: UpstreamConnection, upstream: UpstreamState
+    ) -> bool:
+        """Whether an upstream keeps a connection while it may be ending."""
+        while connection.usable:
+            lost_s = self._lost_at_s.get(upstream.incarnation, -math.inf)
+            if now_s() >= lost_s + SETTLED_S:
+                self._suspects.note_lives(upstream)
+            if now_s() >= lost_s + LOOK_AFTER_S:
+                return True
+            await asyncio.sleep(CHECK_POLL_S)
+        return False
--- a/almondstair/gateway/tries.py
+++ b/almondstair/gateway/tries.py
@@ -6,15 +6,15 @@
 from almondstair.clock import now_s
 from almondstair.core.choosing import Choice
 from almondstair.core.cold_starts import ColdStarts
-from almondstair.core.crash_suspects import CrashSuspects
-from almondstair.core.crash_suspects import Strike
 from almondstair.core.fleet import Fleet
 from almondstair.core.placing import Placing
+from almondstair.core.upstream_state import UpstreamState
 from almondstair.gateway.calls import Call
 from almondstair.gateway.calls import Try
 from almondstair.gateway.calls import Verdict
 from almondstair.gateway.calls import reply_head
 from almondstair.gateway.calls import request_head
+from almondstair.gateway.crash_words import CrashWords
 from almondstair.gateway.http_wire import Headers
 from almondstair.gateway.http_wire import ReplyHead
 from almondstair.gateway.http_wire import find
@@ -45,7 +45,7 @@
         fleet: Fleet,
         pool: UpstreamPool,
         cold_starts: ColdStarts,
-        suspects: CrashSuspects,
+        suspects: CrashWords,
         measures: Measures,
         reaching: Reaching,
         placing: Placing,
@@ -82,24 +82,43 @@
         try:
             connection = await self._connection(call, choice)
             if connection is None:
-                # Nothing was sent, so the upstream did not have it.
-                call.tried.pop()
-                return Try(
-                    Verdict.NOT_RUN,
-                    Exchange(end=ExchangeEnd.NOT_SENT),
-                    "upstream unreachable",
+                return _not_sent(call, "upstream unreachable")
+            if self._came_under_suspicion(call):
+                self._pool.give_back(
+                    connection, incarnation=upstream.incarnation
                 )
+                return _not_sent(call, "it may have ended an upstream")
             call.attempts += 1
             ran_before = call.may_have_run
             call.may_have_run = True
+            began_s = now_s()
             exchange = await self._timed_exchange(call, choice, connection)
         finally:
             upstream.note_ended()
+        if exchange.end is ExchangeEnd.LOST:
+            self._lost(call, upstream, ran_s=now_s() - began_s)
         outcome = self._judge(call, choice, exchange)
         if outcome.verdict is Verdict.NOT_RUN:
             call.may_have_run = ran_before
         return outcome
 
+    def _came_under_suspicion(self, call: Call) -> bool:
+        """Whether a call's upstream was chosen without what is known now.
+
+        What goes wrong without: while a connection is opened, the same request
+        ends upstreams elsewhere, and then one more here.
+        """
+        exposed = self._suspects.exposed_now(call.fingerprint())
+        return not exposed <= call.exposed
+
+    def _lost(self, call: Call, upstream: UpstreamState, ran_s: float) -> None:
+        """Tells others that an upstream may have ended, and finds out."""
+        self._suspects.note_lost(call.fingerprint(), upstream, ran_s=ran_s)
+        if upstream.was_unreachable:
+            self._suspects.note_gone(upstream)
+            return
+        self._reaching.look_after(upstream)
+
     async def _connection(
         self, call: Call, choice: Choice
     ) -> UpstreamConnection | None:
@@ -168,14 +187,7 @@
         if exchange.end is not ExchangeEnd.WHOLE or head is None:
             # Whether it is gone shows at the next connection; an upstream that
             # merely loses answers goes on to be used, but less.
-            now = now_s()
-            upstream.note_answer(good=False, now_s=now)
-            if exchange.end is ExchangeEnd.LOST:
-                name = upstream.name_hash
-                self._suspects.note_lost(
-                    Strike(call.fingerprint(), name), now_s=now
-                )
-                self._reaching.look_after(upstream)
+            upstream.note_answer(good=False, now_s=now_s())
             return Try(
                 Verdict.UNKNOWN, exchange, f"answer {exchange.end.value}"
             )
@@ -209,6 +221,13 @@
         log.event(log.Event.UPSTREAM_GONE, upstream=record.incarnation)
 
 
+def _not_sent(call: Call, cause: str) -> Try:
+    """Returns a try of which the chosen upstream had nothing."""
+    call.tried.pop()
+    exchange = Exchange(end=ExchangeEnd.NOT_SENT)
+    return Try(Verdict.NOT_RUN, exchange, cause)
+
+
 def _doubt(head: ReplyHead) -> str:
     """Returns why an answer must not reach the caller, empty if it may."""
     if head.status in _PROMISES:
--- a/features/support/telling_world.py
+++ b/features/support/telling_world.py
@@ -150,7 +150,7 @@
         sharing = LoadSharing(
             fleet=fleet,
             pool=mock.Mock(),
-            suspects=mock.Mock(**{"fresh.return_value": []}),
+            suspects=self.make_suspects(entry.name),
             own_name=entry.name,
             own_zone=entry.availability_zone,
             **options,
@@ -161,6 +161,11 @@
             entry.name, entry.availability_zone, entry.region, fleet, sharing
         )
 
+    def make_suspects(self, name: str) -> Any:
+        """Returns what an entry keeps of requests that crash upstreams."""
+        del name
+        return mock.Mock(**{"fresh.return_value": []})
+
     def forget_counts(self) -> None:
         """Begins to count what is sent."""
         self.sent_bytes = dict.fromkeys(self.members, 0)
