Take several losses at one upstream as one end of it

Cause: a strike counts if its request began after the strike before. A later loss at the same upstream took the place of the first, with the time that its own request had run; a look-up that had just begun there made the end a later one.

Change: losses at one upstream within a second are one end, and the request that began first counts; in almondstaird and in the gateway.

The scenario killed its upstreams one by one with up to three calls between, and waited for each end. It chooses them first and kills them at once now, as its name says; its bounds are as they were.

The two new scenarios on the cores fail without it."

--- a/almondstair/core/crash_suspects.py
+++ b/almondstair/core/crash_suspects.py
@@ -100,6 +100,18 @@
         _keep_younger(self.settled, now_s - CONFIRM_S)
         _keep_younger(self.struck, now_s - STRIKE_LIFE_S)
 
+    def doubt(self, upstream: int, loss: _Loss) -> None:
+        """Adds a loss; several at one upstream count as one that ran longest.
+
+        What goes wrong with the last one: a look-up that had just begun is lost
+        with those that ran for long, and seems to have ended the upstream.
+        """
+        before = self.doubts.get(upstream)
+        if before is not None:
+            began_s = min(before.began_s, loss.began_s)
+            loss = _Loss(loss.lost_s, began_s)
+        self.doubts[upstream] = loss
+
     def take_loss(self, upstream: int) -> _Loss | None:
         """Takes out what was lost at an upstream that is gone now."""
         settled = self.settled.pop(upstream, None)
@@ -154,8 +166,7 @@
           before does not crash upstreams.
         """
         case = self._case(strike.fingerprint)
-        loss = _Loss(lost_s=now_s, began_s=now_s - ran_s)
-        case.doubts[strike.upstream] = loss
+        case.doubt(strike.upstream, _Loss(now_s, now_s - ran_s))
         return strike.fingerprint not in self._answered
 
     def note_lives(self, upstream: int) -> None:
--- a/almondstair/core/quarantine.py
+++ b/almondstair/core/quarantine.py
@@ -28,6 +28,8 @@
 # Strikes learned from a peer look later than they were by the transit time. A
 # request that started this much before a strike still counts as sent after it.
 TRANSIT_S = 0.02
+# Losses at one upstream within this time have one cause, its end.
+SAME_END_S = 1.0
 # A mark on its last seconds is neither sent nor taken. Otherwise each entry
 # would learn it from a peer just after forgetting it, a little longer each
 # time by the transit time, and a mark could outlive its time without end.
@@ -69,6 +71,19 @@
         self.answered = False
         self.times_sent = 0
 
+    def take_same_end(self, other: "_Strike") -> bool:
+        """Takes another loss at the upstream if the same end caused it.
+
+        What goes wrong if the last one stands alone: look-ups that had just
+        begun are lost with those that ran for long, and the end seems to have
+        come to a request that began after the strike before.
+        """
+        if abs(other.expires_s - self.expires_s) > SAME_END_S:
+            return False
+        began_s = other.expires_s - other.ran_s
+        self.ran_s = max(self.ran_s, self.expires_s - began_s)
+        return True
+
 
 def request_fingerprint(*, method: str, path: str, body_digest: bytes) -> int:
     """Returns the fingerprint of a request, 64 bits.
@@ -123,8 +138,7 @@
         self._add(
             fingerprint=fingerprint,
             upstream=xxhash.xxh32_intdigest(upstream.encode()),
-            expires_s=now_s + self._strike_life_s,
-            ran_s=ran_s,
+            strike=_Strike(expires_s=now_s + self._strike_life_s, ran_s=ran_s),
         )
 
     def answered(self, *, fingerprint: int) -> None:
@@ -186,15 +200,16 @@
         for mark in marks:
             if mark.remaining_s <= RELAY_MARGIN_S:
                 continue
-            known = self._strikes.get(mark.fingerprint, {})
-            if mark.upstream in known:
-                continue
             life_s = min(float(mark.remaining_s), self._strike_life_s)
+            strike = _Strike(expires_s=now_s + life_s, ran_s=mark.ran_s)
+            known = self._strikes.get(mark.fingerprint, {}).get(mark.upstream)
+            if known is not None:
+                known.take_same_end(strike)
+                continue
             self._add(
                 fingerprint=mark.fingerprint,
                 upstream=mark.upstream,
-                expires_s=now_s + life_s,
-                ran_s=mark.ran_s,
+                strike=strike,
             )
 
     def expire(self, *, now_s: float) -> None:
@@ -206,9 +221,7 @@
         """Returns the number of requests with a strike."""
         return len(self._strikes)
 
-    def _add(
-        self, *, fingerprint: int, upstream: int, expires_s: float, ran_s: float
-    ) -> None:
+    def _add(self, *, fingerprint: int, upstream: int, strike: _Strike) -> None:
         by_upstream = self._strikes.get(fingerprint)
         if by_upstream is None:
             if len(self._strikes) >= self._capacity:
@@ -216,7 +229,9 @@
                 del self._strikes[oldest]
             by_upstream = {}
             self._strikes[fingerprint] = by_upstream
-        by_upstream[upstream] = _Strike(expires_s=expires_s, ran_s=ran_s)
+        known = by_upstream.get(upstream)
+        if known is None or not known.take_same_end(strike):
+            by_upstream[upstream] = strike
 
 
 def _counted(*, by_upstream: dict[int, _Strike]) -> list[_Strike]:
--- a/features/gateway_crashing.feature
+++ b/features/gateway_crashing.feature
@@ -30,6 +30,11 @@
     Then that look-up is answered through every gateway within 1.0 s
     And of 60 of that look-up, 6 at a time, at most 3 are not answered
 
+  # Guards against the same where some of the look-ups had just begun.
+  Scenario: Look-ups that had just begun where three upstreams end refuse nothing
+    When 3 upstreams end within 10 ms, each with a look-up that ran 200 ms and one that ran 1 ms
+    Then that look-up is suspect, and not refused
+
   # Guards against look-ups being refused because live upstreams lost answers.
   Scenario: Lost answers of live upstreams refuse a look-up for a moment only
     Given 3 gateways in 3 zones with 9 upstreams
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -70,3 +70,12 @@
     Given announcements that are spaced by 20 ms
     When 200 strikes come within 10 ms
     Then 5 announcements are made, the last one 20 ms after the first
+
+  # Guards against a look-up being refused since another one of its path had
+  # just begun at the second of two upstreams that ended together.
+  Scenario: Look-ups that had just begun at an upstream do not make its end a later one
+    Given quarantines of 2 entries whose heartbeats usually take 30 ms
+    When upstreams of both die 5 ms apart while they run one look-up for 200 ms
+    And one of that look-up that ran for 1 ms is lost at the second as well
+    And the heartbeats that tell it take 30 ms
+    Then the request is not quarantined on any entry
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -136,12 +136,15 @@
             entry = callers[number % len(callers)]
             futures.append(pool.submit(_look_up, entry, SLOW_MS))
         time.sleep(SLOW_MS / 2000)
+        victims = []
         for region in ("r1", "r2", "r3"):
             victim = f"{region}-u0"
             for number in range(3):
                 if _running(context, f"{region}-u{number}"):
                     victim = f"{region}-u{number}"
-            context.processes.children[victim].kill()
+            victims.append(victim)
+        for victim in victims:
+            context.processes.children[victim].process.kill()
         for future in futures:
             future.result()
 
--- a/features/steps/gateway_crashing_steps.py
+++ b/features/steps/gateway_crashing_steps.py
@@ -7,6 +7,9 @@
 from behave import then
 from behave import when
 
+from almondstair.core.crash_suspects import CrashSuspects
+from almondstair.core.crash_suspects import Standing
+from almondstair.core.crash_suspects import Strike
 from features.support import harness
 from features.support.crashing_world import CrashingWorld
 from features.support.gateway_world import ZONES
@@ -197,3 +200,24 @@
 @then("more than {count:d} sends were refused")
 def step_model_refused(context, count):
     assert context.model.refused > count, context.model.refused
+
+
+@when(
+    "{count:d} upstreams end within {span_ms:d} ms, each with a look-up that "
+    "ran {long_ms:d} ms and one that ran {short_ms:d} ms"
+)
+def step_end_together(context, count, span_ms, long_ms, short_ms):
+    suspects = CrashSuspects()
+    for number in range(count):
+        now_s = 100.0 + number * span_ms / 1000 / count
+        strike = Strike(7, number)
+        suspects.note_lost(strike, ran_s=long_ms / 1000, now_s=now_s)
+        suspects.note_lost(strike, ran_s=short_ms / 1000, now_s=now_s)
+    for number in range(count):
+        suspects.note_gone(number, now_s=100.05)
+    context.standing = suspects.standing(7, now_s=100.1)
+
+
+@then("that look-up is suspect, and not refused")
+def step_suspect(context):
+    assert context.standing is Standing.SUSPECT, context.standing
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -239,6 +239,19 @@
         context.now_s += apart_ms / 1000
 
 
+@when(
+    "one of that look-up that ran for {ran_ms:d} ms is lost at the second as "
+    "well"
+)
+def just_begun(context, ran_ms):
+    context.quarantines[1].strike(
+        fingerprint=CRASHING,
+        upstream="upstream-1",
+        ran_s=ran_ms / 1000,
+        now_s=context.now_s + context.ahead_s[1],
+    )
+
+
 @when("the heartbeats that tell it take {held_ms:d} ms")
 def held_up(context, held_ms):
     _timed_exchange(context, transit_s=held_ms / 1000)
