Tell in the soak's report which caller met which gateway and status

A report that says "345 of 464 served at the end" could not tell a gateway that was gone from one that refused or a caller that stood still. Each caller's answers of the last span are named by gateway and status.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -73,9 +73,10 @@
         return
     for step in report.steps:
         print(f"  {step.at_s:6.2f} s {step.kind} {step.how} {step.for_s:.1f} s")
-    for (gateway, status), count in sorted(report.outcomes.items()):
+    for outcome, count in sorted(report.outcomes.items()):
         print(
-            f"  at the end {gateway} answered {count} with {status or 'none'}"
+            f"  at the end caller {outcome.caller} had {count} times "
+            f"{outcome.status or 'no answer'} of {outcome.gateway}"
         )
     for fault in report.faults[:5]:
         print(f"  BROKEN {fault.promise}: {fault.detail}", flush=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -101,6 +101,20 @@
     return counts
 
 
+class Outcome(NamedTuple):
+    """What a caller met.
+
+    Attributes:
+      caller: its number.
+      gateway: the gateway that it asked.
+      status: status of the answer, 0 if there was none.
+    """
+
+    caller: int
+    gateway: str
+    status: int
+
+
 class Report(NamedTuple):
     """What a run showed.
 
@@ -110,7 +124,7 @@
       served: requests answered with success.
       steps: what was done.
       faults: promises that were broken.
-      outcomes: requests of the last calm span by gateway and status.
+      outcomes: requests of the last calm span by caller, gateway and status.
       pauses: spans in which the soak's own loop stood still.
     """
 
@@ -119,7 +133,7 @@
     served: int
     steps: list[Step]
     faults: list[Fault]
-    outcomes: dict[tuple[str, int], int]
+    outcomes: dict[Outcome, int]
     pauses: list[Pause]
 
 
@@ -483,14 +497,15 @@
     def _report(self) -> Report:
         sent = 0
         served = 0
-        outcomes: dict[tuple[str, int], int] = {}
-        for caller in self._callers:
+        outcomes: dict[Outcome, int] = {}
+        for number, caller in enumerate(self._callers):
             sent += len(caller.sent)
             served += sum(1 for each in caller.sent if each.status == 200)
             for each in caller.sent:
                 if each.sent_s < self._end_s - LAST_SPAN_S:
                     continue
-                outcome = (caller.gateway_of[each.request], each.status)
+                gateway = caller.gateway_of[each.request]
+                outcome = Outcome(number, gateway, each.status)
                 outcomes[outcome] = outcomes.get(outcome, 0) + 1
         return Report(
             seed=self._seed,
