--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,6 +1,7 @@
 """Steps for the soak and its checks."""
 
 import asyncio
+from pathlib import Path
 import re
 import subprocess
 import sys
@@ -9,7 +10,9 @@
 from behave import then
 from behave import when
 
+from emulator import ports
 from features.support.harness import ROOT
+from scripts import run_features
 from soak import checks
 from soak import plan
 from soak.checks import Ran
@@ -87,6 +90,24 @@
     assert _faults(check, *_planted(fault)), fault
 
 
+@then("ports of processes lie below those of outgoing connections")
+def step_ports(context):
+    text = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text("ascii")
+    first_outgoing = int(text.split()[0])
+    highest = run_features.WORKERS * run_features.PORTS_PER_WORKER
+    highest += run_features.FIRST_PORT - 1
+    assert max(highest, ports.LAST_PORT) < first_outgoing, text
+
+
+@then("no two workers share a port")
+def step_workers(context):
+    taken = []
+    for worker in range(run_features.WORKERS):
+        first, last = run_features.worker_ports(worker).split("-")
+        taken += range(int(first), int(last) + 1)
+    assert len(taken) == len(set(taken)), "ports are shared"
+
+
 @then("two plans of seed 7 are equal, and seed 8's differs")
 def step_plans(context):
     first = plan.make(7, seconds=30)
--- a/scripts/run_features.py
+++ b/scripts/run_features.py
@@ -98,6 +98,12 @@
     return FileResult(done.returncode, scenarios(report))
 
 
+def worker_ports(worker: int) -> str:
+    """Returns the ports of a worker's processes, as `first-last`."""
+    first = FIRST_PORT + worker * PORTS_PER_WORKER
+    return f"{first}-{first + PORTS_PER_WORKER - 1}"
+
+
 def run_all(directory: Path) -> list[FileResult]:
     """Runs every feature file, `WORKERS` at a time."""
     free: queue.SimpleQueue[int] = queue.SimpleQueue()
@@ -106,8 +112,7 @@
 
     def run(number: int, file: str) -> FileResult:
         worker = free.get()
-        first = FIRST_PORT + worker * PORTS_PER_WORKER
-        ports = f"{first}-{first + PORTS_PER_WORKER - 1}"
+        ports = worker_ports(worker)
         try:
             return run_behave([file], directory / f"{number}.json", ports)
         finally:
