--- a/scripts/plays.py
+++ b/scripts/plays.py
@@ -53,14 +53,14 @@
             process.wait()
 
 
-def play(location: str, number: int, folder: Path) -> Play:
+def play(location: str, number: int, folder: Path, ports: str) -> Play:
     """Plays a scenario once; keeps the output if it fails."""
     started_s = time.monotonic()
     done = subprocess.run(
         [sys.executable, "-m", "behave", "--no-color", "--format", "plain"]
         + [location],
         cwd=ROOT,
-        env={**os.environ, PORTS_VARIABLE: PORTS},
+        env={**os.environ, PORTS_VARIABLE: ports},
         capture_output=True,
         text=True,
         check=False,
@@ -83,7 +83,11 @@
 
 
 def run(
-    *locations: str, count: int = 10, busy: int = 0, keep: str = ""
+    *locations: str,
+    count: int = 10,
+    busy: int = 0,
+    keep: str = "",
+    ports: str = PORTS,
 ) -> None:
     """Plays scenarios, prints what came of each, and exits 1 on a failure.
 
@@ -92,6 +96,8 @@
       count: plays of each.
       busy: loops that run beside them.
       keep: folder for the output of failed plays; by default a new one.
+      ports: `first-last` for processes; two runs at once need ports of their
+        own.
     """
     folder = Path(keep or tempfile.mkdtemp(prefix="almondstair-plays-"))
     folder.mkdir(parents=True, exist_ok=True)
@@ -100,7 +106,7 @@
         for location in locations:
             passed = 0
             for number in range(1, count + 1):
-                each = play(location, number, folder)
+                each = play(location, number, folder, ports)
                 passed += each.passed
                 word = "passed" if each.passed else "FAILED"
                 print(
