--- a/almondstair/gateway/forwarding.py
+++ b/almondstair/gateway/forwarding.py
@@ -44,8 +44,8 @@
 KNOW_WAIT_S = 1.0
 KNOW_SPAN_S = 2.0
 KNOW_POLL_S = 0.02
-# When a request comes back whose upstreams may have ended: by then it is known
-# whether they have.
+# When a request comes back whose upstreams may have ended: the entry that lost
+# its answers knows by then whether they have.
 UNSETTLED_RETRY_MS = 200
 
 
@@ -269,7 +269,7 @@
     def _quarantined(call: Call, standing: Standing) -> AlmondstairError:
         if call.may_have_run:
             return AlmondstairError(
-                kind=ErrorKind.UPSTREAM_LOST, detail="it ended upstreams"
+                kind=ErrorKind.UPSTREAM_LOST, detail="it may end upstreams"
             )
         if standing is Standing.REFUSED:
             return AlmondstairError(kind=ErrorKind.QUARANTINED)
