--- a/features/gateway_crashing.feature
+++ b/features/gateway_crashing.feature
@@ -1,7 +1,6 @@
 Feature: A request that crashes upstreams is stopped by every gateway
 
-  # Guards against upstreams ending one after the other while a request that
-  # crashes them is resent faster than gateways hear of the ends.
+  # Guards against upstreams that end one after the other by a request that is resent faster than its word.
   Scenario Outline: A crashing request is resent at any pace through all gateways
     Given <gateways> gateways in <zones> zones with 8 upstreams
     And requests to "<path>" end the upstreams that run them
@@ -22,8 +21,7 @@
       | 8        | 3     | GET    | /unsafe/poison | 6     | 20    | 0.4   |
       | 2        | 3     | POST   | /safe/poison   | 4     | 20    | 2     |
 
-  # Guards against a look-up being refused because upstreams that ended for
-  # another reason were running it.
+  # Guards against a look-up being refused because it ran where upstreams ended for another reason.
   Scenario: Upstreams that end together do not put a look-up under suspicion
     Given 3 gateways in 3 zones with 9 upstreams
     When 3 upstreams are killed while they run the same look-up
@@ -43,8 +41,7 @@
     Then at most 12 of them are refused as quarantined
     And that look-up is answered through every gateway within 1.0 s
 
-  # Guards against upstreams ending one after the other where words between
-  # entries take longer than a caller that sends again.
+  # Guards against entries of several regions that send one crashing request to an upstream each.
   Scenario Outline: A crashing request is resent through 195 entries of three regions
     Given 195 entries in 9 zones of 3 regions, 539 upstreams and a route <placed>
     When one request that ends its upstreams is resent by <callers> callers for 4 s
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -212,8 +212,7 @@
     When they hear each other within 2 seconds and one stops
     Then 2000 sends to it take less than 1 second and are counted as dropped
 
-  # Guards against an entry that stalls before its sockets' thread has seen the
-  # end of a peer.
+  # Guards against an entry that stalls before its sockets' thread has seen the end of a peer.
   Scenario: Sends to a peer that stops this moment do not stall
     Given two entries with real sockets
     When they hear each other within 2 seconds and one stops this moment
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -71,8 +71,7 @@
     When 200 strikes come within 10 ms
     Then 5 announcements are made, the last one 20 ms after the first
 
-  # Guards against a look-up being refused since another one of its path had
-  # just begun at the second of two upstreams that ended together.
+  # Guards against a look-up being refused because another one had just begun where an upstream ended.
   Scenario: Look-ups that had just begun at an upstream do not make its end a later one
     Given quarantines of 2 entries whose heartbeats usually take 30 ms
     When upstreams of both die 5 ms apart while they run one look-up for 200 ms
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -27,8 +27,7 @@
     When the soak's own loop stands still for 0.3 s
     Then a pause of at least 0.25 s was noted
 
-  # Guards against a gateway that cannot bind its address, because an outgoing
-  # connection or another run has its port.
+  # Guards against a gateway that cannot bind its address, as a connection or another run has its port.
   Scenario: Processes get ports that no connection and no other worker takes
     Then ports of processes lie below those of outgoing connections
     And no two workers share a port
