--- a/emulator/documents.py
+++ b/emulator/documents.py
@@ -8,7 +8,15 @@
 from emulator.deployment import Deployment
 
 HOST = "shop.example"
-LISTENERS = ("callers", "ready", "lookups", "control", "peers", "operators")
+LISTENERS = (
+    "callers",
+    "ready",
+    "lookups",
+    "control",
+    "peers",
+    "relays",
+    "operators",
+)
 BOUNDS = {
     "drainS": 2.0,
     "graceS": 4.0,
@@ -49,6 +57,7 @@
     """Returns the settings file of a gateway."""
     addresses = gateway.addresses
     peers = addresses["peers"].rpartition(":")[2]
+    relays = addresses["relays"].rpartition(":")[2]
     lines = [
         "[local]",
         f'nodeName = "{gateway.name}"',
@@ -58,7 +67,7 @@
         # A gateway has to ignore settings that it does not know.
         "somethingNew = 1",
         "[network]",
-        f"internalPorts = [{peers}, {peers}]",
+        f"internalPorts = [{peers}, {relays}]",
         f'seeds = ["{gateway.seed or addresses["control"]}"]',
         "[network.listen]",
         f'front = "{addresses["callers"]}"',
--- a/emulator/proxy.py
+++ b/emulator/proxy.py
@@ -3,22 +3,41 @@
 import asyncio
 from collections import deque
 import enum
+import socket
 import time
 
 CHUNK_BYTES = 65536
 # Maximum wait for reset connections to close; normally they take a few
 # iterations of the event loop.
 CLOSE_LIMIT_S = 1.0
+# Connections that fill the queue of a listening socket with a backlog of 0.
+_FILLING_CONNECTIONS = 2
 
 
 class ProxyFault(enum.StrEnum):
-    """Faults that the proxy applies to its connections."""
+    """Faults that the proxy applies to its connections.
+
+    Attributes:
+      NONE: no fault.
+      DELAY: bytes arrive later.
+      RESET: open and new connections are reset.
+      SILENCE: new connections are accepted, and no byte passes.
+      ONE_WAY: the same, but bytes to the target pass.
+      HANG: new connections are not answered, and open ones are silent.
+      REFUSE: new connections are refused, and open ones live on.
+    """
 
     NONE = "none"
     DELAY = "delay"
     RESET = "reset"
     SILENCE = "silence"
     ONE_WAY = "one_way"
+    HANG = "hang"
+    REFUSE = "refuse"
+
+
+# Faults under which connections of before cannot be used after their end.
+_LOSING_FAULTS = (ProxyFault.SILENCE, ProxyFault.ONE_WAY, ProxyFault.HANG)
 
 
 class FaultProxy:
@@ -40,18 +59,62 @@
         self._distance_s = distance_s
         self.fault = ProxyFault.NONE
         self.delay_s = 0.0
+        self._address = ("", 0)
         self._server: asyncio.Server | None = None
+        self._full_sockets: list[socket.socket] = []
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def listen(self, address: str) -> None:
         """Binds `ip:port`."""
         ip, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(self._accept, ip, int(port))
+        self._address = (ip, int(port))
+        await self._start_listening()
 
-    async def close(self) -> None:
-        """Stops listening and resets every connection."""
+    async def _start_listening(self) -> None:
+        ip, port = self._address
+        self._server = await asyncio.start_server(self._accept, ip, port)
+
+    def _stop_listening(self) -> None:
         if self._server is not None:
             self._server.close()
+            self._server = None
+        for each in self._full_sockets:
+            each.close()
+        self._full_sockets.clear()
+
+    def _listen_without_room(self) -> None:
+        """Listens with a full queue, so that the kernel answers no connect."""
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind(self._address)
+        listening.listen(0)
+        self._full_sockets.append(listening)
+        for _ in range(_FILLING_CONNECTIONS):
+            filling = socket.socket()
+            filling.setblocking(False)
+            filling.connect_ex(self._address)
+            self._full_sockets.append(filling)
+
+    async def cut(self, fault: ProxyFault) -> None:
+        """Applies a fault to open connections and to new ones."""
+        self.set_fault(fault)
+        if fault in (ProxyFault.HANG, ProxyFault.REFUSE):
+            self._stop_listening()
+        if fault is ProxyFault.HANG:
+            self._listen_without_room()
+
+    async def heal(self) -> None:
+        """Ends a fault; connections that have lost bytes are reset."""
+        if self.fault in _LOSING_FAULTS:
+            self.reset_all()
+        self.fault = ProxyFault.NONE
+        if self._server is None:
+            self._stop_listening()
+            await self._start_listening()
+
+    async def close(self) -> None:
+        """Stops listening and resets every connection."""
+        self._stop_listening()
         self.reset_all()
         until_s = time.monotonic() + CLOSE_LIMIT_S
         while self._writers and time.monotonic() < until_s:
@@ -101,7 +164,7 @@
         delayed_writer = _DelayedWriter(writer=writer)
         try:
             while data := await reader.read(CHUNK_BYTES):
-                if self.fault is ProxyFault.SILENCE:
+                if self.fault in (ProxyFault.SILENCE, ProxyFault.HANG):
                     continue
                 if self.fault is ProxyFault.ONE_WAY and from_target:
                     continue
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -23,6 +23,7 @@
 from emulator.deployment import Service
 from emulator.ports import free_address
 from emulator.proxy import FaultProxy
+from emulator.proxy import ProxyFault
 from emulator.upstream import UpstreamPlan
 
 START_LIMIT_S = 15.0
@@ -88,7 +89,8 @@
       callers: address for callers by gateway.
       upstream_ids: id of the latest incarnation by upstream.
       upstream_runs: runs that upstreams reported, over all incarnations.
-      datagram_proxies: proxy by zone and gateway; empty without delays.
+      datagram_proxies: proxy by view and gateway; empty without delays.
+      links: with separate links, the proxy of each gateway and upstream.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         deployment: Deployment,
         directory: Path,
         source: Path = _ROOT,
+        separate_links: bool = False,
     ) -> None:
         """Names the upstreams and gateways; nothing is started yet.
 
@@ -104,6 +107,8 @@
           deployment: the emulated deployment.
           directory: directory for settings and logs.
           source: root of the checkout whose gateways run.
+          separate_links: whether each gateway, not each zone, has its own
+            proxies, so that its links can be cut.
         """
         self.deployment = deployment
         self.directory = directory
@@ -122,6 +127,7 @@
         self._zone_of: dict[str, str] = {}
         self._proxy_addresses: dict[str, str] = {}
         self.datagram_proxies: dict[tuple[str, str], DatagramProxy] = {}
+        self.links: dict[tuple[str, str], FaultProxy] = {}
         self._zone_addresses: dict[str, dict[str, str]] = {}
         self._store_views: dict[str, str] = {}
         self._all_proxies: list[FaultProxy] = []
@@ -131,6 +137,15 @@
             self._zone_of[f"u{number}"] = site[1]
         for number, zone in enumerate(deployment.gateway_zones()):
             self._zone_of[f"g{number}"] = zone
+        self._separate_links = separate_links
+        # Zone of each view of the store: of a gateway, or of a whole zone.
+        self._views: dict[str, str] = {}
+        if separate_links:
+            for name, zone in self._zone_of.items():
+                if name not in self._upstream_sites:
+                    self._views[name] = zone
+        elif deployment.has_delays:
+            self._views = {zone: zone for zone in deployment.zones}
 
     async def start(self) -> None:
         """Starts all processes without waiting for the gateways' readiness."""
@@ -144,11 +159,11 @@
 
     async def _start_store(self) -> None:
         options = ["--address", self.store]
-        if self.deployment.has_delays:
-            for zone in self.deployment.zones:
-                self._store_views[zone] = free_address()
+        if self._views:
+            for view in self._views:
+                self._store_views[view] = free_address()
             by_address = {
-                address: zone for zone, address in self._store_views.items()
+                address: view for view, address in self._store_views.items()
             }
             options += ["--views", json.dumps(by_address)]
         await self._spawn("store", "store", *options)
@@ -167,37 +182,56 @@
             self.upstreams[name], 0.0
         )
         self.proxies[name] = self._all_proxies[-1]
-        if not self.deployment.has_delays:
+        if not self._views:
             return
-        await self._start_zone_proxies(name, self._proxy_addresses[name])
+        by_view = await self._start_view_proxies(
+            name, self._proxy_addresses[name]
+        )
+        if self._separate_links:
+            proxies = self._all_proxies[-len(by_view) :]
+            for gateway, proxy in zip(by_view, proxies, strict=True):
+                self.links[gateway, name] = proxy
 
-    async def _start_zone_proxies(
+    async def _start_view_proxies(
         self, name: str, address: str
     ) -> dict[str, str]:
-        """Starts a proxy from each zone to an address of a process."""
-        by_zone: dict[str, str] = {}
-        for zone in self.deployment.zones:
+        """Starts a proxy from each view to an address of a process."""
+        by_view: dict[str, str] = {}
+        for view, zone in self._views.items():
             delay_s = self.deployment.delay_s(zone, self.zone_of(name))
-            by_zone[zone] = await self._start_proxy(address, delay_s)
-        self._zone_addresses[address] = by_zone
+            by_view[view] = await self._start_proxy(address, delay_s)
+        self._zone_addresses[address] = by_view
         await self._client.fetch(
             f"http://{self.store}/ways",
             method="PUT",
             body=json.dumps(self._zone_addresses),
         )
-        return by_zone
+        return by_view
 
     async def _start_gateway_proxies(self, name: str, address: str) -> None:
-        """Starts TCP and datagram proxies from each zone to a gateway."""
-        for zone, proxy_address in (
-            await self._start_zone_proxies(name, address)
+        """Starts TCP and datagram proxies from each view to a gateway."""
+        for view, proxy_address in (
+            await self._start_view_proxies(name, address)
         ).items():
+            zone = self._views[view]
             proxy = DatagramProxy(
                 target=address,
                 delay_s=self.deployment.delay_s(zone, self.zone_of(name)),
             )
             await proxy.listen(proxy_address)
-            self.datagram_proxies[zone, name] = proxy
+            self.datagram_proxies[view, name] = proxy
+
+    async def cut_links(self, gateway: str, fault: ProxyFault) -> None:
+        """Applies a fault to a gateway's links to all upstreams."""
+        for (linked, _), proxy in self.links.items():
+            if linked == gateway:
+                await proxy.cut(fault)
+
+    async def heal_links(self, gateway: str) -> None:
+        """Ends the fault of a gateway's links to all upstreams."""
+        for (linked, _), proxy in self.links.items():
+            if linked == gateway:
+                await proxy.heal()
 
     async def _spawn(
         self,
@@ -280,7 +314,8 @@
         store_zone = self.deployment.store_zone or next(
             iter(self.deployment.zones)
         )
-        target = self._store_views.get(zone, self.store)
+        view = name if self._separate_links else zone
+        target = self._store_views.get(view, self.store)
         store = await self._start_proxy(
             target, self.deployment.delay_s(zone, store_zone)
         )
@@ -298,6 +333,7 @@
         )
         if self.deployment.has_delays:
             await self._start_gateway_proxies(name, addresses["peers"])
+            await self._start_view_proxies(name, addresses["relays"])
         await self.start_gateway(name)
         self.callers[name] = addresses["callers"]
 
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -137,14 +137,7 @@
     ) -> Child:
         """Starts a gateway and waits until it is ready."""
         addresses = {}
-        for listener in (
-            "callers",
-            "ready",
-            "lookups",
-            "control",
-            "peers",
-            "operators",
-        ):
+        for listener in documents.LISTENERS:
             addresses[listener] = harness.free_address()
         addresses = self.gateways.setdefault(name, addresses)
         self._zones_of[name] = zone
