--- a/almondstair/core/entry_directory.py
+++ b/almondstair/core/entry_directory.py
@@ -12,7 +12,7 @@
 no longer returned.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 import math
 from typing import NamedTuple
 
@@ -46,9 +46,17 @@
         self._entries: list[_Weighted] = []
         self._lists: dict[tuple[str, str], list[str]] = {}
 
-    def set_entries(self, entries: Iterable[Entry]) -> None:
-        """Replaces the live entries; called when any of them changes."""
-        found = list(entries)
+    def set_entries(
+        self, entries: Iterable[Entry], *, omitted: Collection[str] = ()
+    ) -> None:
+        """Replaces the live entries; called when any of them changes.
+
+        Args:
+          entries: the live entries.
+          omitted: names of those that callers should not use; they are used if
+            their region has no others.
+        """
+        found = _without_omitted(entries, omitted)
         has_weights = all(entry.throughput_mbps > 0 for entry in found)
         self._entries = []
         self._lists = {}
@@ -96,6 +104,20 @@
         return found[:MAX_ADDRESSES]
 
 
+def _without_omitted(
+    entries: Iterable[Entry], omitted: Collection[str]
+) -> list[Entry]:
+    """Returns the entries to use in each region."""
+    by_region: dict[str, list[Entry]] = {}
+    for entry in entries:
+        by_region.setdefault(entry.region, []).append(entry)
+    found = []
+    for members in by_region.values():
+        kept = [entry for entry in members if entry.name not in omitted]
+        found += kept or members
+    return found
+
+
 def _weights_equal(entries: list[_Weighted]) -> bool:
     weights = [weighted.weight for weighted in entries]
     return max(weights, default=1.0) <= EQUAL_WEIGHT_RATIO * min(
--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -1,7 +1,7 @@
 """An entry's view of the deployment: routes, upstreams and entries."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 import math
 
 from almondstair.core.incarnations import EndedIncarnations
@@ -181,6 +181,7 @@
         self, state: UpstreamState, record: UpstreamRecord, now_s: float
     ) -> bool:
         before = state.record
+        state.renewed_at_s = now_s
         if before.draining and not record.draining:
             # An older registration that arrives late does not end draining.
             record = record._replace(draining=True)
@@ -208,6 +209,7 @@
             record=record, region=region, peer_loads=self.peer_loads
         )
         state.cold_until_s = self._cold_until_s(record, now_s)
+        state.renewed_at_s = now_s
         self._upstreams[record.upstream_id] = state
         self.upstreams_by_hash[state.name_hash] = state
         self._eligible_stale = True
@@ -242,6 +244,34 @@
             self._mark_cold_from(state, now_s)
         state.record_reached()
 
+    def restore_reachability(self) -> None:
+        """Forgets which upstreams were unreachable during a partition.
+
+        They were reachable for others all the while, and stay warm.
+        """
+        for state in self._upstreams.values():
+            state.restore_reachability()
+
+    def needs_relay(
+        self, service: str, *, allowed_regions: Collection[str], now_s: float
+    ) -> bool:
+        """Returns whether only other entries reach upstreams of a service.
+
+        Args:
+          service: the service.
+          allowed_regions: regions that may run the request; all if empty.
+          now_s: the entry's clock, in seconds.
+        """
+        alive_elsewhere = False
+        for upstream in self.eligible_upstreams(service):
+            if allowed_regions and upstream.region not in allowed_regions:
+                continue
+            if not upstream.is_unreachable:
+                return False
+            if upstream.is_alive_elsewhere(now_s=now_s):
+                alive_elsewhere = True
+        return alive_elsewhere
+
     def _mark_cold_from(self, state: UpstreamState, from_s: float) -> None:
         cold_s = self._cold_s(state.record.service)
         if cold_s > 0:
@@ -397,6 +427,11 @@
         """Returns all regions."""
         return frozenset(self._zones.values())
 
+    @property
+    def own_region(self) -> str:
+        """Returns the region of this entry."""
+        return self._own_region
+
     def in_own_region(self, zone: str) -> bool:
         """Returns whether an availability zone is in this entry's region."""
         return self._zones.get(zone) == self._own_region
--- a/almondstair/core/registered_entries.py
+++ b/almondstair/core/registered_entries.py
@@ -20,6 +20,7 @@
       availability_zone: its availability zone.
       cores: processors that it may use, 0 if unknown.
       link_mbps: bandwidth of its link in Mbit/s, 0 if unknown.
+      relays: `ip:port` for requests of other entries, empty if it takes none.
     """
 
     name: str
@@ -29,6 +30,7 @@
     availability_zone: str
     cores: float = 0.0
     link_mbps: float = 0.0
+    relays: str = ""
 
     @property
     def throughput_mbps(self) -> float:
--- a/almondstair/core/report_schedule.py
+++ b/almondstair/core/report_schedule.py
@@ -76,6 +76,7 @@
       strikes: requests that may crash upstreams.
       locations: objects and the upstreams that have them cached.
       limits: limits of upstreams, None for one that ended.
+      cut_off: names of the entries that reach no upstream.
     """
 
     loads: UpstreamLoads
@@ -83,6 +84,7 @@
     strikes: list[tuple[int, int]]
     locations: list[CachedLocation]
     limits: list[tuple[int, float | None]]
+    cut_off: list[str]
 
 
 class ReportSchedule:
@@ -96,21 +98,23 @@
             urgent, in seconds.
         """
         self._min_interval_s = min_interval_s
-        self._last_sent = EntryReport({}, [], [], [], [])
+        self._last_sent = EntryReport({}, [], [], [], [], [])
         self._last_sent_at_s = -math.inf
 
     def is_urgent(self, report: EntryReport) -> bool:
-        """Returns whether a report has new replacements, strikes or limits.
+        """Returns whether a report has news that others act on at once.
 
         An upstream that was replaced, that a request may have crashed, or that
         has a limit, gets requests from every entry that has not received the
-        report.
+        report. An entry that reaches no upstream gets callers by lookups.
         """
         last = self._last_sent
         if set(report.replaced) - set(last.replaced):
             return True
         if set(report.limits) - set(last.limits):
             return True
+        if report.cut_off != last.cut_off:
+            return True
         return bool(set(report.strikes) - set(last.strikes))
 
     def is_due(self, report: EntryReport, *, now_s: float) -> bool:
--- a/almondstair/core/upstream_state.py
+++ b/almondstair/core/upstream_state.py
@@ -16,6 +16,11 @@
 # Half-life of the effect of failures and slow responses. An upstream that is
 # avoided because of them gets a few requests again after some seconds.
 HEALTH_HALF_LIFE_S = 4.0
+# Age of a registration after which its upstream may have ended. Upstreams renew
+# theirs about every 1.5 s, and one lapses after three missed renewals.
+RENEWED_S = 4.0
+# Time after a failed connection in which its upstream is due to renew.
+RENEWAL_WAIT_S = 2.0
 # Limits of a sample of an upstream's run time relative to its service, so that
 # a single outlier does not dominate the mean.
 MAX_SLOWNESS = 12.0
@@ -84,6 +89,8 @@
         failed one.
       unreachable_at_s: time of the first of those failures, on the entry's
         clock, in seconds.
+      renewed_at_s: when its registration was last read as renewed, on the
+        entry's clock, in seconds.
     """
 
     def __init__(
@@ -109,6 +116,7 @@
         self.cold_until_s = 0.0
         self.is_unreachable = False
         self.unreachable_at_s = -math.inf
+        self.renewed_at_s = -math.inf
         self._reported_peer_requests = 0.0
         self._reported_at_s = -math.inf
         self._on_probation = False
@@ -181,6 +189,31 @@
         """Records that it accepted a new connection."""
         self.is_unreachable = False
 
+    def restore_reachability(self) -> None:
+        """Forgets failures that were this entry's own partition.
+
+        It stays on probation, so that not all waiting requests are sent at
+        once.
+        """
+        if self.is_unreachable:
+            self.is_unreachable = False
+            self._on_probation = True
+        self._failures = 0.0
+
+    def is_renewed(self, *, now_s: float) -> bool:
+        """Returns whether its registration was renewed lately."""
+        return now_s - self.renewed_at_s < RENEWED_S
+
+    def is_alive_elsewhere(self, *, now_s: float) -> bool:
+        """Returns whether others may reach it although this entry does not.
+
+        They do if they have requests there, or if it has written to the store
+        since. Until it is due to write, it counts as alive.
+        """
+        if self.peer_requests or self.renewed_at_s > self.unreachable_at_s:
+            return True
+        return now_s - self.unreachable_at_s < RENEWAL_WAIT_S
+
     def record_sent(self) -> None:
         """Counts a request that is sent to it."""
         self.in_flight += 1
--- a/almondstair/errors.py
+++ b/almondstair/errors.py
@@ -47,6 +47,8 @@
     OVER_QUOTA = "over_quota"
     NO_ALLOWED_REGION = "no_allowed_region"
     UPSTREAMS_LIMITED = "upstreams_limited"
+    ENTRY_CUT_OFF = "entry_cut_off"
+    RELAY_REFUSED = "relay_refused"
     EDIT_CONFLICT = "edit_conflict"
     EDIT_PENDING = "edit_pending"
     EDIT_UNKNOWN = "edit_unknown"
@@ -159,6 +161,12 @@
     ErrorKind.UPSTREAMS_LIMITED: ErrorRule(
         2012, 503, Ran.NO, 1000, 4, "Every upstream is at the limit it states"
     ),
+    ErrorKind.ENTRY_CUT_OFF: ErrorRule(
+        2013, 503, Ran.NO, 100, 4, "No entry can send this to an upstream now"
+    ),
+    ErrorKind.RELAY_REFUSED: ErrorRule(
+        2014, 503, Ran.NO, 100, 4, "This entry does not relay the request"
+    ),
     ErrorKind.EDIT_CONFLICT: ErrorRule(
         4001, 409, Ran.NO, None, 6, "Somebody else edited the configuration"
     ),
--- a/almondstair/gateway/call_recorder.py
+++ b/almondstair/gateway/call_recorder.py
@@ -4,6 +4,7 @@
 from almondstair.clock import now_s
 from almondstair.core.choosing import Choice
 from almondstair.core.fleet import Fleet
+from almondstair.core.registered_entries import Entry
 from almondstair.errors import AlmondstairError
 from almondstair.gateway.caller_request import CallerRequest
 from almondstair.gateway.caller_request import ResponseWait
@@ -50,6 +51,7 @@
             busy=round(choice.load, 1),
             warm=choice.warm,
             limited=_refusing_upstreams(call),
+            relayed_by=_relaying_entry(call),
             expected_ms=round(choice.expected_s * 1000),
             queue_ms=round(choice.wait_s * 1000),
             way_ms=round(choice.round_trip_s * 1000),
@@ -58,6 +60,40 @@
             took_ms=call.age_ms(),
         )
 
+    def record_relayed(
+        self, call: ForwardedCall, entry: Entry, status: int
+    ) -> None:
+        """Records the response of an upstream that another entry reached.
+
+        The other entry logs which upstream it was, and why.
+        """
+        self._count(call, f"status_{status}")
+        log.event(
+            log.Event.REQUEST_ANSWERED,
+            request=call.log_id,
+            route=call.route.name,
+            version=self._configuration_version(),
+            through=entry.name,
+            key=call.key if call.route.key_affinity else "",
+            tries=1 + len(call.tried) + call.lost_relays,
+            aim_ms=round(call.route.target_latency_s * 1000),
+            status=status,
+            took_ms=call.age_ms(),
+        )
+
+    def record_failed_relay(
+        self, call: ForwardedCall, entry: Entry, error: AlmondstairError
+    ) -> None:
+        """Records that another entry returned no upstream's response."""
+        log.event(
+            log.Event.TRY_FAILED,
+            request=call.log_id,
+            through=entry.name,
+            verdict=str(error.ran),
+            cause=f"{error.kind}: {error.detail}",
+            left_ms=round(call.remaining_s() * 1000),
+        )
+
     def _configuration_version(self) -> int:
         return self._fleet.table.version if self._fleet.table else 0
 
@@ -101,6 +137,7 @@
             tried=call.tried,
             held_back=sorted(call.excluded_regions),
             limited=_refusing_upstreams(call),
+            relayed_by=_relaying_entry(call),
             use=round(self._fleet.utilisation(call.service, now_s=now_s()), 2),
             upstreams=len(self._fleet.eligible_upstreams(call.service)),
             after_ms=call.age_ms(),
@@ -149,5 +186,10 @@
     return sorted(call.limit_refusals.upstreams)[:_MAX_LOGGED_REFUSALS]
 
 
+def _relaying_entry(call: ForwardedCall) -> str:
+    """Returns the entry that relays a call, empty if its caller came here."""
+    return "" if call.relayed is None else call.relayed.entry
+
+
 def _request_id(request: CallerRequest) -> str:
     return (request.header(names.REQUEST_ID) or b"").decode("latin-1")
--- a/almondstair/gateway/caller_access.py
+++ b/almondstair/gateway/caller_access.py
@@ -35,6 +35,37 @@
     if not table.requires_key(route):
         return Access(route=route, organisation=None)
     organisation = _find_organisation(table, headers)
+    return _combine(table, route, organisation)
+
+
+def find_relayed_access(
+    table: RoutingTable, route: Route, organisation: str
+) -> Access:
+    """Returns what a caller may use whose key another entry has checked.
+
+    Args:
+      table: the routing table.
+      route: the route of the request.
+      organisation: name of the caller's organisation, empty if it has none.
+
+    Raises:
+      AlmondstairError: `relay_refused` if it is not known here,
+        `no_allowed_region` as in `find_access`.
+    """
+    if not table.requires_key(route):
+        return Access(route=route, organisation=None)
+    for candidate in table.configuration.organisations:
+        if candidate.name == organisation:
+            return _combine(table, route, candidate)
+    raise AlmondstairError(
+        kind=ErrorKind.RELAY_REFUSED,
+        detail=f"no organisation {organisation!r} in version {table.version}",
+    )
+
+
+def _combine(
+    table: RoutingTable, route: Route, organisation: Organisation
+) -> Access:
     combined = table.route_for(route, organisation=organisation)
     if combined is None:
         raise AlmondstairError(
--- a/almondstair/gateway/caller_request.py
+++ b/almondstair/gateway/caller_request.py
@@ -9,6 +9,7 @@
 from almondstair.clock import now_s
 from almondstair.errors import PROBLEM_CONTENT_TYPE
 from almondstair.errors import AlmondstairError
+from almondstair.gateway import relay_messages
 from almondstair.gateway.http_encoding import LAST_CHUNK
 from almondstair.gateway.http_encoding import Headers
 from almondstair.gateway.http_encoding import ResponseHead
@@ -87,6 +88,7 @@
       fully_read: whether the body has arrived completely.
       close_after: whether the connection is closed after the response.
       caller_disconnected: whether the caller closed the connection.
+      is_relayed: whether another entry sent it, which is told of errors.
       task: task that handles the request, once it has started.
       output: encoded parts of the response that are not written yet.
     """
@@ -105,6 +107,7 @@
         self.fully_read = False
         self.close_after = False
         self.caller_disconnected = False
+        self.is_relayed = False
         self.task: asyncio.Task[None] | None = None
         self.output: list[bytes] = []
         self._chunked = False
@@ -144,6 +147,8 @@
         if error.retry_after_ms is not None:
             text = f"{error.retry_after_ms / 1000:.2f}"
             headers.append((b"retry-after", text.encode()))
+        if self.is_relayed:
+            headers += relay_messages.encode_error(error)
         self.respond(
             ResponseHead(status=error.rule.http_status, headers=headers),
             problem_body(error=error),
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -14,6 +14,7 @@
 from almondstair.clock import now_s
 from almondstair.core.cold_start_limiter import ColdStartLimiter
 from almondstair.core.crash_suspects import CrashSuspects
+from almondstair.core.cut_off_entries import CutOffEntries
 from almondstair.core.entry_directory import EntryDirectory
 from almondstair.core.fleet import Fleet
 from almondstair.core.known_places import CachedLocations
@@ -23,12 +24,15 @@
 from almondstair.core.rate_reports import EntryQuotas
 from almondstair.core.region_reports import RegionReports
 from almondstair.core.region_shares import RegionShareLimiter
+from almondstair.core.relay_selection import RelaySelector
 from almondstair.core.request_placer import RequestPlacer
 from almondstair.core.run_times import RunTimes
 from almondstair.core.shared_counts import SharedCounts
 from almondstair.core.shared_retry_budget import SharedRetryBudget
 from almondstair.core.upstream_limiter import UpstreamLimiter
+from almondstair.core.upstream_links import UpstreamLinks
 from almondstair.errors import AlmondstairError
+from almondstair.gateway.call_recorder import CallRecorder
 from almondstair.gateway.caller_connection import CallerConnection
 from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.crash_reports import CrashReports
@@ -39,8 +43,12 @@
 from almondstair.gateway.http_pages import PageData
 from almondstair.gateway.http_pages import Pages
 from almondstair.gateway.limit_recorder import LimitRecorder
+from almondstair.gateway.link_monitor import LinkMonitor
 from almondstair.gateway.load_exchange import LoadExchange
 from almondstair.gateway.operator_reports import OperatorReports
+from almondstair.gateway.relay_forwarder import RelayForwarder
+from almondstair.gateway.relay_listener import RelayConnection
+from almondstair.gateway.relay_listener import RelayHandler
 from almondstair.gateway.settings_watcher import SettingsWatcher
 from almondstair.gateway.store_sync import StoreSync
 from almondstair.gateway.upstream_connector import UpstreamConnector
@@ -128,6 +136,11 @@
         self._limit_recorder = LimitRecorder(
             fleet=self._fleet, limits=self._limit_reports.limits
         )
+        self._links = UpstreamLinks()
+        self._cut_off = CutOffEntries()
+        self._link_monitor = LinkMonitor(
+            fleet=self._fleet, pool=self._pool, links=self._links
+        )
         suspects = CrashSuspects()
         self._load_exchange = LoadExchange(
             fleet=self._fleet,
@@ -141,6 +154,8 @@
             ),
             limit_reports=self._limit_reports,
             limit_recorder=self._limit_recorder,
+            links=self._links,
+            cut_off=self._cut_off,
             own_name=settings.entry_name,
             own_zone=settings.availability_zone,
             link_mbps=settings.means.link_mbps,
@@ -162,10 +177,14 @@
             in_flight=self._forwarder.in_flight,
             quotas=self._quota_reports,
             limits=self._limit_reports.limits,
+            links=self._links,
+            cut_off=self._cut_off,
         )
         self._pages = Pages(source=self)
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
+        self._relay_server: asyncio.Server | None = None
+        self._omitted: frozenset[str] = frozenset()
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._leaving = False
 
@@ -186,6 +205,7 @@
             fleet=self._fleet,
             pool=self._pool,
             crash_reports=self._crash_reports,
+            link_monitor=self._link_monitor,
             own_region=settings.region,
             regions=settings.zones.values(),
         )
@@ -210,6 +230,22 @@
             connector=self._connector,
             placer=placer,
             limit_recorder=self._limit_recorder,
+            link_monitor=self._link_monitor,
+        )
+        recorder = CallRecorder(fleet=self._fleet, metrics=self._metrics)
+        self._relay_pool = ConnectionPool(id_header=b"")
+        relay_forwarder = RelayForwarder(
+            fleet=self._fleet,
+            cut_off=self._cut_off,
+            selector=RelaySelector(
+                own_name=settings.entry_name,
+                own_region=settings.region,
+                own_zone=settings.availability_zone,
+            ),
+            pool=self._relay_pool,
+            recorder=recorder,
+            metrics=self._metrics,
+            own_name=settings.entry_name,
         )
         self._forwarder = Forwarder(
             fleet=self._fleet,
@@ -220,6 +256,14 @@
                 limiter=self._quota_limiter, own=self._quota_reports.own
             ),
             crash_reports=self._crash_reports,
+            link_monitor=self._link_monitor,
+            relay_forwarder=relay_forwarder,
+            recorder=recorder,
+            metrics=self._metrics,
+        )
+        self._relay_handler = RelayHandler(
+            forwarder=self._forwarder,
+            fleet=self._fleet,
             metrics=self._metrics,
         )
 
@@ -237,10 +281,16 @@
                 incarnation=uuid.uuid4().hex,
                 cores=settings.means.cores,
                 link_mbps=settings.means.link_mbps,
+                relays=self._relay_address(),
             ),
             shortest_lease_s=settings.store.shortest_lease_s,
         )
 
+    def _relay_address(self) -> str:
+        """Returns the address for other entries' requests, or an empty one."""
+        first, last = self._settings.peer_ports
+        return f"{self._settings.ip}:{last}" if last != first else ""
+
     # Pages.
 
     def is_ready(self) -> bool:
@@ -249,9 +299,16 @@
 
     def addresses(self, *, region: str, caller: str) -> list[str]:
         """Returns addresses of entries for a caller of a region."""
-        if self._entries_version != self._fleet.entries_version:
+        omitted = self._cut_off.omitted_from_lookups(now_s=now_s())
+        if (
+            self._entries_version != self._fleet.entries_version
+            or self._omitted != omitted
+        ):
             self._entries_version = self._fleet.entries_version
-            self._lookups.set_entries(self._fleet.entries.values())
+            self._omitted = omitted
+            self._lookups.set_entries(
+                self._fleet.entries.values(), omitted=omitted
+            )
         found = self._lookups.addresses_for(region=region, caller=caller)
         if not found and not self._leaving:
             found = [self._settings.listen.callers]
@@ -301,6 +358,13 @@
         await self._load_exchange.listen(
             ip=self._settings.ip, port=self._settings.peer_ports[0]
         )
+        if self._relay_address():
+            self._relay_server = await loop.create_server(
+                self._create_relay_connection,
+                self._settings.ip,
+                self._settings.peer_ports[1],
+                backlog=ACCEPT_BACKLOG,
+            )
         # Opened last: a response here promises that every other address
         # listens. If opened first, it would respond up to 0.1 s before callers
         # can connect on a busy VM.
@@ -308,6 +372,7 @@
         self._start_task("log", _flush_log)
         self._start_task("settings", self._settings_watcher.run)
         self._start_task("loads", self._load_exchange.run)
+        self._start_task("links", self._link_monitor.run)
         self._start_task("store", self._store_sync.run)
         self._start_task("lapses", self._store_sync.expire)
         self._start_task("registration", self._registration.run)
@@ -330,6 +395,14 @@
             connection.drain()
         return connection
 
+    def _create_relay_connection(self) -> RelayConnection:
+        connection = RelayConnection(
+            handler=self._relay_handler, connections=self._connections
+        )
+        if self._leaving:
+            connection.drain()
+        return connection
+
     def reload(self) -> None:
         """Reloads the settings file; changed addresses need a restart."""
         self._settings_watcher.reload()
@@ -401,8 +474,9 @@
                 return
 
     def _stop_listening(self) -> None:
-        if self._server is not None:
-            self._server.close()
+        for server in (self._server, self._relay_server):
+            if server is not None:
+                server.close()
 
     async def _close(self) -> None:
         self._stop_listening()
@@ -411,6 +485,7 @@
             task.cancel()
         self._connector.close()
         self._pool.close()
+        self._relay_pool.close()
         self._client.close()
 
 
--- a/almondstair/gateway/forwarded_call.py
+++ b/almondstair/gateway/forwarded_call.py
@@ -9,23 +9,31 @@
 from almondstair.core.request_placer import PlacementRequest
 from almondstair.core.routing import Route
 from almondstair.core.upstream_limiter import LimitRefusals
+from almondstair.gateway import relay_messages
 from almondstair.gateway.caller_request import CallerRequest
 from almondstair.gateway.http_encoding import Headers
 from almondstair.gateway.http_encoding import ResponseHead
 from almondstair.gateway.http_encoding import encode_head
 from almondstair.gateway.http_encoding import forwarded_headers
+from almondstair.gateway.relay_messages import RelayedRequest
 from almondstair.gateway.upstream_connection import UpstreamExchange
+from almondstair.gateway.upstream_connection import UpstreamResponseSink
 from almondstair.platform import headers as names
 
 # Deadline of requests without a Deadline-Ms header.
 DEFAULT_DEADLINE_S = 30.0
-_OWN_REQUEST_HEADERS = frozenset(
-    (names.DEADLINE, names.EXPECTED_UPSTREAM, names.ORGANISATION)
-)
+_OWN_REQUEST_HEADERS = relay_messages.HEADERS | {
+    names.DEADLINE,
+    names.EXPECTED_UPSTREAM,
+    names.ORGANISATION,
+}
 _KEY_HEADERS = _OWN_REQUEST_HEADERS | {names.AUTHORIZATION}
-_OWN_REPLY_HEADERS = frozenset(
-    (names.LOAD, names.COLD_LEFT, names.NOT_RUN, names.RATE_LIMIT)
-)
+_OWN_REPLY_HEADERS = relay_messages.HEADERS | {
+    names.LOAD,
+    names.COLD_LEFT,
+    names.NOT_RUN,
+    names.RATE_LIMIT,
+}
 
 
 class AttemptVerdict(enum.StrEnum):
@@ -78,6 +86,9 @@
         of its last placement.
       excluded_regions: regions excluded at its last placement because traffic
         is shifted between regions gradually.
+      relayed: what the entry tells that relays it; None if its caller reached
+        this entry.
+      lost_relays: number of other entries whose response to it was lost.
     """
 
     def __init__(
@@ -88,6 +99,7 @@
         service: str,
         organisation: Organisation | None = None,
         hides_key: bool = False,
+        relayed: RelayedRequest | None = None,
     ) -> None:
         """Creates a call from a request whose head has been read."""
         self.request = request
@@ -101,13 +113,26 @@
         if stated is not None:
             caller_s = names.parse_milliseconds(stated) or DEFAULT_DEADLINE_S
         self.deadline_s = request.arrived_s + min(caller_s, route.timeout_s)
+        self.relayed = relayed
         self.tried: list[str] = []
         self.limit_refusals = LimitRefusals()
         self.attempts = 0
+        self.lost_relays = 0
         self.may_have_run = False
         self.possibly_crashed: frozenset[int] = frozenset()
         self.excluded_regions: frozenset[str] = frozenset()
         self._fingerprint: int | None = None
+        self._tried_before = 0
+        if relayed is not None:
+            self.tried.extend(relayed.tried)
+            self.attempts = relayed.attempts
+            self._fingerprint = relayed.fingerprint
+            self._tried_before = len(relayed.tried)
+
+    @property
+    def is_retry(self) -> bool:
+        """Whether its next attempt is a retry of this entry."""
+        return len(self.tried) + self.lost_relays > self._tried_before
 
     @property
     def key(self) -> str:
@@ -175,16 +200,44 @@
       upstream_id: id of the upstream that must handle the request.
       chunked: whether the body is sent in chunks.
     """
-    request = call.request
-    headers: Headers = forwarded_headers(
-        request.headers,
-        without=_KEY_HEADERS if call.hides_key else _OWN_REQUEST_HEADERS,
-    )
+    headers = _forwarded_request_headers(call)
     left_ms = max(1, int(call.remaining_s() * 1000))
     headers.append((names.DEADLINE, b"%d" % left_ms))
     headers.append((names.EXPECTED_UPSTREAM, upstream_id.encode()))
     if call.organisation is not None:
         headers.append((names.ORGANISATION, call.organisation.name.encode()))
+    return _encode_request_head(call, headers, chunked=chunked)
+
+
+def relayed_request_head(
+    call: ForwardedCall, *, relayed: RelayedRequest, chunked: bool
+) -> bytes:
+    """Returns the encoded request head that is sent to another entry.
+
+    Args:
+      call: the call.
+      relayed: what the other entry has to know of it.
+      chunked: whether the body is sent in chunks.
+    """
+    headers = _forwarded_request_headers(call)
+    stated = call.request.header(names.DEADLINE)
+    if stated is not None:
+        headers.append((names.DEADLINE, stated))
+    headers += relay_messages.encode_request(relayed)
+    return _encode_request_head(call, headers, chunked=chunked)
+
+
+def _forwarded_request_headers(call: ForwardedCall) -> Headers:
+    """Returns the caller's headers that are sent on."""
+    without = _KEY_HEADERS if call.hides_key else _OWN_REQUEST_HEADERS
+    return forwarded_headers(call.request.headers, without=without)
+
+
+def _encode_request_head(
+    call: ForwardedCall, headers: Headers, *, chunked: bool
+) -> bytes:
+    """Adds the framing of the body, and encodes the head."""
+    request = call.request
     if chunked:
         headers.append((b"transfer-encoding", b"chunked"))
     elif request.body_length != 0:
@@ -204,3 +257,19 @@
         status=head.status,
         headers=forwarded_headers(head.headers, without=_OWN_REPLY_HEADERS),
     )
+
+
+class ForwardingSink(UpstreamResponseSink):
+    """Streams a long response to the caller, without hop-by-hop headers."""
+
+    def __init__(self, request: CallerRequest) -> None:
+        """Creates the sink of one attempt."""
+        self._request = request
+
+    def begin(self, head: ResponseHead) -> None:
+        """Starts the response with its head."""
+        self._request.begin(caller_response_head(head))
+
+    async def write(self, data: bytes) -> None:
+        """Writes a chunk of the body."""
+        await self._request.write(data)
--- a/almondstair/gateway/forwarder.py
+++ b/almondstair/gateway/forwarder.py
@@ -13,6 +13,7 @@
 from almondstair.core.request_placer import NO_CAPACITY_RETRY_MS
 from almondstair.core.request_placer import RequestPlacer
 from almondstair.core.routing import CallerLimits
+from almondstair.core.routing import Route
 from almondstair.core.routing import WeightedRoundRobin
 from almondstair.core.shared_retry_budget import SharedRetryBudget
 from almondstair.errors import AlmondstairError
@@ -20,6 +21,7 @@
 from almondstair.errors import Ran
 from almondstair.gateway.call_recorder import CallRecorder
 from almondstair.gateway.caller_access import find_access
+from almondstair.gateway.caller_access import find_relayed_access
 from almondstair.gateway.caller_connection import RequestHandler
 from almondstair.gateway.caller_request import MAX_BUFFERED_BODY_BYTES
 from almondstair.gateway.caller_request import CallerRequest
@@ -30,6 +32,9 @@
 from almondstair.gateway.forwarded_call import ForwardedCall
 from almondstair.gateway.forwarded_call import caller_response_head
 from almondstair.gateway.gateway_metrics import GatewayMetrics
+from almondstair.gateway.link_monitor import LinkMonitor
+from almondstair.gateway.relay_forwarder import RelayForwarder
+from almondstair.gateway.relay_messages import RelayedRequest
 from almondstair.gateway.upstream_connection import ExchangeEnd
 from almondstair.gateway.upstream_connection import UpstreamExchange
 from almondstair.gateway.upstream_sender import UpstreamSender
@@ -70,6 +75,9 @@
         quotas: EntryQuotas,
         placer: RequestPlacer,
         crash_reports: CrashReports,
+        link_monitor: LinkMonitor,
+        relay_forwarder: RelayForwarder,
+        recorder: CallRecorder,
         metrics: GatewayMetrics,
     ) -> None:
         """Creates a forwarder.
@@ -81,6 +89,9 @@
           quotas: limits the requests of organisations.
           placer: chooses upstreams.
           crash_reports: requests that may crash upstreams.
+          link_monitor: watches the links to upstreams.
+          relay_forwarder: sends requests through other entries.
+          recorder: logs and counts calls.
           metrics: counters and histograms.
         """
         self._fleet = fleet
@@ -90,7 +101,9 @@
         self._crash_reports = crash_reports
         self._metrics = metrics
         self._service_turns = WeightedRoundRobin()
-        self._recorder = CallRecorder(fleet=fleet, metrics=metrics)
+        self._link_monitor = link_monitor
+        self._relay_forwarder = relay_forwarder
+        self._recorder = recorder
         self._sender = sender
         self._slot_waits = EntryQueue()
         self.in_flight: dict[CallerRequest, ForwardedCall] = {}
@@ -113,11 +126,19 @@
             return True
         return not call.may_have_run or not request.fully_read
 
-    async def handle(self, request: CallerRequest) -> None:
-        """Responds to a request."""
+    async def handle(
+        self, request: CallerRequest, relayed: RelayedRequest | None = None
+    ) -> None:
+        """Responds to a request.
+
+        Args:
+          request: the request.
+          relayed: what the entry tells that relays it; None if its caller
+            reached this entry.
+        """
         await self._wait_until_ready()
         try:
-            call = self._create_call(request)
+            call = self._create_call(request, relayed)
         except AlmondstairError as error:
             self._recorder.record_refused(request, error)
             request.respond_with_problem(error)
@@ -140,8 +161,17 @@
             )
         finally:
             self.in_flight.pop(request, None)
-            if call.organisation is not None and not call.may_have_run:
-                self._quotas.release(call.organisation, now_s=now_s())
+            self._release_quota(call)
+
+    def _release_quota(self, call: ForwardedCall) -> None:
+        """Gives back the quota of a request that has not run.
+
+        The quota of a relayed request is held where its caller reached.
+        """
+        if call.organisation is None or call.relayed is not None:
+            return
+        if not call.may_have_run:
+            self._quotas.release(call.organisation, now_s=now_s())
 
     def record_wait(self, wait: ResponseWait) -> None:
         """Records a ready response that waited for the preceding one."""
@@ -161,7 +191,9 @@
                 return
             await asyncio.sleep(READY_POLL_S)
 
-    def _create_call(self, request: CallerRequest) -> ForwardedCall:
+    def _create_call(
+        self, request: CallerRequest, relayed: RelayedRequest | None
+    ) -> ForwardedCall:
         if self.rejecting:
             raise AlmondstairError(kind=ErrorKind.ENTRY_LEAVING)
         table = self._fleet.table
@@ -175,18 +207,34 @@
                 kind=ErrorKind.UNKNOWN_PATH,
                 detail=f"no route for {host}{path} in version {table.version}",
             )
-        access = find_access(table, route, request.headers)
-        if access.organisation is not None:
-            self._acquire_quota(access.organisation)
-        service = self._service_turns.next_service(route=access.route)
+        if relayed is None:
+            access = find_access(table, route, request.headers)
+            if access.organisation is not None:
+                self._acquire_quota(access.organisation)
+        else:
+            access = find_relayed_access(table, route, relayed.organisation)
+        service = self._service(access.route, relayed)
         return ForwardedCall(
             request=request,
             route=access.route,
             service=service,
             organisation=access.organisation,
             hides_key=bool(table.configuration.organisations),
+            relayed=relayed,
         )
 
+    def _service(self, route: Route, relayed: RelayedRequest | None) -> str:
+        """Returns the service for a request, chosen where its caller reached.
+
+        An entry with another version of the configuration may have chosen a
+        service that the route does not go to here.
+        """
+        if relayed is not None:
+            for destination in route.destinations:
+                if destination.service == relayed.service:
+                    return relayed.service
+        return self._service_turns.next_service(route=route)
+
     def _acquire_quota(self, organisation: Organisation) -> None:
         now = now_s()
         decision = self._quotas.acquire(
@@ -215,34 +263,90 @@
             ) from error
 
     async def _serve(self, call: ForwardedCall) -> None:
+        if call.relayed is None:
+            self._record_request(call)
+        cause = ""
+        while True:
+            if self._needs_relay(call):
+                cause = await self._relay(call, cause)
+            else:
+                cause = await self._send_directly(call, cause)
+            if not cause:
+                return
+
+    async def _send_directly(self, call: ForwardedCall, cause: str) -> str:
+        """Sends a call to an upstream over this entry's own link.
+
+        Args:
+          call: the call.
+          cause: why its last attempt failed.
+
+        Returns:
+          Why the call may be sent again; empty if its caller has a response.
+        """
+        choice = await self._choose_or_wait(call)
+        if choice is None:
+            if self._needs_relay(call):
+                return cause or "no upstream is reachable"
+            raise self._no_capacity_error(call, cause)
+        if call.is_retry and not self._acquire_retry(call):
+            self._placer.release(choice, now_s=now_s())
+            raise self._attempts_spent_error(call, cause)
+        self._placer.record_sent(
+            call.placement_request(), choice, now_s=now_s()
+        )
+        outcome = await self._sender.send(call, choice)
+        self._metrics.attempts.labels(call.service, outcome.verdict).inc()
+        if outcome.verdict is AttemptVerdict.ANSWERED:
+            self._send_response(call, choice, outcome.exchange)
+            return ""
+        if not _is_orderly_refusal(outcome):
+            self._placer.record_disruption(now_s=now_s())
+        self._recorder.record_failed_attempt(call, choice, outcome)
+        if not self._may_retry(call, outcome.verdict):
+            raise self._attempts_spent_error(call, outcome.cause)
+        await self._link_monitor.settle()
+        return outcome.cause
+
+    def _record_request(self, call: ForwardedCall) -> None:
         now = now_s()
         self._retry_budget.record_request(
             service=call.service,
             membership=self._fleet.membership(now_s=now),
             now_s=now,
         )
-        cause = ""
-        while True:
-            choice = await self._choose_or_wait(call)
-            if choice is None:
-                raise self._no_capacity_error(call, cause)
-            if call.tried and not self._acquire_retry(call):
-                self._placer.release(choice, now_s=now_s())
-                raise self._attempts_spent_error(call, cause)
-            self._placer.record_sent(
-                call.placement_request(), choice, now_s=now_s()
-            )
-            outcome = await self._sender.send(call, choice)
-            self._metrics.attempts.labels(call.service, outcome.verdict).inc()
-            if outcome.verdict is AttemptVerdict.ANSWERED:
-                self._send_response(call, choice, outcome.exchange)
-                return
-            cause = outcome.cause
-            if not _is_orderly_refusal(outcome):
-                self._placer.record_disruption(now_s=now_s())
-            self._recorder.record_failed_attempt(call, choice, outcome)
-            if not self._may_retry(call, outcome):
-                raise self._attempts_spent_error(call, cause)
+
+    def _needs_relay(self, call: ForwardedCall) -> bool:
+        """Returns whether only another entry can send a call to an upstream.
+
+        Raises:
+          AlmondstairError: it was relayed to this entry, which has no upstream.
+        """
+        if self._link_monitor.are_usable() and not self._fleet.needs_relay(
+            call.service,
+            allowed_regions=call.route.allowed_regions,
+            now_s=now_s(),
+        ):
+            return False
+        if call.relayed is None:
+            return True
+        if call.is_retry:
+            raise self._attempts_spent_error(call, "no upstream is reachable")
+        raise AlmondstairError(kind=ErrorKind.ENTRY_CUT_OFF)
+
+    async def _relay(self, call: ForwardedCall, cause: str) -> str:
+        """Sends a call through another entry.
+
+        Returns:
+          Why the call may be sent again; empty if its caller has a response.
+        """
+        if call.is_retry and not self._acquire_retry(call):
+            raise self._attempts_spent_error(call, cause)
+        if await self._relay_forwarder.serve(call):
+            return ""
+        if not self._may_retry(call, AttemptVerdict.UNKNOWN):
+            raise self._attempts_spent_error(call, "relayed response lost")
+        return "relayed response lost"
 
     async def _choose_or_wait(self, call: ForwardedCall) -> Choice | None:
         """Returns the upstream for a call, waiting for capacity if it helps.
@@ -284,6 +388,8 @@
     def _should_wait(self, call: ForwardedCall) -> bool:
         if call.request.caller_disconnected:
             return False
+        if not self._link_monitor.are_usable():
+            return False
         return self._placer.may_wait(
             call.placement_request(),
             excluded_regions=call.excluded_regions,
@@ -300,7 +406,7 @@
         self._metrics.retries.labels(call.service, str(allowed).lower()).inc()
         return allowed
 
-    def _may_retry(self, call: ForwardedCall, outcome: AttemptResult) -> bool:
+    def _may_retry(self, call: ForwardedCall, verdict: AttemptVerdict) -> bool:
         if call.request.response_begun or call.request.caller_disconnected:
             return False
         if call.attempts >= call.route.attempts:
@@ -308,7 +414,7 @@
         body = call.request.body
         if body.consumed:
             return False
-        if outcome.verdict is AttemptVerdict.UNKNOWN:
+        if verdict is AttemptVerdict.UNKNOWN:
             return call.route.kind.idempotent
         return True
 
--- a/almondstair/gateway/gateway_metrics.py
+++ b/almondstair/gateway/gateway_metrics.py
@@ -94,6 +94,24 @@
             "requests kept from an upstream by the limit that it states",
             ("service",),
         )
+        self.partitioned = self._gauge(
+            "almondstair_partitioned",
+            "1 while this entry reaches no upstream, else 0",
+        )
+        self.cut_off_entries = self._gauge(
+            "almondstair_entries_without_upstreams",
+            "entries that report that they reach no upstream",
+        )
+        self.unreachable_upstreams = self._gauge(
+            "almondstair_unreachable_upstreams",
+            "upstreams to which this entry opens no connection, by service",
+            ("service",),
+        )
+        self.relayed = self._counter(
+            "almondstair_relayed_requests",
+            "requests sent through another entry, or received from one",
+            ("direction", "outcome"),
+        )
         self.slot_use = self._gauge(
             "almondstair_slots_used_ratio",
             "part of a service's slots in use",
--- a/almondstair/gateway/load_exchange.py
+++ b/almondstair/gateway/load_exchange.py
@@ -25,6 +25,7 @@
 from almondstair.core import zone_roles
 from almondstair.core.crash_suspects import CrashSuspects
 from almondstair.core.crash_suspects import Strike
+from almondstair.core.cut_off_entries import CutOffEntries
 from almondstair.core.fleet import Fleet
 from almondstair.core.known_places import CachedLocation
 from almondstair.core.known_places import CachedLocations
@@ -39,6 +40,7 @@
 from almondstair.core.report_schedule import UpstreamLoads
 from almondstair.core.shared_counts import SharedCounts
 from almondstair.core.upstream_limits import LimitChange
+from almondstair.core.upstream_links import UpstreamLinks
 from almondstair.gateway import peer_messages
 from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.limit_recorder import LimitRecorder
@@ -77,6 +79,7 @@
       loads: in-flight requests by the hash of the upstream.
       replaced: hashes of upstreams that were replaced at their addresses.
       cached_locations: recently found cached objects and their upstreams.
+      cut_off: names of the entries that reach no upstream.
       entries: number of entries whose requests are counted.
     """
 
@@ -85,6 +88,7 @@
     loads: UpstreamLoads
     replaced: list[int]
     cached_locations: list[CachedLocation]
+    cut_off: list[str]
     entries: int = 1
 
 
@@ -110,6 +114,8 @@
         shared_counts: SharedCounts,
         limit_reports: LimitReports,
         limit_recorder: LimitRecorder,
+        links: UpstreamLinks,
+        cut_off: CutOffEntries,
         own_name: str,
         own_zone: str,
         link_mbps: float = 0.0,
@@ -124,6 +130,8 @@
           shared_counts: counts of requests, at this entry and in sums.
           limit_reports: limits of upstreams, known here and to be reported.
           limit_recorder: logs the limits that other entries tell.
+          links: links of this entry to upstreams.
+          cut_off: gets the entries that reach no upstream.
           own_name: name of this entry.
           own_zone: its availability zone.
           link_mbps: bandwidth of its VM's link in Mbit/s, 0 if unknown.
@@ -135,6 +143,8 @@
         self._shared_counts = shared_counts
         self._limit_reports = limit_reports
         self._limit_recorder = limit_recorder
+        self._links = links
+        self._cut_off = cut_off
         self._own_name = own_name
         self._own_zone = own_zone
         self._transport: asyncio.DatagramTransport | None = None
@@ -236,6 +246,7 @@
             loads=message.loads,
             replaced=message.replaced,
             cached_locations=message.cached_locations,
+            cut_off=message.cut_off,
             entries=message.entries if isinstance(message, ZoneLoadSum) else 1,
         )
         self._drop_replaced(message.replaced)
@@ -265,6 +276,7 @@
             )
         else:
             self._apply_total_counts(message, now)
+            self._cut_off.apply_report(message.cut_off, now_s=now)
             self._fleet.peer_loads.update(
                 message.loads, own=self._reported_loads
             )
@@ -419,6 +431,7 @@
                 :MAX_CACHED_OBJECTS
             ],
             self._limit_reports.in_force(),
+            self._own_cut_off(),
         )
         if not self._own_schedule.is_due(report, now_s=now):
             return
@@ -433,9 +446,13 @@
             cached_locations=report.locations,
             counts=counts,
             limits=self._limit_reports.own(now_s=now),
+            cut_off=report.cut_off,
         )
         self._send(message, [reporter])
 
+    def _own_cut_off(self) -> list[str]:
+        return [self._own_name] if self._links.is_partitioned else []
+
     def _fresh_strikes(self, now: float) -> list[tuple[int, int]]:
         fresh = self._suspects.recent_strikes(now_s=now, for_s=STRIKE_REPORT_S)
         return [(strike.fingerprint, strike.upstream) for strike in fresh]
@@ -464,7 +481,9 @@
         cached_locations = dict.fromkeys(
             self._cached_locations.locations_to_report(now_s=now)
         )
+        cut_off = set(self._own_cut_off())
         for member in self._member_reports.values():
+            cut_off.update(member.cut_off)
             replaced.update(member.replaced)
             cached_locations.update(dict.fromkeys(member.cached_locations))
         # Includes other entries' strikes, which are applied on receipt.
@@ -473,17 +492,29 @@
         limits = self._limit_reports.in_force()
         self._send_zone_sum(
             EntryReport(
-                zone_sum, list(replaced), strikes, cached_objects, limits
+                zone_sum,
+                list(replaced),
+                strikes,
+                cached_objects,
+                limits,
+                sorted(cut_off),
             ),
             now,
         )
         for report in self._zone_reports.values():
+            cut_off.update(report.cut_off)
             replaced.update(report.replaced)
             cached_locations.update(dict.fromkeys(report.cached_locations))
         cached_objects = list(cached_locations)[:MAX_CACHED_OBJECTS]
         total_report = EntryReport(
-            total, list(replaced), strikes, cached_objects, limits
+            total,
+            list(replaced),
+            strikes,
+            cached_objects,
+            limits,
+            sorted(cut_off),
         )
+        self._cut_off.apply_report(cut_off, now_s=now)
         # Totals and plans share one allowance of the link. They alternate so
         # that neither starves the other.
         if self._plan_sent_last:
@@ -511,6 +542,7 @@
             limits=self._limit_reports.of_zone(
                 zones=len(self._entries_by_zone), now_s=now
             ),
+            cut_off=report.cut_off,
         )
         self._send(message, self._other_reporters())
 
@@ -531,6 +563,7 @@
             counts=self._shared_counts.of_fleet(now_s=now),
             entries=self._counted_entries(),
             limits=self._limit_reports.of_fleet(now_s=now),
+            cut_off=report.cut_off,
         )
         self._apply_total_counts(message, now)
         self._send_to_zone(message, now)
--- a/almondstair/gateway/operator_reports.py
+++ b/almondstair/gateway/operator_reports.py
@@ -4,9 +4,11 @@
 
 from almondstair import log
 from almondstair.clock import now_s
+from almondstair.core.cut_off_entries import CutOffEntries
 from almondstair.core.fleet import Fleet
 from almondstair.core.quota_reports import QuotaReports
 from almondstair.core.upstream_limits import UpstreamLimits
+from almondstair.core.upstream_links import UpstreamLinks
 from almondstair.core.upstream_state import UpstreamState
 from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.gateway_metrics import GatewayMetrics
@@ -34,6 +36,8 @@
         in_flight: Sized,
         quotas: QuotaReports,
         limits: UpstreamLimits,
+        links: UpstreamLinks,
+        cut_off: CutOffEntries,
     ) -> None:
         """Creates the reports of one entry.
 
@@ -47,6 +51,8 @@
           in_flight: requests in flight.
           quotas: requests of organisations, here and over all entries.
           limits: limits that upstreams state.
+          links: links of this entry to upstreams.
+          cut_off: entries that reach no upstream.
         """
         self._entry_name = entry_name
         self._fleet = fleet
@@ -57,6 +63,8 @@
         self._in_flight = in_flight
         self._quotas = quotas
         self._limits = limits
+        self._links = links
+        self._cut_off = cut_off
 
     def metrics(self) -> bytes:
         """Returns the metrics with up-to-date gauges."""
@@ -80,6 +88,10 @@
                 for upstream in eligible
             )
             metrics.limited_upstreams.labels(service).set(limited)
+            unreachable = sum(upstream.is_unreachable for upstream in eligible)
+            metrics.unreachable_upstreams.labels(service).set(unreachable)
+        metrics.partitioned.set(self._links.is_partitioned)
+        metrics.cut_off_entries.set(len(self._cut_off.names))
         self._update_quota_metrics(now)
         for event, count in log.dropped_lines().items():
             metrics.dropped_log_lines.labels(event).set(count)
@@ -128,6 +140,8 @@
             "store_revision": self._store_sync.revision,
             "store_age_s": round(now - self._store_sync.as_of_s, 2),
             "peers_heard": self._fleet.peer_loads_complete,
+            "links": self._describe_links(now),
+            "entries_without_upstreams": sorted(self._cut_off.names),
             "evacuated": sorted(self._fleet.evacuated),
             "evacuated_for_s": {
                 zone: round(now - since_s, 2)
@@ -139,6 +153,17 @@
             "quota_totals_age_s": self._quotas.totals_age_s(now_s=now),
         }
 
+    def _describe_links(self, now: float) -> dict[str, object]:
+        """Returns the state of the links to upstreams, and since when."""
+        partition = self._links.partition
+        if partition is None:
+            return {"state": str(self._links.state), "for_s": None}
+        return {
+            "state": str(self._links.state),
+            "for_s": round(now - partition.since_s, 2),
+            "cause": partition.cause,
+        }
+
     def _describe_limit(
         self, upstream: UpstreamState, now: float
     ) -> dict[str, object]:
--- a/almondstair/gateway/peer_messages.py
+++ b/almondstair/gateway/peer_messages.py
@@ -22,6 +22,7 @@
     cached_locations: list[CachedLocation] = []
     counts: ReportedCounts = NO_COUNTS
     limits: ReportedLimits = NO_LIMITS
+    cut_off: list[str] = []
 
 
 class ZoneLoadSum(msgspec.Struct, array_like=True, tag=1):
@@ -36,6 +37,7 @@
     counts: ReportedCounts = NO_COUNTS
     entries: int = 1
     limits: ReportedLimits = NO_LIMITS
+    cut_off: list[str] = []
 
 
 class TotalLoads(msgspec.Struct, array_like=True, tag=2):
@@ -53,6 +55,7 @@
         by the region in which they run.
       entries: number of entries whose requests are counted.
       limits: limits of upstreams, and requests for those that have one.
+      cut_off: names of the entries that reach no upstream.
     """
 
     entry: str
@@ -64,6 +67,7 @@
     counts: ReportedCounts = NO_COUNTS
     entries: int = 1
     limits: ReportedLimits = NO_LIMITS
+    cut_off: list[str] = []
 
 
 class PlanUpdate(msgspec.Struct, array_like=True, tag=3):
--- a/almondstair/gateway/registrations.py
+++ b/almondstair/gateway/registrations.py
@@ -154,6 +154,7 @@
             availability_zone=record.availability_zone,
             cores=record.cores,
             link_mbps=record.link_mbps,
+            relays=record.relays,
         )
         if self._fleet.apply_entry(entry):
             self._mirror.put(item.key, item.value, item.revision)
--- /dev/null
+++ b/almondstair/gateway/relay_messages.py
@@ -0,0 +1,163 @@
+"""Headers of requests that one entry sends through another."""
+
+from typing import NamedTuple
+
+from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
+from almondstair.errors import Ran
+from almondstair.gateway.http_encoding import Headers
+from almondstair.gateway.http_encoding import find_header
+from almondstair.gateway.http_encoding import find_headers
+
+# Headers of a relayed request.
+_ENTRY = b"x-relay-entry"
+_SERVICE = b"x-relay-service"
+_ORGANISATION = b"x-relay-organisation"
+_FINGERPRINT = b"x-relay-fingerprint"
+_TRIED = b"x-relay-tried"
+_ATTEMPTS = b"x-relay-attempts"
+_AGE = b"x-relay-age-ms"
+# Headers of a response of the other entry's own: its error kind, and whether
+# the request may have run.
+_KIND = b"x-relay-error"
+_RAN = b"x-relay-ran"
+
+HEADERS = frozenset(
+    (
+        _ENTRY,
+        _SERVICE,
+        _ORGANISATION,
+        _FINGERPRINT,
+        _TRIED,
+        _ATTEMPTS,
+        _AGE,
+        _KIND,
+        _RAN,
+    )
+)
+# Longest list of upstreams that a relayed request may name.
+_MAX_TRIED = 64
+_MAX_AGE_S = 3600.0
+_HASH_RANGE = 1 << 64
+
+
+class RelayedRequest(NamedTuple):
+    """What an entry tells of a request that it sends through another.
+
+    Attributes:
+      entry: name of the entry that its caller reached.
+      service: the service that handles it.
+      organisation: name of the caller's organisation, empty if none.
+      fingerprint: its fingerprint.
+      tried: ids of the upstreams that may have run it.
+      attempts: number of upstreams that got it.
+      age_s: time since it arrived at that entry, in seconds.
+    """
+
+    entry: str
+    service: str
+    organisation: str
+    fingerprint: int
+    tried: tuple[str, ...]
+    attempts: int
+    age_s: float
+
+
+def encode_request(relayed: RelayedRequest) -> Headers:
+    """Returns the headers of a relayed request."""
+    headers = [
+        (_ENTRY, relayed.entry.encode()),
+        (_SERVICE, relayed.service.encode()),
+        (_FINGERPRINT, b"%x" % relayed.fingerprint),
+        (_ATTEMPTS, b"%d" % relayed.attempts),
+        (_AGE, b"%d" % round(relayed.age_s * 1000)),
+    ]
+    if relayed.organisation:
+        headers.append((_ORGANISATION, relayed.organisation.encode()))
+    if relayed.tried:
+        headers.append((_TRIED, ",".join(relayed.tried).encode()))
+    return headers
+
+
+def decode_request(headers: Headers) -> RelayedRequest:
+    """Reads the headers of a relayed request.
+
+    Raises:
+      AlmondstairError: `bad_request`, with the header that is wrong.
+    """
+    tried = _text(headers, _TRIED, required=False)
+    names = tuple(tried.split(",")) if tried else ()
+    if len(names) > _MAX_TRIED:
+        raise _invalid(_TRIED)
+    age_s = _number(headers, _AGE, base=10) / 1000
+    if age_s > _MAX_AGE_S:
+        raise _invalid(_AGE)
+    fingerprint = _number(headers, _FINGERPRINT, base=16)
+    if fingerprint >= _HASH_RANGE:
+        raise _invalid(_FINGERPRINT)
+    return RelayedRequest(
+        entry=_text(headers, _ENTRY, required=True),
+        service=_text(headers, _SERVICE, required=True),
+        organisation=_text(headers, _ORGANISATION, required=False),
+        fingerprint=fingerprint,
+        tried=names,
+        attempts=_number(headers, _ATTEMPTS, base=10),
+        age_s=age_s,
+    )
+
+
+def encode_error(error: AlmondstairError) -> Headers:
+    """Returns the headers that tell an error to the relaying entry."""
+    return [(_KIND, str(error.kind).encode()), (_RAN, str(error.ran).encode())]
+
+
+def decode_error(headers: Headers) -> AlmondstairError | None:
+    """Returns the other entry's error; None for an upstream's response."""
+    kind = find_header(headers, _KIND)
+    if kind is None:
+        return None
+    ran = find_header(headers, _RAN)
+    try:
+        return AlmondstairError(
+            kind=ErrorKind(kind.decode("latin-1")),
+            ran=Ran((ran or b"").decode("latin-1")),
+            retry_after_ms=_retry_after_ms(headers),
+        )
+    except ValueError:
+        # A newer version has a kind that this one does not know.
+        return AlmondstairError(kind=ErrorKind.ENTRY_LOST, ran=Ran.UNKNOWN)
+
+
+def _retry_after_ms(headers: Headers) -> int | None:
+    value = find_header(headers, b"retry-after")
+    return None if value is None else round(float(value) * 1000)
+
+
+def _text(headers: Headers, name: bytes, *, required: bool) -> str:
+    values = find_headers(headers, name)
+    if len(values) > 1 or (required and not values):
+        raise _invalid(name)
+    if not values:
+        return ""
+    try:
+        return values[0].decode()
+    except UnicodeDecodeError as error:
+        raise _invalid(name) from error
+
+
+def _number(headers: Headers, name: bytes, *, base: int) -> int:
+    text = _text(headers, name, required=True)
+    # int() also takes signs, spaces and underscores.
+    if not text.isalnum() or not text.isascii():
+        raise _invalid(name)
+    try:
+        return int(text, base)
+    except ValueError as error:
+        raise _invalid(name) from error
+
+
+def _invalid(name: bytes) -> AlmondstairError:
+    return AlmondstairError(
+        kind=ErrorKind.BAD_REQUEST,
+        detail=f"{name.decode()} is missing or wrong",
+    )
--- a/almondstair/gateway/upstream_connection.py
+++ b/almondstair/gateway/upstream_connection.py
@@ -303,6 +303,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def abandon(self) -> None:
+        """Closes, and ends the exchange in flight without its response."""
+        self._fail()
+
     def is_idle_too_long(self, *, used_share: float = 1.0) -> bool:
         """Returns whether the other side may be about to close it.
 
--- a/almondstair/gateway/upstream_connector.py
+++ b/almondstair/gateway/upstream_connector.py
@@ -10,6 +10,7 @@
 from almondstair.core.upstream_state import UpstreamState
 from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.crash_reports import CrashReports
+from almondstair.gateway.link_monitor import LinkMonitor
 from almondstair.gateway.upstream_connection import UpstreamConnection
 
 # A round trip between the farthest regions takes 0.11 s; an upstream that needs
@@ -34,6 +35,8 @@
 FIRST_PROBE_PAUSE_S = 0.5
 PROBE_BACKOFF_FACTOR = 1.5
 MAX_PROBE_PAUSE_S = 8.0
+# Longest pause for an upstream that is alive.
+ALIVE_PROBE_PAUSE_S = 1.0
 
 
 class UpstreamConnector:
@@ -49,6 +52,7 @@
         fleet: Fleet,
         pool: ConnectionPool,
         crash_reports: CrashReports,
+        link_monitor: LinkMonitor,
         own_region: str,
         regions: Iterable[str],
     ) -> None:
@@ -58,12 +62,14 @@
           fleet: the view of the deployment.
           pool: connections to upstreams.
           crash_reports: reports on requests that may crash upstreams.
+          link_monitor: tells a failed upstream from a failed link.
           own_region: region of this entry.
           regions: all regions.
         """
         self._fleet = fleet
         self._pool = pool
         self._crash_reports = crash_reports
+        self._link_monitor = link_monitor
         self._probes: dict[str, asyncio.Task[None]] = {}
         self._lost_at_s: dict[str, float] = {}
         self._own_region = own_region
@@ -94,6 +100,23 @@
         self._lost_at_s[upstream.incarnation] = now_s()
         self._start_probe(upstream, LOSS_PROBE_PAUSE_S)
 
+    def confirm_loss(self, upstream: UpstreamState) -> None:
+        """Finds out whether a lost response shows that its upstream ended."""
+        self._link_monitor.confirm_failure(
+            upstream,
+            cause="lost response",
+            since_s=now_s(),
+            is_new=not upstream.is_unreachable,
+            confirm=lambda: self._confirm_loss(upstream),
+            dismiss=lambda: self._crash_reports.record_alive(upstream),
+        )
+        if not upstream.is_unreachable:
+            self.probe_after_loss(upstream)
+
+    def _confirm_loss(self, upstream: UpstreamState) -> None:
+        if upstream.is_unreachable:
+            self._crash_reports.report_gone(upstream)
+
     def close(self) -> None:
         """Cancels all probes."""
         for task in list(self._probes.values()):
@@ -109,8 +132,16 @@
                 address=record.address, timeout_s=CONNECT_TIMEOUT_S
             )
         except (OSError, TimeoutError) as error:
+            is_new = not upstream.is_unreachable
             upstream.record_unreachable(now_s=now_s())
-            self._crash_reports.report_gone(upstream)
+            self._link_monitor.confirm_failure(
+                upstream,
+                cause="no connection",
+                since_s=began_s,
+                is_new=is_new,
+                confirm=lambda: self._crash_reports.report_gone(upstream),
+                dismiss=lambda: self._crash_reports.record_alive(upstream),
+            )
             log.event(
                 log.Event.UPSTREAM_UNREACHABLE,
                 upstream=record.upstream_id,
@@ -152,7 +183,7 @@
                     pause_s = max(
                         FIRST_PROBE_PAUSE_S, PROBE_BACKOFF_FACTOR * pause_s
                     )
-                    pause_s = min(MAX_PROBE_PAUSE_S, pause_s)
+                    pause_s = min(self._max_pause_s(upstream), pause_s)
         finally:
             # Removed before any other task runs: a request that finds the
             # upstream gone again would otherwise assume that this probe
@@ -160,6 +191,16 @@
             self._probes.pop(upstream.incarnation, None)
             self._lost_at_s.pop(upstream.incarnation, None)
 
+    def _max_pause_s(self, upstream: UpstreamState) -> float:
+        """Returns the longest pause between probes of an upstream.
+
+        One that renews its registration runs, so that the link to it may work
+        again at any moment.
+        """
+        if upstream.renewed_at_s > upstream.unreachable_at_s:
+            return ALIVE_PROBE_PAUSE_S
+        return MAX_PROBE_PAUSE_S
+
     async def _probe_once(
         self, upstream: UpstreamState, pause_s: float
     ) -> bool:
--- a/almondstair/gateway/upstream_sender.py
+++ b/almondstair/gateway/upstream_sender.py
@@ -9,23 +9,23 @@
 from almondstair.core.fleet import Fleet
 from almondstair.core.request_placer import RequestPlacer
 from almondstair.core.upstream_state import UpstreamState
-from almondstair.gateway.caller_request import CallerRequest
 from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.crash_reports import CrashReports
 from almondstair.gateway.forwarded_call import AttemptResult
 from almondstair.gateway.forwarded_call import AttemptVerdict
 from almondstair.gateway.forwarded_call import ForwardedCall
-from almondstair.gateway.forwarded_call import caller_response_head
+from almondstair.gateway.forwarded_call import ForwardingSink
 from almondstair.gateway.forwarded_call import upstream_request_head
 from almondstair.gateway.gateway_metrics import GatewayMetrics
 from almondstair.gateway.http_encoding import Headers
 from almondstair.gateway.http_encoding import ResponseHead
 from almondstair.gateway.http_encoding import find_header
 from almondstair.gateway.limit_recorder import LimitRecorder
+from almondstair.gateway.link_monitor import DirectExchange
+from almondstair.gateway.link_monitor import LinkMonitor
 from almondstair.gateway.upstream_connection import ExchangeEnd
 from almondstair.gateway.upstream_connection import UpstreamConnection
 from almondstair.gateway.upstream_connection import UpstreamExchange
-from almondstair.gateway.upstream_connection import UpstreamResponseSink
 from almondstair.gateway.upstream_connector import UpstreamConnector
 from almondstair.platform import headers as names
 
@@ -51,6 +51,7 @@
         connector: UpstreamConnector,
         placer: RequestPlacer,
         limit_recorder: LimitRecorder,
+        link_monitor: LinkMonitor,
     ) -> None:
         """Creates the sender of one entry.
 
@@ -63,6 +64,7 @@
           connector: opens connections.
           placer: records how long requests run.
           limit_recorder: records the limits that responses state.
+          link_monitor: watches the links to upstreams.
         """
         self._fleet = fleet
         self._pool = pool
@@ -72,6 +74,7 @@
         self._connector = connector
         self._placer = placer
         self._limit_recorder = limit_recorder
+        self._link_monitor = link_monitor
 
     async def send(self, call: ForwardedCall, choice: Choice) -> AttemptResult:
         """Sends a call to the chosen upstream and classifies the outcome."""
@@ -123,13 +126,12 @@
         self, call: ForwardedCall, upstream: UpstreamState, ran_s: float
     ) -> None:
         """Reports a lost response and probes the upstream."""
+        if self._link_monitor.links.is_partitioned:
+            return
         self._crash_reports.report_lost(
             call.fingerprint(), upstream, ran_s=ran_s
         )
-        if upstream.is_unreachable:
-            self._crash_reports.report_gone(upstream)
-            return
-        self._connector.probe_after_loss(upstream)
+        self._connector.confirm_loss(upstream)
 
     async def _get_connection(
         self, call: ForwardedCall, choice: Choice
@@ -171,7 +173,7 @@
             self._metrics.attempt_s.labels(call.service).observe(
                 now_s() - began_s
             )
-            if duration_valid:
+            if duration_valid and not self._link_monitor.links.is_partitioned:
                 now = now_s()
                 self._placer.record_run(
                     call.placement_request(),
@@ -189,16 +191,24 @@
         request = call.request
         upstream_id = choice.upstream.record.upstream_id
         chunked = request.body_length is None and not request.body.replayable
-        exchange = await connection.exchange(
-            head=upstream_request_head(
-                call, upstream_id=upstream_id, chunked=chunked
-            ),
-            body=request.body if request.body_length != 0 else None,
-            chunked=chunked,
-            request_id=call.request_id,
-            without_body=request.method == "HEAD",
-            sink=_ForwardingSink(request),
+        direct = DirectExchange(
+            connection=connection,
+            upstream=choice.upstream,
+            repeatable=call.route.kind.idempotent and not request.body.consumed,
+            began_s=now_s(),
+            expected_s=choice.expected_s,
         )
+        with self._link_monitor.tracking(direct):
+            exchange = await connection.exchange(
+                head=upstream_request_head(
+                    call, upstream_id=upstream_id, chunked=chunked
+                ),
+                body=request.body if request.body_length != 0 else None,
+                chunked=chunked,
+                request_id=call.request_id,
+                without_body=request.method == "HEAD",
+                sink=ForwardingSink(request),
+            )
         self._pool.release(connection, incarnation=choice.upstream.incarnation)
         return exchange
 
@@ -214,7 +224,8 @@
         if exchange.end is not ExchangeEnd.COMPLETE or head is None:
             # The next connection shows whether the upstream is gone; one that
             # only loses responses remains in use, but less.
-            upstream.record_response(good=False, now_s=now_s())
+            if not self._link_monitor.links.is_partitioned:
+                upstream.record_response(good=False, now_s=now_s())
             return AttemptResult(
                 AttemptVerdict.UNKNOWN,
                 exchange,
@@ -279,16 +290,3 @@
     ):
         return "answer without signature"
     return ""
-
-
-class _ForwardingSink(UpstreamResponseSink):
-    """Streams a long response to the caller, without hop-by-hop headers."""
-
-    def __init__(self, request: CallerRequest) -> None:
-        self._request = request
-
-    def begin(self, head: ResponseHead) -> None:
-        self._request.begin(caller_response_head(head))
-
-    async def write(self, data: bytes) -> None:
-        await self._request.write(data)
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -191,6 +191,20 @@
     UPSTREAM_LIMIT_BAD = EventRule(
         436, logging.WARNING, "an upstream states a limit that cannot be read"
     )
+    UPSTREAMS_PARTITIONED = EventRule(
+        437,
+        logging.WARNING,
+        "this entry reaches no upstream; its requests go through other entries",
+    )
+    UPSTREAMS_REACHABLE = EventRule(
+        438, logging.INFO, "this entry reaches upstreams again"
+    )
+    RELAY_UNREACHABLE = EventRule(
+        439, logging.WARNING, "an entry cannot be reached for a relayed request"
+    )
+    RELAY_BAD = EventRule(
+        440, logging.WARNING, "a relayed request or its sender is not valid"
+    )
 
 
 def setup(*, level: str, file: str) -> None:
--- a/almondstair/platform/documents.py
+++ b/almondstair/platform/documents.py
@@ -133,6 +133,7 @@
       incarnation: differs with each start of the process.
       cores: processors that it may use, 0 if unknown.
       link_mbps: bandwidth of its link in Mbit/s, 0 if unknown.
+      relays: `ip:port` for requests of other entries, empty if it takes none.
     """
 
     callers: str
@@ -142,6 +143,7 @@
     incarnation: str
     cores: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    relays: str = ""
 
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
@@ -310,7 +312,10 @@
         record = _ENTRY.decode(value)
     except msgspec.MsgspecError:
         return None
-    for address in (record.callers, record.peers):
+    addresses = [record.callers, record.peers]
+    if record.relays:
+        addresses.append(record.relays)
+    for address in addresses:
         if address_problem(address) is not None:
             return None
     return record
--- a/features/steps/gateway_health_steps.py
+++ b/features/steps/gateway_health_steps.py
@@ -258,6 +258,7 @@
         fleet=fleet,
         pool=context.pool,
         crash_reports=mock.Mock(),
+        link_monitor=mock.Mock(),
         own_region="r",
         regions=("r",),
     )
--- a/features/steps/gateway_incarnations_steps.py
+++ b/features/steps/gateway_incarnations_steps.py
@@ -27,7 +27,7 @@
 from almondstair.platform import documents
 from almondstair.platform import kv
 from almondstair.platform.kv import Item
-from features.support.quota_helpers import make_limits
+from features.support.quota_helpers import make_report_parts
 from features.support.quota_helpers import make_shared_counts
 
 _PREFIX = documents.UPSTREAM_PREFIX
@@ -262,7 +262,7 @@
         shared_counts=make_shared_counts("e1", context.fleet),
         own_name="e1",
         own_zone="a1",
-        **make_limits("e1", context.fleet),
+        **make_report_parts("e1", context.fleet),
     )
     before = incarnation_hash(context.upstream.incarnation)
     exchange._drop_replaced([before])
--- a/features/steps/gateway_known_places_steps.py
+++ b/features/steps/gateway_known_places_steps.py
@@ -15,7 +15,7 @@
 from almondstair.core.upstream_state import incarnation_hash
 from almondstair.gateway.load_exchange import LoadExchange
 from features.steps.gateway_placement_steps import _exchange
-from features.support.quota_helpers import make_limits
+from features.support.quota_helpers import make_report_parts
 from features.support.quota_helpers import make_shared_counts
 
 _OBJECT = object_hash(service="s", key="o")
@@ -68,7 +68,7 @@
         shared_counts=make_shared_counts(f"e{number}", fleet),
         own_name=f"e{number}",
         own_zone="z",
-        **make_limits(f"e{number}", fleet),
+        **make_report_parts(f"e{number}", fleet),
     )
     exchange.connection_made(_RecordingTransport())
     return exchange
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -27,7 +27,7 @@
 from almondstair.gateway.load_exchange import LoadExchange
 from almondstair.gateway.load_exchange import PlanUpdate
 from almondstair.gateway.load_exchange import TotalLoads
-from features.support.quota_helpers import make_limits
+from features.support.quota_helpers import make_report_parts
 from features.support.quota_helpers import make_shared_counts
 
 _TICK_S = 0.05
@@ -258,7 +258,7 @@
             shared_counts=make_shared_counts(f"e-{zone}", fleet),
             own_name=f"e-{zone}",
             own_zone=zone,
-            **make_limits(f"e-{zone}", fleet),
+            **make_report_parts(f"e-{zone}", fleet),
         )
         context.transports[zone] = _RecordingTransport()
         exchange.connection_made(context.transports[zone])
--- a/features/support/load_exchange_world.py
+++ b/features/support/load_exchange_world.py
@@ -28,8 +28,8 @@
 from almondstair.core.upstream_state import incarnation_hash
 from almondstair.gateway import load_exchange
 from almondstair.gateway.load_exchange import LoadExchange
-from features.support.quota_helpers import make_limits
 from features.support.quota_helpers import make_quota_reports
+from features.support.quota_helpers import make_report_parts
 from features.support.quota_helpers import make_shared_counts
 
 REGIONS = 3
@@ -169,7 +169,7 @@
             options["link_mbps"] = self._link_mbps
             options["cached_locations"] = CachedLocations()
         quota_reports = make_quota_reports(entry.name)
-        limits = make_limits(entry.name, fleet)
+        limits = make_report_parts(entry.name, fleet)
         exchange = LoadExchange(
             fleet=fleet,
             pool=mock.Mock(),
--- a/features/support/quota_helpers.py
+++ b/features/support/quota_helpers.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from almondstair.core.cut_off_entries import CutOffEntries
 from almondstair.core.fleet import Fleet
 from almondstair.core.limit_reports import LimitReports
 from almondstair.core.quota_reports import QuotaReports
@@ -9,6 +10,7 @@
 from almondstair.core.region_reports import RegionReports
 from almondstair.core.region_shares import RegionShareLimiter
 from almondstair.core.shared_counts import SharedCounts
+from almondstair.core.upstream_links import UpstreamLinks
 from almondstair.gateway.limit_recorder import LimitRecorder
 
 
@@ -26,11 +28,16 @@
     return RegionReports(own_name=own_name, limiter=limiter)
 
 
-def make_limits(own_name: str, fleet: Fleet) -> dict[str, Any]:
-    """Returns the parts of a load exchange that concern upstreams' limits."""
+def make_report_parts(own_name: str, fleet: Fleet) -> dict[str, Any]:
+    """Returns the parts of a load exchange that concern upstreams."""
     reports = LimitReports(own_name=own_name, fleet=fleet)
     recorder = LimitRecorder(fleet=fleet, limits=reports.limits)
-    return {"limit_reports": reports, "limit_recorder": recorder}
+    return {
+        "limit_reports": reports,
+        "limit_recorder": recorder,
+        "links": UpstreamLinks(),
+        "cut_off": CutOffEntries(),
+    }
 
 
 def make_shared_counts(
