Say that the connection closes after an early refusal of an upload

Cause: a response before the end of the body did not say that the rest is discarded and nothing behind it is read. The new scenario fails without the change and passes with it.

--- a/almondstair/gateway/caller_request.py
+++ b/almondstair/gateway/caller_request.py
@@ -125,6 +125,9 @@
         """Sends a response with a complete body."""
         if self.response_begun:
             return
+        if not self.fully_read:
+            # The rest of the body is discarded, and nothing behind it is read.
+            self.close_after = True
         headers = list(head.headers)
         if not has_no_body(head.status):
             headers.append((b"content-length", b"%d" % len(body)))
--- a/features/gateway_answers.feature
+++ b/features/gateway_answers.feature
@@ -75,3 +75,10 @@
     Given a gateway with 1 upstream
     When half of a head is sent
     Then the connection is closed within 4.5 s
+
+  # Guards against callers that send another request behind a body that nobody
+  # reads, and wait for its response until the connection is closed.
+  Scenario: An upload that is refused before its end closes its connection
+    Given a gateway without upstreams
+    When 0.7 MB of an upload of 1 MB are sent
+    Then it is refused, and the refusal says that the connection closes
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -440,3 +440,29 @@
         outcomes.append((answer.status, request_id))
         time.sleep(0.05)
     return outcomes
+
+
+@given("a gateway without upstreams")
+def step_no_upstreams(context):
+    world = GatewayWorld(processes=context.processes)
+    context.world = world
+    world.configure()
+    world.start_gateway("g1")
+
+
+@when("{sent_mb:g} MB of an upload of {size_mb:g} MB are sent")
+def step_part_of_upload(context, sent_mb, size_mb):
+    connection = context.world.connect()
+    connection.putrequest("POST", "/upload/x", skip_host=True)
+    for name, value in context.world.headers().items():
+        connection.putheader(name, value)
+    connection.putheader("Content-Length", str(round(size_mb * 1e6)))
+    connection.endheaders()
+    connection.send(b"x" * round(sent_mb * 1e6))
+    context.response = connection.getresponse()
+
+
+@then("it is refused, and the refusal says that the connection closes")
+def step_refusal_closes(context):
+    assert context.response.status == 503, context.response.status
+    assert context.response.headers["Connection"] == "close"
