--- a/features/steps/heartbeat_steps.py
+++ b/features/steps/heartbeat_steps.py
@@ -25,13 +25,13 @@
 from almondstair.heartbeats import Heartbeats
 from almondstair.messages import Heartbeat
 from almondstair.peers import Peers
+from emulator.ports import free_address
 from features.support.entry_rows import row
 from features.support.heartbeat_entries import HeartbeatSimulation
 from features.support.heartbeat_entries import oldest_age_s
 
 SILENCE_LIMIT_S = 1.5
 INTERVAL_S = 0.25
-FIRST_PORT = 27100
 
 
 @given("{count:d} entries in {zones:d} availability zones")
@@ -291,9 +291,13 @@
         )
 
 
+def _free_port():
+    return int(free_address().rpartition(":")[2])
+
+
 @given("two entries with real sockets")
 def step_two(context):
-    rows = (row("p", port=FIRST_PORT), row("q", port=FIRST_PORT + 1))
+    rows = (row("p", port=_free_port()), row("q", port=_free_port()))
     context.entry_table = EntryTable(1, rows)
 
 
