--- a/spec/check.py
+++ b/spec/check.py
@@ -21,6 +21,7 @@
     "claims",
     "shares",
     "retries",
+    "relays",
     "update_order",
     "incarnations",
 )
