--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -241,7 +241,9 @@
         is read.
         """
         if state.record.started_ms and state.is_unreachable:
-            self._mark_cold_from(state, now_s)
+            # One that renewed its registration meanwhile has not restarted.
+            if not state.is_alive_since_unreachable():
+                self._mark_cold_from(state, now_s)
         state.record_reached()
 
     def restore_reachability(self) -> None:
--- a/almondstair/core/upstream_links.py
+++ b/almondstair/core/upstream_links.py
@@ -52,6 +52,8 @@
     Attributes:
       state: the current state.
       partition: the current partition, if there is one.
+      failed_since_s: when the failure began that is being checked, on the
+        entry's clock, in seconds.
     """
 
     def __init__(self) -> None:
@@ -59,7 +61,7 @@
         self.state = LinkState.WORKING
         self.partition: Partition | None = None
         self._checked_since_s = math.inf
-        self._failed_since_s = math.inf
+        self.failed_since_s = math.inf
         self._cause = ""
         self._suspect = 0
         self._last_received_s = -math.inf
@@ -109,7 +111,7 @@
         self._suspect = suspect
         self._cause = cause
         self._checked_since_s = now_s
-        self._failed_since_s = since_s
+        self.failed_since_s = since_s
         return True
 
     def end_check(self, *, reachable: bool, probed: tuple[str, ...]) -> bool:
@@ -126,10 +128,10 @@
             return False
         self.state = LinkState.PARTITIONED
         self.partition = Partition(
-            since_s=self._failed_since_s,
+            since_s=self.failed_since_s,
             cause=self._cause,
             probed=probed,
-            is_silent=self._last_received_s < self._failed_since_s,
+            is_silent=self._last_received_s < self.failed_since_s,
         )
         return True
 
--- a/almondstair/core/upstream_state.py
+++ b/almondstair/core/upstream_state.py
@@ -20,7 +20,9 @@
 # theirs about every 1.5 s, and one lapses after three missed renewals.
 RENEWED_S = 4.0
 # Time after a failed connection in which its upstream is due to renew.
-RENEWAL_WAIT_S = 2.0
+RENEWAL_WAIT_S = 3.0
+# Longest time from the writing of a registration until it is read.
+RENEWAL_DELAY_S = 1.0
 # Limits of a sample of an upstream's run time relative to its service, so that
 # a single outlier does not dominate the mean.
 MAX_SLOWNESS = 12.0
@@ -204,13 +206,17 @@
         """Returns whether its registration was renewed lately."""
         return now_s - self.renewed_at_s < RENEWED_S
 
+    def is_alive_since_unreachable(self) -> bool:
+        """Returns whether it renewed its registration while unreachable."""
+        return self.renewed_at_s > self.unreachable_at_s + RENEWAL_DELAY_S
+
     def is_alive_elsewhere(self, *, now_s: float) -> bool:
         """Returns whether others may reach it although this entry does not.
 
         They do if they have requests there, or if it has written to the store
         since. Until it is due to write, it counts as alive.
         """
-        if self.peer_requests or self.renewed_at_s > self.unreachable_at_s:
+        if self.peer_requests or self.is_alive_since_unreachable():
             return True
         return now_s - self.unreachable_at_s < RENEWAL_WAIT_S
 
--- a/almondstair/gateway/call_recorder.py
+++ b/almondstair/gateway/call_recorder.py
@@ -107,6 +107,7 @@
             upstream=choice.upstream.record.upstream_id,
             verdict=str(outcome.verdict),
             cause=outcome.cause,
+            relayed_by=_relaying_entry(call),
             left_ms=round(call.remaining_s() * 1000),
         )
 
@@ -153,6 +154,7 @@
             route=call.route.name,
             service=call.service,
             tried=call.tried,
+            relayed_by=_relaying_entry(call),
             after_ms=call.age_ms(),
         )
 
--- a/almondstair/gateway/forwarder.py
+++ b/almondstair/gateway/forwarder.py
@@ -250,6 +250,8 @@
             )
 
     async def _within_deadline(self, call: ForwardedCall) -> None:
+        if call.remaining_s() <= 0:
+            raise AlmondstairError(kind=ErrorKind.DEADLINE_PASSED)
         try:
             async with asyncio.timeout(max(0.0, call.remaining_s())):
                 await self._serve(call)
--- a/almondstair/gateway/link_monitor.py
+++ b/almondstair/gateway/link_monitor.py
@@ -6,9 +6,9 @@
 import asyncio
 from collections.abc import Callable, Iterator
 import contextlib
+import math
 import random
 from typing import NamedTuple
-import uuid
 
 from almondstair import log
 from almondstair.clock import now_s
@@ -21,7 +21,6 @@
 from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.http_encoding import encode_head
 from almondstair.gateway.upstream_connection import UpstreamConnection
-from almondstair.platform import headers as names
 
 # Longest time for a connection to open, and then for a response to a probe. A
 # round trip between the farthest regions takes 0.11 s.
@@ -40,6 +39,9 @@
 OVERDUE_FACTOR = 3.0
 # Pause after a check that found silent links to work.
 SILENCE_CHECK_PAUSE_S = 2.0
+# Links on which nothing has arrived for this long are not trusted with requests
+# that must not be sent twice.
+QUIET_S = 0.1
 
 
 class DirectExchange(NamedTuple):
@@ -142,6 +144,20 @@
         """Returns whether requests should be sent over the own links."""
         return self.links.are_usable(now_s=now_s())
 
+    def are_quiet(self) -> bool:
+        """Returns whether requests in flight have got nothing for a while."""
+        waiting_since_s = self._waiting_since_s()
+        return now_s() - waiting_since_s > QUIET_S
+
+    def _waiting_since_s(self) -> float:
+        """Returns since when requests in flight have got nothing."""
+        last_received_s = self.links.last_received_s
+        since_s = math.inf
+        for exchange in self._exchanges:
+            if exchange.began_s > last_received_s:
+                since_s = min(since_s, exchange.began_s)
+        return since_s
+
     # Checks.
 
     def _begin_check(
@@ -157,10 +173,16 @@
         self._check = asyncio.ensure_future(self._check_links(suspect))
 
     async def _check_links(self, suspect: int) -> None:
-        """Probes one upstream, then a few more, until one answers."""
+        """Probes one upstream, then a few more, until one answers.
+
+        If time has passed already, all are probed at once.
+        """
         sample = self._sample(suspect)
         reachable = not sample
-        for part in (sample[:1], sample[1:]):
+        parts = [sample[:1], sample[1:]]
+        if now_s() - self.links.failed_since_s > CHECK_POLL_S:
+            parts = [sample]
+        for part in parts:
             if not reachable and part:
                 reachable = await self._any_answers(part)
         probed = tuple(upstream.record.upstream_id for upstream in sample)
@@ -235,10 +257,7 @@
             path = rule.health_path if rule is not None else path
         return encode_head(
             f"GET {path} HTTP/1.1".encode("latin-1"),
-            [
-                (b"host", upstream.record.address.encode()),
-                (names.REQUEST_ID, uuid.uuid4().hex[:16].encode()),
-            ],
+            [(b"host", upstream.record.address.encode())],
         )
 
     def _confirm_failures(self) -> None:
@@ -317,16 +336,14 @@
         """Checks the links if requests in flight get no responses."""
         if now < self._next_silence_check_s:
             return
-        last_received_s = self.links.last_received_s
-        waiting = []
-        for exchange in self._exchanges:
-            if exchange.began_s > last_received_s:
-                waiting.append(exchange)
-        if not waiting:
-            return
-        since_s = min(exchange.began_s for exchange in waiting)
-        if now - max(since_s, last_received_s) < SILENCE_S:
+        since_s = self._waiting_since_s()
+        if now - since_s < SILENCE_S:
             return
+        waiting = [
+            exchange
+            for exchange in self._exchanges
+            if exchange.began_s >= since_s
+        ]
         upstreams = {exchange.upstream.name_hash for exchange in waiting}
         overdue = any(
             now - exchange.began_s > OVERDUE_FACTOR * exchange.expected_s
--- a/almondstair/gateway/upstream_connector.py
+++ b/almondstair/gateway/upstream_connector.py
@@ -37,6 +37,8 @@
 MAX_PROBE_PAUSE_S = 8.0
 # Longest pause for an upstream that is alive.
 ALIVE_PROBE_PAUSE_S = 1.0
+# Probes of upstreams that are alive, at most.
+MAX_ALIVE_PROBES_PER_S = 20.0
 
 
 class UpstreamConnector:
@@ -150,7 +152,10 @@
             )
             return None
         self._record_round_trip(upstream.region, now_s() - began_s)
-        self._fleet.record_reached(upstream, now_s=now_s())
+        if self._link_monitor.links.is_partitioned:
+            upstream.record_reached()
+        else:
+            self._fleet.record_reached(upstream, now_s=now_s())
         return connection
 
     def _record_round_trip(self, region: str, sample_s: float) -> None:
@@ -197,9 +202,10 @@
         One that renews its registration runs, so that the link to it may work
         again at any moment.
         """
-        if upstream.renewed_at_s > upstream.unreachable_at_s:
-            return ALIVE_PROBE_PAUSE_S
-        return MAX_PROBE_PAUSE_S
+        if not upstream.is_alive_since_unreachable():
+            return MAX_PROBE_PAUSE_S
+        probes = len(self._probes)
+        return max(ALIVE_PROBE_PAUSE_S, probes / MAX_ALIVE_PROBES_PER_S)
 
     async def _probe_once(
         self, upstream: UpstreamState, pause_s: float
--- a/almondstair/gateway/upstream_sender.py
+++ b/almondstair/gateway/upstream_sender.py
@@ -140,13 +140,17 @@
 
         A retry after a lost response uses a new connection: upstreams drop idle
         connections, and the call would fail if each upstream that it is sent to
-        had dropped its idle one.
+        had dropped its idle one. So does a request that must not be sent twice
+        while idle connections may be silent: one that opens is not.
         """
-        if call.may_have_run:
+        idempotent = call.route.kind.idempotent
+        if call.may_have_run or (
+            not idempotent and self._link_monitor.are_quiet()
+        ):
             return await self._connector.connect(choice.upstream)
         connection = self._pool.acquire_idle(
             incarnation=choice.upstream.incarnation,
-            repeatable=call.route.kind.idempotent,
+            repeatable=idempotent,
         )
         if connection is not None:
             return connection
--- a/almondstair/tools/gateway_tables.py
+++ b/almondstair/tools/gateway_tables.py
@@ -18,12 +18,20 @@
     """Returns the table of gateways, with unreachable ones."""
     table = tables.make_table(
         "Gateways",
-        ("entry", "ready", "version", "store revision", "store age", "peers"),
+        (
+            "entry",
+            "ready",
+            "version",
+            "store revision",
+            "store age",
+            "peers",
+            "upstreams",
+        ),
     )
     for body in bodies:
         if "silent" in body:
             unreachable = f"[red]does not answer[/red]: {body['silent']}"
-            table.add_row(body["entry"], unreachable, *(tables.UNKNOWN,) * 4)
+            table.add_row(body["entry"], unreachable, *(tables.UNKNOWN,) * 5)
             continue
         table.add_row(
             body["entry"],
@@ -32,10 +40,21 @@
             str(body["store_revision"]),
             _age(body["store_age_s"]),
             "all heard" if body["peers_heard"] else tables.UNKNOWN,
+            _links(body.get("links")),
         )
     return table
 
 
+def _links(links: dict[str, Any] | None) -> str:
+    """Returns whether a gateway reaches upstreams."""
+    if links is None:
+        # An older version does not report it.
+        return tables.UNKNOWN
+    if links["for_s"] is None:
+        return str(links["state"])
+    return f"[red]none for {links['for_s']:.1f} s[/red]"
+
+
 def upstreams(body: dict[str, Any]) -> rich_table.Table:
     """Returns the table of upstreams as one gateway sees them."""
     table = tables.make_table(
--- a/almondstair/tools/losses.py
+++ b/almondstair/tools/losses.py
@@ -64,6 +64,7 @@
     NOT_CACHED = "late, ran as new"
     SLOWER_THAN_CACHED = "late, slower than where known"
     ROUND_TRIP = "late by the way"
+    RELAYED = "late through another entry"
     OTHER_LATENESS = "late otherwise"
 
 
@@ -127,6 +128,9 @@
     for line in sorted(lines, key=lambda line: line.time):
         if line.event not in _END_EVENTS:
             continue
+        if line.fields.get("relayed_by"):
+            # Its caller reached another entry, which logs how it ended.
+            continue
         at_s = _seconds(line.time)
         if at_s is None:
             continue
@@ -179,8 +183,9 @@
 def _lateness_cause(fields: dict[str, Any]) -> Cause:
     took_ms = fields.get("took_ms", 0)
     target_ms = fields.get("aim_ms", 0)
-    if fields.get("tries", 1) > 1:
-        return Cause.FAILED_ATTEMPTS
+    through = fields.get("through")
+    if through or fields.get("tries", 1) > 1:
+        return Cause.RELAYED if through else Cause.FAILED_ATTEMPTS
     if fields.get("queue_ms", 0) > MIN_QUEUE_FRACTION * target_ms:
         return Cause.QUEUED
     if fields.get("warm") is False:
--- a/almondstair/tools/request_explanations.py
+++ b/almondstair/tools/request_explanations.py
@@ -134,8 +134,11 @@
 def _describe_cause(own_lines: list[LogLine], ordered: list[LogLine]) -> str:
     if not own_lines:
         return _describe_absence(ordered)
-    last = own_lines[-1].fields
-    event = own_lines[-1].event
+    # The entry that the caller reached knows how the request ended for it.
+    at_caller = [line for line in own_lines if not _is_relayed(line)]
+    final = (at_caller or own_lines)[-1]
+    last = final.fields
+    event = final.event
     if event == _ANSWERED:
         return _describe_answered(own_lines, last)
     if event == _FAILED:
@@ -150,6 +153,11 @@
     return _describe_unanswered(event, last)
 
 
+def _is_relayed(line: LogLine) -> bool:
+    """Returns whether a line is of an entry that another one relays to."""
+    return bool(line.fields.get("relayed_by"))
+
+
 def _describe_unanswered(event: int, last: dict[str, Any]) -> str:
     if event == _ABANDONED:
         return f"the caller disconnected after {last.get('after_ms')} ms"
@@ -170,6 +178,9 @@
     took_ms = last.get("took_ms", 0)
     expected_ms = last.get("expected_ms", 0)
     text = f"answered {last.get('status')} after {took_ms} ms"
+    through = last.get("through")
+    if through:
+        return f"{text}, {_describe_relay(own_lines, through)}"
     if len(own_lines) > 1:
         return (
             f"{text}, after {len(own_lines) - 1} failed attempts: "
@@ -191,6 +202,15 @@
     return f"{text}, as expected with {last.get('busy')} requests there"
 
 
+def _describe_relay(own_lines: list[LogLine], through: str) -> str:
+    """Returns which upstream another entry sent a request to."""
+    text = f"through entry {through}, as no upstream was reachable"
+    for line in own_lines:
+        if _is_relayed(line) and line.fields.get("upstream"):
+            return f"{text}; it was sent to {line.fields['upstream']}"
+    return f"{text}; that entry's log is not among the logs"
+
+
 def _describe_wait(last: dict[str, Any]) -> str:
     text = (
         f"the response waited {last.get('waited_ms')} ms on its connection "
@@ -242,7 +262,8 @@
         if line.event != _ATTEMPT_FAILED:
             continue
         fields = line.fields
-        parts.append(f"{fields.get('upstream')}: {fields.get('cause')}")
+        target = fields.get("upstream") or f"through {fields.get('through')}"
+        parts.append(f"{target}: {fields.get('cause')}")
     return "; ".join(parts) or "no failed attempt is logged"
 
 
--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -88,6 +88,7 @@
     deadline_ms: int = 0
     keys: list[str] = []
     organisations: list[str] = []
+    header_names: list[str] = []
 
 
 class Upstream:
@@ -291,6 +292,7 @@
             deadline_ms=int(deadline),
             keys=request.headers.get_list(names.AUTHORIZATION.decode()),
             organisations=request.headers.get_list(names.ORGANISATION.decode()),
+            header_names=list(request.headers.keys()),
         )
         upstream.runs.append(run)
         if upstream.faults.crash_path and request.path.startswith(
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -89,8 +89,8 @@
       callers: address for callers by gateway.
       upstream_ids: id of the latest incarnation by upstream.
       upstream_runs: runs that upstreams reported, over all incarnations.
-      datagram_proxies: proxy by view and gateway; empty without delays.
-      links: with separate links, the proxy of each gateway and upstream.
+      datagram_proxies: proxy by zone and gateway; empty without delays.
+      links: with zone links, the proxy from each zone to each upstream.
     """
 
     def __init__(
@@ -99,7 +99,7 @@
         deployment: Deployment,
         directory: Path,
         source: Path = _ROOT,
-        separate_links: bool = False,
+        zone_links: bool = False,
     ) -> None:
         """Names the upstreams and gateways; nothing is started yet.
 
@@ -107,8 +107,9 @@
           deployment: the emulated deployment.
           directory: directory for settings and logs.
           source: root of the checkout whose gateways run.
-          separate_links: whether each gateway, not each zone, has its own
-            proxies, so that its links can be cut.
+          zone_links: whether each zone's gateways have their own proxies to
+            upstreams, so that these links can be cut. Gateways of one zone
+            share them, as they read each other's copies of the store.
         """
         self.deployment = deployment
         self.directory = directory
@@ -137,15 +138,10 @@
             self._zone_of[f"u{number}"] = site[1]
         for number, zone in enumerate(deployment.gateway_zones()):
             self._zone_of[f"g{number}"] = zone
-        self._separate_links = separate_links
-        # Zone of each view of the store: of a gateway, or of a whole zone.
-        self._views: dict[str, str] = {}
-        if separate_links:
-            for name, zone in self._zone_of.items():
-                if name not in self._upstream_sites:
-                    self._views[name] = zone
-        elif deployment.has_delays:
-            self._views = {zone: zone for zone in deployment.zones}
+        # Zones with addresses of their own for upstreams and gateways.
+        self._views: list[str] = []
+        if zone_links or deployment.has_delays:
+            self._views = list(deployment.zones)
 
     async def start(self) -> None:
         """Starts all processes without waiting for the gateways' readiness."""
@@ -184,53 +180,51 @@
         self.proxies[name] = self._all_proxies[-1]
         if not self._views:
             return
-        by_view = await self._start_view_proxies(
+        by_zone = await self._start_zone_proxies(
             name, self._proxy_addresses[name]
         )
-        if self._separate_links:
-            proxies = self._all_proxies[-len(by_view) :]
-            for gateway, proxy in zip(by_view, proxies, strict=True):
-                self.links[gateway, name] = proxy
+        proxies = self._all_proxies[-len(by_zone) :]
+        for zone, proxy in zip(by_zone, proxies, strict=True):
+            self.links[zone, name] = proxy
 
-    async def _start_view_proxies(
+    async def _start_zone_proxies(
         self, name: str, address: str
     ) -> dict[str, str]:
-        """Starts a proxy from each view to an address of a process."""
-        by_view: dict[str, str] = {}
-        for view, zone in self._views.items():
+        """Starts a proxy from each zone to an address of a process."""
+        by_zone: dict[str, str] = {}
+        for zone in self._views:
             delay_s = self.deployment.delay_s(zone, self.zone_of(name))
-            by_view[view] = await self._start_proxy(address, delay_s)
-        self._zone_addresses[address] = by_view
+            by_zone[zone] = await self._start_proxy(address, delay_s)
+        self._zone_addresses[address] = by_zone
         await self._client.fetch(
             f"http://{self.store}/ways",
             method="PUT",
             body=json.dumps(self._zone_addresses),
         )
-        return by_view
+        return by_zone
 
     async def _start_gateway_proxies(self, name: str, address: str) -> None:
-        """Starts TCP and datagram proxies from each view to a gateway."""
-        for view, proxy_address in (
-            await self._start_view_proxies(name, address)
+        """Starts TCP and datagram proxies from each zone to a gateway."""
+        for zone, proxy_address in (
+            await self._start_zone_proxies(name, address)
         ).items():
-            zone = self._views[view]
             proxy = DatagramProxy(
                 target=address,
                 delay_s=self.deployment.delay_s(zone, self.zone_of(name)),
             )
             await proxy.listen(proxy_address)
-            self.datagram_proxies[view, name] = proxy
+            self.datagram_proxies[zone, name] = proxy
 
-    async def cut_links(self, gateway: str, fault: ProxyFault) -> None:
-        """Applies a fault to a gateway's links to all upstreams."""
+    async def cut_links(self, zone: str, fault: ProxyFault) -> None:
+        """Applies a fault to the links of a zone's gateways to upstreams."""
         for (linked, _), proxy in self.links.items():
-            if linked == gateway:
+            if linked == zone:
                 await proxy.cut(fault)
 
-    async def heal_links(self, gateway: str) -> None:
-        """Ends the fault of a gateway's links to all upstreams."""
+    async def heal_links(self, zone: str) -> None:
+        """Ends the fault of the links of a zone's gateways to upstreams."""
         for (linked, _), proxy in self.links.items():
-            if linked == gateway:
+            if linked == zone:
                 await proxy.heal()
 
     async def _spawn(
@@ -314,8 +308,7 @@
         store_zone = self.deployment.store_zone or next(
             iter(self.deployment.zones)
         )
-        view = name if self._separate_links else zone
-        target = self._store_views.get(view, self.store)
+        target = self._store_views.get(zone, self.store)
         store = await self._start_proxy(
             target, self.deployment.delay_s(zone, store_zone)
         )
@@ -333,7 +326,7 @@
         )
         if self.deployment.has_delays:
             await self._start_gateway_proxies(name, addresses["peers"])
-            await self._start_view_proxies(name, addresses["relays"])
+            await self._start_zone_proxies(name, addresses["relays"])
         await self.start_gateway(name)
         self.callers[name] = addresses["callers"]
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -17,6 +17,7 @@
       | stops         | a request cut during a stop            |
       | configuration | a 404 for a known route                |
       | recovery      | half of the requests failing at the end |
+      | cuts          | 12 refused requests during a cut       |
 
   Scenario: The same seed makes the same plan
     Then two plans of seed 7 are equal, and seed 8's differs
@@ -46,3 +47,8 @@
   Scenario: Upstreams that state limits beside other faults
     When the soak plays seed 5 with limits for 20 s
     Then it broke no promise and most requests were served
+
+  # Guards against gateways that refuse what others can serve, beside other faults.
+  Scenario: Gateways that lose their links to upstreams beside other faults
+    When the soak plays seed 3 with cuts for 20 s
+    Then it broke no promise and most requests were served
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -35,6 +35,7 @@
 _LIMITS = [(Span("u1", 0.0, 20.0), 1.0)]
 _STOP = [Span("g1", 2.5, 9.0)]
 _KNOWN = [Span("/safe/", 0.0, 9.0)]
+_CUT = Span("a1", 2.0, 9.0)
 _END = [Span("the end", 0.0, 9.0)]
 
 
@@ -46,6 +47,7 @@
         "silent": lambda: checks.check_no_traffic(ran, _LEFT),
         "cold": lambda: checks.check_cold(ran, _COLD),
         "limits": lambda: checks.check_limits(ran, _LIMITS),
+        "cuts": lambda: checks.check_cut(sent, _CUT),
         "stops": lambda: checks.check_graceful_stops(sent, _STOP),
         "configuration": lambda: checks.check_configuration(sent, _KNOWN),
         "recovery": lambda: checks.check_recovery(sent, _END, min_share=0.5),
@@ -67,6 +69,7 @@
     "half a body": [_REQUEST._replace(complete=False)],
     "a request cut during a stop": [_REQUEST._replace(status=0)],
     "a 404 for a known route": [_REQUEST._replace(status=404)],
+    "12 refused requests during a cut": [_REQUEST._replace(status=503)] * 12,
     "half of the requests failing at the end": [_REQUEST._replace(status=502)]
     * 3,
 }
@@ -176,6 +179,11 @@
     _run_soak(context, seed, seconds)
 
 
+@when("the soak plays seed {seed:d} with cuts for {seconds:d} s")
+def step_soak_cuts(context, seed, seconds):
+    _run_soak(context, seed, seconds, "--cuts")
+
+
 @when("the soak plays seed {seed:d} with limits for {seconds:d} s")
 def step_soak_limits(context, seed, seconds):
     _run_soak(context, seed, seconds, "--limits")
--- a/features/support/partition_rig.py
+++ b/features/support/partition_rig.py
@@ -1,7 +1,7 @@
 """Plays cuts between entries and upstreams, and records first tries.
 
-Callers send to all entries alike, whatever look-ups say, and never try again.
-The processes and their links are those of the emulator.
+Callers send to all entries alike, or to those that their look-ups name, and
+never try again. The processes and their links are those of the emulator.
 """
 
 import asyncio
@@ -34,14 +34,26 @@
 _OBJECTS = 40
 _REUSED_SHARE = 0.7
 _SIGHT_INTERVAL_S = 0.25
+# Callers that follow look-ups: how many, for how long they keep one, and what
+# part of them keeps it for three times as long.
+_LOOKING_CALLERS = 60
+_LOOKUP_TTL_S = 2.0
+_LONG_TTL_SHARE = 0.3
+_LONG_TTL_FACTOR = 3.0
 
 DEPLOYMENT = Deployment(
-    zones={"a1": "east", "a2": "east", "b1": "west"},
-    gateways={"a1": 2, "a2": 2, "b1": 2},
+    zones={
+        "a1": "east",
+        "a2": "east",
+        "a3": "east",
+        "b1": "west",
+        "b2": "west",
+    },
+    gateways={"a1": 2, "a2": 1, "a3": 1, "b1": 1, "b2": 1},
     services=[
         Service(
             name="service",
-            upstreams={"a1": 3, "a2": 3, "b1": 3},
+            upstreams={"a1": 2, "a2": 2, "a3": 1, "b1": 2, "b2": 2},
             slots=4,
             work_ms=120.0,
             cold_s=2.0,
@@ -95,14 +107,14 @@
 
     Attributes:
       fault: what happens on the links to upstreams.
-      gateways: entries whose links are cut.
+      zones: zones of the entries whose links are cut.
       span_s: how long it lasts, in seconds.
       gap_s: if not 0, the links are cut and healed in turns of this length.
       upstream_zones: zones of the upstreams that are cut off; all if empty.
     """
 
     fault: ProxyFault
-    gateways: frozenset[str]
+    zones: frozenset[str]
     span_s: float
     gap_s: float = 0.0
     upstream_zones: frozenset[str] = frozenset()
@@ -120,20 +132,24 @@
 
     Attributes:
       cut: the cut.
+      cut_gateways: the entries whose links it cuts.
       tries: first tries of all callers.
       runs: number of runs by request.
       events: log lines with a number, by entry.
       sights: look-ups over time.
-      statuses: status pages of the entries during the cut.
+      statuses: status pages of the entries at the end of the cut.
+      final_statuses: the same, at the end of the play.
       cpu_s: processor time of the entries, in seconds.
     """
 
     cut: Cut
+    cut_gateways: frozenset[str]
     tries: list[FirstTry]
     runs: dict[str, int]
     events: dict[str, list[dict[str, object]]]
     sights: list[Sight]
     statuses: dict[str, dict[str, object]]
+    final_statuses: dict[str, dict[str, object]]
     cpu_s: dict[str, float]
 
     def first_tries(
@@ -143,11 +159,21 @@
         return [
             each
             for each in self.tries
-            if (each.gateway in self.cut.gateways) == cut
+            if (each.gateway in self.cut_gateways) == cut
             and from_s <= each.sent_s < to_s
         ]
 
 
+class _LookingCaller:
+    """A caller that keeps the entries of its last look-up for a while."""
+
+    def __init__(self, *, zone: str, ttl_s: float) -> None:
+        self.zone = zone
+        self.ttl_s = ttl_s
+        self.gateways: list[str] = []
+        self.until_s = 0.0
+
+
 class PartitionRig:
     """Plays one cut on a deployment."""
 
@@ -159,6 +185,7 @@
         seed: int,
         deployment: Deployment = DEPLOYMENT,
         source: Path | None = None,
+        looks_up: bool = False,
     ) -> None:
         """Starts nothing.
 
@@ -168,12 +195,13 @@
           seed: seed of the load.
           deployment: the deployment, with its load.
           source: checkout whose entries run; this one if it is None.
+          looks_up: whether callers send to the entries that look-ups name.
         """
         options = {} if source is None else {"source": source}
         self.world = World(
             deployment=deployment,
             directory=directory,
-            separate_links=True,
+            zone_links=True,
             **options,
         )
         self._deployment = deployment
@@ -185,6 +213,17 @@
         self._sights: list[Sight] = []
         self._statuses: dict[str, dict[str, object]] = {}
         self._cut_s = 0.0
+        self._callers: list[_LookingCaller] = []
+        if looks_up:
+            zones = list(deployment.zones)
+            for number in range(_LOOKING_CALLERS):
+                long = self._rng.random() < _LONG_TTL_SHARE
+                self._callers.append(
+                    _LookingCaller(
+                        zone=zones[number % len(zones)],
+                        ttl_s=_LOOKUP_TTL_S * (_LONG_TTL_FACTOR if long else 1),
+                    )
+                )
 
     async def play(self) -> PartitionResult:
         """Plays the cut under load, and returns what was seen."""
@@ -197,6 +236,7 @@
             await asyncio.gather(
                 self._send_all(), self._play_cut(), self._look_up()
             )
+            final_statuses = await self._read_statuses()
             cpu_s = self._cpu_times_s()
             for name in self.world.upstreams:
                 await self.world.collect_runs(name)
@@ -207,11 +247,17 @@
         )
         return PartitionResult(
             cut=self._cut,
+            cut_gateways=frozenset(
+                name
+                for name in self.world.gateways
+                if self.world.zone_of(name) in self._cut.zones
+            ),
             tries=self._tries,
             runs=dict(runs),
             events={name: self._events(name) for name in self.world.gateways},
             sights=self._sights,
             statuses=self._statuses,
+            final_statuses=final_statuses,
             cpu_s=cpu_s,
         )
 
@@ -248,8 +294,8 @@
         zones = self._cut.upstream_zones
         return [
             proxy
-            for (gateway, upstream), proxy in self.world.links.items()
-            if gateway in self._cut.gateways
+            for (zone, upstream), proxy in self.world.links.items()
+            if zone in self._cut.zones
             and (not zones or self.world.zone_of(upstream) in zones)
         ]
 
@@ -300,8 +346,23 @@
     ) -> None:
         while time.monotonic() < ends_s:
             await asyncio.sleep(self._rng.expovariate(route.rate_per_s))
-            gateway = self._rng.choice(sorted(self.world.callers))
-            group.create_task(self._send(gateway, route))
+            group.create_task(self._send(self._pick_gateway(), route))
+
+    def _pick_gateway(self) -> str:
+        if not self._callers:
+            return self._rng.choice(sorted(self.world.callers))
+        caller = self._rng.choice(self._callers)
+        if time.monotonic() >= caller.until_s and self._sights:
+            caller.gateways = self._sights[-1].named[self._nearest(caller.zone)]
+            caller.until_s = time.monotonic() + caller.ttl_s
+        return self._rng.choice(caller.gateways or sorted(self.world.callers))
+
+    def _nearest(self, zone: str) -> str:
+        """Returns the entry that a caller of a zone asks."""
+        for name in self.world.gateways:
+            if self.world.zone_of(name) == zone:
+                return name
+        raise ValueError(f"no entry in zone {zone}")
 
     async def _send(self, gateway: str, route: RouteRule) -> None:
         request = uuid.uuid4().hex[:16]
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,6 +31,7 @@
     logs: str = "",
     kinds: Sequence[FaultKind] = DRAWN_KINDS,
     limits: bool = False,
+    cuts: bool = False,
 ) -> Report:
     """Runs one seed; keeps the processes' logs if `logs` names a folder."""
     with tempfile.TemporaryDirectory(prefix="almondstair-soak-") as folder:
@@ -43,6 +44,7 @@
             size=size,
             kinds=kinds,
             limits=limits,
+            cuts=cuts,
         )
         report = asyncio.run(soak.run())
         if report.violations:
@@ -106,6 +108,7 @@
         logs: str = "",
         first_kinds: bool = False,
         limits: bool = False,
+        cuts: bool = False,
     ) -> None:
         """Runs one seed.
 
@@ -117,6 +120,7 @@
           first_kinds: whether to draw faults only from the kinds that the kept
             seeds were found with; with all kinds a seed gives another plan.
           limits: whether upstreams state limits on requests besides.
+          cuts: whether gateways lose their links to upstreams besides.
         """
         kinds = FIRST_KINDS if first_kinds else DRAWN_KINDS
         report = run_seed(
@@ -126,6 +130,7 @@
             logs=logs,
             kinds=kinds,
             limits=limits,
+            cuts=cuts,
         )
         print_report(report)
         sys.exit(1 if report.violations else 0)
@@ -137,7 +142,7 @@
         first = first or random.randrange(1, 1_000_000)
         failed = []
         for seed in range(first, first + count):
-            report = run_seed(seed, seconds, Size(), limits=True)
+            report = run_seed(seed, seconds, Size(), limits=True, cuts=True)
             print_report(report)
             if report.violations:
                 failed.append(seed)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -14,6 +14,11 @@
 LIMIT_SLACK = 5
 LIMIT_WINDOW_S = 4.0
 LIMIT_SETTLE_S = 4.0
+# Operators tolerate this share of failed first tries at a gateway without
+# upstreams, and some more, from a second after it lost them.
+CUT_NOTICED_S = 1.0
+CUT_SHARE = 1 / 50
+CUT_SLACK = 10
 
 
 class SentRequest(NamedTuple):
@@ -184,6 +189,26 @@
     return violations
 
 
+def check_cut(sent: Iterable[SentRequest], cut: Span) -> list[Violation]:
+    """Finds a cut during which too few requests succeed.
+
+    Args:
+      sent: requests sent to gateways that the cut leaves without upstreams,
+        without another fault nearby.
+      cut: the span of the cut.
+    """
+    requests = [
+        each
+        for each in sent
+        if cut.from_s + CUT_NOTICED_S <= each.sent_s < cut.to_s
+    ]
+    failed = sum(1 for each in requests if each.status != 200)
+    if failed <= CUT_SLACK + CUT_SHARE * len(requests):
+        return []
+    detail = f"{cut} {failed} of {len(requests)} failed"
+    return [Violation("cut gateways serve through others", detail)]
+
+
 def check_graceful_stops(
     sent: Iterable[SentRequest], stops: Iterable[Span]
 ) -> list[Violation]:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -32,6 +32,7 @@
     UPSTREAM_RESTART = "upstream_restart"
     FOREIGN_WRITER = "foreign_writer"
     UPSTREAM_LIMIT = "upstream_limit"
+    LINKS = "links"
 
 
 # Kinds that the kept seeds were found with; drawing from more kinds would give
@@ -66,6 +67,10 @@
 
 STORE_MODES = ("busy", "limited", "reset", "silent", "slow", "lost", "late")
 PROXY_FAULTS = ("delay", "reset", "silence", "one_way")
+LINK_FAULTS = ("hang", "reset", "refuse", "silence", "one_way")
+# Spans in which the links of a zone's gateways fail, in seconds.
+MIN_CUT_S = 1.0
+MAX_CUT_S = 6.0
 UPSTREAM_FAULTS = (
     "extra",
     "late_extra",
@@ -149,3 +154,28 @@
             )
         )
     return sorted(steps)
+
+
+def make_cuts(seed: int, *, seconds: float) -> list[Step]:
+    """Returns the steps of a seed in which zones lose their upstreams.
+
+    Args:
+      seed: the seed.
+      seconds: length of the run.
+    """
+    rng = random.Random(f"cuts of {seed}")
+    span_s = max(1.0, seconds - START_SETTLE_S - FINAL_CALM_S)
+    steps = []
+    for _ in range(max(1, int(span_s / 4))):
+        at_s = START_SETTLE_S + rng.random() * span_s
+        left_s = START_SETTLE_S + span_s - at_s
+        steps.append(
+            Step(
+                at_s=at_s,
+                kind=FaultKind.LINKS,
+                target=rng.randrange(1000),
+                duration_s=min(left_s, rng.uniform(MIN_CUT_S, MAX_CUT_S)),
+                variant=rng.choice(LINK_FAULTS),
+            )
+        )
+    return sorted(steps)
--- a/soak/run.py
+++ b/soak/run.py
@@ -164,6 +164,7 @@
         size: Size,
         kinds: Sequence[FaultKind] = plan.DRAWN_KINDS,
         limits: bool = False,
+        cuts: bool = False,
     ) -> None:
         """Makes the plan and starts nothing."""
         self._seed = seed
@@ -171,8 +172,14 @@
         self._steps = plan.make_plan(seed, seconds=seconds, kinds=kinds)
         if limits:
             self._steps += plan.make_limits(seed, seconds=seconds)
-            self._steps.sort()
-        self._world = World(deployment=size.deployment(), directory=directory)
+        if cuts:
+            self._steps += plan.make_cuts(seed, seconds=seconds)
+        self._steps.sort()
+        self._world = World(
+            deployment=size.deployment(),
+            directory=directory,
+            zone_links=cuts,
+        )
         self._callers = [
             Caller(rng=random.Random(seed * 1000 + number))
             for number in range(size.callers)
@@ -182,6 +189,7 @@
         self._cold_spans: list[Span] = []
         self._limit_spans: list[tuple[Span, float]] = []
         self._limits: dict[str, str] = {}
+        self._cut_spans: list[Span] = []
         self._route_spans: list[Span] = []
         self._stop_spans: list[Span] = []
         self._disturbance_spans: list[Span] = []
@@ -265,6 +273,7 @@
             FaultKind.UPSTREAM_RESTART: self._upstream_restart,
             FaultKind.FOREIGN_WRITER: self._foreign_writer,
             FaultKind.UPSTREAM_LIMIT: self._upstream_limit,
+            FaultKind.LINKS: self._links,
         }
         began_s = time.monotonic()
         await actions[step.kind](step)
@@ -273,6 +282,7 @@
             FaultKind.CONFIGURE,
             FaultKind.GATEWAY_HANGUP,
             FaultKind.UPSTREAM_LIMIT,
+            FaultKind.LINKS,
         )
         if step.kind not in planned:
             self._disturbance_spans.append(
@@ -353,6 +363,19 @@
             span = Span(name, began_s, ended_s)
             self._limit_spans.append((span, rate_per_s))
 
+    async def _links(self, step: Step) -> None:
+        """Cuts the links of a zone's gateways to all upstreams."""
+        zone = list(ZONES)[step.target % len(ZONES)]
+        name = f"links of {zone}"
+        if not await self._claim(name):
+            return
+        began_s = time.monotonic()
+        await self._world.cut_links(zone, ProxyFault(step.variant))
+        await asyncio.sleep(step.duration_s)
+        await self._world.heal_links(zone)
+        self._cut_spans.append(Span(zone, began_s, time.monotonic()))
+        self._claimed.discard(name)
+
     async def _claim(self, name: str) -> bool:
         """Claims a process, so that two faults do not both restart it."""
         if name in self._claimed:
@@ -546,6 +569,7 @@
             )
         calm = [each for each in sent if not self._is_disturbed_at(each.sent_s)]
         self._violations += checks.check_configuration(calm, self._route_spans)
+        self._check_cuts(calm, gateway_of)
         final_span = Span(
             "the end", self._end_s - FINAL_SPAN_S, self._end_s - FINAL_MARGIN_S
         )
@@ -553,6 +577,28 @@
             sent, [final_span], min_share=MIN_SERVED_SHARE
         )
 
+    def _check_cuts(
+        self, calm: list[checks.SentRequest], gateway_of: dict[str, str]
+    ) -> None:
+        """Checks that gateways without upstreams serve through others."""
+        for span in self._cut_spans:
+            overlapping = [
+                other
+                for other in self._cut_spans
+                if other.name != span.name
+                and other.from_s < span.to_s
+                and span.from_s < other.to_s
+            ]
+            if len(overlapping) == len(ZONES) - 1:
+                # There may be a moment in which no gateway has an upstream.
+                continue
+            at_zone = [
+                each
+                for each in calm
+                if self._world.zone_of(gateway_of[each.request]) == span.name
+            ]
+            self._violations += checks.check_cut(at_zone, span)
+
     def _is_excused(self, run: UpstreamRun) -> bool:
         """Returns whether a disturbance near a run suspends the time bounds."""
         for span in self._disturbance_spans:
