--- a/benchmarks/partitions.py
+++ b/benchmarks/partitions.py
@@ -96,7 +96,9 @@
                     source=Path(source).resolve(),
                     looks_up=True,
                 )
-            table.add_row(str(fault), part, name, *_row(result))
+            row = (str(fault), part, name, *_row(result))
+            print("; ".join(row), flush=True)
+            table.add_row(*row)
     Console(width=130).print(table)
 
 
--- a/emulator/load_pattern.py
+++ b/emulator/load_pattern.py
@@ -81,7 +81,7 @@
         region's upstreams get no requests; new_objects: replaces all objects by
         new ones; restart: all entries are down and start again without state;
         limited: a share of a service's upstreams states `limit_per_s` in its
-        answers.
+        answers; cut_off: a share of a region's entries reaches no upstream.
       at_s: start time, in seconds.
       for_s: duration, in seconds.
       times: factor of a burst or of slow upstreams.
@@ -102,6 +102,7 @@
         "new_objects",
         "restart",
         "limited",
+        "cut_off",
     ]
     at_s: float
     for_s: float = 5.0
--- a/emulator/replay.py
+++ b/emulator/replay.py
@@ -17,6 +17,8 @@
 from almondstair.core.placement_plan import EMPTY_PLAN
 from almondstair.core.placement_plan import Planner
 from almondstair.core.region_reports import region_hash
+from almondstair.core.registered_entries import Entry
+from almondstair.core.relay_selection import RelaySelector
 from almondstair.core.request_placer import NO_CAPACITY_RETRY_MS
 from almondstair.core.request_placer import PlacementRequest
 from almondstair.core.upstream_limiter import LimitRefusals
@@ -40,6 +42,8 @@
 _DISTURBANCE_CHECK_INTERVAL_S = 0.1
 # Maximum share of the remaining time that a caller waits before a retry.
 _MAX_RETRY_WAIT_SHARE = 1 / 3
+# Number of different ids of requests.
+_REQUEST_IDS = 1 << 32
 # Delay before a caller's retry while all entries are down.
 _ENTRIES_DOWN_RETRY_S = 0.5
 # The n-th most popular key is requested n ** -_ZIPF_EXPONENT times as often as
@@ -91,6 +95,11 @@
         self._limit_sums = UseSums()
         self._limit_differences = MemberDifferences()
         self._entries_down = False
+        self._cut_off: set[str] = set()
+        self._registered = [
+            Entry(entry.name, "", "", entry.region, entry.region, relays="r")
+            for entry in self._entries
+        ]
         self._key_generation = 0
         self._active_disturbances: set[int] = set()
 
@@ -197,6 +206,13 @@
             if entry.region == request.region:
                 local_entries.append(entry)
         entry = self._rng.choice(local_entries)
+        if entry.name in self._cut_off:
+            relaying = self._relaying_entry(entry, request)
+            if relaying is None:
+                retry_after_s = NO_CAPACITY_RETRY_MS / 1000
+                self._retry_or_finish(request, retry_after_s, Ending.REFUSED)
+                return
+            entry = relaying
         placement_request = PlacementRequest(
             route=entry.routes[request.kind.name],
             service=request.kind.service,
@@ -208,6 +224,32 @@
         )
         self._place(_Call(request, entry, placement_request))
 
+    def _relaying_entry(
+        self, entry: ModelledEntry, request: _Request
+    ) -> ModelledEntry | None:
+        """Returns the entry through which a cut off one sends a request.
+
+        Requests in flight between two entries are not modelled.
+        """
+        selector = RelaySelector(
+            own_name=entry.name,
+            own_region=entry.region,
+            own_zone=entry.region,
+        )
+        number = self._rng.randrange(_REQUEST_IDS)
+        found = selector.select(
+            self._registered,
+            cut_off=self._cut_off,
+            tried=(),
+            allowed_regions=(),
+            request_id=b"%d" % number,
+            now_s=self._now_s,
+        )
+        for other in self._entries:
+            if found is not None and other.name == found.name:
+                return other
+        return None
+
     def _retry_or_finish(
         self, request: _Request, delay_s: float, ending: Ending
     ) -> None:
@@ -462,6 +504,8 @@
             self._key_generation += begins
         elif disturbance.what == "restart":
             self._restart(begins)
+        elif disturbance.what == "cut_off":
+            self._set_cut_off(disturbance, begins)
         elif disturbance.what == "evacuated":
             self._evacuate(disturbance.region, begins)
         elif disturbance.what == "lost":
@@ -486,6 +530,18 @@
             matching.append(upstream)
         return matching[: round(disturbance.share * len(matching))]
 
+    def _set_cut_off(self, disturbance: Disturbance, begins: bool) -> None:
+        names = [
+            entry.name
+            for entry in self._entries
+            if disturbance.region in ("", entry.region)
+        ]
+        affected = names[: round(disturbance.share * len(names))]
+        if begins:
+            self._cut_off.update(affected)
+        else:
+            self._cut_off.difference_update(affected)
+
     def _set_lost(self, disturbance: Disturbance, begins: bool) -> None:
         for upstream in self._affected_upstreams(disturbance):
             if begins:
--- a/features/replay.feature
+++ b/features/replay.feature
@@ -46,6 +46,11 @@
     When "limit-at-one" is replayed with seeds 1 to 3
     Then the credit is at least 0.95
 
+  # Guards against entries without upstreams that refuse or misplace requests.
+  Scenario: Entries that reach no upstream cost callers little
+    When "entries-cut-off" is replayed with seeds 1 to 3
+    Then the credit is at least 0.95
+
   # Guards against objects that run as new at several upstreams without need.
   Scenario: An object stays where it is cached while slots are free
     When "long-requests" is replayed with seeds 1 to 2
--- a/features/support/load_exchange_world.py
+++ b/features/support/load_exchange_world.py
@@ -14,6 +14,7 @@
 from typing import Any, NamedTuple
 from unittest import mock
 
+from almondstair.core.cut_off_entries import CutOffEntries
 from almondstair.core.fleet import Fleet
 from almondstair.core.known_places import CachedLocations
 from almondstair.core.limit_reports import LimitReports
@@ -24,6 +25,7 @@
 from almondstair.core.routing import CallerLimits
 from almondstair.core.routing import RoutingConfiguration
 from almondstair.core.routing import ServiceRule
+from almondstair.core.upstream_links import UpstreamLinks
 from almondstair.core.upstream_state import UpstreamRecord
 from almondstair.core.upstream_state import incarnation_hash
 from almondstair.gateway import load_exchange
@@ -55,6 +57,8 @@
     load_exchange: LoadExchange
     quota_reports: QuotaReports
     limit_reports: LimitReports
+    links: UpstreamLinks
+    cut_off: CutOffEntries
 
 
 class _Sleep:
@@ -190,6 +194,8 @@
             exchange,
             quota_reports,
             limits["limit_reports"],
+            limits["links"],
+            limits["cut_off"],
         )
 
     def make_suspects(self, name: str) -> Any:
