Keep a failed check of the links from lasting, and probes from cold upstreams

A check that ends in an unexpected error left the links unused for good (read, shown by the new scenario's planted error). Probes choose warm upstreams where there are any. A pause of 0.1 s between responses is common at an entry with few requests; 0.25 s opens fewer connections. Notes at almondstaird's sockets what ends keep-alive there.

--- a/almondstair/gateway/link_monitor.py
+++ b/almondstair/gateway/link_monitor.py
@@ -41,7 +41,7 @@
 SILENCE_CHECK_PAUSE_S = 2.0
 # Links on which nothing has arrived for this long are not trusted with requests
 # that must not be sent twice.
-QUIET_S = 0.1
+QUIET_S = 0.25
 
 
 class DirectExchange(NamedTuple):
@@ -173,24 +173,32 @@
         self._check = asyncio.ensure_future(self._check_links(suspect))
 
     async def _check_links(self, suspect: int) -> None:
-        """Probes one upstream, then a few more, until one answers.
-
-        If time has passed already, all are probed at once.
-        """
         sample = self._sample(suspect)
-        reachable = not sample
-        parts = [sample[:1], sample[1:]]
-        if now_s() - self.links.failed_since_s > CHECK_POLL_S:
-            parts = [sample]
-        for part in parts:
-            if not reachable and part:
-                reachable = await self._any_answers(part)
+        reachable = True
+        try:
+            reachable = not sample or await self._any_reachable(sample)
+        except Exception as error:
+            # Without an end, requests would be kept from the links for good.
+            log.event(
+                log.Event.ROUND_FAILED, error=error, detail="check of links"
+            )
         probed = tuple(upstream.record.upstream_id for upstream in sample)
         if self.links.end_check(reachable=reachable, probed=probed):
             self._start_partition()
         else:
             self._confirm_failures()
 
+    async def _any_reachable(self, sample: list[UpstreamState]) -> bool:
+        """Probes one upstream, then a few more, until one answers.
+
+        If time has passed already, all are probed at once.
+        """
+        if now_s() - self.links.failed_since_s > CHECK_POLL_S:
+            return await self._any_answers(sample)
+        if await self._any_answers(sample[:1]):
+            return True
+        return await self._any_answers(sample[1:])
+
     def _sample(self, suspect: int) -> list[UpstreamState]:
         """Returns upstreams to probe, the nearest one first.
 
@@ -203,6 +211,7 @@
                 continue
             if not upstream.is_unreachable:
                 candidates.append(upstream)
+        candidates = _without_cold(candidates)
         own_region = self._fleet.own_region
         near = [each for each in candidates if each.region == own_region]
         first = random.sample(near or candidates, min(1, len(candidates)))
@@ -330,7 +339,7 @@
         upstreams = list(self._fleet.upstreams())
         now = now_s()
         renewed = [each for each in upstreams if each.is_renewed(now_s=now)]
-        return renewed or upstreams
+        return _without_cold(renewed or upstreams)
 
     def _watch_silence(self, now: float) -> None:
         """Checks the links if requests in flight get no responses."""
@@ -353,3 +362,10 @@
             return
         self._next_silence_check_s = now + SILENCE_CHECK_PAUSE_S
         self._begin_check(None, cause="no response", since_s=since_s)
+
+
+def _without_cold(upstreams: list[UpstreamState]) -> list[UpstreamState]:
+    """Returns the warm upstreams, or all if there are none."""
+    now = now_s()
+    warm = [each for each in upstreams if not each.is_cold(now_s=now)]
+    return warm or upstreams
--- a/almondstair/peers.py
+++ b/almondstair/peers.py
@@ -37,6 +37,8 @@
 # The receiving end never sends, so only TCP keep-alive detects a lost sender,
 # whose descriptor would otherwise stay open forever.
 KEEPALIVE_IDLE_S = 60
+# `UNACKNOWLEDGED_LIMIT_MS` ends the connection at the first of these that is
+# not answered in time, whatever their count.
 KEEPALIVE_INTERVAL_S = 10
 KEEPALIVE_COUNT = 3
 _IDENTITY_SEPARATOR = "/"
--- a/features/cut_off_entries.feature
+++ b/features/cut_off_entries.feature
@@ -60,3 +60,9 @@
       | no probe is answered                       | partitioned |
       | no probe is answered, then one is          | working     |
       | it lasts for 0.2 s                         | not usable  |
+
+  # Guards against links that are never used again after a check that failed.
+  Scenario: A check of the links that ends in an error
+    Given an entry whose probes end in an error
+    When a connection to one of 4 upstreams fails
+    Then requests use the links, and the failure counts as the upstream's
--- a/features/steps/cut_off_entries_steps.py
+++ b/features/steps/cut_off_entries_steps.py
@@ -1,6 +1,8 @@
 """Steps for what entries know of entries without upstreams, and do with it."""
 
+import asyncio
 from collections import Counter
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -15,6 +17,7 @@
 from almondstair.core.upstream_links import LinkState
 from almondstair.core.upstream_links import UpstreamLinks
 from almondstair.core.upstream_state import UpstreamRecord
+from almondstair.gateway.link_monitor import LinkMonitor
 from features.support.load_exchange_world import LoadExchangeWorld
 
 _STEP_S = 0.05
@@ -306,3 +309,44 @@
     assert context.links.are_usable(now_s=context.now_s) == (
         state != "partitioned"
     )
+
+
+@given("an entry whose probes end in an error")
+def step_probe_error(context):
+    context.fleet = Fleet(own_name="e", own_region="r", zones={"z": "r"})
+    context.pool = mock.Mock()
+    context.pool.connect = mock.AsyncMock(side_effect=RuntimeError("planted"))
+    context.monitor = LinkMonitor(
+        fleet=context.fleet, pool=context.pool, links=UpstreamLinks()
+    )
+
+
+@when("a connection to one of {count:d} upstreams fails")
+def step_connection_fails(context, count):
+    for number in range(count):
+        record = UpstreamRecord(
+            f"u{number}", "s", "a:1", "z", "v", 4, False, 0.0
+        )
+        context.fleet.apply_upstream(record, now_s=0.0)
+    context.confirm = mock.Mock()
+    context.dismiss = mock.Mock()
+
+    async def fail():
+        context.monitor.confirm_failure(
+            next(iter(context.fleet.upstreams())),
+            cause="no connection",
+            since_s=0.0,
+            is_new=True,
+            confirm=context.confirm,
+            dismiss=context.dismiss,
+        )
+        await context.monitor.settle()
+
+    asyncio.run(fail())
+
+
+@then("requests use the links, and the failure counts as the upstream's")
+def step_in_use(context):
+    assert context.pool.connect.called
+    assert context.monitor.are_usable()
+    assert context.confirm.called and not context.dismiss.called
