--- a/almondstair/core/upstream_state.py
+++ b/almondstair/core/upstream_state.py
@@ -208,6 +208,9 @@
 
     def is_alive_since_unreachable(self) -> bool:
         """Returns whether it renewed its registration while unreachable."""
+        if math.isinf(self.unreachable_at_s):
+            # Since when it is unreachable is not known.
+            return False
         return self.renewed_at_s > self.unreachable_at_s + RENEWAL_DELAY_S
 
     def is_alive_elsewhere(self, *, now_s: float) -> bool:
