--- a/features/gateway_answers.feature
+++ b/features/gateway_answers.feature
@@ -76,8 +76,7 @@
     When half of a head is sent
     Then the connection is closed within 4.5 s
 
-  # Guards against callers that send another request behind a body that nobody
-  # reads, and wait for its response until the connection is closed.
+  # Guards against callers that wait for an answer behind a body nobody reads.
   Scenario: An upload that is refused before its end closes its connection
     Given a gateway without upstreams
     When 0.7 MB of an upload of 1 MB are sent
--- a/features/partitions.feature
+++ b/features/partitions.feature
@@ -53,8 +53,7 @@
     Then its first tries are served at least two thirds as often as the others'
     And look-ups of all entries omit the cut ones from 2 s on until the end
 
-  # Guards against an entry that is taken for cut, or serves badly, because a part
-  # of the upstreams is out of its reach.
+  # Guards against an entry that serves badly while it reaches some upstreams.
   Scenario: An entry loses its links to the upstreams of its own region
     Given the links of one entry to the upstreams of its region hang
     When callers send to all entries alike
