Decode what upstreams say in an answer's head in one place, and log it

Events 441 to 443 log what is new; nothing is decided by it yet. The load is applied at the head now, without the answered request, as before at the end of the answer.

The emulator's upstreams say that they leave (a draining one always does), ask for rest, refuse above a number of waiting requests, and keep a list of their answers.

--- a/almondstair/core/upstream_state.py
+++ b/almondstair/core/upstream_state.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from almondstair.core.peer_loads import PeerLoads
+from almondstair.core.upstream_statements import ReportedLoad
 
 # Half-life of the number of other entries' requests that a response reported.
 # Requests last a few tenths of a second, so half of them have ended after one
@@ -69,14 +70,6 @@
     return xxhash.xxh32_intdigest(incarnation.encode())
 
 
-class ReportedLoad(NamedTuple):
-    """Holds the load that an upstream reports in a response."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class UpstreamState:
     """Tracks the load and health of one upstream.
 
@@ -93,6 +86,9 @@
         clock, in seconds.
       renewed_at_s: when its registration was last read as renewed, on the
         entry's clock, in seconds.
+      said_leaving: whether a response of it said that it is leaving.
+      rest_until_s: until when it wants no requests of this entry, on the
+        entry's clock, in seconds.
     """
 
     def __init__(
@@ -119,6 +115,8 @@
         self.is_unreachable = False
         self.unreachable_at_s = -math.inf
         self.renewed_at_s = -math.inf
+        self.said_leaving = False
+        self.rest_until_s = -math.inf
         self._reported_peer_requests = 0.0
         self._reported_at_s = -math.inf
         self._on_probation = False
@@ -134,15 +132,22 @@
         """Returns the number of requests that other entries report for it."""
         return self._peer_loads.requests_at(self.name_hash)
 
-    def apply_load(self, reported: ReportedLoad, *, now_s: float) -> None:
+    def apply_load(
+        self, reported: ReportedLoad, *, answered_requests: int, now_s: float
+    ) -> None:
         """Applies the load that a response reports.
 
-        The upstream may still count the answered request. This entry counts it
-        too until its response is handled, so that the difference is the load of
-        other entries.
+        The difference to the requests of this entry is the load of others.
+
+        Args:
+          reported: the load.
+          answered_requests: requests in flight that the response answers, which
+            the upstream does not count.
+          now_s: the entry's clock, in seconds.
         """
         busy = reported.running + reported.waiting
-        self._reported_peer_requests = max(0.0, float(busy - self.in_flight))
+        own = self.in_flight - answered_requests
+        self._reported_peer_requests = max(0.0, float(busy - own))
         self._reported_at_s = now_s
 
     def estimated_load(
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -42,7 +42,6 @@
 from almondstair.gateway.http_pages import LOOKUP_TTL_S
 from almondstair.gateway.http_pages import PageData
 from almondstair.gateway.http_pages import Pages
-from almondstair.gateway.limit_recorder import LimitRecorder
 from almondstair.gateway.link_monitor import LinkMonitor
 from almondstair.gateway.load_exchange import LoadExchange
 from almondstair.gateway.operator_reports import OperatorReports
@@ -50,6 +49,7 @@
 from almondstair.gateway.relay_listener import RelayConnection
 from almondstair.gateway.relay_listener import RelayHandler
 from almondstair.gateway.settings_watcher import SettingsWatcher
+from almondstair.gateway.statement_recorder import StatementRecorder
 from almondstair.gateway.store_sync import StoreSync
 from almondstair.gateway.upstream_connector import UpstreamConnector
 from almondstair.gateway.upstream_sender import UpstreamSender
@@ -133,13 +133,16 @@
         self._limit_reports = LimitReports(
             own_name=settings.entry_name, fleet=self._fleet
         )
-        self._limit_recorder = LimitRecorder(
+        self._statement_recorder = StatementRecorder(
             fleet=self._fleet, limits=self._limit_reports.limits
         )
         self._links = UpstreamLinks()
         self._cut_off = CutOffEntries()
         self._link_monitor = LinkMonitor(
-            fleet=self._fleet, pool=self._pool, links=self._links
+            fleet=self._fleet,
+            pool=self._pool,
+            links=self._links,
+            statement_recorder=self._statement_recorder,
         )
         suspects = CrashSuspects()
         self._load_exchange = LoadExchange(
@@ -153,7 +156,7 @@
                 regions=self._region_reports,
             ),
             limit_reports=self._limit_reports,
-            limit_recorder=self._limit_recorder,
+            statement_recorder=self._statement_recorder,
             links=self._links,
             cut_off=self._cut_off,
             own_name=settings.entry_name,
@@ -229,7 +232,7 @@
             metrics=self._metrics,
             connector=self._connector,
             placer=placer,
-            limit_recorder=self._limit_recorder,
+            statement_recorder=self._statement_recorder,
             link_monitor=self._link_monitor,
         )
         recorder = CallRecorder(fleet=self._fleet, metrics=self._metrics)
--- a/almondstair/gateway/link_monitor.py
+++ b/almondstair/gateway/link_monitor.py
@@ -20,6 +20,7 @@
 from almondstair.core.upstream_state import UpstreamState
 from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.http_encoding import encode_head
+from almondstair.gateway.statement_recorder import StatementRecorder
 from almondstair.gateway.upstream_connection import UpstreamConnection
 
 # Longest time for a connection to open, and then for a response to a probe. A
@@ -66,7 +67,12 @@
     """Finds out whether this entry reaches upstreams."""
 
     def __init__(
-        self, *, fleet: Fleet, pool: ConnectionPool, links: UpstreamLinks
+        self,
+        *,
+        fleet: Fleet,
+        pool: ConnectionPool,
+        links: UpstreamLinks,
+        statement_recorder: StatementRecorder,
     ) -> None:
         """Creates the monitor of one entry.
 
@@ -74,9 +80,11 @@
           fleet: the view of the deployment.
           pool: connections to upstreams.
           links: gets the results.
+          statement_recorder: applies what upstreams say of themselves.
         """
         self._fleet = fleet
         self._pool = pool
+        self._statement_recorder = statement_recorder
         self.links = links
         self._exchanges: set[DirectExchange] = set()
         self._check: asyncio.Task[None] | None = None
@@ -250,7 +258,10 @@
         try:
             async with asyncio.timeout(PROBE_RESPONSE_S):
                 exchange = await connection.exchange(
-                    head=self._probe_head(upstream)
+                    head=self._probe_head(upstream),
+                    on_head=lambda head: self._statement_recorder.record_probe(
+                        upstream, head
+                    ),
                 )
         except TimeoutError:
             # As above; `exchange` has closed the connection.
--- a/almondstair/gateway/load_exchange.py
+++ b/almondstair/gateway/load_exchange.py
@@ -43,7 +43,6 @@
 from almondstair.core.upstream_links import UpstreamLinks
 from almondstair.gateway import peer_messages
 from almondstair.gateway.connection_pool import ConnectionPool
-from almondstair.gateway.limit_recorder import LimitRecorder
 from almondstair.gateway.peer_messages import LostRequest
 from almondstair.gateway.peer_messages import Message
 from almondstair.gateway.peer_messages import NewEntryUpdate
@@ -52,6 +51,7 @@
 from almondstair.gateway.peer_messages import TotalLoads
 from almondstair.gateway.peer_messages import UpstreamGone
 from almondstair.gateway.peer_messages import ZoneLoadSum
+from almondstair.gateway.statement_recorder import StatementRecorder
 
 # Reports of an entry expire after three missed heartbeats.
 PEER_TIMEOUT_S = 3 * report_schedule.HEARTBEAT_S
@@ -113,7 +113,7 @@
         cached_locations: CachedLocations,
         shared_counts: SharedCounts,
         limit_reports: LimitReports,
-        limit_recorder: LimitRecorder,
+        statement_recorder: StatementRecorder,
         links: UpstreamLinks,
         cut_off: CutOffEntries,
         own_name: str,
@@ -129,7 +129,7 @@
           cached_locations: cached objects of upstreams.
           shared_counts: counts of requests, at this entry and in sums.
           limit_reports: limits of upstreams, known here and to be reported.
-          limit_recorder: logs the limits that other entries tell.
+          statement_recorder: logs what other entries tell of upstreams.
           links: links of this entry to upstreams.
           cut_off: gets the entries that reach no upstream.
           own_name: name of this entry.
@@ -142,7 +142,7 @@
         self._cached_locations = cached_locations
         self._shared_counts = shared_counts
         self._limit_reports = limit_reports
-        self._limit_recorder = limit_recorder
+        self._statement_recorder = statement_recorder
         self._links = links
         self._cut_off = cut_off
         self._own_name = own_name
@@ -301,7 +301,7 @@
 
     def _log_limits(self, changes: list[LimitChange]) -> None:
         for change in changes:
-            self._limit_recorder.log_change(change, told=True)
+            self._statement_recorder.log_limit(change, told=True)
 
     def _apply_crash_report(
         self, message: LostRequest | UpstreamGone, now: float
--- /dev/null
+++ b/almondstair/gateway/statement_recorder.py
@@ -0,0 +1,163 @@
+"""Applies what upstreams say of themselves in the heads of responses."""
+
+from collections import Counter
+import math
+
+from almondstair import log
+from almondstair.clock import now_s
+from almondstair.core.fleet import Fleet
+from almondstair.core.upstream_limits import LimitChange
+from almondstair.core.upstream_limits import UpstreamLimits
+from almondstair.core.upstream_state import UpstreamState
+from almondstair.core.upstream_statements import UnreadableValue
+from almondstair.core.upstream_statements import UpstreamStatement
+from almondstair.gateway.http_encoding import ResponseHead
+from almondstair.platform import headers as names
+from almondstair.platform import statements
+
+# Shortest time between two log lines on values that cannot be read.
+UNREADABLE_LOG_INTERVAL_S = 30.0
+# An upstream with another id than the request names has answered.
+_MISDIRECTED = 421
+
+
+class StatementRecorder:
+    """Applies statements to the view of the fleet and logs their changes.
+
+    Attributes:
+      unreadable: number of values that could not be read since the start, by
+        header.
+    """
+
+    def __init__(self, *, fleet: Fleet, limits: UpstreamLimits) -> None:
+        """Creates a recorder.
+
+        Args:
+          fleet: the view of the deployment.
+          limits: gets the limits that upstreams state.
+        """
+        self._fleet = fleet
+        self._limits = limits
+        self._unreadable_logged_at_s: dict[str, float] = {}
+        self.unreadable: Counter[str] = Counter()
+
+    def record_response(
+        self, upstream: UpstreamState, head: ResponseHead
+    ) -> None:
+        """Applies the head of a response to a request for an upstream."""
+        if head.status == _MISDIRECTED:
+            return
+        statement = statements.decode_statement(
+            status=head.status, headers=head.headers
+        )
+        if statement.upstream_id not in ("", upstream.record.upstream_id):
+            return
+        self._apply(upstream, statement, answered_requests=1)
+
+    def record_probe(self, upstream: UpstreamState, head: ResponseHead) -> None:
+        """Applies the head of a response to a health check.
+
+        A health check names no upstream, so that another one may have answered
+        at the address.
+        """
+        statement = statements.decode_statement(
+            status=head.status, headers=head.headers
+        )
+        if statement.upstream_id != upstream.record.upstream_id:
+            return
+        self._apply(upstream, statement, answered_requests=0)
+
+    def _apply(
+        self,
+        upstream: UpstreamState,
+        statement: UpstreamStatement,
+        *,
+        answered_requests: int,
+    ) -> None:
+        """Applies a statement.
+
+        Args:
+          upstream: the upstream that made it.
+          statement: the statement.
+          answered_requests: requests in flight that this response answers.
+        """
+        now = now_s()
+        if statement.load is not None:
+            upstream.apply_load(
+                statement.load, answered_requests=answered_requests, now_s=now
+            )
+        if statement.states_limit:
+            change = self._limits.apply(
+                upstream.name_hash, statement.rate_per_s, at_s=now
+            )
+            if change is not None:
+                self.log_limit(change, told=False)
+        if statement.is_leaving:
+            self._record_leaving(upstream)
+        if statement.rest_s:
+            self._record_rest(upstream, statement.rest_s, now)
+        for value in statement.unreadable:
+            self._log_unreadable(upstream, value, now)
+
+    def _record_leaving(self, upstream: UpstreamState) -> None:
+        if upstream.said_leaving:
+            return
+        upstream.said_leaving = True
+        log.event(
+            log.Event.UPSTREAM_STATES_LEAVING,
+            upstream=upstream.record.upstream_id,
+            service=upstream.record.service,
+            registered_as_leaving=upstream.record.draining,
+        )
+
+    def _record_rest(
+        self, upstream: UpstreamState, rest_s: float, now: float
+    ) -> None:
+        is_new = now >= upstream.rest_until_s
+        upstream.rest_until_s = max(upstream.rest_until_s, now + rest_s)
+        if is_new:
+            log.event(
+                log.Event.UPSTREAM_STATES_REST,
+                upstream=upstream.record.upstream_id,
+                service=upstream.record.service,
+                rest_s=rest_s,
+            )
+
+    def _log_unreadable(
+        self, upstream: UpstreamState, value: UnreadableValue, now: float
+    ) -> None:
+        header = value.header
+        self.unreadable[header] += 1
+        logged_at_s = self._unreadable_logged_at_s.get(header, -math.inf)
+        if now - logged_at_s < UNREADABLE_LOG_INTERVAL_S:
+            return
+        self._unreadable_logged_at_s[header] = now
+        event = log.Event.UPSTREAM_STATEMENT_BAD
+        if header == names.RATE_LIMIT.decode():
+            event = log.Event.UPSTREAM_LIMIT_BAD
+        log.event(
+            event,
+            upstream=upstream.record.upstream_id,
+            header=header,
+            values=value.values,
+            value=value.value,
+            unreadable=self.unreadable[header],
+        )
+
+    def log_limit(self, change: LimitChange, *, told: bool) -> None:
+        """Logs a change of a limit.
+
+        Args:
+          change: the change.
+          told: whether another entry told of it.
+        """
+        state = self._fleet.upstreams_by_hash.get(change.upstream)
+        log.event(
+            log.Event.UPSTREAM_LIMIT_CHANGED,
+            upstream=state.record.upstream_id if state else "",
+            service=state.record.service if state else "",
+            limit_per_s=change.rate_per_s,
+            before_per_s=change.before_per_s,
+            told=told,
+            age_s=round(change.age_s, 3),
+        )
--- a/almondstair/gateway/upstream_connection.py
+++ b/almondstair/gateway/upstream_connection.py
@@ -113,6 +113,7 @@
         self._request_id = b""
         self._without_body = False
         self._sink: UpstreamResponseSink | None = None
+        self._on_head: Callable[[ResponseHead], None] | None = None
         self._body_task: asyncio.Task[None] | None = None
         self._sink_task: asyncio.Task[None] | None = None
         self._body_unfinished = False
@@ -207,6 +208,8 @@
             return
         self._matches_request = True
         self._head = ResponseHead(status=status, headers=self._headers)
+        if self._on_head is not None:
+            self._on_head(self._head)
         framed = (
             find_header(self._headers, b"content-length") is not None
             or find_header(self._headers, b"transfer-encoding") is not None
@@ -325,6 +328,7 @@
         request_id: bytes = b"",
         without_body: bool = False,
         sink: UpstreamResponseSink | None = None,
+        on_head: Callable[[ResponseHead], None] | None = None,
     ) -> UpstreamExchange:
         """Sends one request and returns its result.
 
@@ -338,6 +342,8 @@
           request_id: id that the response must echo, if it echoes one.
           without_body: whether the response has no body, whatever its headers.
           sink: receives a response that is too long to be buffered.
+          on_head: called with the head of the response as soon as it is read,
+            also if its body breaks off later.
         """
         if not self.usable or self._transport is None:
             return UpstreamExchange(end=ExchangeEnd.NOT_SENT)
@@ -347,6 +353,7 @@
         self._request_id = request_id
         self._without_body = without_body
         self._sink = sink
+        self._on_head = on_head
         self._caller_disconnected = False
         self._ended = asyncio.get_running_loop().create_future()
         try:
--- a/almondstair/gateway/upstream_sender.py
+++ b/almondstair/gateway/upstream_sender.py
@@ -17,12 +17,11 @@
 from almondstair.gateway.forwarded_call import ForwardingSink
 from almondstair.gateway.forwarded_call import upstream_request_head
 from almondstair.gateway.gateway_metrics import GatewayMetrics
-from almondstair.gateway.http_encoding import Headers
 from almondstair.gateway.http_encoding import ResponseHead
 from almondstair.gateway.http_encoding import find_header
-from almondstair.gateway.limit_recorder import LimitRecorder
 from almondstair.gateway.link_monitor import DirectExchange
 from almondstair.gateway.link_monitor import LinkMonitor
+from almondstair.gateway.statement_recorder import StatementRecorder
 from almondstair.gateway.upstream_connection import ExchangeEnd
 from almondstair.gateway.upstream_connection import UpstreamConnection
 from almondstair.gateway.upstream_connection import UpstreamExchange
@@ -50,7 +49,7 @@
         metrics: GatewayMetrics,
         connector: UpstreamConnector,
         placer: RequestPlacer,
-        limit_recorder: LimitRecorder,
+        statement_recorder: StatementRecorder,
         link_monitor: LinkMonitor,
     ) -> None:
         """Creates the sender of one entry.
@@ -63,7 +62,7 @@
           metrics: counters and histograms.
           connector: opens connections.
           placer: records how long requests run.
-          limit_recorder: records the limits that responses state.
+          statement_recorder: applies what upstreams say of themselves.
           link_monitor: watches the links to upstreams.
         """
         self._fleet = fleet
@@ -73,7 +72,7 @@
         self._metrics = metrics
         self._connector = connector
         self._placer = placer
-        self._limit_recorder = limit_recorder
+        self._statement_recorder = statement_recorder
         self._link_monitor = link_monitor
 
     async def send(self, call: ForwardedCall, choice: Choice) -> AttemptResult:
@@ -212,6 +211,9 @@
                 request_id=call.request_id,
                 without_body=request.method == "HEAD",
                 sink=ForwardingSink(request),
+                on_head=lambda head: self._statement_recorder.record_response(
+                    choice.upstream, head
+                ),
             )
         self._pool.release(connection, incarnation=choice.upstream.incarnation)
         return exchange
@@ -235,10 +237,7 @@
                 exchange,
                 f"answer {exchange.end.value}",
             )
-        self._record_load(upstream_headers=head.headers, choice=choice)
         cause = _unusable_cause(head)
-        if head.status != _MISDIRECTED:
-            self._limit_recorder.record_response(upstream, head.headers)
         if head.status == _MISDIRECTED:
             self._record_replaced(choice)
             call.attempts -= 1
@@ -258,16 +257,6 @@
         self._crash_reports.record_response(call.fingerprint())
         return AttemptResult(AttemptVerdict.ANSWERED, exchange)
 
-    def _record_load(
-        self, *, upstream_headers: Headers, choice: Choice
-    ) -> None:
-        value = find_header(upstream_headers, names.LOAD)
-        if value is None:
-            return
-        load = names.parse_load(value)
-        if load is not None:
-            choice.upstream.apply_load(load, now_s=now_s())
-
     def _record_replaced(self, choice: Choice) -> None:
         record = choice.upstream.record
         self._fleet.record_misdirected(record, now_s=now_s())
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -205,6 +205,17 @@
     RELAY_BAD = EventRule(
         440, logging.WARNING, "a relayed request or its sender is not valid"
     )
+    UPSTREAM_STATES_LEAVING = EventRule(
+        441, logging.INFO, "an upstream says in a response that it is leaving"
+    )
+    UPSTREAM_STATES_REST = EventRule(
+        442, logging.INFO, "an upstream asks this entry for a rest"
+    )
+    UPSTREAM_STATEMENT_BAD = EventRule(
+        443,
+        logging.WARNING,
+        "an upstream says something of itself that cannot be read",
+    )
 
 
 def setup(*, level: str, file: str) -> None:
--- a/almondstair/platform/headers.py
+++ b/almondstair/platform/headers.py
@@ -1,10 +1,5 @@
 """Names and formats of the platform's headers."""
 
-from collections.abc import Sequence
-import re
-
-from almondstair.core.upstream_state import ReportedLoad
-
 REQUEST_ID = b"x-almondstair-request-id"
 DEADLINE = b"x-almondstair-deadline-ms"
 AFFINITY_KEY = b"x-almondstair-affinity-key"
@@ -23,34 +18,16 @@
 COLD_LEFT = b"x-almondstair-cold-ms"
 # Requests per second that an upstream accepts from all entries together.
 RATE_LIMIT = b"server-limit"
+# An upstream that stops soon says so in each of its responses.
+LEAVING = b"server-leaving"
+# With status 503: how long an upstream wants no requests from this entry.
+RETRY_AFTER = b"retry-after"
+# What an upstream says of itself.
+STATEMENTS = frozenset(
+    (UPSTREAM_ID, LOAD, COLD_LEFT, RATE_LIMIT, LEAVING, RETRY_AFTER)
+)
 
-_LOAD_FIELDS = 3
 _KEY_SCHEME = b"bearer"
-_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
-
-
-def parse_load(value: bytes) -> ReportedLoad | None:
-    """Parses `running,waiting,slots`; returns None if it is invalid."""
-    parts = value.split(b",")
-    if len(parts) != _LOAD_FIELDS:
-        return None
-    try:
-        running, waiting, slots = (int(part) for part in parts)
-    except ValueError:
-        return None
-    return ReportedLoad(running=running, waiting=waiting, slots=slots)
-
-
-def parse_rate(values: Sequence[bytes]) -> float | None:
-    """Parses requests per second; returns None if they are invalid.
-
-    Args:
-      values: the values of all headers of the name. Two of them are invalid.
-    """
-    if len(values) != 1:
-        return None
-    value = values[0].strip(b" \t")
-    return float(value) if _DECIMAL.fullmatch(value) else None
 
 
 def parse_milliseconds(value: bytes) -> float | None:
--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -65,6 +65,10 @@
       forget_idle_s: connections that were idle for longer, in seconds, are
         closed on the next request; 0 for never.
       limits: values of the rate limit header, one header each.
+      leaving: values of the header that says that it leaves, one header each.
+      rests: values of `Retry-After` in refusals, one header each.
+      refuses_over_waiting: it refuses requests while more than this many wait
+        for a slot; -1 for never.
     """
 
     slower: float = 1.0
@@ -74,6 +78,29 @@
     crash_path: str = ""
     forget_idle_s: float = 0.0
     limits: list[str] = []
+    leaving: list[str] = []
+    rests: list[str] = []
+    refuses_over_waiting: int = -1
+
+
+class Answer(msgspec.Struct):
+    """The head of an answer to a request that reached an upstream.
+
+    Attributes:
+      request: id of the request.
+      arrived_s: when the request arrived, on the host's monotonic clock.
+      answered_s: when the answer was sent, on the same clock.
+      status: status of the answer.
+      leaving: whether it said that the upstream leaves.
+      rest_s: the rest that it asked for, in seconds; 0 for none.
+    """
+
+    request: str
+    arrived_s: float
+    answered_s: float
+    status: int
+    leaving: bool
+    rest_s: float
 
 
 class Run(msgspec.Struct):
@@ -108,6 +135,7 @@
         self.started_ms = int(time.time() * 1000)
         self.runs: list[Run] = []
         self.arrivals: list[float] = []
+        self.answers: list[Answer] = []
         self.draining = False
         self.cold_until_s = time.monotonic() + plan.cold_s
         self.crashed = asyncio.Event()
@@ -215,9 +243,20 @@
     def compute_etag(self) -> None:
         return None
 
-    def set_limits(self) -> None:
-        for value in self.upstream.faults.limits:
+    def set_statements(self) -> None:
+        """Sets the headers with which the upstream speaks of itself."""
+        upstream = self.upstream
+        self.set_header(names.LOAD.decode(), upstream.load())
+        for value in upstream.faults.limits:
             self.add_header(names.RATE_LIMIT.decode(), value)
+        leaving = upstream.faults.leaving
+        if upstream.draining and not leaving:
+            leaving = ["1"]
+        for value in leaving:
+            self.add_header(names.LEAVING.decode(), value)
+        if self.get_status() == 503:
+            for value in upstream.faults.rests:
+                self.add_header("Retry-After", value)
 
 
 class _Health(_Handler):
@@ -226,7 +265,7 @@
         if upstream.faults.sick or upstream.draining:
             self.set_status(503)
         self.set_header(names.UPSTREAM_ID.decode(), upstream.upstream_id)
-        self.set_header(names.LOAD.decode(), upstream.load())
+        self.set_statements()
 
 
 class _Control(_Handler):
@@ -234,6 +273,8 @@
         found: object = self.upstream.runs
         if self.request.path.endswith("/arrivals"):
             found = self.upstream.arrivals
+        elif self.request.path.endswith("/answers"):
+            found = self.upstream.answers
         self.finish(msgspec.json.encode(found))
 
     def put(self) -> None:
@@ -249,6 +290,9 @@
     SUPPORTED_METHODS = ("GET", "POST", "PUT", "DELETE")
     task: "asyncio.Task[None] | None" = None
 
+    def prepare(self) -> None:
+        self.arrived_s = time.monotonic()
+
     async def get(self) -> None:
         upstream = self.upstream
         headers = self.request.headers
@@ -263,8 +307,11 @@
         fault_due = upstream.is_fault_due()
         occupied = upstream.running + upstream.waiting
         capacity = upstream.plan.slots + upstream.plan.queue
-        if occupied >= capacity or (
-            fault_due and upstream.faults.how == "shed"
+        most_waiting = upstream.faults.refuses_over_waiting
+        if (
+            occupied >= capacity
+            or (fault_due and upstream.faults.how == "shed")
+            or 0 <= most_waiting < upstream.waiting
         ):
             self.refuse(503)
             return
@@ -275,9 +322,24 @@
     def refuse(self, status: int) -> None:
         self.set_status(status)
         self.set_header(names.NOT_RUN.decode(), "1")
-        self.set_limits()
         self.set_header(names.REQUEST_ID.decode(), self.request_id)
-        self.set_header(names.LOAD.decode(), self.upstream.load())
+        self.set_statements()
+        if status != 421:
+            self.record_answer()
+
+    def record_answer(self) -> None:
+        headers = self._headers
+        rests = headers.get_list("Retry-After")
+        self.upstream.answers.append(
+            Answer(
+                request=self.request_id,
+                arrived_s=self.arrived_s,
+                answered_s=time.monotonic(),
+                status=self.get_status(),
+                leaving=headers.get_list(names.LEAVING.decode()) == ["1"],
+                rest_s=_decimal(rests[0]) if len(rests) == 1 else 0.0,
+            )
+        )
 
     async def run(self, fault_due: bool) -> None:
         upstream = self.upstream
@@ -333,8 +395,8 @@
             return
         self.set_header(names.REQUEST_ID.decode(), self.request_id)
         self.set_header(names.RESPONSE_SEAL.decode(), f"seal-{self.request_id}")
-        self.set_limits()
-        self.set_header(names.LOAD.decode(), self.upstream.load())
+        self.set_statements()
+        self.record_answer()
         if self.upstream.plan.keep_alive_s:
             limit_s = self.upstream.plan.keep_alive_s
             self.set_header("Keep-Alive", f"timeout={limit_s}")
@@ -372,6 +434,11 @@
         raise web.Finish
 
 
+def _decimal(text: str) -> float:
+    """Returns a decimal number, 0 for any other text."""
+    return float(text) if text.replace(".", "", 1).isdigit() else 0.0
+
+
 def _write_if_open(stream: iostream.IOStream, data: bytes) -> None:
     if not stream.closed():
         stream.write(data)
--- a/features/steps/cut_off_entries_steps.py
+++ b/features/steps/cut_off_entries_steps.py
@@ -317,7 +317,10 @@
     context.pool = mock.Mock()
     context.pool.connect = mock.AsyncMock(side_effect=RuntimeError("planted"))
     context.monitor = LinkMonitor(
-        fleet=context.fleet, pool=context.pool, links=UpstreamLinks()
+        fleet=context.fleet,
+        pool=context.pool,
+        links=UpstreamLinks(),
+        statement_recorder=mock.Mock(),
     )
 
 
--- a/features/support/quota_helpers.py
+++ b/features/support/quota_helpers.py
@@ -11,7 +11,7 @@
 from almondstair.core.region_shares import RegionShareLimiter
 from almondstair.core.shared_counts import SharedCounts
 from almondstair.core.upstream_links import UpstreamLinks
-from almondstair.gateway.limit_recorder import LimitRecorder
+from almondstair.gateway.statement_recorder import StatementRecorder
 
 
 def make_quota_reports(own_name: str) -> QuotaReports:
@@ -31,10 +31,10 @@
 def make_report_parts(own_name: str, fleet: Fleet) -> dict[str, Any]:
     """Returns the parts of a load exchange that concern upstreams."""
     reports = LimitReports(own_name=own_name, fleet=fleet)
-    recorder = LimitRecorder(fleet=fleet, limits=reports.limits)
+    recorder = StatementRecorder(fleet=fleet, limits=reports.limits)
     return {
         "limit_reports": reports,
-        "limit_recorder": recorder,
+        "statement_recorder": recorder,
         "links": UpstreamLinks(),
         "cut_off": CutOffEntries(),
     }
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from almondstair.platform import headers
+from almondstair.platform import statements
 from emulator.deployment import Deployment
 from emulator.deployment import Service
 from emulator.proxy import FaultProxy
@@ -358,10 +359,12 @@
         del self._limits[name]
         ended_s = time.monotonic()
         await self._set_upstream_faults(name)
-        rate_per_s = headers.parse_rate([step.variant.encode()])
-        if rate_per_s is not None:
+        statement = statements.decode_statement(
+            status=200, headers=[(headers.RATE_LIMIT, step.variant.encode())]
+        )
+        if statement.rate_per_s is not None:
             span = Span(name, began_s, ended_s)
-            self._limit_spans.append((span, rate_per_s))
+            self._limit_spans.append((span, statement.rate_per_s))
 
     async def _links(self, step: Step) -> None:
         """Cuts the links of a zone's gateways to all upstreams."""
