--- a/features/support/partition_rig.py
+++ b/features/support/partition_rig.py
@@ -240,6 +240,7 @@
             cpu_s = self._cpu_times_s()
             for name in self.world.upstreams:
                 await self.world.collect_runs(name)
+            await self._collect()
         finally:
             await self.world.end()
         runs = collections.Counter(
@@ -261,6 +262,9 @@
             cpu_s=cpu_s,
         )
 
+    async def _collect(self) -> None:
+        """Collects what a subclass needs before the processes end."""
+
     def _cpu_times_s(self) -> dict[str, float]:
         found = {}
         for name in self.world.gateways:
