Send nothing new to an upstream once an answer says that it leaves

Callers saw requests served by upstreams that had said for seconds that they leave; when these ended, what was still sent to them was lost or late. Cause: an upstream's registration was the only source of its leaving, and with the store away it goes on saying ready.

From the head of an answer on, the instance that sent it is draining for good, by its incarnation: the mechanism that kept draining upstreams out over older registrations and lapses has three sources now, registration, answer and peer (Fleet._set_leaving). Entries tell each other what only answers said, for as long as the registration says ready. A request that was placed and waits for a connection is placed again; kept connections are closed and none is kept; an entry without links hears it from the entry that relays; links are not probed at a leaving upstream. One that then ends, loses an answer or refuses counts no failure, crash report or cold mark. The header ends at the entry, as the one of limits does.

The selection of what is due in reports (limit_reports._Outbox) is report_outbox.ReportOutbox now, as statements use it too.

--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -16,6 +16,7 @@
 from almondstair.core.routing import Route
 from almondstair.core.routing import RoutingConfiguration
 from almondstair.core.routing import RoutingTable
+from almondstair.core.upstream_state import LeavingSource
 from almondstair.core.upstream_state import UpstreamRecord
 from almondstair.core.upstream_state import UpstreamState
 from almondstair.core.upstream_state import incarnation_hash
@@ -80,6 +81,8 @@
         self._upstreams: dict[str, UpstreamState] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
         self._regions_by_service: dict[str, set[str]] = {}
+        self._leaving_counts: Counter[str] = Counter()
+        self._stated_leaving: list[int] = []
         self._eligible_stale = False
         self.eligible_version = 0
         self.entries_version = 0
@@ -182,8 +185,12 @@
     ) -> bool:
         before = state.record
         state.renewed_at_s = now_s
-        if before.draining and not record.draining:
-            # An older registration that arrives late does not end draining.
+        newly_registered = record.draining and not state.registered_as_leaving
+        if newly_registered:
+            state.registered_as_leaving = True
+            self._set_leaving(state, LeavingSource.REGISTRATION)
+        elif state.is_leaving:
+            # An older registration that arrives late does not end leaving.
             record = record._replace(draining=True)
         cold_extended = False
         if record.cold_left_s > 0:
@@ -196,24 +203,70 @@
         )
         if changed:
             self._eligible_stale = True
-        return changed or cold_extended
+        return changed or cold_extended or newly_registered
 
     def _add_upstream(self, record: UpstreamRecord, now_s: float) -> None:
-        if self._ended.was_draining(record):
-            # A write from before the draining, which the store applied late.
-            # Without this the upstream would get requests again, and nothing
-            # would remove the registration.
-            record = record._replace(draining=True)
         region = self._zones.get(record.availability_zone, "")
         state = UpstreamState(
             record=record, region=region, peer_loads=self.peer_loads
         )
         state.cold_until_s = self._cold_until_s(record, now_s)
         state.renewed_at_s = now_s
+        state.registered_as_leaving = record.draining
+        # A write from before the leaving may be applied late by the store.
+        # Without this the upstream would get requests again, and nothing would
+        # remove the registration.
+        source = self._ended.leaving_source(state.name_hash)
+        if source is None and record.draining:
+            source = LeavingSource.REGISTRATION
+        if source is not None:
+            self._set_leaving(state, source)
         self._upstreams[record.upstream_id] = state
         self.upstreams_by_hash[state.name_hash] = state
         self._eligible_stale = True
 
+    def record_leaving(
+        self, name: int, *, source: LeavingSource
+    ) -> UpstreamState | None:
+        """Records that an incarnation leaves, whether it is registered or not.
+
+        Args:
+          name: hash of the incarnation.
+          source: what told so.
+
+        Returns:
+          The upstream if it is registered and was not known to leave.
+        """
+        state = self.upstreams_by_hash.get(name)
+        if state is None:
+            self._ended.record_leaving(name, source=source)
+            return None
+        if state.is_leaving:
+            return None
+        self._set_leaving(state, source)
+        return state
+
+    def leaving_count(self, service: str) -> int:
+        """Returns how many registered upstreams of a service are leaving."""
+        self._refresh_eligible()
+        return self._leaving_counts[service]
+
+    def stated_leaving(self) -> list[int]:
+        """Returns hashes of the leaving upstreams that are registered as ready.
+
+        Only responses, here or at other entries, said that they leave.
+        """
+        self._refresh_eligible()
+        return self._stated_leaving
+
+    def _set_leaving(self, state: UpstreamState, source: LeavingSource) -> None:
+        """Makes an upstream leave; its incarnation does so for good."""
+        self._ended.record_leaving(state.name_hash, source=source)
+        if state.leaving_source is None:
+            state.leaving_source = source
+        state.record = state.record._replace(draining=True)
+        self._eligible_stale = True
+
     def _cold_until_s(self, record: UpstreamRecord, now_s: float) -> float:
         """Returns until when a newly registered upstream is cold.
 
@@ -240,7 +293,8 @@
         get the requests of a warm upstream for the 0.6 s until its registration
         is read.
         """
-        if state.record.started_ms and state.is_unreachable:
+        may_be_another = state.record.started_ms and not state.is_leaving
+        if may_be_another and state.is_unreachable:
             # One that renewed its registration meanwhile has not restarted.
             if not state.is_alive_since_unreachable():
                 self._mark_cold_from(state, now_s)
@@ -402,8 +456,13 @@
         self.eligible_version += 1
         self._by_service = {}
         self._regions_by_service = {}
+        self._leaving_counts.clear()
+        self._stated_leaving = []
         for state in self._upstreams.values():
-            if state.record.draining:
+            if state.is_leaving:
+                self._leaving_counts[state.record.service] += 1
+                if not state.registered_as_leaving:
+                    self._stated_leaving.append(state.name_hash)
                 continue
             if state.record.availability_zone in self.evacuated:
                 continue
@@ -450,7 +509,7 @@
     def is_eligible(self, name: int) -> bool:
         """Returns whether the upstream of a hash may get new requests now."""
         state = self.upstreams_by_hash.get(name)
-        if state is None or state.record.draining or state.is_paused():
+        if state is None or state.is_leaving or state.is_paused():
             return False
         return state.record.availability_zone not in self.evacuated
 
--- a/almondstair/core/incarnations.py
+++ b/almondstair/core/incarnations.py
@@ -11,6 +11,7 @@
 from collections import OrderedDict
 from typing import TypeVar
 
+from almondstair.core.upstream_state import LeavingSource
 from almondstair.core.upstream_state import UpstreamRecord
 from almondstair.core.upstream_state import incarnation_hash
 
@@ -25,12 +26,12 @@
 
 
 class EndedIncarnations:
-    """Remembers upstreams that were draining, ended or were replaced."""
+    """Remembers upstreams that are leaving, ended or were replaced."""
 
     def __init__(self) -> None:
         """Starts with an empty memory."""
         self._started_ms: OrderedDict[str, int] = OrderedDict()
-        self._drained: OrderedDict[str, None] = OrderedDict()
+        self._leaving: OrderedDict[int, LeavingSource] = OrderedDict()
         self._cold_until_s: OrderedDict[str, float] = OrderedDict()
         self._replaced: OrderedDict[int, None] = OrderedDict()
         self._detected_at_s: dict[int, float] = {}
@@ -49,11 +50,19 @@
             record.started_ms, self._started_ms.get(record.upstream_id, 0)
         )
         _remember(self._started_ms, record.upstream_id, started_ms)
-        if record.draining:
-            _remember(self._drained, record.incarnation, None)
         if record.started_ms:
             _remember(self._cold_until_s, record.incarnation, cold_until_s)
 
+    def record_leaving(self, name: int, *, source: LeavingSource) -> None:
+        """Records that an incarnation leaves, which nothing can end.
+
+        Args:
+          name: the incarnation's hash.
+          source: what told so.
+        """
+        source = self._leaving.get(name, source)
+        _remember(self._leaving, name, source)
+
     def record_replaced(self, name: int) -> None:
         """Records that another upstream answers at an incarnation's address.
 
@@ -94,9 +103,9 @@
         """
         return self._cold_until_s.get(record.incarnation)
 
-    def was_draining(self, record: UpstreamRecord) -> bool:
-        """Returns whether an incarnation was draining before it ended."""
-        return record.incarnation in self._drained
+    def leaving_source(self, name: int) -> LeavingSource | None:
+        """Returns what told that an incarnation leaves, None if nothing did."""
+        return self._leaving.get(name)
 
 
 def _remember(
--- a/almondstair/core/limit_reports.py
+++ b/almondstair/core/limit_reports.py
@@ -5,12 +5,12 @@
 reports (`gateway/load_exchange`).
 """
 
-import math
 from typing import NamedTuple
 
 from almondstair.core.fleet import Fleet
 from almondstair.core.quotas import FleetTotals
 from almondstair.core.rate_reports import RateReports
+from almondstair.core.report_outbox import ReportOutbox
 from almondstair.core.upstream_limits import LimitChange
 from almondstair.core.upstream_limits import LimitStatement
 from almondstair.core.upstream_limits import UpstreamLimits
@@ -19,13 +19,6 @@
 # Time over which a limit holds. An upstream that got a burst has less for the
 # rest of it.
 LIMIT_WINDOW_S = 4.0
-# For how long a changed statement is in every message, as messages may be lost.
-REPEATED_S = 0.5
-# Interval at which a statement that stays the same is in one message again, for
-# entries that have just started.
-RENEWAL_INTERVAL_S = 1.0
-# Statements in one message; each takes up to 20 bytes.
-MAX_STATEMENTS = 500
 
 
 class ReportedLimits(NamedTuple):
@@ -43,39 +36,6 @@
 NO_LIMITS = ReportedLimits(statements=[], counts=[])
 
 
-class _Told(NamedTuple):
-    """Holds when the statement of an upstream changed and was last told."""
-
-    rate_per_s: float | None
-    changed_at_s: float
-    told_at_s: float
-
-
-class _Outbox:
-    """Selects the statements that are due in messages of one kind."""
-
-    def __init__(self) -> None:
-        self._told: dict[int, _Told] = {}
-
-    def due(
-        self, statements: list[LimitStatement], *, now_s: float
-    ) -> list[LimitStatement]:
-        found: list[LimitStatement] = []
-        told = {}
-        for statement in statements:
-            last = self._told.get(statement.upstream)
-            if last is None or last.rate_per_s != statement.rate_per_s:
-                last = _Told(statement.rate_per_s, now_s, -math.inf)
-            is_new = now_s - last.changed_at_s < REPEATED_S
-            is_due = is_new or now_s - last.told_at_s >= RENEWAL_INTERVAL_S
-            if is_due and len(found) < MAX_STATEMENTS:
-                found.append(statement)
-                last = last._replace(told_at_s=now_s)
-            told[statement.upstream] = last
-        self._told = told
-        return found
-
-
 class LimitReports:
     """Holds the limits and counts of an entry, and its zone's if it reports.
 
@@ -99,9 +59,9 @@
                 own_name=own_name, window_s=LIMIT_WINDOW_S, starts_used=True
             ),
         )
-        self._own_outbox = _Outbox()
-        self._zone_outbox = _Outbox()
-        self._fleet_outbox = _Outbox()
+        self._own_outbox = ReportOutbox()
+        self._zone_outbox = ReportOutbox()
+        self._fleet_outbox = ReportOutbox()
 
     def set_reporter(self, reporter: str) -> None:
         """Counts for another reporter, from 0."""
@@ -123,9 +83,8 @@
 
     def own(self, *, now_s: float) -> ReportedLimits:
         """Returns what this entry reports."""
-        statements = self.limits.statements(now_s=now_s)
         return ReportedLimits(
-            statements=self._own_outbox.due(statements, now_s=now_s),
+            statements=self._due(self._own_outbox, now_s),
             counts=self.counts.own_counts(now_s=now_s),
         )
 
@@ -136,9 +95,8 @@
           zones: number of availability zones.
           now_s: the entry's clock, in seconds.
         """
-        statements = self.limits.statements(now_s=now_s)
         return ReportedLimits(
-            statements=self._zone_outbox.due(statements, now_s=now_s),
+            statements=self._due(self._zone_outbox, now_s),
             counts=self.counts.zone_counts(
                 self.limits.rate_limits(),
                 zones=zones,
@@ -149,9 +107,8 @@
 
     def of_fleet(self, *, now_s: float) -> ReportedLimits:
         """Returns what the entries of the own zone need of the fleet."""
-        statements = self.limits.statements(now_s=now_s)
         return ReportedLimits(
-            statements=self._fleet_outbox.due(statements, now_s=now_s),
+            statements=self._due(self._fleet_outbox, now_s),
             counts=self.counts.total_counts(
                 self.limits.rate_limits(),
                 membership=self._fleet.membership(now_s=now_s),
@@ -159,6 +116,11 @@
             ),
         )
 
+    def _due(self, outbox: ReportOutbox, now_s: float) -> list[LimitStatement]:
+        due = set(outbox.due(dict(self.limits.rates()), now_s=now_s))
+        statements = self.limits.statements(now_s=now_s)
+        return [each for each in statements if each.upstream in due]
+
     def apply_own(self, *, entry: str, now_s: float) -> None:
         """Adds the counts of this entry, which reports for its zone."""
         counts = self.counts.own_counts(now_s=now_s)
--- a/almondstair/core/report_schedule.py
+++ b/almondstair/core/report_schedule.py
@@ -77,6 +77,7 @@
       locations: objects and the upstreams that have them cached.
       limits: limits of upstreams, None for one that ended.
       cut_off: names of the entries that reach no upstream.
+      leaving: hashes of upstreams that only said that they leave.
     """
 
     loads: UpstreamLoads
@@ -85,6 +86,7 @@
     locations: list[CachedLocation]
     limits: list[tuple[int, float | None]]
     cut_off: list[str]
+    leaving: list[int]
 
 
 class ReportSchedule:
@@ -98,15 +100,16 @@
             urgent, in seconds.
         """
         self._min_interval_s = min_interval_s
-        self._last_sent = EntryReport({}, [], [], [], [], [])
+        self._last_sent = EntryReport({}, [], [], [], [], [], [])
         self._last_sent_at_s = -math.inf
 
     def is_urgent(self, report: EntryReport) -> bool:
         """Returns whether a report has news that others act on at once.
 
-        An upstream that was replaced, that a request may have crashed, or that
-        has a limit, gets requests from every entry that has not received the
-        report. An entry that reaches no upstream gets callers by lookups.
+        An upstream that was replaced, that a request may have crashed, that has
+        a limit, or that leaves, gets requests from every entry that has not
+        received the report. An entry that reaches no upstream gets callers by
+        lookups.
         """
         last = self._last_sent
         if set(report.replaced) - set(last.replaced):
@@ -115,6 +118,8 @@
             return True
         if report.cut_off != last.cut_off:
             return True
+        if set(report.leaving) - set(last.leaving):
+            return True
         return bool(set(report.strikes) - set(last.strikes))
 
     def is_due(self, report: EntryReport, *, now_s: float) -> bool:
--- a/almondstair/core/upstream_state.py
+++ b/almondstair/core/upstream_state.py
@@ -1,5 +1,6 @@
 """An entry's view of one upstream: load, health and cold state."""
 
+import enum
 import math
 from typing import NamedTuple
 
@@ -70,6 +71,14 @@
     return xxhash.xxh32_intdigest(incarnation.encode())
 
 
+class LeavingSource(enum.StrEnum):
+    """Names what told an entry first that an upstream leaves."""
+
+    REGISTRATION = "registration"
+    RESPONSE = "response"
+    PEER = "peer"
+
+
 class UpstreamState:
     """Tracks the load and health of one upstream.
 
@@ -86,7 +95,8 @@
         clock, in seconds.
       renewed_at_s: when its registration was last read as renewed, on the
         entry's clock, in seconds.
-      said_leaving: whether a response of it said that it is leaving.
+      leaving_source: what told first that it is leaving; None if it is not.
+      registered_as_leaving: whether its registration says so.
       rest_until_s: until when it wants no requests of this entry, on the
         entry's clock, in seconds.
     """
@@ -115,7 +125,8 @@
         self.is_unreachable = False
         self.unreachable_at_s = -math.inf
         self.renewed_at_s = -math.inf
-        self.said_leaving = False
+        self.leaving_source: LeavingSource | None = None
+        self.registered_as_leaving = False
         self.rest_until_s = -math.inf
         self._reported_peer_requests = 0.0
         self._reported_at_s = -math.inf
@@ -127,6 +138,11 @@
 
     # Load.
 
+    @property
+    def is_leaving(self) -> bool:
+        """Returns whether it gets no new requests because it stops soon."""
+        return self.record.draining
+
     @property
     def peer_requests(self) -> int:
         """Returns the number of requests that other entries report for it."""
--- a/almondstair/gateway/caller_request.py
+++ b/almondstair/gateway/caller_request.py
@@ -89,6 +89,8 @@
       close_after: whether the connection is closed after the response.
       caller_disconnected: whether the caller closed the connection.
       is_relayed: whether another entry sent it, which is told of errors.
+      leaving_upstreams: hashes of the upstreams that said in a response to it
+        that they leave; told to the entry that relayed it.
       task: task that handles the request, once it has started.
       output: encoded parts of the response that are not written yet.
     """
@@ -108,6 +110,7 @@
         self.close_after = False
         self.caller_disconnected = False
         self.is_relayed = False
+        self.leaving_upstreams: list[int] = []
         self.task: asyncio.Task[None] | None = None
         self.output: list[bytes] = []
         self._chunked = False
@@ -195,6 +198,8 @@
         if self.close_after or self._connection.draining:
             self.close_after = True
             headers.append((b"connection", b"close"))
+        if self.is_relayed:
+            headers += relay_messages.encode_leaving(self.leaving_upstreams)
         self.output.append(encode_head(encode_status_line(status), headers))
 
     def _finish(self) -> None:
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -29,6 +29,7 @@
 from almondstair.core.run_times import RunTimes
 from almondstair.core.shared_counts import SharedCounts
 from almondstair.core.shared_retry_budget import SharedRetryBudget
+from almondstair.core.statement_reports import StatementReports
 from almondstair.core.upstream_limiter import UpstreamLimiter
 from almondstair.core.upstream_links import UpstreamLinks
 from almondstair.errors import AlmondstairError
@@ -133,8 +134,11 @@
         self._limit_reports = LimitReports(
             own_name=settings.entry_name, fleet=self._fleet
         )
+        self._statement_reports = StatementReports(fleet=self._fleet)
         self._statement_recorder = StatementRecorder(
-            fleet=self._fleet, limits=self._limit_reports.limits
+            fleet=self._fleet,
+            pool=self._pool,
+            limits=self._limit_reports.limits,
         )
         self._links = UpstreamLinks()
         self._cut_off = CutOffEntries()
@@ -156,6 +160,7 @@
                 regions=self._region_reports,
             ),
             limit_reports=self._limit_reports,
+            statement_reports=self._statement_reports,
             statement_recorder=self._statement_recorder,
             links=self._links,
             cut_off=self._cut_off,
@@ -247,6 +252,7 @@
             ),
             pool=self._relay_pool,
             recorder=recorder,
+            statement_recorder=self._statement_recorder,
             metrics=self._metrics,
             own_name=settings.entry_name,
         )
--- a/almondstair/gateway/forwarded_call.py
+++ b/almondstair/gateway/forwarded_call.py
@@ -33,6 +33,7 @@
     names.COLD_LEFT,
     names.NOT_RUN,
     names.RATE_LIMIT,
+    names.LEAVING,
 }
 
 
--- a/almondstair/gateway/forwarder.py
+++ b/almondstair/gateway/forwarder.py
@@ -443,8 +443,10 @@
         if call.may_have_run:
             return self._attempts_spent_error(call, cause)
         if not self._fleet.eligible_upstreams(call.service):
+            leaving = self._fleet.leaving_count(call.service)
             return AlmondstairError(
-                kind=ErrorKind.NO_UPSTREAM, detail=f"service {call.service}"
+                kind=ErrorKind.NO_UPSTREAM,
+                detail=f"service {call.service}, {leaving} are leaving",
             )
         if self._placer.limits_refuse(
             call.placement_request(), excluded_regions=call.excluded_regions
--- a/almondstair/gateway/gateway_metrics.py
+++ b/almondstair/gateway/gateway_metrics.py
@@ -94,6 +94,11 @@
             "requests kept from an upstream by the limit that it states",
             ("service",),
         )
+        self.leaving_upstreams = self._gauge(
+            "almondstair_leaving_upstreams",
+            "upstreams that are leaving, by service and what told so first",
+            ("service", "source"),
+        )
         self.partitioned = self._gauge(
             "almondstair_partitioned",
             "1 while this entry reaches no upstream, else 0",
--- a/almondstair/gateway/link_monitor.py
+++ b/almondstair/gateway/link_monitor.py
@@ -215,7 +215,7 @@
         """
         candidates = []
         for upstream in self._fleet.upstreams():
-            if upstream.name_hash == suspect or upstream.record.draining:
+            if upstream.name_hash == suspect or upstream.is_leaving:
                 continue
             if not upstream.is_unreachable:
                 candidates.append(upstream)
@@ -347,7 +347,9 @@
 
     def _registered_lately(self) -> list[UpstreamState]:
         """Returns the upstreams whose registrations are renewed, or all."""
-        upstreams = list(self._fleet.upstreams())
+        upstreams = [
+            each for each in self._fleet.upstreams() if not each.is_leaving
+        ]
         now = now_s()
         renewed = [each for each in upstreams if each.is_renewed(now_s=now)]
         return _without_cold(renewed or upstreams)
--- a/almondstair/gateway/load_exchange.py
+++ b/almondstair/gateway/load_exchange.py
@@ -21,6 +21,7 @@
 
 from almondstair import log
 from almondstair.clock import now_s
+from almondstair.core import report_outbox
 from almondstair.core import report_schedule
 from almondstair.core import zone_roles
 from almondstair.core.crash_suspects import CrashSuspects
@@ -29,7 +30,6 @@
 from almondstair.core.fleet import Fleet
 from almondstair.core.known_places import CachedLocation
 from almondstair.core.known_places import CachedLocations
-from almondstair.core.limit_reports import MAX_STATEMENTS
 from almondstair.core.limit_reports import LimitReports
 from almondstair.core.placement_plan import EMPTY_PLAN
 from almondstair.core.placement_plan import Planner
@@ -39,6 +39,7 @@
 from almondstair.core.report_schedule import ReportSchedule
 from almondstair.core.report_schedule import UpstreamLoads
 from almondstair.core.shared_counts import SharedCounts
+from almondstair.core.statement_reports import StatementReports
 from almondstair.core.upstream_limits import LimitChange
 from almondstair.core.upstream_links import UpstreamLinks
 from almondstair.gateway import peer_messages
@@ -113,6 +114,7 @@
         cached_locations: CachedLocations,
         shared_counts: SharedCounts,
         limit_reports: LimitReports,
+        statement_reports: StatementReports,
         statement_recorder: StatementRecorder,
         links: UpstreamLinks,
         cut_off: CutOffEntries,
@@ -129,7 +131,8 @@
           cached_locations: cached objects of upstreams.
           shared_counts: counts of requests, at this entry and in sums.
           limit_reports: limits of upstreams, known here and to be reported.
-          statement_recorder: logs what other entries tell of upstreams.
+          statement_reports: what upstreams said of themselves to this entry.
+          statement_recorder: applies what they said to other entries.
           links: links of this entry to upstreams.
           cut_off: gets the entries that reach no upstream.
           own_name: name of this entry.
@@ -142,6 +145,7 @@
         self._cached_locations = cached_locations
         self._shared_counts = shared_counts
         self._limit_reports = limit_reports
+        self._statement_reports = statement_reports
         self._statement_recorder = statement_recorder
         self._links = links
         self._cut_off = cut_off
@@ -250,6 +254,7 @@
             entries=message.entries if isinstance(message, ZoneLoadSum) else 1,
         )
         self._drop_replaced(message.replaced)
+        self._statement_recorder.apply_told(message.statements)
         for strike in message.strikes:
             self._suspects.add_strike(Strike(*strike), now_s=now)
         if isinstance(message, OwnLoads):
@@ -327,7 +332,7 @@
             return
         statements = self._limit_reports.limits.statements(now_s=now)
         if statements:
-            limits = statements[:MAX_STATEMENTS]
+            limits = statements[: report_outbox.MAX_UPSTREAMS]
             self._send(NewEntryUpdate(self._own_name, [], limits), [entry])
         locations = self._cached_locations.all_locations(now_s=now)
         for begin in range(0, len(locations), MAX_CACHED_OBJECTS):
@@ -432,6 +437,7 @@
             ],
             self._limit_reports.in_force(),
             self._own_cut_off(),
+            self._statement_reports.in_force(),
         )
         if not self._own_schedule.is_due(report, now_s=now):
             return
@@ -447,6 +453,7 @@
             counts=counts,
             limits=self._limit_reports.own(now_s=now),
             cut_off=report.cut_off,
+            statements=self._statement_reports.own(now_s=now),
         )
         self._send(message, [reporter])
 
@@ -490,6 +497,7 @@
         strikes = self._fresh_strikes(now)
         cached_objects = list(cached_locations)[:MAX_CACHED_OBJECTS]
         limits = self._limit_reports.in_force()
+        leaving = self._statement_reports.in_force()
         self._send_zone_sum(
             EntryReport(
                 zone_sum,
@@ -498,6 +506,7 @@
                 cached_objects,
                 limits,
                 sorted(cut_off),
+                leaving,
             ),
             now,
         )
@@ -513,6 +522,7 @@
             cached_objects,
             limits,
             sorted(cut_off),
+            leaving,
         )
         self._cut_off.apply_report(cut_off, now_s=now)
         # Totals and plans share one allowance of the link. They alternate so
@@ -543,6 +553,7 @@
                 zones=len(self._entries_by_zone), now_s=now
             ),
             cut_off=report.cut_off,
+            statements=self._statement_reports.of_zone(now_s=now),
         )
         self._send(message, self._other_reporters())
 
@@ -564,6 +575,7 @@
             entries=self._counted_entries(),
             limits=self._limit_reports.of_fleet(now_s=now),
             cut_off=report.cut_off,
+            statements=self._statement_reports.of_fleet(now_s=now),
         )
         self._apply_total_counts(message, now)
         self._send_to_zone(message, now)
--- a/almondstair/gateway/operator_reports.py
+++ b/almondstair/gateway/operator_reports.py
@@ -1,5 +1,6 @@
 """Metrics, status and configurations of an entry, for operators."""
 
+from collections import Counter
 from collections.abc import Sized
 
 from almondstair import log
@@ -9,6 +10,7 @@
 from almondstair.core.quota_reports import QuotaReports
 from almondstair.core.upstream_limits import UpstreamLimits
 from almondstair.core.upstream_links import UpstreamLinks
+from almondstair.core.upstream_state import LeavingSource
 from almondstair.core.upstream_state import UpstreamState
 from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.gateway_metrics import GatewayMetrics
@@ -88,6 +90,11 @@
                 for upstream in eligible
             )
             metrics.limited_upstreams.labels(service).set(limited)
+            leaving = self._count_leaving(service)
+            for source in LeavingSource:
+                metrics.leaving_upstreams.labels(service, source).set(
+                    leaving[source]
+                )
             unreachable = sum(upstream.is_unreachable for upstream in eligible)
             metrics.unreachable_upstreams.labels(service).set(unreachable)
         metrics.partitioned.set(self._links.is_partitioned)
@@ -97,6 +104,16 @@
             metrics.dropped_log_lines.labels(event).set(count)
         return metrics.render()
 
+    def _count_leaving(self, service: str) -> Counter[LeavingSource]:
+        """Counts a service's leaving upstreams by what told of it first."""
+        found: Counter[LeavingSource] = Counter()
+        for upstream in self._fleet.upstreams():
+            if upstream.record.service != service:
+                continue
+            if upstream.leaving_source is not None:
+                found[upstream.leaving_source] += 1
+        return found
+
     def _update_quota_metrics(self, now: float) -> None:
         metrics = self._metrics
         age_s = self._quotas.totals_age_s(now_s=now)
@@ -239,6 +256,7 @@
         "load_age_s": round(age_s, 2) if age_s < NO_REPORT_AGE_S else None,
         "in_flight": upstream.in_flight,
         "draining": record.draining,
+        "leaving_source": upstream.leaving_source,
         "paused": upstream.is_paused(),
         "cold": upstream.is_cold(now_s=now),
         "slowness": round(upstream.slowness(now_s=now), 2),
--- a/almondstair/gateway/peer_messages.py
+++ b/almondstair/gateway/peer_messages.py
@@ -9,6 +9,8 @@
 from almondstair.core.report_schedule import UpstreamLoads
 from almondstair.core.shared_counts import NO_COUNTS
 from almondstair.core.shared_counts import ReportedCounts
+from almondstair.core.statement_reports import NO_STATEMENTS
+from almondstair.core.statement_reports import ReportedStatements
 from almondstair.core.upstream_limits import LimitStatement
 
 
@@ -23,6 +25,7 @@
     counts: ReportedCounts = NO_COUNTS
     limits: ReportedLimits = NO_LIMITS
     cut_off: list[str] = []
+    statements: ReportedStatements = NO_STATEMENTS
 
 
 class ZoneLoadSum(msgspec.Struct, array_like=True, tag=1):
@@ -38,6 +41,7 @@
     entries: int = 1
     limits: ReportedLimits = NO_LIMITS
     cut_off: list[str] = []
+    statements: ReportedStatements = NO_STATEMENTS
 
 
 class TotalLoads(msgspec.Struct, array_like=True, tag=2):
@@ -56,6 +60,7 @@
       entries: number of entries whose requests are counted.
       limits: limits of upstreams, and requests for those that have one.
       cut_off: names of the entries that reach no upstream.
+      statements: what upstreams said of themselves in responses.
     """
 
     entry: str
@@ -68,6 +73,7 @@
     entries: int = 1
     limits: ReportedLimits = NO_LIMITS
     cut_off: list[str] = []
+    statements: ReportedStatements = NO_STATEMENTS
 
 
 class PlanUpdate(msgspec.Struct, array_like=True, tag=3):
--- a/almondstair/gateway/relay_forwarder.py
+++ b/almondstair/gateway/relay_forwarder.py
@@ -24,7 +24,9 @@
 from almondstair.gateway.forwarded_call import caller_response_head
 from almondstair.gateway.forwarded_call import relayed_request_head
 from almondstair.gateway.gateway_metrics import GatewayMetrics
+from almondstair.gateway.http_encoding import ResponseHead
 from almondstair.gateway.relay_messages import RelayedRequest
+from almondstair.gateway.statement_recorder import StatementRecorder
 from almondstair.gateway.upstream_connection import ExchangeEnd
 from almondstair.gateway.upstream_connection import UpstreamConnection
 from almondstair.gateway.upstream_connection import UpstreamExchange
@@ -70,6 +72,7 @@
         selector: RelaySelector,
         pool: ConnectionPool,
         recorder: CallRecorder,
+        statement_recorder: StatementRecorder,
         metrics: GatewayMetrics,
         own_name: str,
     ) -> None:
@@ -81,6 +84,7 @@
           selector: selects the entry for a request.
           pool: connections to other entries, by their names.
           recorder: logs and counts calls.
+          statement_recorder: applies what upstreams say of themselves.
           metrics: counters and histograms.
           own_name: name of this entry.
         """
@@ -89,6 +93,7 @@
         self._selector = selector
         self._pool = pool
         self._recorder = recorder
+        self._statement_recorder = statement_recorder
         self._metrics = metrics
         self._own_name = own_name
 
@@ -189,6 +194,7 @@
             chunked=chunked,
             without_body=request.method == "HEAD",
             sink=ForwardingSink(request),
+            on_head=self._record_head,
         )
         self._pool.release(connection, incarnation=entry.name)
         error = _exchange_error(exchange)
@@ -196,6 +202,15 @@
             call.may_have_run = ran_before
         return RelayOutcome(exchange=exchange, error=error)
 
+    def _record_head(self, head: ResponseHead) -> None:
+        """Applies what upstreams have said to the other entry."""
+        try:
+            leaving = relay_messages.decode_leaving(head.headers)
+        except AlmondstairError as error:
+            log.event(log.Event.RELAY_BAD, detail=error.detail)
+            return
+        self._statement_recorder.record_told_leaving(leaving)
+
     def _describe(self, call: ForwardedCall) -> RelayedRequest:
         organisation = call.organisation
         return RelayedRequest(
--- a/almondstair/gateway/relay_messages.py
+++ b/almondstair/gateway/relay_messages.py
@@ -21,6 +21,8 @@
 # the request may have run.
 _KIND = b"x-relay-error"
 _RAN = b"x-relay-ran"
+# Header of any response: upstreams that said that they leave.
+_LEAVING = b"x-relay-leaving"
 
 HEADERS = frozenset(
     (
@@ -33,10 +35,12 @@
         _AGE,
         _KIND,
         _RAN,
+        _LEAVING,
     )
 )
-# Longest list of upstreams that a relayed request may name.
+# Longest list of upstreams that a relayed request, or its response, may name.
 _MAX_TRIED = 64
+_MAX_LEAVING = 64
 _MAX_AGE_S = 3600.0
 _HASH_RANGE = 1 << 64
 
@@ -128,6 +132,36 @@
         return AlmondstairError(kind=ErrorKind.ENTRY_LOST, ran=Ran.UNKNOWN)
 
 
+def encode_leaving(upstreams: list[int]) -> Headers:
+    """Returns the header that tells which upstreams said that they leave.
+
+    Args:
+      upstreams: hashes of their incarnations.
+    """
+    if not upstreams:
+        return []
+    text = ",".join(f"{upstream:x}" for upstream in upstreams)
+    return [(_LEAVING, text.encode())]
+
+
+def decode_leaving(headers: Headers) -> list[int]:
+    """Returns hashes of the upstreams that said that they leave.
+
+    Raises:
+      AlmondstairError: `bad_request`, if the header is wrong.
+    """
+    text = _text(headers, _LEAVING, required=False)
+    if not text:
+        return []
+    parts = text.split(",")
+    if len(parts) > _MAX_LEAVING:
+        raise _invalid(_LEAVING)
+    try:
+        return [int(part, 16) for part in parts]
+    except ValueError as error:
+        raise _invalid(_LEAVING) from error
+
+
 def _retry_after_ms(headers: Headers) -> int | None:
     value = find_header(headers, b"retry-after")
     return None if value is None else round(float(value) * 1000)
--- a/almondstair/gateway/statement_recorder.py
+++ b/almondstair/gateway/statement_recorder.py
@@ -1,16 +1,20 @@
 """Applies what upstreams say of themselves in the heads of responses."""
 
 from collections import Counter
+from collections.abc import Iterable
 import math
 
 from almondstair import log
 from almondstair.clock import now_s
 from almondstair.core.fleet import Fleet
+from almondstair.core.statement_reports import ReportedStatements
 from almondstair.core.upstream_limits import LimitChange
 from almondstair.core.upstream_limits import UpstreamLimits
+from almondstair.core.upstream_state import LeavingSource
 from almondstair.core.upstream_state import UpstreamState
 from almondstair.core.upstream_statements import UnreadableValue
 from almondstair.core.upstream_statements import UpstreamStatement
+from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.http_encoding import ResponseHead
 from almondstair.platform import headers as names
 from almondstair.platform import statements
@@ -29,14 +33,22 @@
         header.
     """
 
-    def __init__(self, *, fleet: Fleet, limits: UpstreamLimits) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        pool: ConnectionPool,
+        limits: UpstreamLimits,
+    ) -> None:
         """Creates a recorder.
 
         Args:
           fleet: the view of the deployment.
+          pool: connections to upstreams; those of leaving ones are closed.
           limits: gets the limits that upstreams state.
         """
         self._fleet = fleet
+        self._pool = pool
         self._limits = limits
         self._unreadable_logged_at_s: dict[str, float] = {}
         self.unreadable: Counter[str] = Counter()
@@ -93,21 +105,35 @@
             if change is not None:
                 self.log_limit(change, told=False)
         if statement.is_leaving:
-            self._record_leaving(upstream)
+            self._record_leaving(upstream.name_hash, LeavingSource.RESPONSE)
         if statement.rest_s:
             self._record_rest(upstream, statement.rest_s, now)
         for value in statement.unreadable:
             self._log_unreadable(upstream, value, now)
 
-    def _record_leaving(self, upstream: UpstreamState) -> None:
-        if upstream.said_leaving:
+    def apply_told(self, statements: ReportedStatements) -> None:
+        """Applies what upstreams said to another entry."""
+        self.record_told_leaving(statements.leaving)
+
+    def record_told_leaving(self, upstreams: Iterable[int]) -> None:
+        """Applies that upstreams said to another entry that they leave.
+
+        Args:
+          upstreams: hashes of their incarnations.
+        """
+        for upstream in upstreams:
+            self._record_leaving(upstream, LeavingSource.PEER)
+
+    def _record_leaving(self, name: int, source: LeavingSource) -> None:
+        upstream = self._fleet.record_leaving(name, source=source)
+        if upstream is None:
             return
-        upstream.said_leaving = True
+        self._pool.close_upstream(incarnation=upstream.incarnation)
         log.event(
             log.Event.UPSTREAM_STATES_LEAVING,
             upstream=upstream.record.upstream_id,
             service=upstream.record.service,
-            registered_as_leaving=upstream.record.draining,
+            source=str(source),
         )
 
     def _record_rest(
--- a/almondstair/gateway/upstream_connector.py
+++ b/almondstair/gateway/upstream_connector.py
@@ -136,14 +136,8 @@
         except (OSError, TimeoutError) as error:
             is_new = not upstream.is_unreachable
             upstream.record_unreachable(now_s=now_s())
-            self._link_monitor.confirm_failure(
-                upstream,
-                cause="no connection",
-                since_s=began_s,
-                is_new=is_new,
-                confirm=lambda: self._crash_reports.report_gone(upstream),
-                dismiss=lambda: self._crash_reports.record_alive(upstream),
-            )
+            if not upstream.is_leaving:
+                self._confirm_unreachable(upstream, began_s, is_new)
             log.event(
                 log.Event.UPSTREAM_UNREACHABLE,
                 upstream=record.upstream_id,
@@ -158,6 +152,25 @@
             self._fleet.record_reached(upstream, now_s=now_s())
         return connection
 
+    def _confirm_unreachable(
+        self, upstream: UpstreamState, since_s: float, is_new: bool
+    ) -> None:
+        """Finds out whether a failed connection shows that an upstream ended.
+
+        Args:
+          upstream: the upstream.
+          since_s: when the connection was begun, on the entry's clock.
+          is_new: whether the upstream was reachable before.
+        """
+        self._link_monitor.confirm_failure(
+            upstream,
+            cause="no connection",
+            since_s=since_s,
+            is_new=is_new,
+            confirm=lambda: self._crash_reports.report_gone(upstream),
+            dismiss=lambda: self._crash_reports.record_alive(upstream),
+        )
+
     def _record_round_trip(self, region: str, sample_s: float) -> None:
         before_s = self.round_trips_s.get(region, sample_s)
         self.round_trips_s[region] = before_s + ROUND_TRIP_WEIGHT * (
@@ -212,6 +225,8 @@
     ) -> bool:
         """Probes once after a pause; returns whether to stop probing."""
         await asyncio.sleep(pause_s)
+        if upstream.is_leaving:
+            return True
         upstream_hash = upstream.name_hash
         if self._fleet.upstreams_by_hash.get(upstream_hash) is not upstream:
             return True
--- a/almondstair/gateway/upstream_sender.py
+++ b/almondstair/gateway/upstream_sender.py
@@ -90,9 +90,10 @@
             connection = await self._get_connection(call, choice)
             if connection is None:
                 return _not_sent(call, "upstream unreachable")
-            if self._newly_suspected(call):
-                self._pool.release(connection, incarnation=upstream.incarnation)
-                return _not_sent(call, "it may have ended an upstream")
+            cause = self._withdrawal_cause(call, upstream)
+            if cause:
+                self._release(connection, upstream)
+                return _not_sent(call, cause)
             sent = True
             call.attempts += 1
             ran_before = call.may_have_run
@@ -110,6 +111,19 @@
             call.may_have_run = ran_before
         return outcome
 
+    def _withdrawal_cause(
+        self, call: ForwardedCall, upstream: UpstreamState
+    ) -> str:
+        """Returns why a placed call must not be sent any more; empty if it may.
+
+        The entry may have learned it while the connection was opened.
+        """
+        if upstream.is_leaving:
+            return "upstream is leaving"
+        if self._newly_suspected(call):
+            return "it may have ended an upstream"
+        return ""
+
     def _newly_suspected(self, call: ForwardedCall) -> bool:
         """Returns whether a call came under suspicion after its placement.
 
@@ -124,8 +138,11 @@
     def _report_loss(
         self, call: ForwardedCall, upstream: UpstreamState, ran_s: float
     ) -> None:
-        """Reports a lost response and probes the upstream."""
-        if self._link_monitor.links.is_partitioned:
+        """Reports a lost response and probes the upstream.
+
+        One that had said that it leaves has ended as it said.
+        """
+        if self._link_monitor.links.is_partitioned or upstream.is_leaving:
             return
         self._crash_reports.report_lost(
             call.fingerprint(), upstream, ran_s=ran_s
@@ -211,13 +228,28 @@
                 request_id=call.request_id,
                 without_body=request.method == "HEAD",
                 sink=ForwardingSink(request),
-                on_head=lambda head: self._statement_recorder.record_response(
-                    choice.upstream, head
-                ),
+                on_head=lambda head: self._record_head(call, choice, head),
             )
-        self._pool.release(connection, incarnation=choice.upstream.incarnation)
+        self._release(connection, choice.upstream)
         return exchange
 
+    def _record_head(
+        self, call: ForwardedCall, choice: Choice, head: ResponseHead
+    ) -> None:
+        upstream = choice.upstream
+        self._statement_recorder.record_response(upstream, head)
+        if upstream.is_leaving:
+            call.request.leaving_upstreams.append(upstream.name_hash)
+
+    def _release(
+        self, connection: UpstreamConnection, upstream: UpstreamState
+    ) -> None:
+        """Keeps a connection for later requests, if there may be any."""
+        if upstream.is_leaving:
+            connection.close()
+            return
+        self._pool.release(connection, incarnation=upstream.incarnation)
+
     def _classify(
         self, call: ForwardedCall, choice: Choice, exchange: UpstreamExchange
     ) -> AttemptResult:
@@ -231,7 +263,7 @@
             # The next connection shows whether the upstream is gone; one that
             # only loses responses remains in use, but less.
             if not self._link_monitor.links.is_partitioned:
-                upstream.record_response(good=False, now_s=now_s())
+                self._record_failure(upstream)
             return AttemptResult(
                 AttemptVerdict.UNKNOWN,
                 exchange,
@@ -245,7 +277,7 @@
                 AttemptVerdict.NOT_RUN, exchange, "upstream replaced"
             )
         if find_header(head.headers, names.NOT_RUN) is not None:
-            upstream.record_response(good=False, now_s=now_s())
+            self._record_failure(upstream)
             return AttemptResult(
                 AttemptVerdict.NOT_RUN, exchange, f"refused {head.status}"
             )
@@ -257,6 +289,11 @@
         self._crash_reports.record_response(call.fingerprint())
         return AttemptResult(AttemptVerdict.ANSWERED, exchange)
 
+    @staticmethod
+    def _record_failure(upstream: UpstreamState) -> None:
+        if not upstream.is_leaving:
+            upstream.record_response(good=False, now_s=now_s())
+
     def _record_replaced(self, choice: Choice) -> None:
         record = choice.upstream.record
         self._fleet.record_misdirected(record, now_s=now_s())
--- a/almondstair/tools/gateway_tables.py
+++ b/almondstair/tools/gateway_tables.py
@@ -81,6 +81,9 @@
     for name in ("draining", "paused", "cold"):
         if row[name]:
             states.append(name)
+    source = row.get("leaving_source")
+    if source is not None:
+        states.append(f"told by {source}")
     if row["availability_zone"] in evacuated:
         states.append("evacuated")
     limit_per_s = row.get("limit_per_s")
--- a/emulator/caller_wire.py
+++ b/emulator/caller_wire.py
@@ -47,6 +47,11 @@
         """Whether the connection accepts another request."""
         return self.headers.get("connection", "") != "close"
 
+    @property
+    def retry_after_s(self) -> float:
+        """Returns after how many seconds to return, 0 if it does not say."""
+        return float(self.headers.get("retry-after", "0"))
+
     def is_complete(self, request: str) -> bool:
         """Whether the body is complete, as an emulated upstream sends it."""
         return self.body == f"answer to {request}\n".encode() * 8
--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -411,6 +411,8 @@
             f"X-Almondstair-Request-Id: {self.request_id}\r\n"
             f"X-Almondstair-Response-Seal: seal-{self.request_id}\r\n"
         ).encode()
+        for value in self.upstream.faults.leaving:
+            head += names.LEAVING + b": " + value.encode() + b"\r\n"
         length = b"Content-Length: %d\r\n\r\n" % len(body)
         complete = head + length + body
         if fault == "cut":
--- a/features/steps/leaving_answers_steps.py
+++ b/features/steps/leaving_answers_steps.py
@@ -11,6 +11,8 @@
 from features.support.statement_rig import Play
 
 _SEED = 11
+# A refusal that waits for nothing takes no longer, on a busy machine too.
+_AT_ONCE_S = 0.15
 
 
 @given("{count:d} of 9 upstreams say that they leave")
@@ -43,3 +45,42 @@
     assert len(tries) > 100, len(tries)
     served = sum(each.served for each in tries)
     assert served >= share * len(tries), f"{served} of {len(tries)}"
+
+
+@given("the store does not answer meanwhile")
+def step_store(context):
+    faults = (("mode", "silent"),)
+    context.play = context.play._replace(store_faults=faults)
+
+
+@given("the entries of one zone reach no upstream meanwhile")
+def step_cut(context):
+    context.play = context.play._replace(cut_zones=frozenset(("a1",)))
+
+
+@then(
+    "from {from_s:g} s on each is refused at once, with a time to come back, "
+    "and never ran"
+)
+def step_refused(context, from_s):
+    result = context.result
+    tries = result.tries_between(from_s, context.play.span_s)
+    assert len(tries) > 100, len(tries)
+    for each in tries:
+        assert each.status == 503, each
+        assert each.took_s < _AT_ONCE_S, each
+        assert each.retry_after_s > 0, each
+        assert each.request not in result.seen.runs, each
+
+
+@then(
+    "operators see at each entry that {count:d} upstreams leave, and what told "
+    "so"
+)
+def step_operators(context, count):
+    sources = set()
+    for name, status in context.result.seen.statuses.items():
+        leaving = [each for each in status["upstreams"] if each["draining"]]
+        assert len(leaving) == count, (name, leaving)
+        sources.update(each["leaving_source"] for each in leaving)
+    assert sources == {"response", "peer"}, sources
--- a/features/support/load_exchange_world.py
+++ b/features/support/load_exchange_world.py
@@ -29,7 +29,9 @@
 from almondstair.core.upstream_state import UpstreamRecord
 from almondstair.core.upstream_state import incarnation_hash
 from almondstair.gateway import load_exchange
+from almondstair.gateway import statement_recorder
 from almondstair.gateway.load_exchange import LoadExchange
+from almondstair.gateway.statement_recorder import StatementRecorder
 from features.support.quota_helpers import make_quota_reports
 from features.support.quota_helpers import make_report_parts
 from features.support.quota_helpers import make_shared_counts
@@ -59,6 +61,7 @@
     limit_reports: LimitReports
     links: UpstreamLinks
     cut_off: CutOffEntries
+    statement_recorder: StatementRecorder
 
 
 class _Sleep:
@@ -196,6 +199,7 @@
             limits["limit_reports"],
             limits["links"],
             limits["cut_off"],
+            limits["statement_recorder"],
         )
 
     def make_suspects(self, name: str) -> Any:
@@ -251,6 +255,7 @@
         """Goes on with an exchange that has been started."""
         with (
             mock.patch.object(load_exchange, "now_s", lambda: self.now_s),
+            mock.patch.object(statement_recorder, "now_s", lambda: self.now_s),
             mock.patch.object(asyncio, "sleep", _sleep),
         ):
             yield
--- a/features/support/partition_rig.py
+++ b/features/support/partition_rig.py
@@ -86,6 +86,8 @@
       took_s: time until its response, in seconds.
       status: status of the response, 0 if there was none.
       complete: whether the upstream's whole body arrived.
+      retry_after_s: when the caller is asked to return, in seconds; 0 if it
+        is not.
     """
 
     gateway: str
@@ -95,6 +97,7 @@
     took_s: float
     status: int
     complete: bool
+    retry_after_s: float = 0.0
 
     @property
     def served(self) -> bool:
@@ -394,6 +397,7 @@
                 took_s=time.monotonic() - sent_s,
                 status=response.status if response else 0,
                 complete=response is not None and response.is_complete(request),
+                retry_after_s=response.retry_after_s if response else 0.0,
             )
         )
 
--- a/features/support/quota_helpers.py
+++ b/features/support/quota_helpers.py
@@ -10,7 +10,9 @@
 from almondstair.core.region_reports import RegionReports
 from almondstair.core.region_shares import RegionShareLimiter
 from almondstair.core.shared_counts import SharedCounts
+from almondstair.core.statement_reports import StatementReports
 from almondstair.core.upstream_links import UpstreamLinks
+from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.statement_recorder import StatementRecorder
 
 
@@ -31,9 +33,14 @@
 def make_report_parts(own_name: str, fleet: Fleet) -> dict[str, Any]:
     """Returns the parts of a load exchange that concern upstreams."""
     reports = LimitReports(own_name=own_name, fleet=fleet)
-    recorder = StatementRecorder(fleet=fleet, limits=reports.limits)
+    recorder = StatementRecorder(
+        fleet=fleet,
+        pool=ConnectionPool(id_header=b""),
+        limits=reports.limits,
+    )
     return {
         "limit_reports": reports,
+        "statement_reports": StatementReports(fleet=fleet),
         "statement_recorder": recorder,
         "links": UpstreamLinks(),
         "cut_off": CutOffEntries(),
