Keep the rests that upstreams ask for, and return from them by steps

Callers got 503 though other upstreams had room: an upstream that turned a request away and asked for rest (503 with Retry-After) went on getting an object's requests, and both tries of a request were refused within milliseconds. Cause: nothing read an upstream's Retry-After; a refusal counted as a failure of the upstream, which only made it dearer for seconds. First tries reached resting upstreams in the users' record, which excludes the hypothesis that only retries passed the rest.

An entry sends nothing new to an incarnation until the rest that it was asked for is over, bounded by ALMONDSTAIR_MAX_REST_S. Nothing shortens it, also not a lapsed registration, an answer that was on its way, or another entry that relays. A rest is no failure: no failure share, no pause. Its slots are missing in the use of the service and in the plan. A request that was placed and waits for a connection is placed again; links are not probed there.

If all upstreams rest, requests are refused at once (new kind upstreams_resting), and callers are asked to return from the end of the first rest on, one after another, at the pace at which the service takes requests. After a rest an entry sends one request, then twice as many with each answer; entries return one after another, by their number and the upstream's slots.

Other entries hear of a rest and choose other upstreams first; they were not asked and may still send if no other has room.

Retry-After of refusals is rounded up: 3 ms were written as 0.00.

--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -4,6 +4,8 @@
 from collections.abc import Collection, Iterable
 import math
 
+import xxhash
+
 from almondstair.core.incarnations import EndedIncarnations
 from almondstair.core.peer_loads import PeerLoads
 from almondstair.core.placement import PlacementOrders
@@ -16,6 +18,7 @@
 from almondstair.core.routing import Route
 from almondstair.core.routing import RoutingConfiguration
 from almondstair.core.routing import RoutingTable
+from almondstair.core.upstream_rests import return_spread_s
 from almondstair.core.upstream_state import LeavingSource
 from almondstair.core.upstream_state import UpstreamRecord
 from almondstair.core.upstream_state import UpstreamState
@@ -41,8 +44,11 @@
 # For how long an entry that has gone still counts where the limit of a cold
 # upstream is divided; longer than the window over which entries count it.
 FORMER_ENTRY_S = 2.0
+# Longest rest of an upstream that is kept, if the settings name no other.
+MAX_REST_S = 60.0
 # Maximum age of a cached utilisation; requests run for longer.
 MAX_UTILISATION_AGE_S = 0.1
+_HASH_RANGE = 1 << 32
 
 
 class Fleet:
@@ -60,13 +66,20 @@
       peer_loads_complete: whether every other entry reports its loads.
       plan: weights that distribute keys over upstreams.
       has_seeds: whether the settings name other entries.
+      rested_s: time for which upstreams asked this entry for rest since its
+        start, in seconds, by service.
       as_of_s: time of the view on the entry's clock, in seconds.
       entries_version: a number that changes with the live entries.
       eligible_version: a number that changes with the eligible upstreams.
     """
 
     def __init__(
-        self, *, own_name: str, own_region: str, zones: dict[str, str]
+        self,
+        *,
+        own_name: str,
+        own_region: str,
+        zones: dict[str, str],
+        max_rest_s: float = MAX_REST_S,
     ) -> None:
         """Starts with an empty view.
 
@@ -74,7 +87,9 @@
           own_name: name of this entry.
           own_region: its region.
           zones: region of each availability zone.
+          max_rest_s: longest rest of an upstream that is kept, in seconds.
         """
+        self._max_rest_s = max_rest_s
         self._own_name = own_name
         self._own_region = own_region
         self._zones = zones
@@ -82,6 +97,9 @@
         self._by_service: dict[str, list[UpstreamState]] = {}
         self._regions_by_service: dict[str, set[str]] = {}
         self._leaving_counts: Counter[str] = Counter()
+        self._resting: dict[int, UpstreamState] = {}
+        self._told_rests_until_s = -math.inf
+        self.rested_s: dict[str, float] = {}
         self._stated_leaving: list[int] = []
         self._eligible_stale = False
         self.eligible_version = 0
@@ -212,6 +230,7 @@
         )
         state.cold_until_s = self._cold_until_s(record, now_s)
         state.renewed_at_s = now_s
+        state.rest = self._ended.rest(state.name_hash) or state.rest
         state.registered_as_leaving = record.draining
         # A write from before the leaving may be applied late by the store.
         # Without this the upstream would get requests again, and nothing would
@@ -246,6 +265,87 @@
         self._set_leaving(state, source)
         return state
 
+    def record_rest(
+        self, state: UpstreamState, *, rest_s: float, now_s: float
+    ) -> bool:
+        """Records that an upstream asked this entry for a rest.
+
+        The entries return to it one after another.
+
+        Args:
+          state: the upstream.
+          rest_s: how long it wants no requests, in seconds.
+          now_s: the entry's clock, in seconds.
+
+        Returns:
+          Whether no rest of it was running.
+        """
+        until_s = now_s + min(rest_s, self._max_rest_s)
+        resumes_s = until_s + self._return_delay_s(state)
+        added_s = resumes_s - max(now_s, state.rest.resumes_s)
+        service = state.record.service
+        rested_s = self.rested_s.get(service, 0.0)
+        self.rested_s[service] = rested_s + max(0.0, added_s)
+        state.rest.ask(resumes_s=resumes_s)
+        is_new = state.name_hash not in self._resting
+        self._resting[state.name_hash] = state
+        return is_new
+
+    def record_told_rest(
+        self, name: int, *, rest_s: float, now_s: float
+    ) -> None:
+        """Records that an upstream asked another entry for a rest.
+
+        Args:
+          name: hash of its incarnation.
+          rest_s: how long the rest still lasts, in seconds.
+          now_s: the entry's clock, in seconds.
+        """
+        state = self.upstreams_by_hash.get(name)
+        if state is None:
+            return
+        until_s = now_s + min(rest_s, self._max_rest_s)
+        until_s += self._return_delay_s(state)
+        state.rest.tell(until_s=until_s)
+        self._told_rests_until_s = max(self._told_rests_until_s, until_s)
+
+    def has_told_rests(self, *, now_s: float) -> bool:
+        """Returns whether other entries keep a rest of any upstream."""
+        return now_s < self._told_rests_until_s
+
+    def resting_names(self, *, now_s: float) -> frozenset[int]:
+        """Returns hashes of the upstreams that asked any entry for rest."""
+        if not self._resting and not self.has_told_rests(now_s=now_s):
+            return frozenset()
+        return frozenset(
+            name
+            for name, state in self.upstreams_by_hash.items()
+            if state.rest.is_any(now_s=now_s)
+        )
+
+    def asked_rests(self) -> dict[int, float]:
+        """Returns when rests asked of this entry end, by upstream's hash."""
+        return {
+            name: state.rest.resumes_s for name, state in self._resting.items()
+        }
+
+    def end_rests(self, *, now_s: float) -> list[UpstreamState]:
+        """Returns the upstreams whose rest has ended since the last call."""
+        ended = []
+        for name, state in list(self._resting.items()):
+            if not state.rest.is_asked(now_s=now_s):
+                del self._resting[name]
+                ended.append(state)
+        return ended
+
+    def _return_delay_s(self, state: UpstreamState) -> float:
+        """Returns this entry's part of the time over which entries return."""
+        spread_s = return_spread_s(
+            entries=len(self.entry_names), slots=state.record.slots
+        )
+        text = f"{self._own_name}\0{state.name_hash}"
+        return spread_s * xxhash.xxh32_intdigest(text.encode()) / _HASH_RANGE
+
     def leaving_count(self, service: str) -> int:
         """Returns how many registered upstreams of a service are leaving."""
         self._refresh_eligible()
@@ -408,7 +508,9 @@
             return None
         self.upstreams_by_hash.pop(state.name_hash, None)
         self._eligible_stale = True
-        self._ended.record_ended(state.record, cold_until_s=state.cold_until_s)
+        self._ended.record_ended(
+            state.record, cold_until_s=state.cold_until_s, rest=state.rest
+        )
         return state.record
 
     def record_misdirected(
@@ -548,6 +650,8 @@
             if upstream.is_cold(now_s=now_s) or upstream.is_paused():
                 # Its slots are not available for normal traffic.
                 continue
+            if upstream.rest.is_any(now_s=now_s):
+                continue
             slots += upstream.record.slots
             # Requests in one upstream's queue take no slot of another. If they
             # counted, queues in one region would make the service look full,
--- a/almondstair/core/incarnations.py
+++ b/almondstair/core/incarnations.py
@@ -11,6 +11,7 @@
 from collections import OrderedDict
 from typing import TypeVar
 
+from almondstair.core.upstream_rests import UpstreamRest
 from almondstair.core.upstream_state import LeavingSource
 from almondstair.core.upstream_state import UpstreamRecord
 from almondstair.core.upstream_state import incarnation_hash
@@ -33,11 +34,16 @@
         self._started_ms: OrderedDict[str, int] = OrderedDict()
         self._leaving: OrderedDict[int, LeavingSource] = OrderedDict()
         self._cold_until_s: OrderedDict[str, float] = OrderedDict()
+        self._rests: OrderedDict[int, UpstreamRest] = OrderedDict()
         self._replaced: OrderedDict[int, None] = OrderedDict()
         self._detected_at_s: dict[int, float] = {}
 
     def record_ended(
-        self, record: UpstreamRecord, *, cold_until_s: float
+        self,
+        record: UpstreamRecord,
+        *,
+        cold_until_s: float,
+        rest: UpstreamRest,
     ) -> None:
         """Records an incarnation that ended or has a successor.
 
@@ -45,7 +51,9 @@
           record: its last registration.
           cold_until_s: until when it counts as cold, on the entry's clock, in
             seconds.
+          rest: the rest that it asked for last.
         """
+        _remember(self._rests, incarnation_hash(record.incarnation), rest)
         started_ms = max(
             record.started_ms, self._started_ms.get(record.upstream_id, 0)
         )
@@ -103,6 +111,10 @@
         """
         return self._cold_until_s.get(record.incarnation)
 
+    def rest(self, name: int) -> UpstreamRest | None:
+        """Returns the last rest of an incarnation, None if it is unknown."""
+        return self._rests.get(name)
+
     def leaving_source(self, name: int) -> LeavingSource | None:
         """Returns what told that an incarnation leaves, None if nothing did."""
         return self._leaving.get(name)
--- a/almondstair/core/placement_plan.py
+++ b/almondstair/core/placement_plan.py
@@ -93,6 +93,7 @@
         *,
         services: Mapping[str, Iterable[UpstreamState]],
         limited: Container[int] = frozenset(),
+        resting: Container[int] = frozenset(),
         now_s: float,
     ) -> None:
         """Updates the smoothed loads and makes a step when one is due.
@@ -101,6 +102,8 @@
           services: eligible upstreams by service.
           limited: hashes of the upstreams that state a limit. They accept no
             keys of others, however few requests they hold.
+          resting: hashes of the upstreams that asked an entry for rest. They
+            keep their weights, and their loads do not count.
           now_s: the entry's clock, in seconds.
         """
         age_s = max(0.0, now_s - self._last_observed_s)
@@ -110,7 +113,10 @@
             return
         self._last_step_s = now_s
         for upstreams in services.values():
-            self._step(upstreams, limited)
+            active = [
+                each for each in upstreams if each.name_hash not in resting
+            ]
+            self._step(active, limited)
         self._step_loads = self._loads
         self.plan = Plan(weights=self._percent_weights())
 
--- a/almondstair/core/request_placer.py
+++ b/almondstair/core/request_placer.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Collection, Mapping
+import math
 from typing import NamedTuple
 
 from almondstair.core import entry_waits
@@ -20,6 +21,7 @@
 from almondstair.core.region_reports import RegionReports
 from almondstair.core.region_shares import RegionLimits
 from almondstair.core.region_shares import RegionShareLimiter
+from almondstair.core.return_schedule import ReturnSchedule
 from almondstair.core.routing import Route
 from almondstair.core.run_times import RunTimes
 from almondstair.core.shared_order import shared_order
@@ -50,6 +52,7 @@
       limit_refusals: gets the upstreams whose limits refuse it.
       possibly_crashed: hashes of upstreams that it may have crashed; if there
         are any, every entry sends it to the same next one.
+      avoided: ids of upstreams that asked the entry for rest that relays it.
     """
 
     route: Route
@@ -60,6 +63,7 @@
     tried: Collection[str]
     limit_refusals: LimitRefusals
     possibly_crashed: frozenset[int] = frozenset()
+    avoided: Collection[str] = ()
 
     @property
     def object_name(self) -> str:
@@ -123,6 +127,7 @@
         self._cold_start_limiter = cold_start_limiter
         self._upstream_limiter = upstream_limiter
         self._round_trips_s = round_trips_s
+        self._returns = ReturnSchedule()
         self._eligible_version = 0
 
     def place(
@@ -226,6 +231,8 @@
         """
         if not self._fleet.eligible_upstreams(request.service):
             return False
+        if self.rest_ends_s(request, now_s=now_s) is not None:
+            return False
         if self.limits_refuse(request, excluded_regions=excluded_regions):
             return False
         target_latency_s = request.route.target_latency_s
@@ -262,6 +269,67 @@
                 return False
         return True
 
+    def rest_ends_s(
+        self, request: PlacementRequest, *, now_s: float
+    ) -> float | None:
+        """Returns when the first upstream takes a request again.
+
+        Args:
+          request: the request.
+          now_s: the entry's clock, in seconds.
+
+        Returns:
+          A time on the entry's clock, in seconds; None unless rests keep the
+          request from all upstreams, except those that are unreachable or at
+          their limits.
+        """
+        first_s = math.inf
+        rests = False
+        refused = request.limit_refusals.upstreams
+        regions = request.route.allowed_regions
+        for upstream in self._fleet.eligible_upstreams(request.service):
+            if regions and upstream.region not in regions:
+                continue
+            if upstream.rest.is_asked(now_s=now_s):
+                rests = True
+                first_s = min(first_s, upstream.rest.resumes_s)
+                continue
+            upstream_id = upstream.record.upstream_id
+            if upstream_id in refused or upstream_id in request.avoided:
+                continue
+            if not upstream.is_unreachable:
+                return None
+        if not rests:
+            return None
+        if refused:
+            limit_s = now_s + request.limit_refusals.retry_after_s
+            first_s = min(first_s, limit_s)
+        return first_s
+
+    def assign_return_s(
+        self, request: PlacementRequest, *, opens_s: float
+    ) -> float:
+        """Returns when the caller of a refused request should return.
+
+        Args:
+          request: the request.
+          opens_s: when the first upstream takes a request again, on the entry's
+            clock, in seconds.
+        """
+        slots = 0
+        for upstream in self._fleet.eligible_upstreams(request.service):
+            slots += upstream.record.slots
+        run_s = self._run_times.service_run_s(
+            service=request.service,
+            default_s=request.route.target_latency_s,
+        )
+        entries = len(self._fleet.entry_names)
+        return self._returns.assign(
+            service=request.service,
+            opens_s=opens_s,
+            interval_s=entries * run_s / max(1, slots),
+        )
+
     def _shortest_target_s(self, request: PlacementRequest) -> float:
         table = self._fleet.table
         if table is None:
@@ -314,10 +382,25 @@
         excluded: frozenset[str],
         now_s: float,
         order: list[UpstreamState] | None = None,
+    ) -> Choice | None:
+        """Returns the best upstream, if possible one that no entry rests."""
+        criteria = self._criteria(request, excluded, now_s)
+        if self._fleet.has_told_rests(now_s=now_s):
+            choice = self._select_allowed(
+                request, criteria._replace(avoids_told_rests=True), order
+            )
+            if choice is not None:
+                return choice
+        return self._select_allowed(request, criteria, order)
+
+    def _select_allowed(
+        self,
+        request: PlacementRequest,
+        criteria: SelectionCriteria,
+        order: list[UpstreamState] | None,
     ) -> Choice | None:
         """Returns the best upstream whose limit allows the request."""
         refusals = request.limit_refusals
-        criteria = self._criteria(request, excluded, now_s)
         if order is None:
             order = self._fleet.order(
                 service=request.service, key=request.object_name
@@ -325,7 +408,7 @@
         for _ in range(MAX_LIMITS_ASKED):
             if refusals.upstreams:
                 criteria = criteria._replace(
-                    tried={*request.tried, *refusals.upstreams}
+                    tried={*criteria.tried, *refusals.upstreams}
                 )
             choice = select_upstream(
                 order=order,
@@ -335,7 +418,7 @@
             if choice is None:
                 return None
             decision = self._upstream_limiter.acquire(
-                choice.upstream, now_s=now_s
+                choice.upstream, now_s=criteria.now_s
             )
             if decision.granted:
                 return choice
@@ -359,7 +442,7 @@
         return SelectionCriteria(
             route=route,
             service=services.get(request.service),
-            tried=request.tried,
+            tried={*request.tried, *request.avoided},
             cached_upstreams=self._cached_upstreams(request, now_s),
             run_times=times.expected(
                 route=route.name, target_latency_s=route.target_latency_s
--- a/almondstair/core/upstream_state.py
+++ b/almondstair/core/upstream_state.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from almondstair.core.peer_loads import PeerLoads
+from almondstair.core.upstream_rests import UpstreamRest
 from almondstair.core.upstream_statements import ReportedLoad
 
 # Half-life of the number of other entries' requests that a response reported.
@@ -97,8 +98,7 @@
         entry's clock, in seconds.
       leaving_source: what told first that it is leaving; None if it is not.
       registered_as_leaving: whether its registration says so.
-      rest_until_s: until when it wants no requests of this entry, on the
-        entry's clock, in seconds.
+      rest: the rest that it asked for last.
     """
 
     def __init__(
@@ -127,7 +127,7 @@
         self.renewed_at_s = -math.inf
         self.leaving_source: LeavingSource | None = None
         self.registered_as_leaving = False
-        self.rest_until_s = -math.inf
+        self.rest = UpstreamRest()
         self._reported_peer_requests = 0.0
         self._reported_at_s = -math.inf
         self._on_probation = False
@@ -244,9 +244,10 @@
             return True
         return now_s - self.unreachable_at_s < RENEWAL_WAIT_S
 
-    def record_sent(self) -> None:
+    def record_sent(self, *, now_s: float) -> None:
         """Counts a request that is sent to it."""
         self.in_flight += 1
+        self.rest.record_sent(now_s=now_s)
         if self._on_probation:
             self._probe_running = True
 
@@ -260,6 +261,9 @@
     def record_response(self, *, good: bool, now_s: float) -> None:
         """Counts a response as a success or as a failure of the upstream."""
         self._decay(now_s)
+        self.rest.record_response(
+            good=good, slots=self.record.slots, now_s=now_s
+        )
         if good:
             self._on_probation = False
         sample = 0.0 if good else 1.0
--- a/almondstair/errors.py
+++ b/almondstair/errors.py
@@ -47,6 +47,7 @@
     OVER_QUOTA = "over_quota"
     NO_ALLOWED_REGION = "no_allowed_region"
     UPSTREAMS_LIMITED = "upstreams_limited"
+    UPSTREAMS_RESTING = "upstreams_resting"
     ENTRY_CUT_OFF = "entry_cut_off"
     RELAY_REFUSED = "relay_refused"
     EDIT_CONFLICT = "edit_conflict"
@@ -161,6 +162,9 @@
     ErrorKind.UPSTREAMS_LIMITED: ErrorRule(
         2012, 503, Ran.NO, 1000, 4, "Every upstream is at the limit it states"
     ),
+    ErrorKind.UPSTREAMS_RESTING: ErrorRule(
+        2015, 503, Ran.NO, 1000, 4, "Every upstream asked for a rest"
+    ),
     ErrorKind.ENTRY_CUT_OFF: ErrorRule(
         2013, 503, Ran.NO, 100, 4, "No entry can send this to an upstream now"
     ),
--- a/almondstair/gateway/caller_request.py
+++ b/almondstair/gateway/caller_request.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import enum
+import math
 from typing import NamedTuple
 
 from almondstair.body import RequestBody
@@ -151,7 +152,8 @@
         if error.rule.http_status == _UNAUTHORIZED:
             headers.append((b"www-authenticate", b"Bearer"))
         if error.retry_after_ms is not None:
-            text = f"{error.retry_after_ms / 1000:.2f}"
+            # Rounded up: a caller that returns earlier is refused again.
+            text = f"{math.ceil(error.retry_after_ms / 10) / 100:.2f}"
             headers.append((b"retry-after", text.encode()))
         if self.is_relayed:
             headers += relay_messages.encode_error(error)
--- a/almondstair/gateway/daemon.py
+++ b/almondstair/gateway/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 import gc
+import math
 import os
 import signal
 import sys
@@ -16,6 +17,7 @@
 from almondstair.core.crash_suspects import CrashSuspects
 from almondstair.core.cut_off_entries import CutOffEntries
 from almondstair.core.entry_directory import EntryDirectory
+from almondstair.core.fleet import MAX_REST_S
 from almondstair.core.fleet import Fleet
 from almondstair.core.known_places import CachedLocations
 from almondstair.core.limit_reports import LimitReports
@@ -33,6 +35,7 @@
 from almondstair.core.upstream_limiter import UpstreamLimiter
 from almondstair.core.upstream_links import UpstreamLinks
 from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
 from almondstair.gateway.call_recorder import CallRecorder
 from almondstair.gateway.caller_connection import CallerConnection
 from almondstair.gateway.connection_pool import ConnectionPool
@@ -71,6 +74,8 @@
 OPERATOR_PORT = "9464"
 # Overrides the port where several gateways share a VM.
 OPERATOR_PORT_VARIABLE = "ALMONDSTAIR_OPERATOR_PORT"
+# Sets the longest rest of an upstream that is kept, in seconds.
+MAX_REST_VARIABLE = "ALMONDSTAIR_MAX_REST_S"
 # How often log lines that a slow reader of the log has held up are retried.
 LOG_FLUSH_INTERVAL_S = 0.5
 # Pause before a failed background task is restarted.
@@ -82,6 +87,27 @@
 LOOKUP_LIFETIME_FACTOR = 1.5
 
 
+def _max_rest_s() -> float:
+    """Returns the longest rest of an upstream that is kept, in seconds.
+
+    Raises:
+      AlmondstairError: `settings_invalid`, if the environment sets no time.
+    """
+    text = os.environ.get(MAX_REST_VARIABLE, "")
+    if not text:
+        return MAX_REST_S
+    try:
+        rest_s = float(text)
+    except ValueError:
+        rest_s = math.nan
+    if not 0 < rest_s < math.inf:
+        raise AlmondstairError(
+            kind=ErrorKind.SETTINGS_INVALID,
+            detail=f"{MAX_REST_VARIABLE}={text}: it must be seconds above 0",
+        )
+    return rest_s
+
+
 class Gateway(PageData):
     """Runs all parts of one entry."""
 
@@ -100,6 +126,7 @@
             own_name=settings.entry_name,
             own_region=settings.region,
             zones=settings.zones,
+            max_rest_s=_max_rest_s(),
         )
         self._fleet.has_seeds = bool(_other_seeds(settings))
         self._pool = ConnectionPool(id_header=headers.REQUEST_ID)
--- a/almondstair/gateway/forwarded_call.py
+++ b/almondstair/gateway/forwarded_call.py
@@ -89,6 +89,7 @@
         is shifted between regions gradually.
       relayed: what the entry tells that relays it; None if its caller reached
         this entry.
+      avoided: ids of upstreams that asked the entry for rest that relays it.
       lost_relays: number of other entries whose response to it was lost.
     """
 
@@ -118,6 +119,7 @@
         self.tried: list[str] = []
         self.limit_refusals = LimitRefusals()
         self.attempts = 0
+        self.avoided: tuple[str, ...] = ()
         self.lost_relays = 0
         self.may_have_run = False
         self.possibly_crashed: frozenset[int] = frozenset()
@@ -129,6 +131,7 @@
             self.attempts = relayed.attempts
             self._fingerprint = relayed.fingerprint
             self._tried_before = len(relayed.tried)
+            self.avoided = relayed.resting
 
     @property
     def is_retry(self) -> bool:
--- a/almondstair/gateway/forwarder.py
+++ b/almondstair/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards requests to upstreams, with retries, and returns the responses."""
 
 import asyncio
+import math
 
 from almondstair import log
 from almondstair.clock import now_s
@@ -448,8 +449,17 @@
                 kind=ErrorKind.NO_UPSTREAM,
                 detail=f"service {call.service}, {leaving} are leaving",
             )
+        request = call.placement_request()
+        opens_s = self._placer.rest_ends_s(request, now_s=now_s())
+        if opens_s is not None:
+            returns_s = self._placer.assign_return_s(request, opens_s=opens_s)
+            return AlmondstairError(
+                kind=ErrorKind.UPSTREAMS_RESTING,
+                detail=cause,
+                retry_after_ms=math.ceil((returns_s - now_s()) * 1000),
+            )
         if self._placer.limits_refuse(
-            call.placement_request(), excluded_regions=call.excluded_regions
+            request, excluded_regions=call.excluded_regions
         ):
             refusals = call.limit_refusals
             return AlmondstairError(
--- a/almondstair/gateway/gateway_metrics.py
+++ b/almondstair/gateway/gateway_metrics.py
@@ -99,6 +99,16 @@
             "upstreams that are leaving, by service and what told so first",
             ("service", "source"),
         )
+        self.resting_upstreams = self._gauge(
+            "almondstair_resting_upstreams",
+            "upstreams that asked for rest, by service and which entry",
+            ("service", "asked"),
+        )
+        self.rest_s = self._gauge(
+            "almondstair_rest_seconds",
+            "rest that upstreams asked this entry for, in seconds",
+            ("service",),
+        )
         self.partitioned = self._gauge(
             "almondstair_partitioned",
             "1 while this entry reaches no upstream, else 0",
--- a/almondstair/gateway/load_exchange.py
+++ b/almondstair/gateway/load_exchange.py
@@ -261,6 +261,9 @@
             if message.entry not in self._member_reports:
                 self._send_knowledge(message.entry, now)
             self._member_reports[message.entry] = report
+            self._statement_reports.apply_member(
+                message.entry, message.statements, now_s=now
+            )
             self._shared_counts.apply_member(
                 message.entry, message.counts, now_s=now
             )
@@ -271,6 +274,9 @@
             )
         elif isinstance(message, ZoneLoadSum):
             self._zone_reports[message.zone] = report
+            self._statement_reports.apply_zone(
+                message.entry, message.statements, now_s=now
+            )
             self._shared_counts.apply_zone(
                 message.entry, message.zone, message.counts, now_s=now
             )
@@ -390,6 +396,8 @@
         self._shared_counts.set_reporter(reporter_name)
         self._limit_reports.set_reporter(reporter_name)
         self._limit_reports.expire(now_s=now)
+        self._statement_reports.expire(now_s=now)
+        self._statement_recorder.end_rests(now=now)
         if reporter is None or reporter.name == self._own_name:
             self._send_reports(now)
         else:
@@ -497,7 +505,7 @@
         strikes = self._fresh_strikes(now)
         cached_objects = list(cached_locations)[:MAX_CACHED_OBJECTS]
         limits = self._limit_reports.in_force()
-        leaving = self._statement_reports.in_force()
+        stated = self._statement_reports.in_force()
         self._send_zone_sum(
             EntryReport(
                 zone_sum,
@@ -506,7 +514,7 @@
                 cached_objects,
                 limits,
                 sorted(cut_off),
-                leaving,
+                stated,
             ),
             now,
         )
@@ -522,7 +530,7 @@
             cached_objects,
             limits,
             sorted(cut_off),
-            leaving,
+            stated,
         )
         self._cut_off.apply_report(cut_off, now_s=now)
         # Totals and plans share one allowance of the link. They alternate so
@@ -608,6 +616,7 @@
         self._planner.update(
             services=services,
             limited=self._limit_reports.limits.rate_limits(),
+            resting=self._fleet.resting_names(now_s=now),
             now_s=now,
         )
         self._fleet.set_plan(self._planner.plan)
--- a/almondstair/gateway/relay_forwarder.py
+++ b/almondstair/gateway/relay_forwarder.py
@@ -44,6 +44,7 @@
         ErrorKind.QUARANTINED,
         ErrorKind.TRIES_SPENT,
         ErrorKind.UPSTREAMS_LIMITED,
+        ErrorKind.UPSTREAMS_RESTING,
     )
 )
 
@@ -221,8 +222,18 @@
             tried=tuple(call.tried),
             attempts=call.attempts,
             age_s=now_s() - call.request.arrived_s,
+            resting=self._resting_upstreams(call),
         )
 
+    def _resting_upstreams(self, call: ForwardedCall) -> tuple[str, ...]:
+        """Returns upstreams that the other entry must not send a call to."""
+        now = now_s()
+        found = []
+        for upstream in self._fleet.eligible_upstreams(call.service):
+            if upstream.rest.is_asked(now_s=now):
+                found.append(upstream.record.upstream_id)
+        return tuple(found[: relay_messages.MAX_RESTING])
+
     def _count(self, outcome: RelayOutcome) -> None:
         kind = "answered" if outcome.error is None else str(outcome.error.kind)
         self._metrics.relayed.labels("out", kind).inc()
--- a/almondstair/gateway/relay_messages.py
+++ b/almondstair/gateway/relay_messages.py
@@ -15,6 +15,7 @@
 _ORGANISATION = b"x-relay-organisation"
 _FINGERPRINT = b"x-relay-fingerprint"
 _TRIED = b"x-relay-tried"
+_RESTING = b"x-relay-resting"
 _ATTEMPTS = b"x-relay-attempts"
 _AGE = b"x-relay-age-ms"
 # Headers of a response of the other entry's own: its error kind, and whether
@@ -31,6 +32,7 @@
         _ORGANISATION,
         _FINGERPRINT,
         _TRIED,
+        _RESTING,
         _ATTEMPTS,
         _AGE,
         _KIND,
@@ -38,8 +40,9 @@
         _LEAVING,
     )
 )
-# Longest list of upstreams that a relayed request, or its response, may name.
+# Longest lists of upstreams that a relayed request, or its response, may name.
 _MAX_TRIED = 64
+MAX_RESTING = 64
 _MAX_LEAVING = 64
 _MAX_AGE_S = 3600.0
 _HASH_RANGE = 1 << 64
@@ -56,6 +59,7 @@
       tried: ids of the upstreams that may have run it.
       attempts: number of upstreams that got it.
       age_s: time since it arrived at that entry, in seconds.
+      resting: ids of upstreams that asked that entry for rest.
     """
 
     entry: str
@@ -65,6 +69,7 @@
     tried: tuple[str, ...]
     attempts: int
     age_s: float
+    resting: tuple[str, ...] = ()
 
 
 def encode_request(relayed: RelayedRequest) -> Headers:
@@ -80,6 +85,8 @@
         headers.append((_ORGANISATION, relayed.organisation.encode()))
     if relayed.tried:
         headers.append((_TRIED, ",".join(relayed.tried).encode()))
+    if relayed.resting:
+        headers.append((_RESTING, ",".join(relayed.resting).encode()))
     return headers
 
 
@@ -89,10 +96,6 @@
     Raises:
       AlmondstairError: `bad_request`, with the header that is wrong.
     """
-    tried = _text(headers, _TRIED, required=False)
-    names = tuple(tried.split(",")) if tried else ()
-    if len(names) > _MAX_TRIED:
-        raise _invalid(_TRIED)
     age_s = _number(headers, _AGE, base=10) / 1000
     if age_s > _MAX_AGE_S:
         raise _invalid(_AGE)
@@ -104,9 +107,10 @@
         service=_text(headers, _SERVICE, required=True),
         organisation=_text(headers, _ORGANISATION, required=False),
         fingerprint=fingerprint,
-        tried=names,
+        tried=_names(headers, _TRIED, most=_MAX_TRIED),
         attempts=_number(headers, _ATTEMPTS, base=10),
         age_s=age_s,
+        resting=_names(headers, _RESTING, most=MAX_RESTING),
     )
 
 
@@ -167,6 +171,15 @@
     return None if value is None else round(float(value) * 1000)
 
 
+def _names(headers: Headers, name: bytes, *, most: int) -> tuple[str, ...]:
+    """Returns the names in a header, separated by commas."""
+    text = _text(headers, name, required=False)
+    found = tuple(text.split(",")) if text else ()
+    if len(found) > most:
+        raise _invalid(name)
+    return found
+
+
 def _text(headers: Headers, name: bytes, *, required: bool) -> str:
     values = find_headers(headers, name)
     if len(values) > 1 or (required and not values):
--- a/almondstair/gateway/statement_recorder.py
+++ b/almondstair/gateway/statement_recorder.py
@@ -23,6 +23,7 @@
 UNREADABLE_LOG_INTERVAL_S = 30.0
 # An upstream with another id than the request names has answered.
 _MISDIRECTED = 421
+_MS_PER_S = 1000
 
 
 class StatementRecorder:
@@ -114,6 +115,11 @@
     def apply_told(self, statements: ReportedStatements) -> None:
         """Applies what upstreams said to another entry."""
         self.record_told_leaving(statements.leaving)
+        now = now_s()
+        for name, left_ms in statements.rests:
+            self._fleet.record_told_rest(
+                name, rest_s=left_ms / _MS_PER_S, now_s=now
+            )
 
     def record_told_leaving(self, upstreams: Iterable[int]) -> None:
         """Applies that upstreams said to another entry that they leave.
@@ -139,14 +145,23 @@
     def _record_rest(
         self, upstream: UpstreamState, rest_s: float, now: float
     ) -> None:
-        is_new = now >= upstream.rest_until_s
-        upstream.rest_until_s = max(upstream.rest_until_s, now + rest_s)
-        if is_new:
+        if not self._fleet.record_rest(upstream, rest_s=rest_s, now_s=now):
+            return
+        log.event(
+            log.Event.UPSTREAM_STATES_REST,
+            upstream=upstream.record.upstream_id,
+            service=upstream.record.service,
+            rest_s=rest_s,
+            kept_ms=round((upstream.rest.resumes_s - now) * 1000),
+        )
+
+    def end_rests(self, *, now: float) -> None:
+        """Logs the rests that have ended."""
+        for upstream in self._fleet.end_rests(now_s=now):
             log.event(
-                log.Event.UPSTREAM_STATES_REST,
+                log.Event.UPSTREAM_REST_ENDED,
                 upstream=upstream.record.upstream_id,
                 service=upstream.record.service,
-                rest_s=rest_s,
             )
 
     def _log_unreadable(
--- a/almondstair/gateway/upstream_sender.py
+++ b/almondstair/gateway/upstream_sender.py
@@ -84,7 +84,7 @@
             self._cold_start_limiter.record_sent(
                 incarnation=upstream.incarnation, now_s=now
             )
-        upstream.record_sent()
+        upstream.record_sent(now_s=now)
         sent = False
         try:
             connection = await self._get_connection(call, choice)
@@ -120,6 +120,8 @@
         """
         if upstream.is_leaving:
             return "upstream is leaving"
+        if upstream.rest.is_asked(now_s=now_s()):
+            return "upstream asked for a rest"
         if self._newly_suspected(call):
             return "it may have ended an upstream"
         return ""
@@ -291,8 +293,11 @@
 
     @staticmethod
     def _record_failure(upstream: UpstreamState) -> None:
-        if not upstream.is_leaving:
-            upstream.record_response(good=False, now_s=now_s())
+        """Counts a failure, unless the upstream had told that it would come."""
+        now = now_s()
+        if upstream.is_leaving or upstream.rest.is_asked(now_s=now):
+            return
+        upstream.record_response(good=False, now_s=now)
 
     def _record_replaced(self, choice: Choice) -> None:
         record = choice.upstream.record
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -216,6 +216,9 @@
         logging.WARNING,
         "an upstream says something of itself that cannot be read",
     )
+    UPSTREAM_REST_ENDED = EventRule(
+        444, logging.INFO, "the rest that an upstream asked for has ended"
+    )
 
 
 def setup(*, level: str, file: str) -> None:
--- a/emulator/replay.py
+++ b/emulator/replay.py
@@ -323,7 +323,7 @@
         upstream = self._upstreams[state.record.upstream_id]
         sent_s = self._now_s
         entry.placer.record_sent(placement_request, choice, now_s=sent_s)
-        state.record_sent()
+        state.record_sent(now_s=sent_s)
         assert isinstance(placement_request.tried, list)
         placement_request.tried.append(upstream.name)
         one_way_s = choice.round_trip_s / 2
--- a/features/steps/statements_steps.py
+++ b/features/steps/statements_steps.py
@@ -1,28 +1,21 @@
 """Steps for what upstreams say of themselves in responses."""
 
-import asyncio
-from unittest import mock
-
 from behave import given
 from behave import then
 from behave import when
 
 from almondstair.clock import now_s
-from almondstair.core.choosing import Choice
-from almondstair.core.fleet import Fleet
-from almondstair.core.upstream_limits import UpstreamLimits
 from almondstair.core.upstream_state import LeavingSource
-from almondstair.core.upstream_state import UpstreamRecord
 from almondstair.core.upstream_state import incarnation_hash
 from almondstair.gateway.forwarded_call import AttemptVerdict
-from almondstair.gateway.gateway_metrics import GatewayMetrics
 from almondstair.gateway.http_encoding import ResponseHead
-from almondstair.gateway.statement_recorder import StatementRecorder
 from almondstair.gateway.upstream_connection import ExchangeEnd
 from almondstair.gateway.upstream_connection import UpstreamExchange
-from almondstair.gateway.upstream_sender import UpstreamSender
 from almondstair.platform import headers as names
 from almondstair.platform.statements import decode_statement
+from features.support.sender_parts import make_recorder
+from features.support.sender_parts import make_sender
+from features.support.sender_parts import send
 
 _STEP_S = 0.05
 _LEAVING = (names.LEAVING, b"1")
@@ -70,14 +63,6 @@
 # One entry.
 
 
-def _recorder(context):
-    return StatementRecorder(
-        fleet=context.fleet,
-        pool=context.pool,
-        limits=UpstreamLimits(),
-    )
-
-
 def _head(status, *headers):
     return ResponseHead(status=status, headers=list(headers))
 
@@ -85,7 +70,9 @@
 @when('a response of "{name}" says that it leaves')
 def step_response_leaves(context, name):
     assert context.upstream.record.upstream_id == name
-    _recorder(context).record_response(context.upstream, _head(200, _LEAVING))
+    make_recorder(context).record_response(
+        context.upstream, _head(200, _LEAVING)
+    )
     assert not context.fleet.eligible_upstreams("s")
     assert context.upstream.leaving_source is LeavingSource.RESPONSE
     context.pool.close_upstream.assert_called_with(
@@ -96,26 +83,28 @@
 
 @when('a response 421 to a request for "{name}" says that it leaves')
 def step_misdirected(context, name):
-    _recorder(context).record_response(context.upstream, _head(421, _LEAVING))
+    make_recorder(context).record_response(
+        context.upstream, _head(421, _LEAVING)
+    )
 
 
 @when('a health check answered by "{name}" says that it leaves')
 def step_health(context, name):
     speaker = (names.UPSTREAM_ID, name.encode())
-    _recorder(context).record_probe(
+    make_recorder(context).record_probe(
         context.upstream, _head(503, speaker, _LEAVING)
     )
 
 
 @when("a health check answered by nobody says that it leaves")
 def step_health_nobody(context):
-    _recorder(context).record_probe(context.upstream, _head(503, _LEAVING))
+    make_recorder(context).record_probe(context.upstream, _head(503, _LEAVING))
 
 
 @when('another entry tells that "{name}" born at {born:d} said that it leaves')
 def step_told(context, name, born):
     told = incarnation_hash(f"{name} {born}")
-    _recorder(context).record_told_leaving([told])
+    make_recorder(context).record_told_leaving([told])
 
 
 @when('"{name}" takes a new connection after it could not be reached')
@@ -194,71 +183,21 @@
 # Requests on their way.
 
 
-def _make_sender(context):
-    context.fleet = Fleet(own_name="e", own_region="r", zones={"z": "r"})
-    record = UpstreamRecord("u", "s", "a:1", "z", "v", 4, False, 0.0)
-    context.fleet.apply_upstream(record, now_s=now_s())
-    [context.upstream] = context.fleet.eligible_upstreams("s")
-    context.pool = mock.Mock(**{"acquire_idle.return_value": None})
-    context.connection = mock.Mock()
-    context.connector = mock.Mock(
-        connect=mock.AsyncMock(return_value=context.connection)
-    )
-    context.crash_reports = mock.Mock(
-        **{"latest_possibly_crashed.return_value": frozenset()}
-    )
-    context.link_monitor = mock.MagicMock(
-        **{"are_quiet.return_value": False, "links.is_partitioned": False}
-    )
-    context.sender = UpstreamSender(
-        fleet=context.fleet,
-        pool=context.pool,
-        cold_start_limiter=mock.Mock(),
-        crash_reports=context.crash_reports,
-        metrics=GatewayMetrics(),
-        connector=context.connector,
-        placer=mock.Mock(),
-        statement_recorder=_recorder(context),
-        link_monitor=context.link_monitor,
-    )
-    context.call = mock.Mock(
-        tried=[],
-        attempts=0,
-        may_have_run=False,
-        possibly_crashed=frozenset(),
-        service="s",
-        request_id=b"r",
-        relayed=None,
-        organisation=None,
-        hides_key=False,
-    )
-    context.call.remaining_s.return_value = 1.0
-    context.call.request.headers = []
-    context.call.request.body_length = 0
-    context.choice = mock.Mock(spec=Choice, upstream=context.upstream)
-    context.choice.expected_s = 0.1
-
-
-def _send(context):
-    sending = context.sender.send(context.call, context.choice)
-    context.outcome = asyncio.run(sending)
-
-
 @given("a request that was placed on an upstream, and waits for a connection")
 def step_placed(context):
-    _make_sender(context)
+    make_sender(context)
 
 
 @when("the upstream says meanwhile that it leaves")
 def step_leaves_meanwhile(context):
     async def connect(_):
-        _recorder(context).record_response(
+        make_recorder(context).record_response(
             context.upstream, _head(200, _LEAVING)
         )
         return context.connection
 
     context.connector.connect = connect
-    _send(context)
+    send(context)
 
 
 @then("the request is not sent, and may be placed again")
@@ -278,10 +217,10 @@
 
 @given("a request that runs at an upstream that said that it leaves")
 def step_runs(context):
-    _make_sender(context)
+    make_sender(context)
 
     async def exchange(**_):
-        _recorder(context).record_response(
+        make_recorder(context).record_response(
             context.upstream, _head(200, _LEAVING)
         )
         return UpstreamExchange(end=ExchangeEnd.LOST)
@@ -291,7 +230,7 @@
 
 @when("its connection ends without a response")
 def step_lost(context):
-    _send(context)
+    send(context)
 
 
 @then("nothing is reported of the upstream, and it counts no failure")
--- a/features/support/statement_rig.py
+++ b/features/support/statement_rig.py
@@ -13,7 +13,9 @@
 
 from tornado import httpclient
 
+from emulator.deployment import Deployment
 from emulator.proxy import ProxyFault
+from features.support.partition_rig import DEPLOYMENT
 from features.support.partition_rig import Cut
 from features.support.partition_rig import FirstTry
 from features.support.partition_rig import PartitionResult
@@ -36,12 +38,14 @@
       span_s: for how long, in seconds.
       cut_zones: zones whose entries reach no upstream meanwhile.
       store_faults: faults of the store meanwhile.
+      deployment: the processes and their load.
     """
 
     upstream_faults: dict[str, dict[str, object]]
     span_s: float = 8.0
     cut_zones: frozenset[str] = frozenset()
     store_faults: tuple[tuple[str, object], ...] = ()
+    deployment: Deployment = DEPLOYMENT
 
 
 class AnswerHead(NamedTuple):
@@ -145,7 +149,13 @@
         cut = Cut(
             fault=ProxyFault.HANG, zones=play.cut_zones, span_s=play.span_s
         )
-        super().__init__(cut=cut, directory=directory, seed=seed, **options)
+        super().__init__(
+            cut=cut,
+            directory=directory,
+            seed=seed,
+            deployment=play.deployment,
+            **options,
+        )
         self._play = play
         self.answers: dict[str, list[AnswerHead]] = {}
 
