Keep rests in probes and relays too, and spend last tries elsewhere

Traced: both tries of a request met upstreams that had not asked its entry before (within 0.5 s of their begin), and uploads, which cannot be sent again, met upstreams to which requests return after a rest. The first cannot be known by the entry, and attempts are the operators'; the second can: a second try, and a request with one try, avoid upstreams that have not answered since their rest. - 5 requests of an entry without links reached a resting upstream through others. Rests asked for in answer to a relayed request are told to the entry that relays it, and what it names as resting is now passed to the placement (it was decoded, and lost).

--- a/almondstair/core/choosing.py
+++ b/almondstair/core/choosing.py
@@ -80,6 +80,8 @@
       peer_loads_complete: whether every entry reports its load.
       excluded_regions: regions that are excluded for now.
       max_queue_s: longest wait in an upstream's queue, in seconds.
+      avoids_returning: whether upstreams are excluded to which requests return
+        after a rest.
       now_s: the entry's clock, in seconds.
     """
 
@@ -99,6 +101,7 @@
     excluded_regions: frozenset[str]
     now_s: float
     max_queue_s: float = math.inf
+    avoids_returning: bool = False
 
 
 def select_upstream(
@@ -206,6 +209,13 @@
     return choice.expected_s <= WAIT_AIM_SHARE * criteria.target_left_s
 
 
+def _rests(upstream: UpstreamState, criteria: SelectionCriteria) -> bool:
+    """Returns whether a rest, or the return from it, keeps a request away."""
+    if criteria.avoids_returning and upstream.rest.is_returning():
+        return True
+    return not upstream.rest.may_send(now_s=criteria.now_s)
+
+
 def _is_eligible(
     upstream: UpstreamState,
     criteria: SelectionCriteria,
@@ -213,8 +223,7 @@
 ) -> bool:
     if upstream.record.upstream_id in criteria.tried:
         return False
-    rests = not upstream.rest.may_send(now_s=criteria.now_s)
-    if rests or upstream.is_paused():
+    if upstream.is_paused() or _rests(upstream, criteria):
         return False
     if upstream.region in criteria.excluded_regions:
         return False
--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -98,6 +98,7 @@
         self._regions_by_service: dict[str, set[str]] = {}
         self._leaving_counts: Counter[str] = Counter()
         self._resting: dict[int, UpstreamState] = {}
+        self._returning: dict[int, UpstreamState] = {}
         self.rested_s: dict[str, float] = {}
         self._stated_leaving: list[int] = []
         self._eligible_stale = False
@@ -288,8 +289,16 @@
         state.rest.ask(resumes_s=resumes_s)
         is_new = state.name_hash not in self._resting
         self._resting[state.name_hash] = state
+        self._returning[state.name_hash] = state
         return is_new
 
+    def has_returning(self) -> bool:
+        """Returns whether an upstream rests, or did so a moment ago."""
+        for name, state in list(self._returning.items()):
+            if not state.rest.is_returning():
+                del self._returning[name]
+        return bool(self._returning)
+
     def resting_names(self) -> frozenset[int]:
         """Returns hashes of the upstreams that rest."""
         return frozenset(self._resting)
@@ -471,6 +480,7 @@
         state = self._upstreams.pop(upstream_id, None)
         if state is None:
             return None
+        self._returning.pop(state.name_hash, None)
         self.upstreams_by_hash.pop(state.name_hash, None)
         self._eligible_stale = True
         self._ended.record_ended(
--- a/almondstair/core/request_placer.py
+++ b/almondstair/core/request_placer.py
@@ -53,6 +53,7 @@
       possibly_crashed: hashes of upstreams that it may have crashed; if there
         are any, every entry sends it to the same next one.
       avoided: ids of upstreams that asked the entry for rest that relays it.
+      has_one_try: whether it cannot be sent again if an upstream refuses it.
     """
 
     route: Route
@@ -64,6 +65,7 @@
     limit_refusals: LimitRefusals
     possibly_crashed: frozenset[int] = frozenset()
     avoided: Collection[str] = ()
+    has_one_try: bool = False
 
     @property
     def object_name(self) -> str:
@@ -382,10 +384,30 @@
         excluded: frozenset[str],
         now_s: float,
         order: list[UpstreamState] | None = None,
+    ) -> Choice | None:
+        """Returns the best upstream for a request.
+
+        A request on its last tries goes to one that may ask for rest again only
+        if there is no other.
+        """
+        criteria = self._criteria(request, excluded, now_s)
+        is_last = request.has_one_try or bool(request.tried)
+        if is_last and self._fleet.has_returning():
+            choice = self._select_allowed(
+                request, criteria._replace(avoids_returning=True), order
+            )
+            if choice is not None:
+                return choice
+        return self._select_allowed(request, criteria, order)
+
+    def _select_allowed(
+        self,
+        request: PlacementRequest,
+        criteria: SelectionCriteria,
+        order: list[UpstreamState] | None,
     ) -> Choice | None:
         """Returns the best upstream whose limit allows the request."""
         refusals = request.limit_refusals
-        criteria = self._criteria(request, excluded, now_s)
         if order is None:
             order = self._fleet.order(
                 service=request.service, key=request.object_name
@@ -403,7 +425,7 @@
             if choice is None:
                 return None
             decision = self._upstream_limiter.acquire(
-                choice.upstream, now_s=now_s
+                choice.upstream, now_s=criteria.now_s
             )
             if decision.granted:
                 return choice
--- a/almondstair/core/upstream_rests.py
+++ b/almondstair/core/upstream_rests.py
@@ -44,6 +44,10 @@
         """Returns whether the rest lasts."""
         return now_s < self.resumes_s
 
+    def is_returning(self) -> bool:
+        """Returns whether it rests, or has answered few requests since."""
+        return not math.isinf(self._allowed)
+
     def may_send(self, *, now_s: float) -> bool:
         """Returns whether this entry may send it a request now."""
         if now_s < self.resumes_s:
--- a/almondstair/gateway/caller_request.py
+++ b/almondstair/gateway/caller_request.py
@@ -92,6 +92,8 @@
       is_relayed: whether another entry sent it, which is told of errors.
       leaving_upstreams: hashes of the upstreams that said in a response to it
         that they leave; told to the entry that relayed it.
+      resting_upstreams: hashes of the upstreams that asked for rest in a
+        response to it, and for how long in milliseconds; told likewise.
       task: task that handles the request, once it has started.
       output: encoded parts of the response that are not written yet.
     """
@@ -112,6 +114,7 @@
         self.caller_disconnected = False
         self.is_relayed = False
         self.leaving_upstreams: list[int] = []
+        self.resting_upstreams: list[tuple[int, int]] = []
         self.task: asyncio.Task[None] | None = None
         self.output: list[bytes] = []
         self._chunked = False
@@ -202,6 +205,7 @@
             headers.append((b"connection", b"close"))
         if self.is_relayed:
             headers += relay_messages.encode_leaving(self.leaving_upstreams)
+            headers += relay_messages.encode_rests(self.resting_upstreams)
         self.output.append(encode_head(encode_status_line(status), headers))
 
     def _finish(self) -> None:
--- a/almondstair/gateway/forwarded_call.py
+++ b/almondstair/gateway/forwarded_call.py
@@ -172,8 +172,16 @@
             tried=self.tried,
             limit_refusals=self.limit_refusals,
             possibly_crashed=self.possibly_crashed,
+            avoided=self.avoided,
+            has_one_try=self._has_one_try(),
         )
 
+    def _has_one_try(self) -> bool:
+        """Returns whether its body is passed on as it arrives."""
+        if self.request.body_length == 0:
+            return False
+        return not self.request.body.replayable
+
     def remaining_s(self) -> float:
         """Returns the time until the deadline, in seconds."""
         return self.deadline_s - now_s()
--- a/almondstair/gateway/link_monitor.py
+++ b/almondstair/gateway/link_monitor.py
@@ -214,8 +214,8 @@
         nothing to tell a partition from upstreams that have ended.
         """
         candidates = []
-        for upstream in self._fleet.upstreams():
-            if upstream.name_hash == suspect or upstream.is_leaving:
+        for upstream in self._wanting_requests():
+            if upstream.name_hash == suspect:
                 continue
             if not upstream.is_unreachable:
                 candidates.append(upstream)
@@ -227,6 +227,19 @@
         count = min(PROBED_UPSTREAMS - 1, len(others))
         return first + random.sample(others, count)
 
+    def _wanting_requests(self) -> list[UpstreamState]:
+        """Returns the upstreams that neither leave nor rest.
+
+        A health check is a request too.
+        """
+        now = now_s()
+        found = []
+        for upstream in self._fleet.upstreams():
+            if upstream.is_leaving or upstream.rest.is_running(now_s=now):
+                continue
+            found.append(upstream)
+        return found
+
     async def _any_answers(self, sample: list[UpstreamState]) -> bool:
         """Returns whether one answers a probe, or links prove to work."""
         probes = {asyncio.ensure_future(self._probe(each)) for each in sample}
@@ -347,9 +360,7 @@
 
     def _registered_lately(self) -> list[UpstreamState]:
         """Returns the upstreams whose registrations are renewed, or all."""
-        upstreams = [
-            each for each in self._fleet.upstreams() if not each.is_leaving
-        ]
+        upstreams = self._wanting_requests()
         now = now_s()
         renewed = [each for each in upstreams if each.is_renewed(now_s=now)]
         return _without_cold(renewed or upstreams)
--- a/almondstair/gateway/relay_forwarder.py
+++ b/almondstair/gateway/relay_forwarder.py
@@ -207,10 +207,12 @@
         """Applies what upstreams have said to the other entry."""
         try:
             leaving = relay_messages.decode_leaving(head.headers)
+            rests = relay_messages.decode_rests(head.headers)
         except AlmondstairError as error:
             log.event(log.Event.RELAY_BAD, detail=error.detail)
             return
         self._statement_recorder.record_told_leaving(leaving)
+        self._statement_recorder.record_relayed_rests(rests)
 
     def _describe(self, call: ForwardedCall) -> RelayedRequest:
         organisation = call.organisation
--- a/almondstair/gateway/relay_messages.py
+++ b/almondstair/gateway/relay_messages.py
@@ -22,8 +22,10 @@
 # the request may have run.
 _KIND = b"x-relay-error"
 _RAN = b"x-relay-ran"
-# Header of any response: upstreams that said that they leave.
+# Headers of any response: upstreams that said that they leave, and that asked
+# for rest.
 _LEAVING = b"x-relay-leaving"
+_RESTS = b"x-relay-rests"
 
 HEADERS = frozenset(
     (
@@ -38,6 +40,7 @@
         _KIND,
         _RAN,
         _LEAVING,
+        _RESTS,
     )
 )
 # Longest lists of upstreams that a relayed request, or its response, may name.
@@ -154,18 +157,41 @@
     Raises:
       AlmondstairError: `bad_request`, if the header is wrong.
     """
-    text = _text(headers, _LEAVING, required=False)
-    if not text:
-        return []
-    parts = text.split(",")
-    if len(parts) > _MAX_LEAVING:
-        raise _invalid(_LEAVING)
+    parts = _names(headers, _LEAVING, most=_MAX_LEAVING)
     try:
         return [int(part, 16) for part in parts]
     except ValueError as error:
         raise _invalid(_LEAVING) from error
 
 
+def encode_rests(rests: list[tuple[int, int]]) -> Headers:
+    """Returns the header that tells which upstreams asked for rest.
+
+    Args:
+      rests: hashes of their incarnations, and how long in milliseconds.
+    """
+    if not rests:
+        return []
+    text = ",".join(f"{upstream:x}:{left_ms:x}" for upstream, left_ms in rests)
+    return [(_RESTS, text.encode())]
+
+
+def decode_rests(headers: Headers) -> list[tuple[int, int]]:
+    """Returns hashes of upstreams that asked for rest, and how long in ms.
+
+    Raises:
+      AlmondstairError: `bad_request`, if the header is wrong.
+    """
+    rests = []
+    for part in _names(headers, _RESTS, most=MAX_RESTING):
+        upstream, _, left_ms = part.partition(":")
+        try:
+            rests.append((int(upstream, 16), int(left_ms, 16)))
+        except ValueError as error:
+            raise _invalid(_RESTS) from error
+    return rests
+
+
 def _retry_after_ms(headers: Headers) -> int | None:
     value = find_header(headers, b"retry-after")
     return None if value is None else round(float(value) * 1000)
--- a/almondstair/gateway/statement_recorder.py
+++ b/almondstair/gateway/statement_recorder.py
@@ -23,6 +23,7 @@
 UNREADABLE_LOG_INTERVAL_S = 30.0
 # An upstream with another id than the request names has answered.
 _MISDIRECTED = 421
+_MS_PER_S = 1000
 
 
 class StatementRecorder:
@@ -149,6 +150,20 @@
             kept_ms=round((upstream.rest.resumes_s - now) * 1000),
         )
 
+    def record_relayed_rests(self, rests: Iterable[tuple[int, int]]) -> None:
+        """Applies rests that were asked for in answer to relayed requests.
+
+        Another entry got these answers, but the requests were this entry's.
+
+        Args:
+          rests: hashes of the upstreams' incarnations, and how long they want
+            no requests, in milliseconds.
+        """
+        for name, rest_ms in rests:
+            upstream = self._fleet.upstreams_by_hash.get(name)
+            if upstream is not None:
+                self._record_rest(upstream, rest_ms / _MS_PER_S, now_s())
+
     def end_rests(self, *, now: float) -> None:
         """Logs the rests that have ended."""
         for upstream in self._fleet.end_rests(now_s=now):
--- a/almondstair/gateway/upstream_sender.py
+++ b/almondstair/gateway/upstream_sender.py
@@ -240,8 +240,13 @@
     ) -> None:
         upstream = choice.upstream
         self._statement_recorder.record_response(upstream, head)
+        name = upstream.name_hash
         if upstream.is_leaving:
-            call.request.leaving_upstreams.append(upstream.name_hash)
+            call.request.leaving_upstreams.append(name)
+        left_s = upstream.rest.resumes_s - now_s()
+        if left_s > 0:
+            rest = (name, round(left_s * 1000))
+            call.request.resting_upstreams.append(rest)
 
     def _release(
         self, connection: UpstreamConnection, upstream: UpstreamState
--- a/features/rests.feature
+++ b/features/rests.feature
@@ -25,6 +25,12 @@
     When it starts again under its id
     Then it may get a request again within 0 s
 
+  # Guards against health checks of links that reach upstreams at rest.
+  Scenario: Links are not checked at upstreams that leave or rest
+    Given an entry without links, whose 3 upstreams are one that leaves, one that rests and one more
+    When it looks for upstreams to check its links at
+    Then it finds the third only
+
   # Guards against an overloaded upstream that is also taken for a failing one.
   Scenario: A rest is no failure
     Given an upstream that asks an entry for 3 s of rest in answer to a request
@@ -77,6 +83,14 @@
     When the one that rests shortest cannot be reached, and a request arrives
     Then its caller is asked to return after 2 s at the earliest, and 2.2 s at most
 
+  # Guards against requests whose few attempts all meet upstreams that rest again.
+  Scenario: A second try goes to an upstream that has not just rested
+    Given 3 upstreams of which two asked an entry for rest that is over
+    When 20 requests for different objects arrive, refused at one of the two before
+    Then they all go to the third
+    And so do uploads that no upstream has refused yet
+    And if it cannot be reached, they go to the other one of the two
+
   # Guards against a resting upstream that is reached through another entry.
   Scenario: An entry that relays a request names the upstreams that rest
     Given a relayed request whose first entry was asked for rest by one of 3 upstreams
--- a/features/steps/resting_upstreams_steps.py
+++ b/features/steps/resting_upstreams_steps.py
@@ -84,3 +84,17 @@
             continue
         asked = sum(answer.rest_s > 0 for answer in answers)
         assert asked <= entries, (name, asked)
+
+
+@then(
+    "from {from_s:g} s on at least {share:g} of the tries were served, and "
+    "{before:g} before"
+)
+def step_served_from(context, from_s, share, before):
+    for begin_s, end_s, least in (
+        (0.0, from_s, before),
+        (from_s, context.play.span_s, share),
+    ):
+        tries = context.result.tries_between(begin_s, end_s)
+        served = sum(each.served for each in tries)
+        assert served >= least * len(tries), f"{served} of {len(tries)}"
--- a/features/steps/rests_steps.py
+++ b/features/steps/rests_steps.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import when
 
+from almondstair.clock import now_s
 from almondstair.core.cold_start_limiter import ColdStartLimiter
 from almondstair.core.fleet import Fleet
 from almondstair.core.known_places import CachedLocations
@@ -23,9 +24,12 @@
 from almondstair.core.run_times import RunTimes
 from almondstair.core.upstream_limiter import LimitRefusals
 from almondstair.core.upstream_limiter import UpstreamLimiter
+from almondstair.core.upstream_links import UpstreamLinks
+from almondstair.core.upstream_state import LeavingSource
 from almondstair.core.upstream_state import UpstreamRecord
 from almondstair.gateway.forwarded_call import AttemptVerdict
 from almondstair.gateway.http_encoding import ResponseHead
+from almondstair.gateway.link_monitor import LinkMonitor
 from almondstair.gateway.upstream_connection import ExchangeEnd
 from almondstair.gateway.upstream_connection import UpstreamExchange
 from almondstair.platform import headers as names
@@ -183,6 +187,37 @@
     send(context)
 
 
+@given(
+    "an entry without links, whose 3 upstreams are one that leaves, one that "
+    "rests and one more"
+)
+def step_without_links(context):
+    fleet = _fleet("e0", *(_record(f"u{number}") for number in range(3)))
+    leaving, resting, _ = fleet.upstreams()
+    fleet.record_leaving(leaving.name_hash, source=LeavingSource.RESPONSE)
+    _ask(fleet, resting, 30.0, now_s())
+    context.monitor = LinkMonitor(
+        fleet=fleet,
+        pool=mock.Mock(),
+        links=UpstreamLinks(),
+        statement_recorder=mock.Mock(),
+    )
+
+
+@when("it looks for upstreams to check its links at")
+def step_looks(context):
+    context.found = (
+        context.monitor._sample(0),
+        context.monitor._registered_lately(),
+    )
+
+
+@then("it finds the third only")
+def step_finds(context):
+    for found in context.found:
+        assert [each.record.upstream_id for each in found] == ["u2"], found
+
+
 # The end of a rest.
 
 
@@ -378,6 +413,48 @@
     assert first <= found <= last, found
 
 
+@given("3 upstreams of which two asked an entry for rest that is over")
+def step_returning(context):
+    _make_placer(context, [_record(f"u{number}") for number in range(3)])
+    for state in context.states[:2]:
+        _ask(context.fleet, state, 1.0, _ASKED_S - 5)
+
+
+def _place_retries(context, count):
+    chosen = set()
+    for number in range(count):
+        request = _request(number)._replace(tried=("u0",))
+        choice = context.placer.place(request, now_s=_ASKED_S).choice
+        chosen.add(choice.upstream.record.upstream_id)
+    return chosen
+
+
+@when(
+    "{count:d} requests for different objects arrive, refused at one of the "
+    "two before"
+)
+def step_retries(context, count):
+    context.chosen = _place_retries(context, count)
+
+
+@then("they all go to the third")
+def step_third(context):
+    assert context.chosen == {"u2"}, context.chosen
+
+
+@then("so do uploads that no upstream has refused yet")
+def step_uploads(context):
+    for number in range(20):
+        choice = _place(context, number, has_one_try=True)
+        assert choice.upstream is context.states[2], choice
+
+
+@then("if it cannot be reached, they go to the other one of the two")
+def step_other(context):
+    context.states[2].record_unreachable(now_s=_ASKED_S)
+    assert _place_retries(context, 1) == {"u1"}
+
+
 @given(
     "a relayed request whose first entry was asked for rest by one of 3 "
     "upstreams"
