--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -87,6 +87,7 @@
     """The head of an answer to a request that reached an upstream.
 
     Attributes:
+      incarnation: name of the upstream's incarnation.
       request: id of the request.
       arrived_s: when the request arrived, on the host's monotonic clock.
       answered_s: when the answer was sent, on the same clock.
@@ -95,6 +96,7 @@
       rest_s: the rest that it asked for, in seconds; 0 for none.
     """
 
+    incarnation: str
     request: str
     arrived_s: float
     answered_s: float
@@ -186,6 +188,11 @@
             "born": self.started_ms,
         }
 
+    @property
+    def incarnation(self) -> str:
+        """Returns a name that is unique to this start."""
+        return f"{self.upstream_id} {self.started_ms}"
+
     def is_fault_due(self) -> bool:
         """Counts a request; returns whether it gets the fault."""
         self._request_count += 1
@@ -332,6 +339,7 @@
         rests = headers.get_list("Retry-After")
         self.upstream.answers.append(
             Answer(
+                incarnation=self.upstream.incarnation,
                 request=self.request_id,
                 arrived_s=self.arrived_s,
                 answered_s=time.monotonic(),
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -24,6 +24,7 @@
 from emulator.ports import free_address
 from emulator.proxy import FaultProxy
 from emulator.proxy import ProxyFault
+from emulator.statement_rules import AnswerHead
 from emulator.upstream import UpstreamPlan
 
 START_LIMIT_S = 15.0
@@ -88,6 +89,7 @@
       deployment: the emulated deployment.
       callers: address for callers by gateway.
       upstream_ids: id of the latest incarnation by upstream.
+      upstream_answers: answers that upstreams reported, likewise.
       upstream_runs: runs that upstreams reported, over all incarnations.
       datagram_proxies: proxy by zone and gateway; empty without delays.
       links: with zone links, the proxy from each zone to each upstream.
@@ -123,6 +125,7 @@
         self.gateways: dict[str, documents.GatewayDescription] = {}
         self.callers: dict[str, str] = {}
         self.upstream_runs: dict[tuple[str, str, float], UpstreamRun] = {}
+        self.upstream_answers: dict[tuple[str, float], AnswerHead] = {}
         self.version = 0
         self._upstream_sites: dict[str, tuple[Service, str]] = {}
         self._zone_of: dict[str, str] = {}
@@ -438,6 +441,19 @@
             )
             self.upstream_runs[(name, row.request, row.at_s)] = row
 
+    async def collect_answers(self, name: str) -> None:
+        """Collects the answers of an upstream that has not ended yet."""
+        try:
+            response = await self._client.fetch(
+                f"http://{self.upstreams[name]}/emulator/answers",
+                request_timeout=2.0,
+            )
+        except (OSError, httpclient.HTTPError):
+            return
+        for row in json.loads(response.body):
+            answer = AnswerHead(**row)
+            self.upstream_answers[(answer.request, answer.arrived_s)] = answer
+
     async def end(self) -> None:
         """Kills every process and closes every proxy."""
         for proc in self.procs.values():
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -19,6 +19,21 @@
       | recovery      | half of the requests failing at the end |
       | cuts          | 12 refused requests during a cut       |
 
+  # Guards against checks that cannot fail.
+  Scenario Outline: The rules on leaving and resting upstreams find what breaks them
+    Given answers of an upstream <says> at 1 s to requests of an entry
+    When requests of that entry reach it at <times> s
+    Then the rules find <count> breaches
+
+    Examples:
+      | says                       | times              | count |
+      | that leaves                | 1.5, 2.9           | 0     |
+      | that leaves                | 2.9, 3.2, 9        | 2     |
+      | that asks for 3 s of rest  | 1.1, 1.3, 1.4      | 0     |
+      | that asks for 3 s of rest  | 1.1, 1.6, 3.9      | 0     |
+      | that asks for 3 s of rest  | 1.6, 2, 3.9        | 1     |
+      | that asks for 3 s of rest  | 1.6, 2, 4.1, 4.2   | 0     |
+
   Scenario: The same seed makes the same plan
     Then two plans of seed 7 are equal, and seed 8's differs
 
@@ -52,3 +67,8 @@
   Scenario: Gateways that lose their links to upstreams beside other faults
     When the soak plays seed 3 with cuts for 20 s
     Then it broke no promise and most requests were served
+
+  # Guards against upstreams that leave or want rest beside other faults.
+  Scenario: Upstreams that say they leave or want rest beside other faults
+    When the soak plays seed 4 with statements for 20 s
+    Then it broke no promise and most requests were served
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -15,11 +15,11 @@
 from emulator import replay_switches
 from emulator import replaying
 from emulator.replay import Replay
+from emulator.statement_rules import REST_REQUESTS
+from emulator.statement_rules import REST_SETTLE_S
 from features.support.limited_upstreams import SETTLE_S
 from features.support.limited_upstreams import largest_window
 from features.support.limited_upstreams import tolerated
-from features.support.statement_rig import REST_REQUESTS
-from features.support.statement_rig import REST_SETTLE_S
 
 _PATTERNS = Path(__file__).resolve().parents[2] / "emulator" / "patterns"
 _MIN_PATTERNS = 12
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -7,10 +7,14 @@
 import sys
 import time
 
+from behave import given
 from behave import then
 from behave import when
 
 from emulator import ports
+from emulator import statement_rules
+from emulator.statement_rules import AnswerHead
+from emulator.statement_rules import CallerTry
 from features.support.harness import ROOT
 from scripts import run_features
 from soak import checks
@@ -184,6 +188,11 @@
     _run_soak(context, seed, seconds, "--cuts")
 
 
+@when("the soak plays seed {seed:d} with statements for {seconds:d} s")
+def step_soak_statements(context, seed, seconds):
+    _run_soak(context, seed, seconds, "--statements")
+
+
 @when("the soak plays seed {seed:d} with limits for {seconds:d} s")
 def step_soak_limits(context, seed, seconds):
     _run_soak(context, seed, seconds, "--limits")
@@ -196,3 +205,37 @@
     found = re.search(r"(\d+) sent, (\d+) answered", done.stdout)
     assert found, done.stdout
     assert int(found[2]) > int(found[1]) / 2, done.stdout
+
+
+@given("answers of an upstream {says} at 1 s to requests of an entry")
+def step_answers(context, says):
+    rest_s = 3.0 if "rest" in says else 0.0
+    context.answers = [
+        AnswerHead(
+            incarnation="u 1",
+            request="first",
+            arrived_s=0.9,
+            answered_s=1.0,
+            status=503 if rest_s else 200,
+            leaving="leaves" in says,
+            rest_s=rest_s,
+        )
+    ]
+    context.tries = {"first": CallerTry("g", 0.9, 1.0, True)}
+
+
+@when("requests of that entry reach it at {times} s")
+def step_reach(context, times):
+    for number, text in enumerate(times.split(", ")):
+        at_s = float(text)
+        request = f"later {number}"
+        context.tries[request] = CallerTry("g", at_s, at_s + 0.1, True)
+        answer = AnswerHead("u 1", request, at_s, at_s + 0.1, 200, False, 0.0)
+        context.answers.append(answer)
+
+
+@then("the rules find {count:d} breaches")
+def step_breaches(context, count):
+    found = statement_rules.sent_to_leaving(context.tries, context.answers)
+    found += statement_rules.sent_in_rest(context.tries, context.answers)
+    assert len(found) == count, found
--- a/features/support/statement_rig.py
+++ b/features/support/statement_rig.py
@@ -6,29 +6,24 @@
 """
 
 import asyncio
-import collections
+import itertools
 import json
 from pathlib import Path
 from typing import NamedTuple
 
 from tornado import httpclient
 
+from emulator import statement_rules
 from emulator.deployment import Deployment
 from emulator.proxy import ProxyFault
+from emulator.statement_rules import AnswerHead
+from emulator.statement_rules import CallerTry
 from features.support.partition_rig import DEPLOYMENT
 from features.support.partition_rig import Cut
 from features.support.partition_rig import FirstTry
 from features.support.partition_rig import PartitionResult
 from features.support.partition_rig import PartitionRig
 
-# Time from an answer that says that its upstream leaves until its entry sends
-# nothing more to it.
-DRAIN_S = 2.0
-# Requests that were decided on before an answer asked for rest may arrive for
-# this long; of later ones, this many may.
-REST_SETTLE_S = 0.5
-REST_REQUESTS = 2
-
 
 class Play(NamedTuple):
     """Describes what upstreams say, and what fails meanwhile.
@@ -48,17 +43,6 @@
     deployment: Deployment = DEPLOYMENT
 
 
-class AnswerHead(NamedTuple):
-    """An answer as its upstream tells it; see `emulator.upstream.Answer`."""
-
-    request: str
-    arrived_s: float
-    answered_s: float
-    status: int
-    leaving: bool
-    rest_s: float
-
-
 class StatementResult(NamedTuple):
     """Holds what was seen.
 
@@ -72,51 +56,35 @@
     began_s: float
     answers: dict[str, list[AnswerHead]]
 
-    def sent_to_leaving(self) -> list[str]:
-        """Returns requests that reached an upstream after it said it leaves.
-
-        They were sent later than `DRAIN_S` after their entry had passed on an
-        answer that said so.
-        """
-        tries = {each.request: each for each in self.seen.tries}
-        found = []
-        for upstream, answers in self.answers.items():
-            told_s: dict[str, float] = {}
-            for answer in answers:
-                each = tries.get(answer.request)
-                if each is None or not answer.leaving or each.status == 0:
-                    continue
-                ended_s = each.sent_s + each.took_s
-                told_s[each.gateway] = min(
-                    ended_s, told_s.get(each.gateway, ended_s)
-                )
-            for answer in answers:
-                each = tries.get(answer.request)
-                if each is None or each.gateway not in told_s:
-                    continue
-                late_s = each.sent_s - told_s[each.gateway]
-                if late_s > DRAIN_S:
-                    found.append(
-                        f"{each.gateway} to {upstream} {late_s:.2f} s after"
-                    )
+    def _tries(self) -> dict[str, CallerTry]:
+        """Returns the tries by request, on the monotonic clock."""
+        found = {}
+        for each in self.seen.tries:
+            sent_s = self.began_s + each.sent_s
+            found[each.request] = CallerTry(
+                gateway=each.gateway,
+                sent_s=sent_s,
+                ended_s=sent_s + each.took_s,
+                answered=each.status != 0,
+            )
         return found
 
+    def _all_answers(self) -> list[AnswerHead]:
+        return list(itertools.chain(*self.answers.values()))
+
+    def sent_to_leaving(self) -> list[str]:
+        """Returns requests that reached an upstream after it said it leaves."""
+        breaches = statement_rules.sent_to_leaving(
+            self._tries(), self._all_answers()
+        )
+        return [breach.detail for breach in breaches]
+
     def sent_in_rest(self) -> list[str]:
         """Returns the rests in which more requests came than may."""
-        tries = {each.request: each for each in self.seen.tries}
-        found = []
-        for upstream, answers in self.answers.items():
-            arrivals = collections.defaultdict(list)
-            for answer in answers:
-                if answer.request in tries:
-                    gateway = tries[answer.request].gateway
-                    arrivals[gateway].append(answer)
-            for gateway, at_gateway in arrivals.items():
-                for asked in at_gateway:
-                    count = _count_in_rest(asked, at_gateway)
-                    if count > REST_REQUESTS:
-                        found.append(f"{count} from {gateway} to {upstream}")
-        return found
+        breaches = statement_rules.sent_in_rest(
+            self._tries(), self._all_answers()
+        )
+        return [breach.detail for breach in breaches]
 
     def asked_rests(self) -> int:
         """Returns the number of answers that asked for rest."""
@@ -133,13 +101,6 @@
         ]
 
 
-def _count_in_rest(asked: AnswerHead, answers: list[AnswerHead]) -> int:
-    """Returns how many requests arrived in the rest that one answer asks."""
-    from_s = asked.answered_s + REST_SETTLE_S
-    to_s = asked.answered_s + asked.rest_s
-    return sum(from_s < each.arrived_s < to_s for each in answers)
-
-
 class _StatementRig(PartitionRig):
     """Sets the faults of upstreams and of the store together with a cut."""
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -32,6 +32,7 @@
     kinds: Sequence[FaultKind] = DRAWN_KINDS,
     limits: bool = False,
     cuts: bool = False,
+    statements: bool = False,
 ) -> Report:
     """Runs one seed; keeps the processes' logs if `logs` names a folder."""
     with tempfile.TemporaryDirectory(prefix="almondstair-soak-") as folder:
@@ -45,6 +46,7 @@
             kinds=kinds,
             limits=limits,
             cuts=cuts,
+            statements=statements,
         )
         report = asyncio.run(soak.run())
         if report.violations:
@@ -109,6 +111,7 @@
         first_kinds: bool = False,
         limits: bool = False,
         cuts: bool = False,
+        statements: bool = False,
     ) -> None:
         """Runs one seed.
 
@@ -121,6 +124,8 @@
             seeds were found with; with all kinds a seed gives another plan.
           limits: whether upstreams state limits on requests besides.
           cuts: whether gateways lose their links to upstreams besides.
+          statements: whether upstreams say that they leave or want rest
+            besides.
         """
         kinds = FIRST_KINDS if first_kinds else DRAWN_KINDS
         report = run_seed(
@@ -131,6 +136,7 @@
             kinds=kinds,
             limits=limits,
             cuts=cuts,
+            statements=statements,
         )
         print_report(report)
         sys.exit(1 if report.violations else 0)
@@ -142,7 +148,14 @@
         first = first or random.randrange(1, 1_000_000)
         failed = []
         for seed in range(first, first + count):
-            report = run_seed(seed, seconds, Size(), limits=True, cuts=True)
+            report = run_seed(
+                seed,
+                seconds,
+                Size(),
+                limits=True,
+                cuts=True,
+                statements=True,
+            )
             print_report(report)
             if report.violations:
                 failed.append(seed)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -33,6 +33,8 @@
     FOREIGN_WRITER = "foreign_writer"
     UPSTREAM_LIMIT = "upstream_limit"
     LINKS = "links"
+    UPSTREAM_REST = "upstream_rest"
+    UPSTREAM_LEAVES = "upstream_leaves"
 
 
 # Kinds that the kept seeds were found with; drawing from more kinds would give
@@ -90,6 +92,8 @@
 # Invalid registrations by another writer: under the key of an upstream for
 # `own_key`, else under a key of the writer's own.
 FOREIGN_RECORDS = ("own_key", "no_text", "no_slots", "no_address", "no_state")
+# Values of the rests that upstreams ask for, in seconds; the last is invalid.
+RESTS = ("0.5", "1", "3", "soon")
 _VARIANTS = {
     FaultKind.STORE: STORE_MODES,
     FaultKind.STORE_PROXY: PROXY_FAULTS,
@@ -179,3 +183,29 @@
             )
         )
     return sorted(steps)
+
+
+def make_statements(seed: int, *, seconds: float) -> list[Step]:
+    """Returns the steps of a seed in which upstreams leave or want rest.
+
+    Args:
+      seed: the seed.
+      seconds: length of the run.
+    """
+    rng = random.Random(f"statements of {seed}")
+    span_s = max(1.0, seconds - START_SETTLE_S - FINAL_CALM_S)
+    steps = []
+    for _ in range(max(2, int(span_s / 3))):
+        kind = rng.choice((FaultKind.UPSTREAM_REST, FaultKind.UPSTREAM_LEAVES))
+        is_rest = kind is FaultKind.UPSTREAM_REST
+        at_s = START_SETTLE_S + rng.random() * span_s
+        steps.append(
+            Step(
+                at_s=at_s,
+                kind=kind,
+                target=rng.randrange(1000),
+                duration_s=rng.uniform(1.0, 5.0),
+                variant=rng.choice(RESTS) if is_rest else "",
+            )
+        )
+    return sorted(steps)
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,10 +11,12 @@
 
 from almondstair.platform import headers
 from almondstair.platform import statements
+from emulator import statement_rules
 from emulator.deployment import Deployment
 from emulator.deployment import Service
 from emulator.proxy import FaultProxy
 from emulator.proxy import ProxyFault
+from emulator.statement_rules import CallerTry
 from emulator.world import UpstreamRun
 from emulator.world import World
 from soak import checks
@@ -166,6 +168,7 @@
         kinds: Sequence[FaultKind] = plan.DRAWN_KINDS,
         limits: bool = False,
         cuts: bool = False,
+        statements: bool = False,
     ) -> None:
         """Makes the plan and starts nothing."""
         self._seed = seed
@@ -175,6 +178,8 @@
             self._steps += plan.make_limits(seed, seconds=seconds)
         if cuts:
             self._steps += plan.make_cuts(seed, seconds=seconds)
+        if statements:
+            self._steps += plan.make_statements(seed, seconds=seconds)
         self._steps.sort()
         self._world = World(
             deployment=size.deployment(),
@@ -217,7 +222,7 @@
             work.append(self._run_steps(began_s))
             await asyncio.gather(*work)
             for name in self._world.upstreams:
-                await self._world.collect_runs(name)
+                await self._collect(name)
         finally:
             watching.cancel()
             await self._world.end()
@@ -233,7 +238,7 @@
             await asyncio.sleep(0.5)
             for name in list(self._world.upstreams):
                 if name not in self._claimed:
-                    await self._world.collect_runs(name)
+                    await self._collect(name)
             self._check_alive()
 
     def _check_alive(self) -> None:
@@ -275,6 +280,8 @@
             FaultKind.FOREIGN_WRITER: self._foreign_writer,
             FaultKind.UPSTREAM_LIMIT: self._upstream_limit,
             FaultKind.LINKS: self._links,
+            FaultKind.UPSTREAM_REST: self._upstream_rest,
+            FaultKind.UPSTREAM_LEAVES: self._upstream_leaves,
         }
         began_s = time.monotonic()
         await actions[step.kind](step)
@@ -284,6 +291,7 @@
             FaultKind.GATEWAY_HANGUP,
             FaultKind.UPSTREAM_LIMIT,
             FaultKind.LINKS,
+            FaultKind.UPSTREAM_REST,
         )
         if step.kind not in planned:
             self._disturbance_spans.append(
@@ -366,6 +374,36 @@
             span = Span(name, began_s, ended_s)
             self._limit_spans.append((span, statement.rate_per_s))
 
+    async def _upstream_rest(self, step: Step) -> None:
+        """Makes an upstream turn requests away and ask for rest."""
+        name = self._upstream(step)
+        await self._set_upstream_faults(
+            name, every=1, how="shed", rests=[step.variant]
+        )
+        await asyncio.sleep(step.duration_s)
+        await self._set_upstream_faults(name)
+
+    async def _upstream_leaves(self, step: Step) -> None:
+        """Makes an upstream say in answers that it leaves, and then end.
+
+        Its registration says ready until a new one runs at its address.
+        """
+        name = self._upstream(step)
+        if not await self._claim(name):
+            return
+        await self._set_upstream_faults(name, leaving=["1"])
+        await asyncio.sleep(max(DRAIN_S, step.duration_s))
+        await self._collect(name)
+        proc = self._world.procs[name]
+        proc.signal(signal.SIGKILL)
+        await proc.wait()
+        await self._start_upstream(name)
+
+    async def _collect(self, name: str) -> None:
+        """Collects what an upstream tells of its runs and answers."""
+        await self._world.collect_runs(name)
+        await self._world.collect_answers(name)
+
     async def _links(self, step: Step) -> None:
         """Cuts the links of a zone's gateways to all upstreams."""
         zone = list(ZONES)[step.target % len(ZONES)]
@@ -409,7 +447,7 @@
         name = self._upstream(step)
         if not await self._claim(name):
             return
-        await self._world.collect_runs(name)
+        await self._collect(name)
         proc = self._world.procs[name]
         proc.signal(signal.SIGKILL)
         await proc.wait()
@@ -432,7 +470,7 @@
         proc.signal(signal.SIGTERM)
         signalled_s = time.monotonic()
         await asyncio.sleep(DRAIN_EXIT_S - 1.0)
-        await self._world.collect_runs(name)
+        await self._collect(name)
         await proc.wait()
         self._no_traffic_spans.append(
             Span(name, signalled_s + DRAIN_S, time.monotonic())
@@ -570,6 +608,7 @@
             self._violations += checks.check_graceful_stops(
                 self._keep_executed(at_gateway, ran), [span]
             )
+        self._check_statements(sent, gateway_of)
         calm = [each for each in sent if not self._is_disturbed_at(each.sent_s)]
         self._violations += checks.check_configuration(calm, self._route_spans)
         self._check_cuts(calm, gateway_of)
@@ -580,6 +619,43 @@
             sent, [final_span], min_share=MIN_SERVED_SHARE
         )
 
+    def _check_statements(
+        self, sent: list[checks.SentRequest], gateway_of: dict[str, str]
+    ) -> None:
+        """Checks that upstreams that leave or want rest get nothing new."""
+        tries = {
+            each.request: CallerTry(
+                gateway=gateway_of[each.request],
+                sent_s=each.sent_s,
+                ended_s=each.ended_s,
+                answered=each.status != 0,
+            )
+            for each in sent
+        }
+        answers = list(self._world.upstream_answers.values())
+        leaving = statement_rules.sent_to_leaving(tries, answers)
+        rests = statement_rules.sent_in_rest(tries, answers)
+        for guarantee, breaches in (
+            ("upstreams that say they leave get no work", leaving),
+            ("upstreams that ask for rest get it", rests),
+        ):
+            for breach in breaches:
+                if not self._is_gateway_disturbed_at(breach.at_s):
+                    self._violations.append(Violation(guarantee, breach.detail))
+
+    def _is_gateway_disturbed_at(self, at_s: float) -> bool:
+        """Returns whether gateways end, freeze or are cut off near a time."""
+        spans = [
+            span
+            for span in self._disturbance_spans
+            if span.name in GATEWAY_FAULTS
+        ]
+        for span in [*spans, *self._stop_spans, *self._cut_spans]:
+            from_s = span.from_s - DISTURBANCE_MARGIN_S
+            if from_s < at_s < span.to_s + DISTURBANCE_MARGIN_S:
+                return True
+        return False
+
     def _check_cuts(
         self, calm: list[checks.SentRequest], gateway_of: dict[str, str]
     ) -> None:
--- a/spec/check.py
+++ b/spec/check.py
@@ -22,6 +22,7 @@
     "shares",
     "retries",
     "relays",
+    "statements",
     "update_order",
     "incarnations",
 )
