Explain requests that were refused since all upstreams rest

`gateway why` names the reason, and shows leaving and rests of the upstreams of a request around it. Scenario "All upstreams of a service ask for rest", both rows: 2 passed.

--- a/almondstair/tools/request_explanations.py
+++ b/almondstair/tools/request_explanations.py
@@ -22,6 +22,9 @@
         Event.UPSTREAM_GONE.value.number,
         Event.UPSTREAM_UNREACHABLE.value.number,
         Event.UPSTREAM_LIMIT_CHANGED.value.number,
+        Event.UPSTREAM_STATES_LEAVING.value.number,
+        Event.UPSTREAM_STATES_REST.value.number,
+        Event.UPSTREAM_REST_ENDED.value.number,
     )
 )
 # Fields that don't help to explain the outcome.
@@ -242,6 +245,12 @@
             f"{last.get('service')} were at the limits that they state: "
             f"{', '.join(last.get('limited') or [])}"
         )
+    if kind == "upstreams_resting":
+        return (
+            f"refused, not run: all {last.get('upstreams')} upstreams of "
+            f"service {last.get('service')} wanted rest, were unreachable or "
+            "at their limits"
+        )
     if kind == "unknown_path":
         return f"no route: {last.get('detail')}"
     return f"refused, not run: {kind} {last.get('detail')}"
--- a/features/resting_upstreams.feature
+++ b/features/resting_upstreams.feature
@@ -22,6 +22,7 @@
     When callers send to all entries meanwhile
     Then no upstream got more than two requests from an entry in a rest that it asked for
     And from 1 s on each is refused at once, with a time to come back, and never ran
+    And "why" says of one of them that its upstreams wanted rest
     And <after> s after the end at least 0.98 of the tries are served
 
     Examples:
--- a/features/steps/resting_upstreams_steps.py
+++ b/features/steps/resting_upstreams_steps.py
@@ -4,6 +4,8 @@
 from behave import then
 from msgspec import structs
 
+from almondstair.errors import ErrorKind
+from almondstair.tools import request_explanations
 from features.support import partition_rig
 from features.support.statement_rig import Play
 
@@ -98,3 +100,22 @@
         tries = context.result.tries_between(begin_s, end_s)
         served = sum(each.served for each in tries)
         assert served >= least * len(tries), f"{served} of {len(tries)}"
+
+
+@then('"why" says of one of them that its upstreams wanted rest')
+def step_why(context):
+    lines = []
+    for name, rows in context.result.seen.events.items():
+        for row in rows:
+            lines.append(
+                request_explanations.LogLine(
+                    row["time"], name, row["event"], row
+                )
+            )
+    refused = [
+        line.fields["request"]
+        for line in lines
+        if line.fields.get("kind") == str(ErrorKind.UPSTREAMS_RESTING)
+    ]
+    found = request_explanations.explain(refused[0], lines)
+    assert "9 upstreams of service service wanted rest" in found.cause, found
