Test heads that count at once, and rests beside a limit

A head counts when its body breaks off or does not come, and a late response to an earlier request does not; two upstreams at rest and one at its limit: the caller returns when the first of them has room. 5 and 21 scenarios passed.

--- a/features/rests.feature
+++ b/features/rests.feature
@@ -83,6 +83,17 @@
     When the one that rests shortest cannot be reached, and a request arrives
     Then its caller is asked to return after 2 s at the earliest, and 2.2 s at most
 
+  # Guards against callers that wait for a rest while a limit has room sooner.
+  Scenario Outline: Two upstreams rest, and the third is at its limit
+    Given 3 upstreams of which each asks an entry for rest, for 3, 2 and 4 s
+    When the one that rests shortest does not rest, but its limit refuses a request for <limit> s
+    Then its caller is asked to return after <first> s at the earliest, and <last> s at most
+
+    Examples:
+      | limit | first | last |
+      | 0.7   | 0.7   | 0.8  |
+      | 9     | 3     | 3.1  |
+
   # Guards against requests whose few attempts all meet upstreams that rest again.
   Scenario: A second try goes to an upstream that has not just rested
     Given 3 upstreams of which two asked an entry for rest that is over
--- a/features/statements.feature
+++ b/features/statements.feature
@@ -38,6 +38,20 @@
       | Server-Limit: -1                     |
       | X-Almondstair-Server-Load: 1;2       |
 
+  # Guards against heads that count only when the whole response has arrived.
+  Scenario Outline: A head counts as soon as it is read
+    Given a request on a connection to an upstream
+    When it is answered with <response>
+    Then <count> head was applied
+
+    Examples:
+      | response                                   | count |
+      | a whole response                           | 1     |
+      | a body that breaks off                     | 1     |
+      | a head, and nothing more                   | 1     |
+      | half a head                                | 0     |
+      | a late response to an earlier request      | 0     |
+
   # Guards against an upstream that gets requests again after it said it leaves.
   Scenario Outline: Nothing ends what an upstream said of leaving
     Given an entry that follows the store, with upstream "i-1" born at 1000
--- a/features/steps/rests_steps.py
+++ b/features/steps/rests_steps.py
@@ -25,6 +25,7 @@
 from almondstair.core.upstream_limiter import LimitRefusals
 from almondstair.core.upstream_limiter import UpstreamLimiter
 from almondstair.core.upstream_links import UpstreamLinks
+from almondstair.core.upstream_rests import UpstreamRest
 from almondstair.core.upstream_state import LeavingSource
 from almondstair.core.upstream_state import UpstreamRecord
 from almondstair.gateway.forwarded_call import AttemptVerdict
@@ -404,6 +405,22 @@
     context.returns_s = [_return_s(context, 0)]
 
 
+@when(
+    "the one that rests shortest does not rest, but its limit refuses a "
+    "request for {limit:g} s"
+)
+def step_limited(context, limit):
+    shortest = min(context.states, key=lambda state: state.rest.resumes_s)
+    shortest.rest = UpstreamRest()
+    request = _request(0)
+    request.limit_refusals.record(
+        shortest.record.upstream_id, retry_after_s=limit
+    )
+    opens_s = context.placer.rest_ends_s(request, now_s=_ASKED_S)
+    returns_s = context.placer.assign_return_s(request, opens_s=opens_s)
+    context.returns_s = [returns_s - _ASKED_S]
+
+
 @then(
     "its caller is asked to return after {first:g} s at the earliest, and "
     "{last:g} s at most"
--- a/features/steps/statements_steps.py
+++ b/features/steps/statements_steps.py
@@ -1,5 +1,8 @@
 """Steps for what upstreams say of themselves in responses."""
 
+import asyncio
+from unittest import mock
+
 from behave import given
 from behave import then
 from behave import when
@@ -10,6 +13,7 @@
 from almondstair.gateway.forwarded_call import AttemptVerdict
 from almondstair.gateway.http_encoding import ResponseHead
 from almondstair.gateway.upstream_connection import ExchangeEnd
+from almondstair.gateway.upstream_connection import UpstreamConnection
 from almondstair.gateway.upstream_connection import UpstreamExchange
 from almondstair.platform import headers as names
 from almondstair.platform.statements import decode_statement
@@ -239,3 +243,46 @@
     context.crash_reports.report_lost.assert_not_called()
     context.connector.confirm_loss.assert_not_called()
     assert context.upstream.failure_share(now_s=now_s()) == 0
+
+
+# The head on a connection.
+
+_ID_HEADER = b"x-id"
+_HEAD = b"HTTP/1.1 200 OK\r\nX-Id: %b\r\nContent-Length: 4\r\n\r\n"
+_RESPONSES = {
+    "a whole response": _HEAD % b"now" + b"body",
+    "a body that breaks off": _HEAD % b"now" + b"bo",
+    "a head, and nothing more": _HEAD % b"now",
+    "half a head": (_HEAD % b"now")[:30],
+    "a late response to an earlier request": _HEAD % b"before" + b"body",
+}
+
+
+@given("a request on a connection to an upstream")
+def step_connection(context):
+    context.heads = []
+
+
+@when("it is answered with {response}")
+def step_answered_with(context, response):
+    async def exchange():
+        connection = UpstreamConnection(address="a:1", id_header=_ID_HEADER)
+        transport = mock.Mock(spec=asyncio.Transport)
+        connection.connection_made(transport)
+        running = asyncio.ensure_future(
+            connection.exchange(
+                head=b"", request_id=b"now", on_head=context.heads.append
+            )
+        )
+        await asyncio.sleep(0)
+        connection.data_received(_RESPONSES[response])
+        await asyncio.sleep(0)
+        connection.connection_lost(None)
+        await running
+
+    asyncio.run(exchange())
+
+
+@then("{count:d} head was applied")
+def step_heads(context, count):
+    assert len(context.heads) == count, context.heads
