--- a/soak/run.py
+++ b/soak/run.py
@@ -194,7 +194,8 @@
         self._no_traffic_spans: list[Span] = []
         self._cold_spans: list[Span] = []
         self._limit_spans: list[tuple[Span, float]] = []
-        self._limits: dict[str, str] = {}
+        self._limits: dict[str, Step] = {}
+        self._limit_ends_s: dict[Step, float] = {}
         self._cut_spans: list[Span] = []
         self._route_spans: list[Span] = []
         self._stop_spans: list[Span] = []
@@ -348,7 +349,8 @@
 
     async def _set_upstream_faults(self, name: str, **faults: object) -> None:
         """Injects faults into an upstream, which keeps its limit."""
-        limits = [self._limits[name]] if name in self._limits else []
+        limit = self._limits.get(name)
+        limits = [] if limit is None else [limit.variant]
         await self._world.set_faults(
             self._world.upstreams[name],
             "/emulator/faults",
@@ -360,13 +362,17 @@
         name = self._upstream(step)
         if name in self._limits:
             return
-        self._limits[name] = step.variant
+        self._limits[name] = step
         began_s = time.monotonic()
         await self._set_upstream_faults(name)
         await asyncio.sleep(step.duration_s)
-        del self._limits[name]
         ended_s = time.monotonic()
-        await self._set_upstream_faults(name)
+        if self._limits.get(name) is step:
+            del self._limits[name]
+            await self._set_upstream_faults(name)
+        else:
+            # The process that stated it has ended.
+            ended_s = self._limit_ends_s[step]
         statement = statements.decode_statement(
             status=200, headers=[(headers.RATE_LIMIT, step.variant.encode())]
         )
@@ -457,6 +463,10 @@
     async def _start_upstream(
         self, name: str, *, same_id: bool = False
     ) -> None:
+        limit = self._limits.pop(name, None)
+        if limit is not None:
+            # A new process states no limit.
+            self._limit_ends_s[limit] = time.monotonic()
         await self._world.start_upstream(name, same_id=same_id)
         started_s = time.monotonic()
         self._cold_spans.append(Span(name, started_s, started_s + COLD_S))
