Play the cases of the drill with work that must not be repeated

Cause: with safe requests, cases 1 and 3 didn't show what the faults cost.

Change: both use a route of kind unsafe; in case 3 five clients for each gateway send, and the instances exit at the end.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -33,6 +33,7 @@
 MAX_STRETCH_S = float(harness.BOUNDS["maxStretchS"])
 CONTACT_S = float(harness.BOUNDS["contactS"])
 WORK_S = 0.05
+BODY = b"." * 1000
 REQUESTS_PER_S = 5.0
 # How long requests are judged.
 JUDGED_S = 6.0
@@ -52,7 +53,7 @@
 
 def version(number: int, service: str) -> str:
     """Returns a version in which the route goes to a service."""
-    rule = harness.route("/lohu930/", service, "safe")
+    rule = harness.route("/lohu930/", service, "unsafe")
     return harness.configuration(number, [rule], list(SERVICES))
 
 
@@ -81,7 +82,7 @@
             self.gateway[request_id] = gateway.name
             self.record.write("sent", request=request_id, to=gateway.name)
             known = len(connection.answers)
-            connection.send(request_id, "/lohu930/2f")
+            connection.send(request_id, "/lohu930/2f", method="POST", body=BODY)
             if await connection.until_answers(known + 1, 3.0):
                 answer = connection.answers[-1]
                 self.record.write(
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,7 +3,7 @@
 The store is away for a moment and comes back from a copy some seconds old.
 What the instances had written since is written again. Once the
 store has been stable for long enough, some instances leave: their entries are
-removed, and they serve on for a while.
+removed, they serve on for a while, and then they exit.
 """
 
 import asyncio
@@ -30,8 +30,10 @@
 LEAVING = 3
 # How long the instances serve after `DRAIN_S` is over.
 SERVED_S = 5.0
-WORK_S = 0.05
+WORK_S = 0.1
+BODY = b"." * 1000
 PAUSE_S = 0.02
+CLIENTS_PER_GATEWAY = 5
 
 
 async def work(
@@ -51,26 +53,29 @@
 
     Attributes:
       sent_s: when each request was sent, by its id.
+      status: the status of its answer, by its id.
     """
 
     def __init__(self, record: harness.Record) -> None:
         """Starts without requests."""
         self._record = record
         self.sent_s: dict[str, float] = {}
+        self.status: dict[str, int] = {}
 
-    async def send_to(self, gateway: harness.Gateway) -> None:
+    async def send_to(self, gateway: harness.Gateway, client: int) -> None:
         """Sends requests on one kept connection after another."""
         connection: harness.ClientConnection | None = None
         for number in itertools.count():
             if connection is None or connection.closed.is_set():
                 connection = await harness.connect(gateway.front)
-            request_id = f"{gateway.name}-{number}"
+            request_id = f"{gateway.name}-{client}-{number}"
             self.sent_s[request_id] = time.monotonic()
             self._record.write("sent", request=request_id)
             known = len(connection.answers)
-            connection.send(request_id, PREFIX + "2f")
+            connection.send(request_id, PREFIX + "2f", method="POST", body=BODY)
             if await connection.until_answers(known + 1, 3.0):
                 status = connection.answers[-1].status
+                self.status[request_id] = status
                 self._record.write(
                     "answered", request=request_id, status=status
                 )
@@ -121,14 +126,15 @@
         services=SERVICES,
         work=work,
     )
-    rule = harness.route(PREFIX, "match-desk", "safe")
+    rule = harness.route(PREFIX, "match-desk", "unsafe")
     text = harness.configuration(7, [rule], list(SERVICES))
     traffic = Traffic(record)
     leaving = deployment.instances[:LEAVING]
     try:
         await deployment.start(text)
         for gateway in deployment.gateways:
-            deployment.run(traffic.send_to(gateway))
+            for client in range(CLIENTS_PER_GATEWAY):
+                deployment.run(traffic.send_to(gateway, client))
         await asyncio.sleep(1.0)
         if harness.trouble():
             await drill(deployment, record)
@@ -139,6 +145,10 @@
             await leave(instance, deployment, record)
         acknowledged_s = time.monotonic()
         await asyncio.sleep(DRAIN_S + SERVED_S)
+        for instance in leaving:
+            await instance.exit()
+            record.write("exits", instance=instance.instance_id)
+        await asyncio.sleep(1.0)
     finally:
         await deployment.end()
     return judge(traffic, leaving, acknowledged_s, record)
@@ -155,6 +165,7 @@
     Returns 2 if the instances got none before they left.
     """
     late: dict[str, int] = {}
+    broken_off = []
     before = 0
     for instance in leaving:
         for request_id, ran_s in instance.runs:
@@ -163,8 +174,11 @@
             if traffic.sent_s[request_id] > acknowledged_s + DRAIN_S:
                 name = instance.instance_id
                 late[name] = late.get(name, 0) + 1
-    record.write("judged", before=before, late=late)
+                if traffic.status.get(request_id) != 200:
+                    broken_off.append(request_id)
+    record.write("judged", before=before, late=late, broken_off=broken_off)
     print(f"before they left: {before} requests; too late: {late}")
+    print(f"of these broken off as the instances ended: {len(broken_off)}")
     if not before:
         return 2
     return 1 if late else 0
--- a/review/harness.py
+++ b/review/harness.py
@@ -360,6 +360,7 @@
         self.waiting = 0
         self._seq = 0
         self._left = False
+        self.connections: set[InstanceConnection] = set()
         self._free = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
 
@@ -407,6 +408,12 @@
         if self._server is not None:
             self._server.close()
 
+    async def exit(self) -> None:
+        """Ends the instance; what it runs is broken off."""
+        await self.close()
+        for connection in list(self.connections):
+            connection.abort()
+
     @contextlib.asynccontextmanager
     async def slot(self) -> Any:
         """Waits for one of the slots."""
@@ -462,14 +469,21 @@
         """Starts to serve."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.instance.connections.add(self)
         self._task = asyncio.ensure_future(self._serve())
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Drops the request that runs."""
+        self.instance.connections.discard(self)
         self._writable.set()
         if self._task is not None:
             self._task.cancel()
 
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def pause_writing(self) -> None:
         """Stops writers until the other side has read."""
         self._writable.clear()
