--- a/review/harness.py
+++ b/review/harness.py
@@ -13,6 +13,7 @@
 import os
 from pathlib import Path
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -776,7 +777,7 @@
     with tempfile.TemporaryDirectory() as name:
         try:
             code = asyncio.run(_bounded(case, Path(name), record))
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             print(f"the case could not run: {error!r}")
             code = 2
     record.write("exit", code=code, trouble=int(trouble()))
@@ -788,5 +789,9 @@
     folder: Path,
     record: Record,
 ) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    # Otherwise a script that is stopped would leave its gateways behind.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     async with asyncio.timeout(LONGEST_S):
         return await case(folder, record)
