Read the store's epoch from its responses, and log when it changes

Event 462 says in which epoch an answer was counted, whether it brought changes or a full listing, and the revisions before and after.

--- a/almondstair/gateway/simple_http_client.py
+++ b/almondstair/gateway/simple_http_client.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from almondstair.gateway.connection_pool import ConnectionPool
+from almondstair.gateway.http_encoding import ResponseHead
 from almondstair.gateway.upstream_connection import ExchangeEnd
 
 # A round trip to the farthest region takes 0.11 s. A lost SYN packet is resent
@@ -15,6 +17,18 @@
 _POOL_KEY = "calls"
 
 
+class HttpResponse(NamedTuple):
+    """Holds a complete response."""
+
+    head: ResponseHead
+    body: bytes
+
+    @property
+    def status(self) -> int:
+        """Returns its status."""
+        return self.head.status
+
+
 class SimpleHttpClient:
     """Sends requests to one address."""
 
@@ -34,8 +48,8 @@
         path: str,
         body: bytes = b"",
         timeout_s: float,
-    ) -> tuple[int, bytes]:
-        """Sends one request and returns the response's status and body.
+    ) -> HttpResponse:
+        """Sends one request and returns its response.
 
         The timeout restarts with each chunk of the response. With one timeout
         for the whole response, a large configuration would never reach a VM
@@ -66,7 +80,7 @@
 
     async def _exchange(
         self, message: bytes, on_progress: Callable[[], None]
-    ) -> tuple[int, bytes]:
+    ) -> HttpResponse:
         connection = self._pool.acquire_idle(
             incarnation=_POOL_KEY, repeatable=True
         )
@@ -82,4 +96,4 @@
         if result.end is not ExchangeEnd.COMPLETE or result.head is None:
             raise OSError(f"response was {result.end.value}")
         self._pool.release(connection, incarnation=_POOL_KEY)
-        return result.head.status, result.body
+        return HttpResponse(head=result.head, body=result.body)
--- a/almondstair/gateway/sources.py
+++ b/almondstair/gateway/sources.py
@@ -27,6 +27,7 @@
       items: the changed items, or all.
       listing: whether the items are a full listing.
       revision: the store's revision that they reflect.
+      epoch: the store's epoch in which the revision is counted.
       age_s: time since the store sent them, in seconds.
       from_store: whether they come from the store itself.
     """
@@ -36,6 +37,7 @@
     revision: int
     age_s: float
     from_store: bool
+    epoch: int = 0
 
 
 class Source(abc.ABC):
@@ -70,6 +72,7 @@
                     revision=page.revision,
                     age_s=0.0,
                     from_store=True,
+                    epoch=page.epoch,
                 )
         return await self._list()
 
@@ -96,6 +99,7 @@
             revision=revision,
             age_s=0.0,
             from_store=True,
+            epoch=page.epoch,
         )
 
 
@@ -157,12 +161,12 @@
 
     async def _fetch_page(self, path: str) -> MirrorPage:
         try:
-            status, body = await self._client.call(
+            response = await self._client.call(
                 method="GET", path=path, timeout_s=PEER_TIMEOUT_S
             )
-            if status != 200:
-                raise OSError(f"status {status}")
-            return _PAGE.decode(body)
+            if response.status != 200:
+                raise OSError(f"status {response.status}")
+            return _PAGE.decode(response.body)
         except (OSError, TimeoutError, msgspec.MsgspecError) as error:
             cause = str(error) or "timed out"
             raise AlmondstairError(
--- a/almondstair/gateway/store_sync.py
+++ b/almondstair/gateway/store_sync.py
@@ -55,6 +55,7 @@
     Attributes:
       as_of_s: time that the view of the fleet reflects, on the entry's clock.
       revision: the store's revision that the view reflects.
+      epoch: the store's epoch in which the revision is counted.
       history: the configurations that were in force.
     """
 
@@ -94,6 +95,7 @@
         )
         self.as_of_s = 0.0
         self.revision = 0
+        self.epoch = 0
 
     def set_seeds(self, seeds: Sequence[str]) -> None:
         """Sets the addresses of entries to poll while none is known."""
@@ -276,6 +278,7 @@
         """
         if fresh:
             self._record_recovery(batch)
+        self._record_epoch(batch)
         change_log = self._registrations.change_log
         change_log.begin(
             first=batch.listing and not self._fleet.upstream_count()
@@ -297,6 +300,25 @@
         self.as_of_s = max(self.as_of_s, now_s() - batch.age_s)
         self._fleet.as_of_s = self.as_of_s
 
+    def _record_epoch(self, batch: Batch) -> None:
+        """Logs that the store was restored from a copy."""
+        if not batch.epoch or batch.epoch == self.epoch:
+            return
+        before = self.epoch
+        self.epoch = batch.epoch
+        if not before:
+            return
+        log.event(
+            log.Event.STORE_EPOCH_CHANGED,
+            epoch=batch.epoch,
+            epoch_before=before,
+            revision=batch.revision,
+            revision_before=self.revision,
+            listing=batch.listing,
+            items=len(batch.items),
+            from_store=batch.from_store,
+        )
+
     def _drop_unlisted(self, keys: set[str], revision: int) -> None:
         self._registrations.drop_unlisted_upstreams(keys, revision=revision)
         for zone in list(self._fleet.evacuated):
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -269,6 +269,11 @@
     OBJECTS_BACK_IN_REGION = EventRule(
         461, logging.INFO, "the objects that left a region are back"
     )
+    STORE_EPOCH_CHANGED = EventRule(
+        462,
+        logging.WARNING,
+        "the store was restored from a copy; its data is read again",
+    )
 
 
 def setup(*, level: str, file: str) -> None:
--- a/almondstair/platform/kv.py
+++ b/almondstair/platform/kv.py
@@ -8,11 +8,17 @@
 
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
+from almondstair.gateway.http_encoding import ResponseHead
+from almondstair.gateway.http_encoding import find_header
+from almondstair.gateway.simple_http_client import HttpResponse
 from almondstair.gateway.simple_http_client import SimpleHttpClient
 
 # Responses take milliseconds. A longer time means a dead connection or a
 # failure of the store.
 CALL_TIMEOUT_S = 1.0
+# Epoch of the store's history, in each of its responses.
+_EPOCH_HEADER = b"store-era"
+_MAX_EPOCH_DIGITS = 18
 _OK = 200
 _NOT_FOUND = 404
 _COMPACTED = 410
@@ -33,11 +39,19 @@
 
 
 class Page(NamedTuple):
-    """Holds one page of a listing or of changes."""
+    """Holds one page of a listing or of changes.
+
+    Attributes:
+      items: the keys, or the changes.
+      more: whether there are more pages.
+      revision: the store's revision that the page reflects.
+      epoch: the epoch of the store in which the revision is counted.
+    """
 
     items: list[Item]
     more: bool
     revision: int
+    epoch: int
 
 
 class _WireItem(msgspec.Struct, rename="camel"):
@@ -88,15 +102,18 @@
 
     Attributes:
       calls: number of calls by kind.
+      epoch: the store's epoch that its last response stated; 0 if none did.
     """
 
     def __init__(self, *, address: str) -> None:
         """Creates a client of the store at `ip:port`."""
         self._http_client = SimpleHttpClient(address=address)
         self.calls: dict[str, int] = {}
+        self.epoch = 0
 
     def set_address(self, address: str) -> None:
         """Replaces the store's address; calls in flight fail."""
+        self.epoch = 0
         self._http_client.close()
         self._http_client = SimpleHttpClient(address=address)
 
@@ -106,10 +123,10 @@
 
     async def _call(
         self, kind: str, method: str, path: str, body: bytes = b""
-    ) -> tuple[int, bytes]:
+    ) -> HttpResponse:
         self.calls[kind] = self.calls.get(kind, 0) + 1
         try:
-            return await self._http_client.call(
+            response = await self._http_client.call(
                 method=method, path=path, body=body, timeout_s=CALL_TIMEOUT_S
             )
         except (OSError, TimeoutError) as error:
@@ -117,6 +134,8 @@
                 kind=ErrorKind.PLATFORM_UNAVAILABLE,
                 detail=f"{kind}: {str(error) or 'no response in time'}",
             ) from error
+        self.epoch = _read_epoch(response.head, default=self.epoch)
+        return response
 
     @staticmethod
     def _status_error(kind: str, status: int) -> AlmondstairError:
@@ -142,10 +161,10 @@
         if stale:
             query["staleOk"] = "1"
         path = "/kv-range?" + parse.urlencode(query)
-        status, body = await self._call("list", "GET", path)
-        if status != _OK:
-            raise self._status_error("list", status)
-        return _read_page(body)
+        response = await self._call("list", "GET", path)
+        if response.status != _OK:
+            raise self._status_error("list", response.status)
+        return self._read_page(response)
 
     async def list_changes(
         self, *, prefix: str, after: int, wait_ms: int
@@ -159,40 +178,40 @@
         """
         query = {"prefix": prefix, "after": after, "waitMs": wait_ms}
         path = "/kv-watch?" + parse.urlencode(query)
-        status, body = await self._call("watch", "GET", path)
-        if status == _COMPACTED:
+        response = await self._call("watch", "GET", path)
+        if response.status == _COMPACTED:
             return None
-        if status != _OK:
-            raise self._status_error("watch", status)
-        return _read_page(body)
+        if response.status != _OK:
+            raise self._status_error("watch", response.status)
+        return self._read_page(response)
 
     async def grant_lease(self, *, ttl_s: float) -> int:
         """Creates a lease and returns its id."""
         body = msgspec.json.encode({"ttlS_time": ttl_s})
-        status, response = await self._call("lease", "POST", "/kv-lease", body)
-        if status != _OK:
-            raise self._status_error("lease", status)
+        response = await self._call("lease", "POST", "/kv-lease", body)
+        if response.status != _OK:
+            raise self._status_error("lease", response.status)
         try:
-            return _LEASE.decode(response).lease
+            return _LEASE.decode(response.body).lease
         except msgspec.MsgspecError as error:
-            raise self._status_error("lease", status) from error
+            raise self._status_error("lease", response.status) from error
 
     async def renew_lease(self, lease: int) -> bool:
         """Renews a lease; returns whether it still existed."""
         path = f"/kv-keep/{lease}"
-        status, _ = await self._call("keep", "POST", path)
-        if status == _NOT_FOUND:
+        response = await self._call("keep", "POST", path)
+        if response.status == _NOT_FOUND:
             return False
-        if status != _OK:
-            raise self._status_error("keep", status)
+        if response.status != _OK:
+            raise self._status_error("keep", response.status)
         return True
 
     async def revoke_lease(self, lease: int) -> None:
         """Ends a lease and removes its keys."""
         path = f"/kv-lease-end/{lease}"
-        status, _ = await self._call("end", "DELETE", path)
-        if status not in (_OK, _NOT_FOUND):
-            raise self._status_error("end", status)
+        response = await self._call("end", "DELETE", path)
+        if response.status not in (_OK, _NOT_FOUND):
+            raise self._status_error("end", response.status)
 
     async def put(self, *, key: str, value: bytes, lease: int) -> bool:
         """Writes a key under a lease; returns whether the lease existed."""
@@ -204,21 +223,40 @@
         body = msgspec.json.encode(
             {"expectedRev": [], "puts": [put], "remove": []}
         )
-        status, _ = await self._call("write", "POST", "/kv-txn", body)
-        if status == _NOT_FOUND:
+        response = await self._call("write", "POST", "/kv-txn", body)
+        if response.status == _NOT_FOUND:
             return False
-        if status != _OK:
-            raise self._status_error("write", status)
+        if response.status != _OK:
+            raise self._status_error("write", response.status)
         return True
 
+    def _read_page(self, response: HttpResponse) -> Page:
+        try:
+            wire = _PAGE.decode(response.body)
+            items = [_decode_item(item) for item in wire.items + wire.events]
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise AlmondstairError(
+                kind=ErrorKind.PLATFORM_UNAVAILABLE,
+                detail=f"the store's response is invalid: {error}",
+            ) from error
+        return Page(
+            items=items,
+            more=wire.has_more,
+            revision=wire.as_of,
+            epoch=_read_epoch(response.head, default=self.epoch),
+        )
 
-def _read_page(body: bytes) -> Page:
-    try:
-        wire = _PAGE.decode(body)
-        items = [_decode_item(item) for item in wire.items + wire.events]
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise AlmondstairError(
-            kind=ErrorKind.PLATFORM_UNAVAILABLE,
-            detail=f"the store's response is invalid: {error}",
-        ) from error
-    return Page(items=items, more=wire.has_more, revision=wire.as_of)
+
+def _read_epoch(head: ResponseHead, *, default: int) -> int:
+    """Returns the store's epoch that a response states.
+
+    Args:
+      head: head of the response.
+      default: the epoch if the response states none.
+    """
+    value = find_header(head.headers, _EPOCH_HEADER)
+    if value is None or not value.isdigit():
+        return default
+    if len(value) > _MAX_EPOCH_DIGITS:
+        return default
+    return int(value)
--- a/features/steps/gateway_following_steps.py
+++ b/features/steps/gateway_following_steps.py
@@ -157,7 +157,10 @@
     client = SimpleHttpClient(address=address)
     began_s = now_s()
     try:
-        _, body = await client.call(method="GET", path="/", timeout_s=timeout_s)
+        response = await client.call(
+            method="GET", path="/", timeout_s=timeout_s
+        )
+        body = response.body
     except (OSError, TimeoutError):
         body = b""
     took_s = now_s() - began_s
