--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -1,7 +1,8 @@
 """An entry's view of the deployment: routes, upstreams and entries."""
 
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
+import contextlib
 import math
 
 import xxhash
@@ -112,6 +113,7 @@
         self._ended = EndedIncarnations()
         self._upstream_expiry_s: dict[str, float] = {}
         self._entry_expiry_s: dict[str, float] = {}
+        self._evacuation_expiry_s: dict[str, float] = {}
         self._former_entries_s: dict[str, float] = {}
         # Assumes that callers are spread evenly over the availability zones.
         self._orders = PlacementOrders(
@@ -176,17 +178,30 @@
     # Upstreams.
 
     def apply_upstream(
-        self, record: UpstreamRecord, *, now_s: float
+        self,
+        record: UpstreamRecord,
+        *,
+        now_s: float,
+        from_copy: bool = False,
     ) -> RegistrationChange:
         """Applies the registration of an upstream.
 
         Incarnations are kept apart. Otherwise a restarted upstream would
         inherit the load, the pauses and the cached objects of its previous
         incarnation, and would get no requests if that one was draining.
+
+        Args:
+          record: the registration.
+          now_s: the entry's clock, in seconds.
+          from_copy: whether a restored store lists it, which may have lost a
+            later one that this entry has applied.
         """
-        if self._ended.is_outdated(record):
-            return RegistrationChange(is_current=False, changed=False)
         state = self._upstreams.get(record.upstream_id)
+        outdated = self._ended.is_outdated(record)
+        if from_copy and state is None:
+            outdated = outdated or self._ended.had_ended(record)
+        if outdated:
+            return RegistrationChange(is_current=False, changed=False)
         if state is None:
             self._upstream_expiry_s.pop(record.upstream_id, None)
             self._add_upstream(record, now_s)
@@ -203,7 +218,9 @@
                 changed=True,
                 replaced_incarnation=state.incarnation,
             )
-        changed = self._change_upstream(state, record, now_s)
+        changed = False
+        if not from_copy or not _is_applied(record, before):
+            changed = self._change_upstream(state, record, now_s)
         return RegistrationChange(is_current=True, changed=changed)
 
     def _change_upstream(
@@ -224,9 +241,7 @@
             cold_extended = until_s > state.cold_until_s + COLD_MARGIN_S
             state.cold_until_s = max(state.cold_until_s, until_s)
         state.record = record
-        changed = record._replace(cold_left_s=0) != before._replace(
-            cold_left_s=0
-        )
+        changed = _without_progress(record) != _without_progress(before)
         if changed:
             self._mark_stale()
         return changed or cold_extended or newly_registered
@@ -441,6 +456,37 @@
         grace_s = DISCONNECT_GRACE_S if upstreams_wrote else EXPIRY_GRACE_S
         self._grace_until_s = now_s + grace_s
 
+    def begin_epoch(self) -> None:
+        """Begins the epoch of a restored store, of which nothing was applied.
+
+        What is removed in it has ended, and what lapsed before is listed or
+        lapses again.
+        """
+        self._upstream_expiry_s.clear()
+        self._entry_expiry_s.clear()
+        self._evacuation_expiry_s.clear()
+        self._grace_until_s = -math.inf
+
+    @contextlib.contextmanager
+    def lapsing(self, *, now_s: float) -> Iterator[None]:
+        """Keeps what is dropped meanwhile for a grace period.
+
+        What the first listing of an epoch lacks has not ended: it was written
+        after the copy was taken, and is written again.
+        """
+        before_s = self._grace_until_s
+        self._grace_until_s = now_s + EXPIRY_GRACE_S
+        yield
+        self._grace_until_s = before_s
+
+    def lapsed_count(self) -> int:
+        """Returns how many entries of the store are kept without it."""
+        return (
+            len(self._upstream_expiry_s)
+            + len(self._entry_expiry_s)
+            + len(self._evacuation_expiry_s)
+        )
+
     def drop_upstream(
         self, upstream_id: str, *, now_s: float
     ) -> UpstreamRecord | None:
@@ -484,7 +530,13 @@
             if now_s >= at_s:
                 self._remove_entry(name, now_s)
                 entries.append(name)
-        return ExpiredRegistrations(upstreams=upstreams, entries=entries)
+        evacuations = []
+        for zone, at_s in list(self._evacuation_expiry_s.items()):
+            if now_s >= at_s:
+                evacuations.append(zone)
+        return ExpiredRegistrations(
+            upstreams=upstreams, entries=entries, evacuations=evacuations
+        )
 
     def _remove(self, upstream_id: str) -> UpstreamRecord | None:
         self._upstream_expiry_s.pop(upstream_id, None)
@@ -681,6 +733,7 @@
 
     def start_evacuation(self, zone: str, *, now_s: float) -> bool:
         """Stops new requests to a zone; returns whether this is a change."""
+        self._evacuation_expiry_s.pop(zone, None)
         if zone in self.evacuated:
             return False
         self.evacuated[zone] = now_s
@@ -689,6 +742,7 @@
 
     def end_evacuation(self, zone: str, *, now_s: float) -> bool:
         """Ends an evacuation; the zone's upstreams count as cold."""
+        self._evacuation_expiry_s.pop(zone, None)
         if zone not in self.evacuated:
             return False
         del self.evacuated[zone]
@@ -700,6 +754,10 @@
         self._mark_stale()
         return True
 
+    def lapse_evacuation(self, zone: str, *, now_s: float) -> None:
+        """Keeps an evacuation that a restored store lacks, for a while."""
+        self._evacuation_expiry_s[zone] = now_s + EXPIRY_GRACE_S
+
     # Entries.
 
     def record_registered(
@@ -795,3 +853,16 @@
 
 def _ignore_change() -> None:
     """Does nothing; nobody has asked for changes yet."""
+
+
+def _without_progress(record: UpstreamRecord) -> UpstreamRecord:
+    """Returns a registration without what changes with each renewal."""
+    return record._replace(cold_left_s=0.0, sequence=0)
+
+
+def _is_applied(record: UpstreamRecord, known: UpstreamRecord) -> bool:
+    """Returns whether a registration is as old as the known one, or older."""
+    if record.sequence < known.sequence:
+        return True
+    same = _without_progress(record) == _without_progress(known)
+    return record.sequence == known.sequence and same
--- a/almondstair/core/incarnations.py
+++ b/almondstair/core/incarnations.py
@@ -32,6 +32,7 @@
     def __init__(self) -> None:
         """Starts with an empty memory."""
         self._started_ms: OrderedDict[str, int] = OrderedDict()
+        self._sequences: OrderedDict[str, int] = OrderedDict()
         self._leaving: OrderedDict[int, LeavingSource] = OrderedDict()
         self._cold_until_s: OrderedDict[str, float] = OrderedDict()
         self._rests: OrderedDict[int, UpstreamRest] = OrderedDict()
@@ -58,6 +59,7 @@
             record.started_ms, self._started_ms.get(record.upstream_id, 0)
         )
         _remember(self._started_ms, record.upstream_id, started_ms)
+        _remember(self._sequences, record.incarnation, record.sequence)
         if record.started_ms:
             _remember(self._cold_until_s, record.incarnation, cold_until_s)
 
@@ -101,6 +103,14 @@
             return True
         return incarnation_hash(record.incarnation) in self._replaced
 
+    def had_ended(self, record: UpstreamRecord) -> bool:
+        """Returns whether a registration was written before its upstream ended.
+
+        Only a store that is restored from a copy lists such a registration.
+        """
+        last = self._sequences.get(record.incarnation)
+        return last is not None and record.sequence <= last
+
     def cold_until_s(self, record: UpstreamRecord) -> float | None:
         """Returns until when a remembered incarnation is cold.
 
--- a/almondstair/core/registered_entries.py
+++ b/almondstair/core/registered_entries.py
@@ -56,7 +56,14 @@
 
 
 class ExpiredRegistrations(NamedTuple):
-    """Holds the registrations whose grace period is over."""
+    """Holds what the store lacks and whose grace period is over.
+
+    Attributes:
+      upstreams: last registrations of upstreams.
+      entries: names of entries.
+      evacuations: evacuated availability zones.
+    """
 
     upstreams: list[UpstreamRecord]
     entries: list[str]
+    evacuations: list[str]
--- a/almondstair/core/upstream_state.py
+++ b/almondstair/core/upstream_state.py
@@ -48,6 +48,7 @@
       cold_left_s: remaining time for which it is cold after its start, in
         seconds.
       started_ms: time of its start, in milliseconds since 1970; 0 if unknown.
+      sequence: number of its writes of the registration; 0 if unknown.
     """
 
     upstream_id: str
@@ -59,6 +60,7 @@
     draining: bool
     cold_left_s: float
     started_ms: int = 0
+    sequence: int = 0
 
     @property
     def incarnation(self) -> str:
--- a/almondstair/gateway/change_log.py
+++ b/almondstair/gateway/change_log.py
@@ -9,6 +9,8 @@
 from typing import Any
 
 from almondstair import log
+from almondstair.core.revisions import Revision
+from almondstair.core.revisions import revision_fields
 
 # Changes of one batch that get a line each; later ones are only counted.
 MAX_SINGLE_LINES = 20
@@ -45,7 +47,7 @@
             return
         self._counts[f"{event.name.lower()} {group}"] += 1
 
-    def end(self, *, revision: int) -> None:
+    def end(self, *, revision: Revision) -> None:
         """Ends a batch and logs a summary of the counted changes.
 
         Args:
@@ -56,7 +58,7 @@
                 log.Event.REGISTRATIONS_CHANGED,
                 changes=self._counts.total(),
                 counts=dict(self._counts),
-                revision=revision,
+                **revision_fields(revision),
             )
         self._single_lines_left = MAX_SINGLE_LINES
         self._counts.clear()
--- a/almondstair/gateway/configuration_history.py
+++ b/almondstair/gateway/configuration_history.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 import zlib
 
+from almondstair.core.revisions import Revision
+
 # Each version takes some tens of kilobytes compressed at 10,000 routes.
 MAX_VERSIONS = 8
 
@@ -19,7 +21,7 @@
     """
 
     version: int
-    revision: int
+    revision: Revision
     in_force_since_s: float
     compressed_text: bytes
 
@@ -38,7 +40,7 @@
         )
 
     def add(
-        self, *, version: int, text: bytes, revision: int, now_s: float
+        self, *, version: int, text: bytes, revision: Revision, now_s: float
     ) -> None:
         """Adds a configuration that comes into force now."""
         self._configurations.append(
--- a/almondstair/gateway/entry_registration.py
+++ b/almondstair/gateway/entry_registration.py
@@ -7,6 +7,7 @@
 from almondstair.clock import now_s
 from almondstair.core.fleet import Fleet
 from almondstair.errors import AlmondstairError
+from almondstair.errors import ErrorKind
 from almondstair.platform import documents
 from almondstair.platform.kv import KvClient
 
@@ -51,6 +52,7 @@
         self._value = documents.encode_entry(record)
         self._ttl_s = max(LEASE_S, shortest_lease_s)
         self._lease = 0
+        self._lease_epoch = 0
 
     async def run(self) -> None:
         """Registers and renews until it is cancelled."""
@@ -66,26 +68,54 @@
 
     async def _register_or_renew(self) -> None:
         began_s = now_s()
-        created = not self._lease or not await self._client.renew_lease(
-            self._lease
-        )
+        created = not await self._renew()
         if created:
             self._lease = 0
             began_s = now_s()
-            lease = await self._client.grant_lease(ttl_s=self._ttl_s)
-            if not await self._client.put(
-                key=self._key, value=self._value, lease=lease
-            ):
-                return
-            self._lease = lease
+            await self._register()
         # The store starts the lease after `began_s`, when the call arrives.
         self._fleet.record_registered(
             valid_until_s=began_s + self._ttl_s, created=created, now_s=now_s()
         )
 
-    async def withdraw(self) -> None:
-        """Ends the lease at a planned stop, which removes the registration."""
+    async def _renew(self) -> bool:
+        """Renews the lease; returns whether this entry is still registered.
+
+        A store that was restored from a copy may lack the registration although
+        it has a lease of this number, which may be another entry's now.
+        """
         if not self._lease:
+            return False
+        if not await self._client.renew_lease(self._lease):
+            return False
+        return self._client.epoch == self._lease_epoch
+
+    async def _register(self) -> None:
+        """Writes the registration under a new lease.
+
+        Raises:
+          AlmondstairError: `platform_unavailable`.
+        """
+        lease = await self._client.grant_lease(ttl_s=self._ttl_s)
+        epoch = self._client.epoch
+        written = await self._client.put(
+            key=self._key, value=self._value, lease=lease
+        )
+        if not written or self._client.epoch != epoch:
+            raise AlmondstairError(
+                kind=ErrorKind.PLATFORM_UNAVAILABLE,
+                detail="the lease ended before the registration was written",
+            )
+        self._lease = lease
+        self._lease_epoch = epoch
+
+    async def withdraw(self) -> None:
+        """Ends the lease at a planned stop, which removes the registration.
+
+        A lease of an earlier epoch is left alone: its number may be that of
+        another entry's lease.
+        """
+        if not self._lease or self._client.epoch != self._lease_epoch:
             return
         try:
             await self._client.revoke_lease(self._lease)
--- a/almondstair/gateway/gateway_metrics.py
+++ b/almondstair/gateway/gateway_metrics.py
@@ -72,6 +72,14 @@
             "almondstair_store_age_seconds",
             "time since the store last answered, in seconds",
         )
+        self.store_epoch = self._gauge(
+            "almondstair_store_epoch",
+            "epoch of the store that this entry's view reflects",
+        )
+        self.lapsed_registrations = self._gauge(
+            "almondstair_lapsed_registrations",
+            "registrations that the store lacks and this entry still keeps",
+        )
         self.configuration_version = self._gauge(
             "almondstair_configuration_version",
             "version of the configuration in force",
--- a/almondstair/gateway/mirror.py
+++ b/almondstair/gateway/mirror.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from almondstair.core.revisions import Revision
+
 # Removals are forgotten once there are more keys than this. Entries poll about
 # twice a second; one whose last poll precedes a forgotten removal gets a full
 # listing.
@@ -23,14 +25,21 @@
     Attributes:
       key: the key.
       value: its value; None if it was removed.
-      revision: the store's revision of its last change.
+      number: number of the store's revision of its last change.
       compressed: whether the value is compressed.
+      epoch: epoch in which the number is counted.
     """
 
     key: str
     value: bytes | None
-    revision: int
+    number: int
     compressed: bool = False
+    epoch: int = 0
+
+    @property
+    def revision(self) -> Revision:
+        """Returns the store's revision of its last change."""
+        return Revision(self.epoch, self.number)
 
     def decompressed(self) -> bytes | None:
         """Returns the value as it is in the store.
@@ -43,7 +52,7 @@
         return zlib.decompress(self.value)
 
 
-def _make_item(key: str, value: bytes, revision: int) -> MirrorItem:
+def _make_item(key: str, value: bytes, revision: Revision) -> MirrorItem:
     """Returns an item, compressed once for all entries that will poll it.
 
     Without compression, a reader on a link of 10 Mbit/s that sends a large
@@ -51,12 +60,15 @@
     allow.
     """
     if len(value) < MIN_COMPRESSED_BYTES:
-        return MirrorItem(key=key, value=value, revision=revision)
+        return MirrorItem(
+            key=key, value=value, number=revision.number, epoch=revision.epoch
+        )
     return MirrorItem(
         key=key,
         value=zlib.compress(value, COMPRESSION_LEVEL),
-        revision=revision,
+        number=revision.number,
         compressed=True,
+        epoch=revision.epoch,
     )
 
 
@@ -66,18 +78,25 @@
     Attributes:
       source: the mirror's incarnation, in which `last_number` is counted.
       last_number: number of the last change.
-      revision: the store's revision that the mirror reflects.
+      number: number of the store's revision that the mirror reflects.
       age_s: age of the mirror's data, in seconds.
       listing: whether the items are a full listing.
-      items: the changed items, or all.
+      items: the changed items, or all, with those removed in this epoch.
+      epoch: epoch in which the number is counted.
     """
 
     source: str
     last_number: int
-    revision: int
+    number: int
     age_s: float
     listing: bool
     items: list[MirrorItem]
+    epoch: int = 0
+
+    @property
+    def revision(self) -> Revision:
+        """Returns the store's revision that the mirror reflects."""
+        return Revision(self.epoch, self.number)
 
 
 class _Change(NamedTuple):
@@ -95,14 +114,22 @@
         self._last_forgotten = 0
         self._changes: dict[str, _Change] = {}
 
-    def put(self, key: str, value: bytes, revision: int) -> None:
+    def put(self, key: str, value: bytes, revision: Revision) -> None:
         """Stores a changed value that is relevant to other entries."""
         self._add(_make_item(key, value, revision))
 
-    def remove(self, key: str, revision: int) -> None:
+    def remove(self, key: str, revision: Revision) -> None:
         """Records the removal of a key."""
-        if key in self._changes:
-            self._add(MirrorItem(key=key, value=None, revision=revision))
+        if key not in self._changes:
+            return
+        self._add(
+            MirrorItem(
+                key=key,
+                value=None,
+                number=revision.number,
+                epoch=revision.epoch,
+            )
+        )
 
     def _add(self, item: MirrorItem) -> None:
         self._number += 1
@@ -119,10 +146,13 @@
                 del self._changes[key]
 
     def page(
-        self, *, source: str, after: int, revision: int, age_s: float
+        self, *, source: str, after: int, revision: Revision, age_s: float
     ) -> MirrorPage:
         """Returns the changes after a number, or a full listing.
 
+        A listing has the removals of the current epoch too. To an entry that
+        learns of the epoch by it, what is missing has only lapsed.
+
         Args:
           source: incarnation of the mirror in which `after` is counted.
           after: number of the last change that the polling entry has.
@@ -132,15 +162,17 @@
         listing = source != self._source or after < self._last_forgotten
         items = []
         for change in self._changes.values():
-            if listing and change.item.value is None:
+            removed = change.item.value is None
+            if listing and removed and change.item.epoch != revision.epoch:
                 continue
             if listing or change.number > after:
                 items.append(change.item)
         return MirrorPage(
             source=self._source,
             last_number=self._number,
-            revision=revision,
+            number=revision.number,
             age_s=age_s,
             listing=listing,
             items=items,
+            epoch=revision.epoch,
         )
--- a/almondstair/gateway/operator_reports.py
+++ b/almondstair/gateway/operator_reports.py
@@ -79,6 +79,8 @@
         table = self._fleet.table
         metrics.connections.set(self._pool.connections_opened)
         metrics.store_age_s.set(now - self._store_sync.as_of_s)
+        metrics.store_epoch.set(self._store_sync.revision.epoch)
+        metrics.lapsed_registrations.set(self._fleet.lapsed_count())
         metrics.configuration_version.set(table.version if table else 0)
         metrics.entries.set(len(self._fleet.entries))
         metrics.requests_in_flight.set(len(self._in_flight))
@@ -214,7 +216,8 @@
             "ready": ready,
             "leaving": leaving,
             "configuration_version": table.version if table else None,
-            "store_revision": self._store_sync.revision,
+            "store_revision": self._store_sync.revision.number,
+            "store_epoch": self._store_sync.revision.epoch,
             "store_age_s": round(now - self._store_sync.as_of_s, 2),
             "peers_heard": self._fleet.peer_loads_complete,
             "links": self._describe_links(now),
@@ -284,7 +287,8 @@
             versions.append(
                 {
                     "version": past.version,
-                    "revision": past.revision,
+                    "revision": past.revision.number,
+                    "epoch": past.revision.epoch,
                     "in_force_s_ago": round(now - past.in_force_since_s, 2),
                 }
             )
--- a/almondstair/gateway/registrations.py
+++ b/almondstair/gateway/registrations.py
@@ -7,6 +7,8 @@
 from almondstair.clock import now_s
 from almondstair.core.fleet import Fleet
 from almondstair.core.registered_entries import Entry
+from almondstair.core.revisions import Revision
+from almondstair.core.revisions import revision_fields
 from almondstair.core.upstream_state import UpstreamRecord
 from almondstair.gateway.change_log import ChangeLog
 from almondstair.gateway.connection_pool import ConnectionPool
@@ -28,6 +30,7 @@
 
     Attributes:
       change_log: logs the changes.
+      reads_copy: whether the first listing of a restored store is applied.
     """
 
     def __init__(
@@ -44,8 +47,9 @@
         self._pool = pool
         self._mirror = mirror
         self.change_log = ChangeLog()
+        self.reads_copy = False
         # Revision of the last applied registration, by the upstream's id.
-        self._revisions: dict[str, int] = {}
+        self._revisions: dict[str, Revision] = {}
         self._logged: OrderedDict[str, None] = OrderedDict()
 
     def reset_revisions(self) -> None:
@@ -62,13 +66,16 @@
         if record is None:
             self._log_unreadable(item)
             return
-        if item.revision <= self._revisions.get(upstream_id, 0):
+        known = self._revisions.get(upstream_id, Revision())
+        if item.revision.number <= known.number:
             # A peer's first response has each upstream's last change, without
             # later renewals. Applied as current, a registration from an
             # upstream's start would make it cold again for the time reported
             # then, and its service would reject requests despite free slots.
             record = record._replace(cold_left_s=0.0)
-        result = self._fleet.apply_upstream(record, now_s=now_s())
+        result = self._fleet.apply_upstream(
+            record, now_s=now_s(), from_copy=self.reads_copy
+        )
         if result.replaced_incarnation:
             self._pool.close_upstream(incarnation=result.replaced_incarnation)
             self.change_log.write(
@@ -77,8 +84,9 @@
                 upstream=result.replaced_incarnation,
             )
         if result.is_current:
-            known = self._revisions.get(upstream_id, 0)
-            self._revisions[upstream_id] = max(known, item.revision)
+            known = self._revisions.get(upstream_id, Revision())
+            if item.revision.number > known.number:
+                self._revisions[upstream_id] = item.revision
         if not result.changed:
             return
         self._mirror.put(item.key, item.value, item.revision)
@@ -90,11 +98,12 @@
             availability_zone=record.availability_zone,
             draining=record.draining,
             cold_left_s=record.cold_left_s,
-            revision=item.revision,
+            **revision_fields(item.revision),
         )
 
-    def _remove_upstream(self, upstream_id: str, revision: int) -> None:
-        if revision < self._revisions.get(upstream_id, 0):
+    def _remove_upstream(self, upstream_id: str, revision: Revision) -> None:
+        known = self._revisions.get(upstream_id, Revision())
+        if revision.number < known.number:
             # The removal concerns an earlier incarnation: a peer's data is
             # older than what the store has sent since.
             return
@@ -103,7 +112,7 @@
             self.clean_up_upstream(record, revision=revision)
 
     def clean_up_upstream(
-        self, record: UpstreamRecord, *, revision: int
+        self, record: UpstreamRecord, *, revision: Revision
     ) -> None:
         """Cleans up after an upstream that is no longer registered.
 
@@ -122,7 +131,7 @@
         )
 
     def drop_unlisted_upstreams(
-        self, keys: Collection[str], *, revision: int
+        self, keys: Collection[str], *, revision: Revision
     ) -> None:
         """Drops the upstreams that are missing from a full listing.
 
@@ -163,7 +172,7 @@
                 group=entry.availability_zone,
                 entry=name,
                 registered=True,
-                revision=item.revision,
+                **revision_fields(item.revision),
             )
 
     def _log_unreadable(self, item: Item) -> None:
@@ -173,5 +182,7 @@
         if len(self._logged) > MAX_LOGGED_KEYS:
             self._logged.popitem(last=False)
         log.event(
-            log.Event.REGISTRATION_BAD, key=item.key, revision=item.revision
+            log.Event.REGISTRATION_BAD,
+            key=item.key,
+            **revision_fields(item.revision),
         )
--- a/almondstair/gateway/sources.py
+++ b/almondstair/gateway/sources.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from almondstair.core.revisions import Revision
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.gateway.mirror import MirrorPage
@@ -17,6 +18,8 @@
 # A peer of the same zone responds in 1 ms, one of the farthest region in 0.11 s
 # plus the time to connect.
 PEER_TIMEOUT_S = 0.5
+# Attempts to list the store while its epoch changes between the pages.
+MAX_LISTINGS = 3
 _PAGE = msgspec.msgpack.Decoder(MirrorPage)
 
 
@@ -27,26 +30,26 @@
       items: the changed items, or all.
       listing: whether the items are a full listing.
       revision: the store's revision that they reflect.
-      epoch: the store's epoch in which the revision is counted.
       age_s: time since the store sent them, in seconds.
       from_store: whether they come from the store itself.
     """
 
     items: list[Item]
     listing: bool
-    revision: int
+    revision: Revision
     age_s: float
     from_store: bool
-    epoch: int = 0
 
 
 class Source(abc.ABC):
     """Supplies the store's data."""
 
     @abc.abstractmethod
-    async def fetch(self, *, after: int) -> Batch:
+    async def fetch(self, *, after: Revision) -> Batch:
         """Returns the changes after a revision, or a full listing.
 
+        Data of another epoch than that of the revision is always a listing.
+
         Raises:
           AlmondstairError: `platform_unavailable`.
         """
@@ -59,25 +62,36 @@
         """Creates a source that uses a client of the store."""
         self._client = client
 
-    async def fetch(self, *, after: int) -> Batch:
+    async def fetch(self, *, after: Revision) -> Batch:
         """Fetches changes, or a full listing if they are not available."""
-        if after:
+        if after.number and self._client.epoch <= after.epoch:
             page = await self._client.list_changes(
-                prefix="", after=after, wait_ms=0
+                prefix="", after=after.number, wait_ms=0
             )
-            if page is not None:
+            # In another epoch, `after` may be the number of another change.
+            if page is not None and page.revision.epoch == after.epoch:
                 return Batch(
                     items=page.items,
                     listing=False,
                     revision=page.revision,
                     age_s=0.0,
                     from_store=True,
-                    epoch=page.epoch,
                 )
         return await self._list()
 
     async def _list(self) -> Batch:
-        """Returns a full listing, page by page.
+        """Returns a full listing whose pages are all of one epoch."""
+        for _ in range(MAX_LISTINGS):
+            batch = await self._list_once()
+            if batch is not None:
+                return batch
+        raise AlmondstairError(
+            kind=ErrorKind.PLATFORM_UNAVAILABLE,
+            detail="the store's epoch changed during each listing",
+        )
+
+    async def _list_once(self) -> Batch | None:
+        """Returns a full listing, None if the epoch changes within it.
 
         The pages are not a snapshot. The next poll returns what changed in the
         meantime, because it asks for the changes after the first page's
@@ -85,10 +99,13 @@
         """
         items: list[Item] = []
         after = ""
-        revision = 0
+        revision = Revision()
         while True:
             page = await self._client.list_page(prefix="", after=after)
-            revision = revision or page.revision
+            if not revision.number:
+                revision = page.revision
+            if page.revision.epoch != revision.epoch:
+                return None
             items.extend(page.items)
             if not page.more or not page.items:
                 break
@@ -99,7 +116,6 @@
             revision=revision,
             age_s=0.0,
             from_store=True,
-            epoch=page.epoch,
         )
 
 
@@ -117,11 +133,14 @@
         """Closes the connections to the peer."""
         self._client.close()
 
-    async def fetch(self, *, after: int) -> Batch:
+    async def fetch(self, *, after: Revision) -> Batch:
         """Fetches what the mirror has and this entry lacks."""
-        query = {"source": self._mirror, "after": self._last_number}
-        path = "/changes?" + parse.urlencode(query)
-        page = await self._fetch_page(path)
+        page = await self._fetch_changes()
+        if page.epoch > after.epoch and not page.listing:
+            # What this entry knows may come from other sources, so the changes
+            # of this mirror are not all that the new epoch lacks.
+            self._mirror = ""
+            page = await self._fetch_changes()
         if page.revision < after:
             # Older than this entry's data: applying it would restore what was
             # removed since.
@@ -140,6 +159,10 @@
             from_store=False,
         )
 
+    async def _fetch_changes(self) -> MirrorPage:
+        query = {"source": self._mirror, "after": self._last_number}
+        return await self._fetch_page("/changes?" + parse.urlencode(query))
+
     def _decode_items(self, page: MirrorPage) -> list[Item]:
         items = []
         for mirror_item in page.items:
--- a/almondstair/gateway/store_sync.py
+++ b/almondstair/gateway/store_sync.py
@@ -9,6 +9,8 @@
 from almondstair.core import zone_roles
 from almondstair.core.fleet import Fleet
 from almondstair.core.registered_entries import Entry
+from almondstair.core.revisions import Revision
+from almondstair.core.revisions import revision_fields
 from almondstair.errors import AlmondstairError
 from almondstair.gateway.configuration_history import ConfigurationHistory
 from almondstair.gateway.connection_pool import ConnectionPool
@@ -55,7 +57,6 @@
     Attributes:
       as_of_s: time that the view of the fleet reflects, on the entry's clock.
       revision: the store's revision that the view reflects.
-      epoch: the store's epoch in which the revision is counted.
       history: the configurations that were in force.
     """
 
@@ -79,6 +80,7 @@
           own_zone: its availability zone.
           seeds: addresses of entries to poll while none is known.
         """
+        self._client = client
         self._store = StoreSource(client=client)
         self._fleet = fleet
         self._own_name = own_name
@@ -94,8 +96,9 @@
             fleet=fleet, pool=pool, mirror=self._mirror
         )
         self.as_of_s = 0.0
-        self.revision = 0
-        self.epoch = 0
+        self.revision = Revision()
+        self._epoch_changed = asyncio.Event()
+        client.on_epoch_change = self._epoch_changed.set
 
     def set_seeds(self, seeds: Sequence[str]) -> None:
         """Sets the addresses of entries to poll while none is known."""
@@ -105,7 +108,7 @@
 
     def reset_revision(self) -> None:
         """Forgets the revisions of a store that was replaced by another."""
-        self.revision = 0
+        self.revision = Revision()
         self._registrations.reset_revisions()
 
     async def run(self) -> None:
@@ -114,13 +117,33 @@
         while True:
             if await self._poll():
                 backoff_s = FIRST_BACKOFF_S
-                await asyncio.sleep(
+                await self._pause(
                     POLL_INTERVAL_S * (0.9 + 0.2 * random.random())
                 )
                 continue
             await asyncio.sleep(backoff_s * (0.5 + random.random()))
             backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
 
+    async def _pause(self, pause_s: float) -> None:
+        """Waits for the next poll, less if the store states a new epoch.
+
+        An entry that reads the store through a peer keeps its pace, so that not
+        all entries list a store that has just come back.
+        """
+        try:
+            async with asyncio.timeout(pause_s):
+                while not self._must_list_again():
+                    await self._epoch_changed.wait()
+                    self._epoch_changed.clear()
+        except TimeoutError:
+            return
+
+    def _must_list_again(self) -> bool:
+        """Returns whether a call other than a poll has shown a new epoch."""
+        if self._client.epoch <= self.revision.epoch:
+            return False
+        return self._sources()[0] is self._store
+
     async def expire(self) -> None:
         """Removes registrations after their grace period until cancelled."""
         while True:
@@ -133,6 +156,9 @@
                 )
             for name in lapsed.entries:
                 self._forget_entry(name)
+            for zone in lapsed.evacuations:
+                key = documents.EVACUATION_PREFIX + zone
+                self._apply_evacuation(Item(key, None, self.revision))
             self._registrations.change_log.end(revision=self.revision)
 
     def mirror_page(self, *, source: str, after: int) -> MirrorPage:
@@ -224,29 +250,30 @@
         log.event(
             log.Event.STORE_LOST,
             detail=error.detail if error else "the data of every peer is old",
-            revision=self.revision,
+            **revision_fields(self.revision),
             age_s=round(now_s() - self.as_of_s, 2),
         )
 
-    def _record_recovery(self, batch: Batch) -> None:
+    def _record_recovery(self, batch: Batch, *, restored: bool) -> None:
         """Ends an outage, and decides whether upstreams could use the store.
 
         Args:
           batch: the first fresh data after the outage.
+          restored: whether the store came back from a copy.
         """
         if not self._store_lost:
             return
         self._store_lost = False
         now = now_s()
-        upstreams_wrote = not batch.from_store or self._upstreams_wrote(
-            batch.items
+        upstreams_wrote = not restored and (
+            not batch.from_store or self._upstreams_wrote(batch.items)
         )
         self._fleet.record_store_recovery(
             upstreams_wrote=upstreams_wrote, now_s=now
         )
         log.event(
             log.Event.STORE_BACK,
-            revision=batch.revision,
+            **revision_fields(batch.revision),
             silent_s=round(now - self.as_of_s, 2),
             written_to=upstreams_wrote,
             from_store=batch.from_store,
@@ -276,9 +303,11 @@
           batch: the data of a source.
           fresh: whether it reflects the current state of the store.
         """
+        restored = self._is_restored(batch)
         if fresh:
-            self._record_recovery(batch)
-        self._record_epoch(batch)
+            self._record_recovery(batch, restored=restored)
+        if restored:
+            self._begin_epoch(batch)
         change_log = self._registrations.change_log
         change_log.begin(
             first=batch.listing and not self._fleet.upstream_count()
@@ -286,45 +315,74 @@
         for item in batch.items:
             self._apply_item(item)
         if batch.listing:
-            keys = {item.key for item in batch.items}
-            self._drop_unlisted(keys, batch.revision)
+            self._drop_unlisted(batch, restored=restored)
             self._fleet.mark_loaded()
             log.event(
                 log.Event.STORE_LISTED,
-                revision=batch.revision,
+                **revision_fields(batch.revision),
                 items=len(batch.items),
                 from_store=batch.from_store,
             )
+        if restored:
+            self._end_epoch_listing(batch)
         change_log.end(revision=batch.revision)
         self.revision = batch.revision
         self.as_of_s = max(self.as_of_s, now_s() - batch.age_s)
         self._fleet.as_of_s = self.as_of_s
 
-    def _record_epoch(self, batch: Batch) -> None:
-        """Logs that the store was restored from a copy."""
-        if not batch.epoch or batch.epoch == self.epoch:
-            return
-        before = self.epoch
-        self.epoch = batch.epoch
-        if not before:
-            return
+    def _is_restored(self, batch: Batch) -> bool:
+        """Returns whether a listing is the first one of a restored store.
+
+        A store that states no epoch shows it by a revision that went back.
+        """
+        if not batch.listing or not self.revision.number:
+            return False
+        if batch.revision.epoch != self.revision.epoch:
+            return True
+        return batch.from_store and batch.revision < self.revision
+
+    def _begin_epoch(self, batch: Batch) -> None:
+        self._fleet.begin_epoch()
+        self._registrations.reads_copy = True
+        if batch.revision < self.revision:
+            self._registrations.reset_revisions()
+
+    def _end_epoch_listing(self, batch: Batch) -> None:
+        self._registrations.reads_copy = False
         log.event(
             log.Event.STORE_EPOCH_CHANGED,
-            epoch=batch.epoch,
-            epoch_before=before,
-            revision=batch.revision,
-            revision_before=self.revision,
-            listing=batch.listing,
+            **revision_fields(batch.revision),
+            epoch_before=self.revision.epoch,
+            revision_before=self.revision.number,
             items=len(batch.items),
+            missing=self._fleet.lapsed_count(),
             from_store=batch.from_store,
         )
 
-    def _drop_unlisted(self, keys: set[str], revision: int) -> None:
-        self._registrations.drop_unlisted_upstreams(keys, revision=revision)
+    def _drop_unlisted(self, batch: Batch, *, restored: bool) -> None:
+        """Drops what a full listing lacks.
+
+        Args:
+          batch: the listing.
+          restored: whether it is the first one of a restored store.
+        """
+        keys = {item.key for item in batch.items if item.value is not None}
+        if restored:
+            with self._fleet.lapsing(now_s=now_s()):
+                self._drop_registrations(keys, batch.revision)
+        else:
+            self._drop_registrations(keys, batch.revision)
         for zone in list(self._fleet.evacuated):
             key = documents.EVACUATION_PREFIX + zone
-            if key not in keys:
-                self._apply_evacuation(Item(key, None, revision))
+            if key in keys:
+                continue
+            if restored:
+                self._fleet.lapse_evacuation(zone, now_s=now_s())
+                continue
+            self._apply_evacuation(Item(key, None, batch.revision))
+
+    def _drop_registrations(self, keys: set[str], revision: Revision) -> None:
+        self._registrations.drop_unlisted_upstreams(keys, revision=revision)
         for name in list(self._fleet.entries):
             key = documents.ENTRY_PREFIX + name
             if key not in keys:
@@ -359,7 +417,7 @@
             log.event(
                 log.Event.CONFIGURATION_IN_FORCE,
                 version=configuration.version,
-                revision=item.revision,
+                **revision_fields(item.revision),
                 routes=len(configuration.routes),
             )
 
@@ -376,7 +434,7 @@
                 log.Event.EVACUATION_CHANGED,
                 availability_zone=zone,
                 evacuated=item.value is not None,
-                revision=item.revision,
+                **revision_fields(item.revision),
             )
 
     def _apply_entry(self, item: Item) -> None:
@@ -397,5 +455,5 @@
             group="gone",
             entry=name,
             registered=False,
-            revision=self.revision,
+            **revision_fields(self.revision),
         )
--- a/almondstair/platform/documents.py
+++ b/almondstair/platform/documents.py
@@ -303,6 +303,7 @@
         draining=wire.state == "draining",
         cold_left_s=wire.cold_left_s,
         started_ms=wire.born,
+        sequence=wire.seq,
     )
 
 
--- a/almondstair/platform/kv.py
+++ b/almondstair/platform/kv.py
@@ -1,11 +1,13 @@
 """Client of the platform's key-value store."""
 
 import base64
+from collections.abc import Callable
 from typing import NamedTuple
 from urllib import parse
 
 import msgspec
 
+from almondstair.core.revisions import Revision
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.gateway.http_encoding import ResponseHead
@@ -30,12 +32,13 @@
     Attributes:
       key: name of the key.
       value: its value, None if the key was removed.
-      revision: the store's revision of this change.
+      revision: the store's revision of this change, counted in the epoch in
+        which the store listed it.
     """
 
     key: str
     value: bytes | None
-    revision: int
+    revision: Revision
 
 
 class Page(NamedTuple):
@@ -45,13 +48,11 @@
       items: the keys, or the changes.
       more: whether there are more pages.
       revision: the store's revision that the page reflects.
-      epoch: the epoch of the store in which the revision is counted.
     """
 
     items: list[Item]
     more: bool
-    revision: int
-    epoch: int
+    revision: Revision
 
 
 class _WireItem(msgspec.Struct, rename="camel"):
@@ -76,11 +77,11 @@
 _LEASE = msgspec.json.Decoder(_WireLease)
 
 
-def _decode_item(wire: _WireItem) -> Item:
-    if wire.removed:
-        return Item(key=wire.key, value=None, revision=wire.revision)
+def _decode_item(wire: _WireItem, epoch: int) -> Item:
     return Item(
-        key=wire.key, value=_decode_value(wire.value), revision=wire.revision
+        key=wire.key,
+        value=None if wire.removed else _decode_value(wire.value),
+        revision=Revision(epoch, wire.revision),
     )
 
 
@@ -102,7 +103,9 @@
 
     Attributes:
       calls: number of calls by kind.
-      epoch: the store's epoch that its last response stated; 0 if none did.
+      epoch: the newest epoch that the store's responses stated; 0 if none
+        did.
+      on_epoch_change: called when a response states a newer epoch.
     """
 
     def __init__(self, *, address: str) -> None:
@@ -110,6 +113,7 @@
         self._http_client = SimpleHttpClient(address=address)
         self.calls: dict[str, int] = {}
         self.epoch = 0
+        self.on_epoch_change: Callable[[], None] = _ignore_change
 
     def set_address(self, address: str) -> None:
         """Replaces the store's address; calls in flight fail."""
@@ -134,7 +138,10 @@
                 kind=ErrorKind.PLATFORM_UNAVAILABLE,
                 detail=f"{kind}: {str(error) or 'no response in time'}",
             ) from error
-        self.epoch = _read_epoch(response.head, default=self.epoch)
+        epoch = _read_epoch(response.head, default=self.epoch)
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self.on_epoch_change()
         return response
 
     @staticmethod
@@ -164,16 +171,19 @@
         response = await self._call("list", "GET", path)
         if response.status != _OK:
             raise self._status_error("list", response.status)
-        return self._read_page(response)
+        return self._page(response)
 
     async def list_changes(
         self, *, prefix: str, after: int, wait_ms: int
     ) -> Page | None:
         """Returns the changes since a revision, None if it was compacted.
 
+        The changes are of the epoch that the page states, which may differ from
+        the one in which `after` is counted.
+
         Args:
           prefix: start of the keys.
-          after: revision after which changes are returned.
+          after: number of the revision after which changes are returned.
           wait_ms: how long the store waits for a change, in milliseconds.
         """
         query = {"prefix": prefix, "after": after, "waitMs": wait_ms}
@@ -183,7 +193,7 @@
             return None
         if response.status != _OK:
             raise self._status_error("watch", response.status)
-        return self._read_page(response)
+        return self._page(response)
 
     async def grant_lease(self, *, ttl_s: float) -> int:
         """Creates a lease and returns its id."""
@@ -230,21 +240,25 @@
             raise self._status_error("write", response.status)
         return True
 
-    def _read_page(self, response: HttpResponse) -> Page:
-        try:
-            wire = _PAGE.decode(response.body)
-            items = [_decode_item(item) for item in wire.items + wire.events]
-        except (msgspec.MsgspecError, ValueError) as error:
-            raise AlmondstairError(
-                kind=ErrorKind.PLATFORM_UNAVAILABLE,
-                detail=f"the store's response is invalid: {error}",
-            ) from error
-        return Page(
-            items=items,
-            more=wire.has_more,
-            revision=wire.as_of,
-            epoch=_read_epoch(response.head, default=self.epoch),
-        )
+    def _page(self, response: HttpResponse) -> Page:
+        epoch = _read_epoch(response.head, default=self.epoch)
+        return _read_page(response.body, epoch=epoch)
+
+
+def _read_page(body: bytes, *, epoch: int = 0) -> Page:
+    try:
+        wire = _PAGE.decode(body)
+        items = []
+        for item in wire.items + wire.events:
+            items.append(_decode_item(item, epoch))
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise AlmondstairError(
+            kind=ErrorKind.PLATFORM_UNAVAILABLE,
+            detail=f"the store's response is invalid: {error}",
+        ) from error
+    return Page(
+        items=items, more=wire.has_more, revision=Revision(epoch, wire.as_of)
+    )
 
 
 def _read_epoch(head: ResponseHead, *, default: int) -> int:
@@ -260,3 +274,7 @@
     if len(value) > _MAX_EPOCH_DIGITS:
         return default
     return int(value)
+
+
+def _ignore_change() -> None:
+    """Does nothing; nobody has asked for changes of the epoch yet."""
--- a/almondstair/tools/gateway_tables.py
+++ b/almondstair/tools/gateway_tables.py
@@ -37,7 +37,7 @@
             body["entry"],
             "yes" if body["ready"] else "[red]NO[/red]",
             str(body["configuration_version"]),
-            str(body["store_revision"]),
+            _revision(body["store_revision"], body.get("store_epoch", 0)),
             _age(body["store_age_s"]),
             "all heard" if body["peers_heard"] else tables.UNKNOWN,
             _links(body.get("links")),
@@ -45,6 +45,11 @@
     return table
 
 
+def _revision(number: int, epoch: int) -> str:
+    """Returns a revision of the store, with its epoch if the store has one."""
+    return f"{number} (epoch {epoch})" if epoch else str(number)
+
+
 def _links(links: dict[str, Any] | None) -> str:
     """Returns whether a gateway reaches upstreams."""
     if links is None:
@@ -366,7 +371,7 @@
     for row in body["versions"]:
         table.add_row(
             str(row["version"]),
-            str(row["revision"]),
+            _revision(row["revision"], row.get("epoch", 0)),
             f"{row['in_force_s_ago']:.1f} s ago",
         )
     return table
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -3,8 +3,9 @@
 import asyncio
 import base64
 from collections.abc import Mapping
+import copy
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 from tornado import httpserver
@@ -19,6 +20,7 @@
 EXPIRY_INTERVAL_S = 0.05
 # Longer than any client's timeout.
 SILENCE_S = 60.0
+EPOCH_HEADER = "Store-Era"
 
 
 class StoreFaults(msgspec.Struct, kw_only=True):
@@ -40,13 +42,31 @@
     leases_pause: bool = False
 
 
+class StoreCopy(NamedTuple):
+    """A copy of the store's state, taken at a time in seconds."""
+
+    state: StoreState
+    at_s: float
+
+
 class Store:
-    """The store with its faults and call counts."""
+    """The store with its faults and call counts.
+
+    Attributes:
+      state: keys, revisions, leases and history.
+      epoch: how often it was restored from a copy, from 1.
+      faults: faults in force.
+      calls: number of calls by kind.
+      zone_addresses: proxy addresses that each zone uses.
+      changed: notified of each change.
+    """
 
     def __init__(self) -> None:
         """Creates an empty store without faults."""
         self.state = StoreState()
+        self.epoch = 1
         self.faults = StoreFaults()
+        self._copy: StoreCopy | None = None
         self.calls: dict[str, int] = {}
         self.zone_addresses: dict[str, dict[str, str]] = {}
         self.changed = asyncio.Condition()
@@ -74,6 +94,7 @@
                 (r"/kv-keep/(\d+)", _LeaseRenewal, options),
                 (r"/kv-lease-end/(\d+)", _LeaseRevocation, options),
                 (r"/faults", _Faults, options),
+                (r"/copy", _Copy, options),
                 (r"/operator", _Operator, options),
                 (r"/ways", _ZoneAddresses, options),
             ],
@@ -110,6 +131,26 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def take_copy(self) -> None:
+        """Takes the copy that `restore` returns to."""
+        self._copy = StoreCopy(copy.deepcopy(self.state), time.monotonic())
+
+    async def restore(self) -> None:
+        """Returns to the copy, in a new epoch.
+
+        Leases of the copy go on with the time that they had left. The copy is
+        kept, so that the store can be restored from it again.
+        """
+        assert self._copy is not None
+        age_s = time.monotonic() - self._copy.at_s
+        self.state = copy.deepcopy(self._copy.state)
+        for number, lease in list(self.state.leases.items()):
+            self.state.leases[number] = lease._replace(
+                ends_s=lease.ends_s + age_s
+            )
+        self.epoch += 1
+        await self.notify()
+
     def loses_write_response(self) -> bool:
         """Counts a write; returns whether its response is lost."""
         self._writes += 1
@@ -157,8 +198,12 @@
 
     def fail(self, status: int) -> None:
         self.set_status(status)
+        self._set_epoch()
         self.finish()
 
+    def _set_epoch(self) -> None:
+        self.set_header(EPOCH_HEADER, str(self.store.epoch))
+
     def drop_connection(self) -> None:
         connection_of(self).stream.close()
         raise web.Finish
@@ -166,6 +211,7 @@
     def respond(self, body: Any, status: int = 200) -> None:
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
+        self._set_epoch()
         self.finish(msgspec.json.encode(body))
 
     def as_seen_from_zone(self, item: Mapping[str, Any]) -> dict[str, Any]:
@@ -222,9 +268,10 @@
         after = int(self.get_query_argument("after"))
         wait_ms = int(self.get_query_argument("waitMs"))
         until_s = time.monotonic() + min(wait_ms, MAX_WAIT_MS) / 1000
+        epoch = self.store.epoch
         while True:
             events = self.store.state.changes(prefix, after)
-            if events is None:
+            if events is None or self.store.epoch != epoch:
                 self.respond({}, 410)
                 return
             left_s = until_s - time.monotonic()
@@ -308,6 +355,21 @@
         self.respond({"calls": self.store.calls})
 
 
+class _Copy(_Handler):
+    """Takes a copy of the store, or restores the store from it."""
+
+    kind = "copy"
+    applies_faults = False
+
+    def put(self) -> None:
+        self.store.take_copy()
+        self.respond({})
+
+    async def post(self) -> None:
+        await self.store.restore()
+        self.respond({})
+
+
 class _Operator(_Handler):
     """Writes of the operator and of upstreams, to any key."""
 
--- a/emulator/store_state.py
+++ b/emulator/store_state.py
@@ -89,8 +89,8 @@
     def changes(
         self, prefix: str, after: int
     ) -> list[StoredItem | Removal] | None:
-        """Returns the changes after a revision, None if they were dropped."""
-        if after < self._compacted_revision:
+        """Returns the changes after a revision, None if it is not known."""
+        if not self._compacted_revision <= after <= self.revision:
             return None
         changes = []
         for change in self._history:
--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -73,6 +73,7 @@
       large_bytes: their size.
       refuses_over_waiting: it refuses requests while more than this many wait
         for a slot; -1 for never.
+      unregistered: whether it stops writing its registration.
     """
 
     slower: float = 1.0
@@ -88,6 +89,7 @@
     large_path: str = ""
     large_bytes: int = 0
     refuses_over_waiting: int = -1
+    unregistered: bool = False
 
 
 class Answer(msgspec.Struct):
@@ -143,6 +145,7 @@
         self.upstream_id = upstream_id or f"i-{uuid.uuid4().hex[:10]}"
         self.started_ms = int(time.time() * 1000)
         self.runs: list[Run] = []
+        self._registrations = 0
         self.arrivals: list[float] = []
         self.answers: list[Answer] = []
         self.draining = False
@@ -181,8 +184,9 @@
             self._server.stop()
             await self._server.close_all_connections()
 
-    def registration(self) -> dict[str, Any]:
-        """Returns the upstream's registration."""
+    def next_registration(self) -> dict[str, Any]:
+        """Returns the registration to write next."""
+        self._registrations += 1
         return {
             "service": self.plan.service,
             "address": self.address,
@@ -191,7 +195,7 @@
             "slots": self.plan.slots,
             "state": "draining" if self.draining else "ready",
             "coldLeftS": max(0.0, self.cold_until_s - time.monotonic()),
-            "seq": len(self.runs),
+            "seq": self._registrations,
             "born": self.started_ms,
         }
 
--- a/emulator/upstream_process.py
+++ b/emulator/upstream_process.py
@@ -27,7 +27,7 @@
         self._client = httpclient.AsyncHTTPClient()
 
     async def write(self) -> None:
-        text = json.dumps(self._upstream.registration())
+        text = json.dumps(self._upstream.next_registration())
         value = base64.b64encode(text.encode()).decode()
         await self._send({"puts": [{"key": self._key(), "value": value}]})
 
@@ -64,7 +64,8 @@
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     print(f"upstream {upstream.upstream_id} at {address}", flush=True)
     while not stopping.is_set():
-        await registrar.write()
+        if not upstream.faults.unregistered:
+            await registrar.write()
         waits = (stopping.wait(), upstream.crashed.wait())
         tasks = [asyncio.ensure_future(wait) for wait in waits]
         await asyncio.wait(
--- a/features/steps/gateway_change_lines_steps.py
+++ b/features/steps/gateway_change_lines_steps.py
@@ -9,6 +9,7 @@
 
 from almondstair import log
 from almondstair.core.fleet import Fleet
+from almondstair.core.revisions import Revision
 from almondstair.gateway.sources import Batch
 from almondstair.gateway.store_sync import StoreSync
 from almondstair.platform import documents
@@ -21,7 +22,7 @@
 def _upstream(number, state="ready"):
     key = f"{documents.UPSTREAM_PREFIX}u{number}"
     value = json.dumps(_registration(1, state)).encode()
-    return Item(key, value, 200 + number)
+    return Item(key, value, Revision(0, 200 + number))
 
 
 def _entry(number):
@@ -35,12 +36,14 @@
         link_mbps=10.0,
     )
     key = f"{documents.ENTRY_PREFIX}e{number}"
-    return Item(key, documents.encode_entry(record), 900 + number)
+    return Item(key, documents.encode_entry(record), Revision(0, 900 + number))
 
 
 def _apply_items(context, items, *, listing):
     context.revision += 1000
-    batch = Batch(items, listing, context.revision, 0.0, from_store=True)
+    batch = Batch(
+        items, listing, Revision(0, context.revision), 0.0, from_store=True
+    )
     with mock.patch.object(log, "event") as event:
         context.follower._apply_batch(batch, fresh=True)
     context.lines = event.call_args_list
@@ -75,7 +78,9 @@
     items = []
     for number in range(count):
         item = _upstream(number, "draining")
-        items.append(item._replace(revision=context.revision + number + 1))
+        items.append(
+            item._replace(revision=Revision(0, context.revision + number + 1))
+        )
     _apply_items(context, items, listing=False)
 
 
--- a/features/steps/gateway_following_steps.py
+++ b/features/steps/gateway_following_steps.py
@@ -15,6 +15,7 @@
 from almondstair.core import zone_roles
 from almondstair.core.fleet import Fleet
 from almondstair.core.registered_entries import Entry
+from almondstair.core.revisions import Revision
 from almondstair.gateway.mirror import Mirror
 from almondstair.gateway.simple_http_client import SimpleHttpClient
 from almondstair.gateway.sources import PeerSource
@@ -32,7 +33,9 @@
     context.revision += 1
     text = configuration_text(version, [route("/safe/")])
     context.mirror.put(
-        documents.CONFIGURATION_KEY, text.encode(), context.revision
+        documents.CONFIGURATION_KEY,
+        text.encode(),
+        Revision(0, context.revision),
     )
 
 
@@ -45,7 +48,7 @@
         return context.mirror.page(
             source=query["source"],
             after=int(query["after"]),
-            revision=context.revision,
+            revision=Revision(0, context.revision),
             age_s=age_s,
         )
 
@@ -116,9 +119,11 @@
     routes = [route(f"/added{number}/") for number in range(count)]
     text = configuration_text(version, routes).encode()
     context.text_bytes = len(text)
-    context.mirror.put(documents.CONFIGURATION_KEY, text, context.revision)
+    context.mirror.put(
+        documents.CONFIGURATION_KEY, text, Revision(0, context.revision)
+    )
     page = context.mirror.page(
-        source="", after=0, revision=context.revision, age_s=0.0
+        source="", after=0, revision=Revision(0, context.revision), age_s=0.0
     )
     context.page_bytes = len(msgspec.msgpack.encode(page))
     assert _poll_peer(context, 0.0)
@@ -233,7 +238,7 @@
     context.mirror.put(
         documents.UPSTREAM_PREFIX + "i-1",
         json.dumps(record).encode(),
-        context.revision,
+        Revision(0, context.revision),
     )
     assert _poll_peer(context, 0.0)
     [context.upstream] = context.fleet.upstreams()
@@ -261,12 +266,12 @@
 def step_missed(context, heard, written):
     context.revision = heard
     assert _poll_peer(context, 0.0)
-    assert context.follower.revision == heard
+    assert context.follower.revision == Revision(0, heard)
     record = dict(context.record, state="draining", coldLeftS=0.0)
     context.mirror.put(
         documents.UPSTREAM_PREFIX + "i-1",
         json.dumps(record).encode(),
-        written,
+        Revision(0, written),
     )
     context.peer = PeerSource(address=_PEER)
     assert _poll_peer(context, 0.0)
--- a/features/steps/gateway_incarnations_steps.py
+++ b/features/steps/gateway_incarnations_steps.py
@@ -19,6 +19,7 @@
 from almondstair.core.fleet import Fleet
 from almondstair.core.known_places import CachedLocations
 from almondstair.core.known_places import object_hash
+from almondstair.core.revisions import Revision
 from almondstair.core.upstream_state import incarnation_hash
 from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.load_exchange import LoadExchange
@@ -61,7 +62,7 @@
 
 def _item(name, value, revision):
     data = value if isinstance(value, bytes) else json.dumps(value).encode()
-    return Item(_PREFIX + name, data, revision)
+    return Item(_PREFIX + name, data, Revision(0, revision))
 
 
 def _apply_items(context, items, *, listing=False):
@@ -70,7 +71,7 @@
     batch = Batch(
         items=items,
         listing=listing,
-        revision=context.revision,
+        revision=Revision(0, context.revision),
         age_s=0.0,
         from_store=True,
     )
@@ -95,7 +96,9 @@
         seeds=[],
     )
     configuration = Item(
-        documents.CONFIGURATION_KEY, json.dumps(_CONFIGURATION).encode(), 50
+        documents.CONFIGURATION_KEY,
+        json.dumps(_CONFIGURATION).encode(),
+        Revision(0, 50),
     )
     first = _item(name, _registration(born), 101)
     _apply_items(context, [configuration, first], listing=True)
@@ -139,7 +142,9 @@
 
 
 def _remove(context, name):
-    _apply_items(context, [Item(_PREFIX + name, None, context.revision + 1)])
+    _apply_items(
+        context, [Item(_PREFIX + name, None, Revision(0, context.revision + 1))]
+    )
 
 
 @when('"{name}" is removed, and its registration born at {born:d} comes late')
@@ -161,7 +166,7 @@
 
 @when("a removal of an older revision than its registration comes")
 def step_old_removal(context):
-    _apply_items(context, [Item(_PREFIX + "i-1", None, 100)])
+    _apply_items(context, [Item(_PREFIX + "i-1", None, Revision(0, 100))])
 
 
 @when('the store is away, and its listing then has "{name}" born at {born:d}')
@@ -430,7 +435,9 @@
         base = _ENTRY if for_entry else _registration(1)
         prefix = documents.ENTRY_PREFIX if for_entry else _PREFIX
         value = json.dumps({**base, **changes}).encode("utf-8", "replace")
-        item = Item(prefix + name, value[: 200 + cut], context.revision + 1)
+        item = Item(
+            prefix + name, value[: 200 + cut], Revision(0, context.revision + 1)
+        )
         _apply_items(context, [item])
         _check_usable(context)
 
