Compare registrations and removals by epoch and revision

Cause: the revision of each upstream's last registration was kept from before the drill, and a removal with a lower number was taken for one of an earlier incarnation.

The kept revision is the pair, so what comes in a newer epoch is newer.

--- a/almondstair/gateway/registrations.py
+++ b/almondstair/gateway/registrations.py
@@ -66,8 +66,7 @@
         if record is None:
             self._log_unreadable(item)
             return
-        known = self._revisions.get(upstream_id, Revision())
-        if item.revision.number <= known.number:
+        if item.revision <= self._revisions.get(upstream_id, Revision()):
             # A peer's first response has each upstream's last change, without
             # later renewals. Applied as current, a registration from an
             # upstream's start would make it cold again for the time reported
@@ -85,8 +84,7 @@
             )
         if result.is_current:
             known = self._revisions.get(upstream_id, Revision())
-            if item.revision.number > known.number:
-                self._revisions[upstream_id] = item.revision
+            self._revisions[upstream_id] = max(known, item.revision)
         if not result.changed:
             return
         self._mirror.put(item.key, item.value, item.revision)
@@ -102,8 +100,7 @@
         )
 
     def _remove_upstream(self, upstream_id: str, revision: Revision) -> None:
-        known = self._revisions.get(upstream_id, Revision())
-        if revision.number < known.number:
+        if revision < self._revisions.get(upstream_id, Revision()):
             # The removal concerns an earlier incarnation: a peer's data is
             # older than what the store has sent since.
             return
--- a/features/store_restores.feature
+++ b/features/store_restores.feature
@@ -7,6 +7,14 @@
     Then every gateway runs requests at the other service within 2.5 s
     And no request of a caller has failed meanwhile
 
+  # Guards against an upstream that stays in use for good after it has left.
+  Scenario: An upstream whose entry is removed after a restore gets nothing
+    Given 3 gateways of one zone and 1 of another, with upstreams of 2 services
+    When the store is restored from a copy 4 s old while the gateways call it
+    And 1 s later the registration of one upstream is removed
+    Then it gets no request that was sent more than 2 s later
+    And no request of a caller has failed meanwhile
+
   # Guards against a restore that only a trace of the processes would show.
   Scenario: A restore shows in logs, metrics and the status
     Given 3 gateways of one zone and 1 of another, with upstreams of 2 services
