Log what the writing of a response waited for

Two causes were thinkable: the caller does not read, or nobody wakes the writer. The lines 201 and 413 of both requests said only that the time was up.

They have write_wait (turn or buffer) and unsent_bytes now. Behaviour is unchanged.

--- a/almondstair/gateway/call_recorder.py
+++ b/almondstair/gateway/call_recorder.py
@@ -14,6 +14,7 @@
 from almondstair.errors import ErrorKind
 from almondstair.gateway.caller_request import CallerRequest
 from almondstair.gateway.caller_request import ResponseWait
+from almondstair.gateway.caller_request import WriteWait
 from almondstair.gateway.forwarded_call import AttemptResult
 from almondstair.gateway.forwarded_call import ForwardedCall
 from almondstair.gateway.gateway_metrics import GatewayMetrics
@@ -167,6 +168,7 @@
             return_basis=call.return_basis,
             after_ms=call.age_ms(),
             left_ms=round(call.remaining_s() * 1000),
+            **_write_wait(call.request),
         )
 
     def record_abandoned(self, call: ForwardedCall) -> None:
@@ -180,6 +182,7 @@
             tried=call.tried,
             relayed_by=_relaying_entry(call),
             after_ms=call.age_ms(),
+            **_write_wait(call.request),
             **_closing_cause(call.request),
         )
 
@@ -246,6 +249,16 @@
     return "" if call.relayed is None else call.relayed.entry
 
 
+def _write_wait(request: CallerRequest) -> dict[str, Any]:
+    """Returns log fields on what the writing of a response waited for."""
+    if request.write_wait is WriteWait.NOTHING:
+        return {}
+    return {
+        "write_wait": str(request.write_wait),
+        "unsent_bytes": request.unsent_bytes(),
+    }
+
+
 def _closing_cause(request: CallerRequest) -> dict[str, Any]:
     """Returns why this entry closed the connection, empty if it did not."""
     if not request.closed_by_entry:
--- a/almondstair/gateway/caller_connection.py
+++ b/almondstair/gateway/caller_connection.py
@@ -25,6 +25,7 @@
 from almondstair.gateway.caller_request import ResponseProgress
 from almondstair.gateway.caller_request import ResponseWait
 from almondstair.gateway.caller_request import ResponseWriter
+from almondstair.gateway.caller_request import WriteWait
 from almondstair.gateway.memory_guard import BoundedReads
 from almondstair.gateway.memory_guard import CallerMemory
 from almondstair.gateway.memory_guard import HoldingCaller
@@ -461,9 +462,18 @@
         while self._pending and self._pending[0] is not request:
             if request.caller_disconnected:
                 return
+            request.write_wait = WriteWait.TURN
             self._writable.clear()
             await self._writable.wait()
+        request.write_wait = WriteWait.BUFFER
         await self._writable.wait()
+        request.write_wait = WriteWait.NOTHING
+
+    def unsent_bytes(self) -> int:
+        """Returns the bytes of responses that the caller has not read."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
 
     def flush(self) -> None:
         """Writes ready responses in the order of their requests."""
--- a/almondstair/gateway/caller_request.py
+++ b/almondstair/gateway/caller_request.py
@@ -63,11 +63,29 @@
     async def wait_writable(self, request: "CallerRequest") -> None:
         """Waits until more of a response can be written."""
 
+    @abc.abstractmethod
+    def unsent_bytes(self) -> int:
+        """Returns the bytes of responses that the caller has not read."""
+
     @abc.abstractmethod
     def abort(self) -> None:
         """Closes immediately, even in the middle of a response."""
 
 
+class WriteWait(enum.StrEnum):
+    """What the writing of a response waits for.
+
+    Attributes:
+      NOTHING: it does not wait.
+      TURN: the end of an earlier response of the connection.
+      BUFFER: the caller, who has not read what was written.
+    """
+
+    NOTHING = ""
+    TURN = "turn"
+    BUFFER = "buffer"
+
+
 class ResponseProgress(enum.Enum):
     """Progress of the response to a request."""
 
@@ -99,6 +117,8 @@
       closed_by_entry: why this entry closed the connection; empty if it did
         not.
       memory: what this entry holds for the connection; None if not counted.
+      write_wait: what the writing of its response waits for, or waited for
+        when it was given up.
       task: task that handles the request, once it has started.
       output: encoded parts of the response that are not written yet.
     """
@@ -134,6 +154,7 @@
         self.is_relayed = False
         self.leaving_upstreams: list[int] = []
         self.resting_upstreams: list[tuple[int, int]] = []
+        self.write_wait = WriteWait.NOTHING
         self.task: asyncio.Task[None] | None = None
         self.output: list[bytes] = []
         self._chunked = False
@@ -147,6 +168,10 @@
         """Whether the response has begun."""
         return self.state is not ResponseProgress.WAITING
 
+    def unsent_bytes(self) -> int:
+        """Returns the unread bytes of all responses of its connection."""
+        return self._connection.unsent_bytes()
+
     def open_exchange(self) -> ExchangeMemory | None:
         """Returns the count of an exchange for it, None if not counted."""
         return None if self.memory is None else self.memory.open_exchange()
