Wake writers of responses by their own condition

Cause: one event stood for a response's turn and for a drained write buffer. The writer that waits for its turn cleared it for the one whose turn it was.

Each writer waits for its own condition and checks it when any of them changes. On related paths: a response that gets its turn waits for the buffer; a caller that has left wakes all writers, and what can no longer be sent is dropped; reading has separate pauses for a full body and a full pipeline; a body that is refused before its end no longer keeps reading paused.

--- a/almondstair/body.py
+++ b/almondstair/body.py
@@ -97,6 +97,10 @@
         self._wake_reader()
         self._wake_writer()
 
+    def release_sender(self) -> None:
+        """Lets the sender go on although the buffer is full."""
+        self._wake_writer()
+
     def discard(self) -> None:
         """Drops the buffered bytes and those that still arrive."""
         self._discarded = True
--- a/almondstair/gateway/caller_connection.py
+++ b/almondstair/gateway/caller_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+import enum
 import fcntl
 import termios
 
@@ -46,6 +47,18 @@
 IDLE_TIMEOUT_MARGIN_S = 1.0
 
 
+class _ReadPause(enum.Enum):
+    """Why reading from a caller pauses.
+
+    Attributes:
+      BODY: the buffer of the request body is full.
+      PIPELINE: `MAX_PIPELINED_REQUESTS` are in flight.
+    """
+
+    BODY = "body"
+    PIPELINE = "pipeline"
+
+
 class RequestHandler(abc.ABC):
     """Handles the requests of caller connections."""
 
@@ -112,11 +125,12 @@
         self._url = b""
         self._head_bytes = 0
         self._reading_ended = False
-        self._reading_paused = False
+        self._read_pauses: set[_ReadPause] = set()
         self._idle_timer: asyncio.TimerHandle | None = None
         self._head_timer: asyncio.TimerHandle | None = None
-        self._writable: asyncio.Event = asyncio.Event()
-        self._writable.set()
+        self._lost = False
+        self._write_paused = False
+        self._writers: list[asyncio.Future[None]] = []
         self._last_active_s = now_s()
         self._discarding = False
         self.draining = False
@@ -147,7 +161,8 @@
         for timer in (self._idle_timer, self._head_timer):
             if timer is not None:
                 timer.cancel()
-        self._writable.set()
+        self._lost = True
+        self._wake_writers()
         if self._current is not None:
             self._current.body.abort()
         for request in self._pending:
@@ -189,11 +204,12 @@
 
     def pause_writing(self) -> None:
         """Blocks writers: the write buffer is above its high-water mark."""
-        self._writable.clear()
+        self._write_paused = True
 
     def resume_writing(self) -> None:
         """Unblocks writers: the write buffer has drained."""
-        self._writable.set()
+        self._write_paused = False
+        self._wake_writers()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
@@ -347,8 +363,8 @@
             request.body.streaming = True
             self._start(request)
         if wait is not None and request.body.streaming:
-            self._pause()
-            wait.add_done_callback(lambda _: self._resume())
+            self._pause(_ReadPause.BODY)
+            wait.add_done_callback(lambda _: self._resume(_ReadPause.BODY))
 
     def on_message_complete(self) -> None:
         """Starts a request whose body was buffered until it was complete."""
@@ -365,24 +381,26 @@
         if request.close_after:
             self._reading_ended = True
         if len(self._pending) >= MAX_PIPELINED_REQUESTS:
-            self._pause()
+            self._pause(_ReadPause.PIPELINE)
 
     def _start(self, request: CallerRequest) -> None:
         request.task = asyncio.ensure_future(self._handler.handle(request))
 
-    def _pause(self) -> None:
+    def _pause(self, cause: _ReadPause) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        self._reading_paused = True
+        self._read_pauses.add(cause)
         self._transport.pause_reading()
 
-    def _resume(self) -> None:
+    def _resume(self, cause: _ReadPause) -> None:
+        """Ends one cause of a pause; reading resumes with the last one."""
         if self._transport is None or self._transport.is_closing():
             return
-        if self._reading_paused:
-            self._reading_paused = False
-            if not self._held_back:
-                self._transport.resume_reading()
+        if cause not in self._read_pauses:
+            return
+        self._read_pauses.remove(cause)
+        if not self._read_pauses and not self._held_back:
+            self._transport.resume_reading()
 
     def hold_back(self, held_back: bool) -> None:
         """Stops or resumes reading because of what the entry holds."""
@@ -393,7 +411,7 @@
             return
         if held_back:
             self._transport.pause_reading()
-        elif not self._reading_paused:
+        elif not self._read_pauses:
             self._transport.resume_reading()
 
     def stream_early(self) -> None:
@@ -422,7 +440,7 @@
         """Returns whether the caller has stopped in the middle of a body."""
         if self._current is None:
             return False
-        if self._reading_paused or self._held_back:
+        if self._read_pauses or self._held_back:
             return not self._has_unread_input()
         return True
 
@@ -459,15 +477,30 @@
 
     async def wait_writable(self, request: CallerRequest) -> None:
         """Waits until more of a response can be written."""
-        while self._pending and self._pending[0] is not request:
-            if request.caller_disconnected:
+        loop = asyncio.get_running_loop()
+        while True:
+            request.write_wait = self._write_wait(request)
+            if request.write_wait is WriteWait.NOTHING:
                 return
-            request.write_wait = WriteWait.TURN
-            self._writable.clear()
-            await self._writable.wait()
-        request.write_wait = WriteWait.BUFFER
-        await self._writable.wait()
-        request.write_wait = WriteWait.NOTHING
+            # Each writer checks its own condition when any of them changes.
+            writer = loop.create_future()
+            self._writers.append(writer)
+            await writer
+
+    def _write_wait(self, request: CallerRequest) -> WriteWait:
+        """Returns what the response to a request has to wait for."""
+        if self._lost or request.caller_disconnected:
+            return WriteWait.NOTHING
+        if self._pending and self._pending[0] is not request:
+            return WriteWait.TURN
+        return WriteWait.BUFFER if self._write_paused else WriteWait.NOTHING
+
+    def _wake_writers(self) -> None:
+        writers = self._writers
+        self._writers = []
+        for writer in writers:
+            if not writer.done():
+                writer.set_result(None)
 
     def unsent_bytes(self) -> int:
         """Returns the bytes of responses that the caller has not read."""
@@ -498,7 +531,10 @@
         self._transport.set_write_buffer_limits(high=limit_bytes)
 
     def _write_ready(self) -> None:
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None:
+            return
+        if self._transport.is_closing():
+            self._drop_output()
             return
         while self._pending:
             request = self._pending[0]
@@ -524,8 +560,10 @@
                 self._reading_ended = True
                 self._discard_then_close()
                 return
-            self._writable.set()
-            self._resume()
+            # Nobody reads what is left of its body.
+            request.body.release_sender()
+            self._wake_writers()
+            self._resume(_ReadPause.PIPELINE)
 
     def _report_wait(
         self,
@@ -557,6 +595,8 @@
         assert self._transport is not None
         self._reading_ended = True
         if not request.fully_read or self._discarding:
+            # Reading may be paused for a body that nobody reads any more.
+            request.body.abort()
             self._discard_then_close()
             return
         self._transport.close()
