Bound what an exchange may bring outside of a body at the connection

Cause: heads were counted in the parser's callbacks, which come when a line is complete, and other parts of a message have none.

Received bytes that did not become part of a body are counted for each exchange and each request, whatever they are; the same for the store, other entries and callers. Bodies of responses to other requests, responses without a sink, pages and what comes behind a rejected request have bounds of their own. A response that exceeds one counts as broken off: the upstream as failing, a repeatable request goes elsewhere, another ends at once.

--- a/almondstair/gateway/caller_connection.py
+++ b/almondstair/gateway/caller_connection.py
@@ -18,6 +18,7 @@
 
 from almondstair.clock import now_s
 from almondstair.core.held_bytes import is_large
+from almondstair.core.overhead import OverheadBound
 from almondstair.core.routing import CallerLimits
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
@@ -43,6 +44,13 @@
 # Shorter waits of ready responses behind earlier ones are not recorded: they
 # are insignificant beside the usual response time of 0.1 s and more.
 MIN_REPORTED_WAIT_S = 0.05
+# Bytes of a head beside its names, values and target: separators, and blanks
+# that some callers add.
+HEAD_SEPARATOR_BYTES = 4096
+# Bytes that a request may bring outside of its body once its head is complete.
+MAX_FRAMING_BYTES = 128 * 1024
+# Bytes that are parsed before the bounds are checked.
+_PARSED_PIECE_BYTES = 64 * 1024
 # Added to the announced idle timeout, for a request already on its way.
 IDLE_TIMEOUT_MARGIN_S = 1.0
 
@@ -124,6 +132,8 @@
         self._last_answered: CallerRequest | None = None
         self._url = b""
         self._head_bytes = 0
+        self._overhead = OverheadBound(limit_bytes=self._head_limit_bytes())
+        self._discarded_bytes = 0
         self._reading_ended = False
         self._read_pauses: set[_ReadPause] = set()
         self._idle_timer: asyncio.TimerHandle | None = None
@@ -214,18 +224,68 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
         if self._reading_ended:
+            self._discard(data)
             return
         self._last_active_s = now_s()
         if self._memory is not None:
             self._memory.record_active()
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
         except httptools.HttpParserUpgrade:
             self._reject_malformed("no protocol but HTTP/1.1 is spoken")
         except httptools.HttpParserError as error:
             if not self._reading_ended:
                 self._reject_malformed(str(error))
 
+    def _discard(self, data: bytes) -> None:
+        """Drops what nobody reads, and closes if it is more than a body."""
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > self._limits.body_bytes + MAX_FRAMING_BYTES:
+            self.abort()
+
+    def _head_limit_bytes(self) -> int:
+        return self._limits.header_bytes + HEAD_SEPARATOR_BYTES
+
+    def _parse(self, data: bytes) -> None:
+        """Parses received bytes, and ends a request that brings too many.
+
+        The parser reports a header or a chunk only when it is complete, so that
+        its callbacks do not bound what arrives.
+
+        Raises:
+          httptools.HttpParserError: they are not valid HTTP.
+        """
+        for start in range(0, len(data), _PARSED_PIECE_BYTES):
+            piece = data[start : start + _PARSED_PIECE_BYTES]
+            if self._reading_ended:
+                self._discard(piece)
+                continue
+            self._overhead.add_received(len(piece))
+            self._parser.feed_data(piece)
+            if self._overhead.exceeded and not self._reading_ended:
+                self._reject_endless()
+
+    def _reject_endless(self) -> None:
+        """Ends a request of which too much comes that is no body."""
+        request = self._current
+        if request is None:
+            # Blank lines between two requests.
+            self._reading_ended = True
+            self._discard_then_close()
+            return
+        kind = ErrorKind.BAD_REQUEST
+        if request not in self._pending:
+            self._pending.append(request)
+            kind = ErrorKind.HEAD_TOO_LARGE
+        self._stop_reading(request)
+        request.body.abort()
+        self._discard_then_close()
+        request.respond_with_problem(
+            AlmondstairError(
+                kind=kind, detail="too many bytes outside of the body"
+            )
+        )
+
     def _reject_malformed(self, detail: str) -> None:
         """Responds 400 and closes the connection.
 
@@ -304,6 +364,7 @@
         """Validates the head and queues the request."""
         if self._head_timer is not None:
             self._head_timer.cancel()
+        self._overhead.restart(limit_bytes=MAX_FRAMING_BYTES)
         request = self._current
         if request is None:
             return
@@ -343,6 +404,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Adds a chunk of the body; starts a request that streams its body."""
+        self._overhead.add_body(len(data))
         request = self._current
         if request is None:
             return
@@ -368,6 +430,7 @@
 
     def on_message_complete(self) -> None:
         """Starts a request whose body was buffered until it was complete."""
+        self._overhead.restart(limit_bytes=self._head_limit_bytes())
         request = self._current
         self._current = None
         if self._memory_guard is not None:
--- a/almondstair/gateway/http_pages.py
+++ b/almondstair/gateway/http_pages.py
@@ -10,6 +10,8 @@
 # How long callers cache a lookup. A stopping entry serves for this long, so a
 # short time makes stops short; each caller sends one lookup in this time.
 LOOKUP_TTL_S = 2.0
+# Longest request of a page; a page takes no body.
+MAX_REQUEST_BYTES = 64 * 1024
 
 
 class PageData(abc.ABC):
@@ -174,7 +176,12 @@
         application = web.Application(
             list(rules), log_function=_skip_access_log
         )
-        server = httpserver.HTTPServer(application)
+        server = httpserver.HTTPServer(
+            application,
+            max_buffer_size=2 * MAX_REQUEST_BYTES,
+            max_header_size=MAX_REQUEST_BYTES,
+            max_body_size=MAX_REQUEST_BYTES,
+        )
         ip, _, port = address.rpartition(":")
         server.add_sockets(netutil.bind_sockets(int(port), address=ip))
         self._servers.append(server)
--- a/almondstair/gateway/simple_http_client.py
+++ b/almondstair/gateway/simple_http_client.py
@@ -14,6 +14,9 @@
 # Timeout of a complete response. The store's largest value, 1 MB, takes 1.7 s
 # over an otherwise idle link of 5 Mbit/s.
 MAX_CALL_S = 8.0
+# Longest body of a response. The largest is another entry's copy of the store,
+# with a few hundred bytes for each upstream of the fleet.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 _POOL_KEY = "calls"
 
 
@@ -90,7 +93,9 @@
             )
         connection.on_progress = on_progress
         try:
-            result = await connection.exchange(head=message)
+            result = await connection.exchange(
+                head=message, max_body_bytes=MAX_RESPONSE_BYTES
+            )
         finally:
             connection.on_progress = None
         if result.end is not ExchangeEnd.COMPLETE or result.head is None:
--- a/almondstair/gateway/upstream_connection.py
+++ b/almondstair/gateway/upstream_connection.py
@@ -7,6 +7,7 @@
 
 import abc
 import asyncio
+from collections import deque
 from collections.abc import Callable
 import enum
 from typing import NamedTuple
@@ -16,6 +17,7 @@
 from almondstair.body import BodyAbortedError
 from almondstair.body import RequestBody
 from almondstair.clock import now_s
+from almondstair.core.overhead import OverheadBound
 from almondstair.gateway.http_encoding import LAST_CHUNK
 from almondstair.gateway.http_encoding import Headers
 from almondstair.gateway.http_encoding import ResponseHead
@@ -33,6 +35,16 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 # A longer head is treated as an invalid response.
 MAX_HEAD_BYTES = 64 * 1024
+# Bytes that an exchange may bring outside of its body: heads and trailers with
+# their separators, framing, other responses' heads.
+MAX_OVERHEAD_BYTES = 2 * MAX_HEAD_BYTES
+# Bodies of responses to other requests that an exchange may bring before its
+# own; they are dropped.
+MAX_FOREIGN_BYTES = 4 * 1024 * 1024
+# Bytes that are parsed before the bounds are checked.
+_PARSED_PIECE_BYTES = 64 * 1024
+# Smaller pieces of a body are passed on together.
+_MIN_SINK_BYTES = 16 * 1024
 # Piece of a buffered body that is not written at once.
 _PIECE_BYTES = 16 * 1024
 # How often a full write buffer is checked while a long body is sent.
@@ -53,6 +65,7 @@
       NOT_SENT: no byte of the request was written.
       LOST: the connection ended before a response began.
       TRUNCATED: the response is incomplete or not valid HTTP.
+      ENDLESS: too many bytes came that are no response.
       CALLER_DISCONNECTED: the caller disconnected while it sent the body.
     """
 
@@ -60,6 +73,7 @@
     NOT_SENT = "not_sent"
     LOST = "lost"
     TRUNCATED = "cut"
+    ENDLESS = "without end"
     CALLER_DISCONNECTED = "caller_gone"
 
 
@@ -137,6 +151,9 @@
         self._body_unfinished = False
         self._caller_disconnected = False
         self._exchange_count = 0
+        self._max_body_bytes = MAX_BUFFERED_BYTES
+        self._overhead = OverheadBound(limit_bytes=MAX_OVERHEAD_BYTES)
+        self._foreign_bytes = 0
         self._reset_response()
 
     def _reset_response(self) -> None:
@@ -149,7 +166,7 @@
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._streamed = False
-        self._sink_queue: list[bytes] = []
+        self._sink_queue: deque[bytes] = deque()
 
     # Protocol callbacks.
 
@@ -172,10 +189,39 @@
         if self.on_progress is not None:
             self.on_progress()
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
         except httptools.HttpParserError:
             self._fail()
 
+    def _parse(self, data: bytes) -> None:
+        """Parses received bytes, and ends an exchange that brings too many.
+
+        The parser reports a header or a chunk only when it is complete, so that
+        its callbacks do not bound what arrives.
+
+        Raises:
+          httptools.HttpParserError: they are not valid HTTP.
+        """
+        for start in range(0, len(data), _PARSED_PIECE_BYTES):
+            if not self._in_exchange():
+                # The rest belongs to no response.
+                self.usable = False
+                return
+            piece = data[start : start + _PARSED_PIECE_BYTES]
+            self._overhead.add_received(len(piece))
+            self._parser.feed_data(piece)
+            if self._is_endless() and self._in_exchange():
+                self.close()
+                self._finish(ExchangeEnd.ENDLESS)
+                return
+
+    def _is_endless(self) -> bool:
+        if self._overhead.exceeded or self._foreign_bytes > MAX_FOREIGN_BYTES:
+            return True
+        return (
+            self._sink is None and self._buffered_bytes > self._max_body_bytes
+        )
+
     def eof_received(self) -> bool:
         """Ends a response that is framed by the end of the connection."""
         self.usable = False
@@ -261,7 +307,11 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffers a chunk of the body, or streams it."""
-        if not self._in_exchange() or not self._matches_request:
+        self._overhead.add_body(len(data))
+        if not self._in_exchange():
+            return
+        if not self._matches_request:
+            self._foreign_bytes += len(data)
             return
         self._buffered_bytes += len(data)
         if self._memory is not None:
@@ -328,7 +378,7 @@
     async def _drain_to_sink(self) -> None:
         assert self._sink is not None
         while self._sink_queue:
-            data = self._sink_queue.pop(0)
+            data = self._next_sink_bytes()
             if self._memory is not None:
                 # From here on it counts as output for the caller.
                 self._memory.add_response(-len(data))
@@ -339,6 +389,18 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
+    def _next_sink_bytes(self) -> bytes:
+        """Removes the next piece of the queue, and small ones together."""
+        first = self._sink_queue.popleft()
+        if len(first) >= _MIN_SINK_BYTES:
+            return first
+        pieces = [first]
+        size_bytes = len(first)
+        while self._sink_queue and size_bytes < _MIN_SINK_BYTES:
+            pieces.append(self._sink_queue.popleft())
+            size_bytes += len(pieces[-1])
+        return b"".join(pieces)
+
     def stream_early(self) -> None:
         """Does nothing: the deadline of its request ends a response."""
 
@@ -388,6 +450,7 @@
         request_id: bytes = b"",
         without_body: bool = False,
         sink: UpstreamResponseSink | None = None,
+        max_body_bytes: int = MAX_BUFFERED_BYTES,
         on_head: Callable[[ResponseHead], None] | None = None,
         memory: ExchangeMemory | None = None,
     ) -> UpstreamExchange:
@@ -403,6 +466,7 @@
           request_id: id that the response must echo, if it echoes one.
           without_body: whether the response has no body, whatever its headers.
           sink: receives a response that is too long to be buffered.
+          max_body_bytes: longest body of a response without a sink.
           on_head: called with the head of the response as soon as it is read,
             also if its body breaks off later.
           memory: counts what is held of the exchange; None if nothing does.
@@ -415,6 +479,9 @@
         self._request_id = request_id
         self._without_body = without_body
         self._sink = sink
+        self._max_body_bytes = max_body_bytes
+        self._overhead.restart(limit_bytes=MAX_OVERHEAD_BYTES)
+        self._foreign_bytes = 0
         self._on_head = on_head
         self._memory = memory
         self._caller_disconnected = False
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -9,9 +9,11 @@
 
 import msgspec
 from tornado import httpserver
+from tornado import iostream
 from tornado import netutil
 from tornado import web
 
+from emulator.endless import endless_form
 from emulator.handler_connection import connection_of
 from emulator.store_state import StoreState
 
@@ -27,7 +29,8 @@
     """Faults injected into the store.
 
     Attributes:
-      mode: `up`, `busy` (503), `limited` (429), `reset` or `silent`.
+      mode: `up`, `busy` (503), `limited` (429), `reset`, `silent` or `endless`
+        (bytes without end in a head).
       delay_s: delay before each response, in seconds.
       lose_writes: n: every n-th write is applied without a response; 0 for
         none.
@@ -195,6 +198,19 @@
             self.drop_connection()
         elif faults.mode == "silent":
             await asyncio.sleep(SILENCE_S)
+        elif faults.mode == "endless":
+            await self.respond_without_end()
+
+    async def respond_without_end(self) -> None:
+        form = endless_form("header_value", headers=b"")
+        stream = connection_of(self).stream
+        try:
+            await stream.write(form.start)
+            while True:
+                await stream.write(form.piece)
+        except iostream.StreamClosedError:
+            # The caller has cut the response off, as it should.
+            raise web.Finish from None
 
     def fail(self, status: int) -> None:
         self.set_status(status)
--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -16,6 +16,8 @@
 import xxhash
 
 from almondstair.platform import headers as names
+from emulator.endless import FORMS
+from emulator.endless import endless_form
 from emulator.handler_connection import connection_of
 
 CACHED_RUN_TIME_FACTOR = 0.3
@@ -58,7 +60,8 @@
       how: `extra` (a second response), `late_extra` (the same, later), `cut`
         (half a body), `unframed` (no length), `lost` (run without a response),
         `shed` (refused despite free capacity), `fail` (500), `trailing` (extra
-        bytes after the response).
+        bytes after the response), or a form of `emulator.endless` (run, then
+        bytes without end).
       sick: whether the health check returns 503.
       crash_path: requests whose path starts with this crash the upstream; empty
         for none.
@@ -391,6 +394,8 @@
             run.ended = "dropped"
             self.drop_connection()
         run.ended = "ok"
+        if fault_due and upstream.faults.how in FORMS:
+            await self.respond_without_end(upstream.faults.how)
         self.respond(upstream.faults.how if fault_due else "")
 
     def on_connection_close(self) -> None:
@@ -427,14 +432,29 @@
         self.finish(body)
         self.upstream.record_response_sent(self.stream())
 
-    def respond_raw(self, fault: str, body: bytes) -> None:
-        """Writes a response that bypasses the HTTP server's framing."""
+    async def respond_without_end(self, form_name: str) -> None:
+        """Writes bytes without end until the other side closes."""
         stream = self.stream()
-        head = (
-            "HTTP/1.1 200 OK\r\n"
+        form = endless_form(form_name, headers=self.identifying_headers())
+        try:
+            await stream.write(form.start)
+            while True:
+                await stream.write(form.piece)
+        except iostream.StreamClosedError:
+            # The other side has cut the response off, as it should.
+            raise web.Finish from None
+
+    def identifying_headers(self) -> bytes:
+        """Returns the headers by which a response counts."""
+        return (
             f"X-Almondstair-Request-Id: {self.request_id}\r\n"
             f"X-Almondstair-Response-Seal: seal-{self.request_id}\r\n"
         ).encode()
+
+    def respond_raw(self, fault: str, body: bytes) -> None:
+        """Writes a response that bypasses the HTTP server's framing."""
+        stream = self.stream()
+        head = b"HTTP/1.1 200 OK\r\n" + self.identifying_headers()
         for value in self.upstream.faults.leaving:
             head += names.LEAVING + b": " + value.encode() + b"\r\n"
         length = b"Content-Length: %d\r\n\r\n" % len(body)
