Follow the epoch of the store's last response, also to a lower one

Found by reading: the client kept the highest epoch that it had seen. If another store took over at the same address with epochs that start again, a gateway would have listed it in each poll without a pause for good. The client states the epoch of the last response now; store_epochs.feature has the case.

Bytes behind a rejected request that are more than a body pause reading in place of a reset, so that the caller can still read its response until the close.

--- a/almondstair/gateway/caller_connection.py
+++ b/almondstair/gateway/caller_connection.py
@@ -238,10 +238,16 @@
                 self._reject_malformed(str(error))
 
     def _discard(self, data: bytes) -> None:
-        """Drops what nobody reads, and closes if it is more than a body."""
+        """Drops what follows a rejected request, as much as a body may be.
+
+        The connection is closed a little later; until then the caller can read
+        its response.
+        """
         self._discarded_bytes += len(data)
+        if self._transport is None or self._transport.is_closing():
+            return
         if self._discarded_bytes > self._limits.body_bytes + MAX_FRAMING_BYTES:
-            self.abort()
+            self._transport.pause_reading()
 
     def _head_limit_bytes(self) -> int:
         return self._limits.header_bytes + HEAD_SEPARATOR_BYTES
--- a/almondstair/gateway/sources.py
+++ b/almondstair/gateway/sources.py
@@ -64,7 +64,7 @@
 
     async def fetch(self, *, after: Revision) -> Batch:
         """Fetches changes, or a full listing if they are not available."""
-        if after.number and self._client.epoch <= after.epoch:
+        if after.number and self._client.epoch == after.epoch:
             page = await self._client.list_changes(
                 prefix="", after=after.number, wait_ms=0
             )
--- a/almondstair/gateway/store_sync.py
+++ b/almondstair/gateway/store_sync.py
@@ -140,7 +140,7 @@
 
     def _must_list_again(self) -> bool:
         """Returns whether a call other than a poll has shown a new epoch."""
-        if self._client.epoch <= self.revision.epoch:
+        if self._client.epoch == self.revision.epoch:
             return False
         return self._sources()[0] is self._store
 
--- a/almondstair/platform/kv.py
+++ b/almondstair/platform/kv.py
@@ -103,9 +103,9 @@
 
     Attributes:
       calls: number of calls by kind.
-      epoch: the newest epoch that the store's responses stated; 0 if none
-        did.
-      on_epoch_change: called when a response states a newer epoch.
+      epoch: the store's epoch that its last response stated; 0 if none did.
+      on_epoch_change: called when a response states another epoch than the
+        last one.
     """
 
     def __init__(self, *, address: str) -> None:
@@ -139,7 +139,7 @@
                 detail=f"{kind}: {str(error) or 'no response in time'}",
             ) from error
         epoch = _read_epoch(response.head, default=self.epoch)
-        if epoch > self.epoch:
+        if epoch != self.epoch:
             self.epoch = epoch
             self.on_epoch_change()
         return response
--- a/features/steps/store_epochs_steps.py
+++ b/features/steps/store_epochs_steps.py
@@ -432,3 +432,18 @@
 def step_written_and_read(context, version, name):
     context.rig.configure(version)
     assert context.rig.poll(name)
+
+
+@when("the store starts again with epoch {epoch:d}")
+def step_starts_again(context, epoch):
+    context.rig.restore()
+    context.rig.store.epoch = epoch
+
+
+@then('"{name}" asks for changes only')
+def step_changes_only(context, name):
+    calls = context.rig.store.calls
+    before = calls["list"]
+    assert not _entry(context, name).sync._must_list_again()
+    context.rig.poll(name)
+    assert calls["list"] == before
--- a/features/store_epochs.feature
+++ b/features/store_epochs.feature
@@ -252,3 +252,19 @@
     And upstream "i-1" is removed
     And "e1" polls
     Then "e1" uses upstreams "i-2"
+
+  # Guards against a view that stays with the epochs of a store that is gone.
+  Scenario: Another store at the same address starts its epochs again
+    Given a store with upstream "i-1" and configuration 7, followed by entry "e1"
+    And upstream "i-2" registers
+    And a copy of it
+    And 9 later writes that entry "e1" has read
+    When the store is restored
+    And "e1" polls
+    And the store starts again with epoch 1
+    And "e1" polls
+    And upstream "i-1" is removed
+    And "e1" polls
+    Then "e1" uses upstreams "i-2"
+    And "e1" has read epoch 1
+    And "e1" asks for changes only
