Play restores of the store and bytes without end in the soak

The emulator's store can be copied and restored in a running world; what operators and upstreams had written is written again over a second unless something newer stands there, as the platform does it. Both kinds are drawn by themselves, so that a seed keeps its plan of the others.

--- a/emulator/store.py
+++ b/emulator/store.py
@@ -15,6 +15,7 @@
 
 from emulator.endless import endless_form
 from emulator.handler_connection import connection_of
+from emulator.store_state import StoredItem
 from emulator.store_state import StoreState
 
 PAGE_ITEMS = 500
@@ -70,6 +71,8 @@
         self.epoch = 1
         self.faults = StoreFaults()
         self._copy: StoreCopy | None = None
+        self._lost: dict[str, StoredItem | None] = {}
+        self._rewriting: asyncio.Task[None] | None = None
         self.calls: dict[str, int] = {}
         self.zone_addresses: dict[str, dict[str, str]] = {}
         self.changed = asyncio.Condition()
@@ -138,13 +141,20 @@
         """Takes the copy that `restore` returns to."""
         self._copy = StoreCopy(copy.deepcopy(self.state), time.monotonic())
 
-    async def restore(self) -> None:
+    async def restore(self, *, again_s: float = 0.0) -> None:
         """Returns to the copy, in a new epoch.
 
         Leases of the copy go on with the time that they had left. The copy is
         kept, so that the store can be restored from it again.
+
+        Args:
+          again_s: time over which what operators and upstreams had written is
+            written again, in seconds; 0 for never.
         """
         assert self._copy is not None
+        if self._rewriting is not None:
+            self._rewriting.cancel()
+        self._lost.update(_lost_writes(self._copy.state, self.state))
         age_s = time.monotonic() - self._copy.at_s
         self.state = copy.deepcopy(self._copy.state)
         for number, lease in list(self.state.leases.items()):
@@ -153,6 +163,24 @@
             )
         self.epoch += 1
         await self.notify()
+        if again_s:
+            self._rewriting = asyncio.ensure_future(self._write_again(again_s))
+
+    async def _write_again(self, again_s: float) -> None:
+        """Makes the lost writes again, one by one, unless there is a newer."""
+        restored_revision = self.state.revision
+        pause_s = again_s / max(1, len(self._lost))
+        while self._lost:
+            key, lost = self._lost.popitem()
+            await asyncio.sleep(pause_s)
+            current = self.state.items.get(key)
+            if current is not None and current["revision"] > restored_revision:
+                continue
+            if lost is None:
+                self.state.remove(key)
+            else:
+                self.state.put(key, lost["value"])
+            await self.notify()
 
     def loses_write_response(self) -> bool:
         """Counts a write; returns whether its response is lost."""
@@ -382,7 +410,7 @@
         self.respond({})
 
     async def post(self) -> None:
-        await self.store.restore()
+        await self.store.restore(again_s=self.body().get("again_s", 0.0))
         self.respond({})
 
 
@@ -409,6 +437,24 @@
         self.respond({})
 
 
+def _lost_writes(
+    copied: StoreState, current: StoreState
+) -> dict[str, StoredItem | None]:
+    """Returns the writes without a lease that a copy lacks, None for removals.
+
+    Keys with a lease are those of entries, which register again by themselves.
+    """
+    lost: dict[str, StoredItem | None] = {}
+    for key in copied.items.keys() | current.items.keys():
+        item = current.items.get(key)
+        before = copied.items.get(key)
+        if any(each is not None and each["lease"] for each in (item, before)):
+            continue
+        if item != before:
+            lost[key] = item
+    return lost
+
+
 def _rewrite_addresses(
     zone: str, item: dict[str, Any], zone_addresses: dict[str, dict[str, str]]
 ) -> dict[str, Any]:
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -404,6 +404,25 @@
             f"http://{self.store}/faults", method="POST", body=b""
         )
 
+    async def copy_store(self) -> None:
+        """Takes a copy of the store's state."""
+        await self._client.fetch(
+            f"http://{self.store}/copy", method="PUT", body=b""
+        )
+
+    async def restore_store(self, *, again_s: float) -> None:
+        """Restores the store from its copy.
+
+        Args:
+          again_s: time over which operators and upstreams write again what was
+            lost, in seconds.
+        """
+        await self._client.fetch(
+            f"http://{self.store}/copy",
+            method="POST",
+            body=json.dumps({"again_s": again_s}),
+        )
+
     async def set_faults(self, address: str, path: str, **faults: Any) -> None:
         """Sets the faults of the store or of an upstream."""
         try:
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -72,3 +72,8 @@
   Scenario: Upstreams that say they leave or want rest beside other faults
     When the soak plays seed 4 with statements for 20 s
     Then it broke no promise and most requests were served
+
+  # Guards against a restore of the store, or an upstream in trouble, that breaks a promise beside other faults.
+  Scenario: A store that is restored and upstreams that send bytes without end
+    When the soak plays seed 6 with restores for 20 s
+    Then it broke no promise and most requests were served
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -193,6 +193,11 @@
     _run_soak(context, seed, seconds, "--statements")
 
 
+@when("the soak plays seed {seed:d} with restores for {seconds:d} s")
+def step_soak_restores(context, seed, seconds):
+    _run_soak(context, seed, seconds, "--restores", "--endless")
+
+
 @when("the soak plays seed {seed:d} with limits for {seconds:d} s")
 def step_soak_limits(context, seed, seconds):
     _run_soak(context, seed, seconds, "--limits")
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -33,6 +33,8 @@
     limits: bool = False,
     cuts: bool = False,
     statements: bool = False,
+    restores: bool = False,
+    endless: bool = False,
 ) -> Report:
     """Runs one seed; keeps the processes' logs if `logs` names a folder."""
     with tempfile.TemporaryDirectory(prefix="almondstair-soak-") as folder:
@@ -47,6 +49,8 @@
             limits=limits,
             cuts=cuts,
             statements=statements,
+            restores=restores,
+            endless=endless,
         )
         report = asyncio.run(soak.run())
         if report.violations:
@@ -112,6 +116,8 @@
         limits: bool = False,
         cuts: bool = False,
         statements: bool = False,
+        restores: bool = False,
+        endless: bool = False,
     ) -> None:
         """Runs one seed.
 
@@ -126,6 +132,8 @@
           cuts: whether gateways lose their links to upstreams besides.
           statements: whether upstreams say that they leave or want rest
             besides.
+          restores: whether the store is restored from copies besides.
+          endless: whether upstreams send bytes without end besides.
         """
         kinds = FIRST_KINDS if first_kinds else DRAWN_KINDS
         report = run_seed(
@@ -137,6 +145,8 @@
             limits=limits,
             cuts=cuts,
             statements=statements,
+            restores=restores,
+            endless=endless,
         )
         print_report(report)
         sys.exit(1 if report.violations else 0)
@@ -155,6 +165,8 @@
                 limits=True,
                 cuts=True,
                 statements=True,
+                restores=True,
+                endless=True,
             )
             print_report(report)
             if report.violations:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,6 +5,8 @@
 import random
 from typing import NamedTuple
 
+from emulator.endless import FORMS
+
 # No fault begins while the processes start, nor in the last seconds, so that
 # most faults have ended when the recovery is checked.
 START_SETTLE_S = 3.0
@@ -35,6 +37,8 @@
     LINKS = "links"
     UPSTREAM_REST = "upstream_rest"
     UPSTREAM_LEAVES = "upstream_leaves"
+    STORE_RESTORE = "store_restore"
+    UPSTREAM_ENDLESS = "upstream_endless"
 
 
 # Kinds that the kept seeds were found with; drawing from more kinds would give
@@ -92,6 +96,11 @@
 # Invalid registrations by another writer: under the key of an upstream for
 # `own_key`, else under a key of the writer's own.
 FOREIGN_RECORDS = ("own_key", "no_text", "no_slots", "no_address", "no_state")
+# How often the store is restored from one copy.
+RESTORES = ("once", "twice")
+# Age of that copy when the store goes away, in seconds.
+MIN_COPY_AGE_S = 1.0
+MAX_COPY_AGE_S = 5.0
 # Values of the rests that upstreams ask for, in seconds; the last is invalid.
 RESTS = ("0.5", "1", "3", "soon")
 _VARIANTS = {
@@ -209,3 +218,52 @@
             )
         )
     return sorted(steps)
+
+
+def make_restores(seed: int, *, seconds: float) -> list[Step]:
+    """Returns the steps of a seed in which the store is restored from a copy.
+
+    Their duration is the age of the copy when the store goes away.
+
+    Args:
+      seed: the seed.
+      seconds: length of the run.
+    """
+    rng = random.Random(f"restores of {seed}")
+    span_s = max(1.0, seconds - START_SETTLE_S - FINAL_CALM_S)
+    steps = []
+    for _ in range(max(1, int(span_s / 10))):
+        age_s = rng.uniform(MIN_COPY_AGE_S, MAX_COPY_AGE_S)
+        steps.append(
+            Step(
+                at_s=START_SETTLE_S + rng.random() * max(1.0, span_s - age_s),
+                kind=FaultKind.STORE_RESTORE,
+                target=rng.randrange(1000),
+                duration_s=age_s,
+                variant=rng.choice(RESTORES),
+            )
+        )
+    return sorted(steps)
+
+
+def make_endless(seed: int, *, seconds: float) -> list[Step]:
+    """Returns the steps of a seed in which upstreams send bytes without end.
+
+    Args:
+      seed: the seed.
+      seconds: length of the run.
+    """
+    rng = random.Random(f"bytes without end of {seed}")
+    span_s = max(1.0, seconds - START_SETTLE_S - FINAL_CALM_S)
+    steps = []
+    for _ in range(max(2, int(span_s / 4))):
+        steps.append(
+            Step(
+                at_s=START_SETTLE_S + rng.random() * span_s,
+                kind=FaultKind.UPSTREAM_ENDLESS,
+                target=rng.randrange(1000),
+                duration_s=rng.uniform(0.5, 4.0),
+                variant=rng.choice(FORMS),
+            )
+        )
+    return sorted(steps)
--- a/soak/run.py
+++ b/soak/run.py
@@ -48,6 +48,11 @@
 # Delay before a killed gateway is started again.
 RESTART_DELAY_S = 0.5
 STOP_LIMIT_S = 4.0
+# Shortest time for which a store that is restored from a copy is away; the
+# longest is four times as long.
+AWAY_S = 0.25
+# Time over which the lost writes of upstreams and operators are made again.
+WRITTEN_AGAIN_S = 1.0
 # Calm span at the end in which most requests must succeed. Its last part is not
 # counted, because those responses may still be outstanding.
 FINAL_SPAN_S = 3.0
@@ -169,6 +174,8 @@
         limits: bool = False,
         cuts: bool = False,
         statements: bool = False,
+        restores: bool = False,
+        endless: bool = False,
     ) -> None:
         """Makes the plan and starts nothing."""
         self._seed = seed
@@ -180,6 +187,10 @@
             self._steps += plan.make_cuts(seed, seconds=seconds)
         if statements:
             self._steps += plan.make_statements(seed, seconds=seconds)
+        if restores:
+            self._steps += plan.make_restores(seed, seconds=seconds)
+        if endless:
+            self._steps += plan.make_endless(seed, seconds=seconds)
         self._steps.sort()
         self._world = World(
             deployment=size.deployment(),
@@ -283,6 +294,8 @@
             FaultKind.LINKS: self._links,
             FaultKind.UPSTREAM_REST: self._upstream_rest,
             FaultKind.UPSTREAM_LEAVES: self._upstream_leaves,
+            FaultKind.STORE_RESTORE: self._store_restore,
+            FaultKind.UPSTREAM_ENDLESS: self._upstream_fault,
         }
         began_s = time.monotonic()
         await actions[step.kind](step)
@@ -293,6 +306,7 @@
             FaultKind.UPSTREAM_LIMIT,
             FaultKind.LINKS,
             FaultKind.UPSTREAM_REST,
+            FaultKind.STORE_RESTORE,
         )
         if step.kind not in planned:
             self._disturbance_spans.append(
@@ -321,6 +335,28 @@
         await asyncio.sleep(step.duration_s)
         await self._world.set_faults(self._world.store, "/faults")
 
+    async def _store_restore(self, step: Step) -> None:
+        """Restores the store from a copy; what was lost is written again."""
+        if not await self._claim("copy of the store"):
+            return
+        await self._world.copy_store()
+        await asyncio.sleep(step.duration_s)
+        began_s = time.monotonic()
+        await self._world.set_faults(
+            self._world.store, "/faults", mode="silent"
+        )
+        await asyncio.sleep(AWAY_S * (1 + step.target % 4))
+        await self._world.restore_store(again_s=WRITTEN_AGAIN_S)
+        await self._world.set_faults(self._world.store, "/faults")
+        if step.variant == "twice":
+            await asyncio.sleep(WRITTEN_AGAIN_S / 2)
+            await self._world.restore_store(again_s=WRITTEN_AGAIN_S)
+        await asyncio.sleep(WRITTEN_AGAIN_S)
+        self._disturbance_spans.append(
+            Span(str(step.kind), began_s, time.monotonic())
+        )
+        self._claimed.discard("copy of the store")
+
     async def _store_proxy(self, step: Step) -> None:
         proxy = self._world.store_proxies[self._gateway(step)]
         await self._apply_proxy_fault(proxy, step)
