Keep grace periods through a second listing, and read copies without state

Found by reading the change: an entry that asked another peer for the first time within the grace period of a restore got a listing again, which dropped at once what had lapsed. What has lapsed keeps its grace period now (store_epochs.feature has the case; an upstream and an entry were dropped before).

Whether an item is of the copy is handed down in place of being kept, the grace is restored if applying fails, and an entry that lists since a renewal showed the epoch waits up to 0.1 s, which spreads the zones' listings.

--- a/almondstair/core/fleet.py
+++ b/almondstair/core/fleet.py
@@ -476,8 +476,18 @@
         """
         before_s = self._grace_until_s
         self._grace_until_s = now_s + EXPIRY_GRACE_S
-        yield
-        self._grace_until_s = before_s
+        try:
+            yield
+        finally:
+            self._grace_until_s = before_s
+
+    def has_lapsed_entry(self, name: str) -> bool:
+        """Returns whether an entry is kept although the store lacks it."""
+        return name in self._entry_expiry_s
+
+    def has_lapsed_evacuation(self, zone: str) -> bool:
+        """Returns whether an evacuation is kept although the store lacks it."""
+        return zone in self._evacuation_expiry_s
 
     def lapsed_count(self) -> int:
         """Returns how many entries of the store are kept without it."""
@@ -506,10 +516,13 @@
     def drop_unlisted(
         self, listed: set[str], *, now_s: float
     ) -> list[UpstreamRecord]:
-        """Drops upstreams that a full listing lacks; returns those removed."""
+        """Drops upstreams that a full listing lacks; returns those removed.
+
+        One that has lapsed already keeps its grace period.
+        """
         removed = []
         for upstream_id in list(self._upstreams):
-            if upstream_id in listed:
+            if upstream_id in listed or upstream_id in self._upstream_expiry_s:
                 continue
             record = self.drop_upstream(upstream_id, now_s=now_s)
             if record is not None:
--- a/almondstair/gateway/registrations.py
+++ b/almondstair/gateway/registrations.py
@@ -30,7 +30,6 @@
 
     Attributes:
       change_log: logs the changes.
-      reads_copy: whether the first listing of a restored store is applied.
     """
 
     def __init__(
@@ -47,7 +46,6 @@
         self._pool = pool
         self._mirror = mirror
         self.change_log = ChangeLog()
-        self.reads_copy = False
         # Revision of the last applied registration, by the upstream's id.
         self._revisions: dict[str, Revision] = {}
         self._logged: OrderedDict[str, None] = OrderedDict()
@@ -56,8 +54,13 @@
         """Forgets the revisions of a store that was replaced by another."""
         self._revisions.clear()
 
-    def apply_upstream(self, item: Item) -> None:
-        """Applies a registration of an upstream, or its removal."""
+    def apply_upstream(self, item: Item, *, from_copy: bool = False) -> None:
+        """Applies a registration of an upstream, or its removal.
+
+        Args:
+          item: the registration.
+          from_copy: whether it is of the first listing of a restored store.
+        """
         upstream_id = item.key.removeprefix(documents.UPSTREAM_PREFIX)
         if item.value is None:
             self._remove_upstream(upstream_id, item.revision)
@@ -73,7 +76,7 @@
             # then, and its service would reject requests despite free slots.
             record = record._replace(cold_left_s=0.0)
         result = self._fleet.apply_upstream(
-            record, now_s=now_s(), from_copy=self.reads_copy
+            record, now_s=now_s(), from_copy=from_copy
         )
         if result.replaced_incarnation:
             self._pool.close_upstream(incarnation=result.replaced_incarnation)
--- a/almondstair/gateway/store_sync.py
+++ b/almondstair/gateway/store_sync.py
@@ -33,6 +33,9 @@
 # pause doubles with each such poll.
 FIRST_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 0.6
+# Longest delay after which an entry lists a store whose new epoch a call has
+# shown; it spreads the listings of all zones.
+EPOCH_LISTING_DELAY_S = 0.1
 # Entries of each zone that poll the store. The others poll these entries, and
 # the store itself when they do not respond or their data is old.
 STORE_READERS = 1
@@ -135,6 +138,7 @@
                 while not self._must_list_again():
                     await self._epoch_changed.wait()
                     self._epoch_changed.clear()
+                await asyncio.sleep(random.random() * EPOCH_LISTING_DELAY_S)
         except TimeoutError:
             return
 
@@ -313,7 +317,7 @@
             first=batch.listing and not self._fleet.upstream_count()
         )
         for item in batch.items:
-            self._apply_item(item)
+            self._apply_item(item, from_copy=restored)
         if batch.listing:
             self._drop_unlisted(batch, restored=restored)
             self._fleet.mark_loaded()
@@ -324,7 +328,7 @@
                 from_store=batch.from_store,
             )
         if restored:
-            self._end_epoch_listing(batch)
+            self._log_epoch(batch)
         change_log.end(revision=batch.revision)
         self.revision = batch.revision
         self.as_of_s = max(self.as_of_s, now_s() - batch.age_s)
@@ -343,12 +347,10 @@
 
     def _begin_epoch(self, batch: Batch) -> None:
         self._fleet.begin_epoch()
-        self._registrations.reads_copy = True
         if batch.revision < self.revision:
             self._registrations.reset_revisions()
 
-    def _end_epoch_listing(self, batch: Batch) -> None:
-        self._registrations.reads_copy = False
+    def _log_epoch(self, batch: Batch) -> None:
         log.event(
             log.Event.STORE_EPOCH_CHANGED,
             **revision_fields(batch.revision),
@@ -374,7 +376,7 @@
             self._drop_registrations(keys, batch.revision)
         for zone in list(self._fleet.evacuated):
             key = documents.EVACUATION_PREFIX + zone
-            if key in keys:
+            if key in keys or self._fleet.has_lapsed_evacuation(zone):
                 continue
             if restored:
                 self._fleet.lapse_evacuation(zone, now_s=now_s())
@@ -385,14 +387,15 @@
         self._registrations.drop_unlisted_upstreams(keys, revision=revision)
         for name in list(self._fleet.entries):
             key = documents.ENTRY_PREFIX + name
-            if key not in keys:
-                self._apply_entry(Item(key, None, revision))
+            if key in keys or self._fleet.has_lapsed_entry(name):
+                continue
+            self._apply_entry(Item(key, None, revision))
 
-    def _apply_item(self, item: Item) -> None:
+    def _apply_item(self, item: Item, *, from_copy: bool) -> None:
         if item.key == documents.CONFIGURATION_KEY:
             self._apply_configuration(item)
         elif item.key.startswith(documents.UPSTREAM_PREFIX):
-            self._registrations.apply_upstream(item)
+            self._registrations.apply_upstream(item, from_copy=from_copy)
         elif item.key.startswith(documents.EVACUATION_PREFIX):
             self._apply_evacuation(item)
         elif item.key.startswith(documents.ENTRY_PREFIX):
--- a/features/steps/store_epochs_steps.py
+++ b/features/steps/store_epochs_steps.py
@@ -447,3 +447,12 @@
     assert not _entry(context, name).sync._must_list_again()
     context.rig.poll(name)
     assert calls["list"] == before
+
+
+@when('the store drops its history, and "{name}" polls')
+def step_history(context, name):
+    context.rig.write_upstream("i-1")
+    context.rig.store.state.drop_history()
+    before = context.rig.store.calls["list"]
+    assert context.rig.poll(name)
+    assert context.rig.store.calls["list"] > before
--- a/features/store_epochs.feature
+++ b/features/store_epochs.feature
@@ -170,6 +170,22 @@
     But 2.5 s later "e1" uses upstreams "i-1"
     And "e1" knows neither "e2" nor the evacuation of "b1"
 
+  # Guards against a second listing that ends the grace period.
+  Scenario: Another listing of the epoch leaves the grace period as it is
+    Given a store with upstream "i-1" and configuration 7, followed by entry "e1"
+    And a copy of it
+    And upstream "i-2" registers
+    And zone "b1" is evacuated
+    And entry "e2" is registered, which follows the store
+    And "e1" polls
+    When the store is restored
+    And "e1" polls
+    And the store drops its history, and "e1" polls
+    Then "e1" uses upstreams "i-1 i-2"
+    And "e1" knows "e2" and the evacuation of "b1"
+    But 2.5 s later "e1" uses upstreams "i-1"
+    And "e1" knows neither "e2" nor the evacuation of "b1"
+
   # Guards against a live upstream that is dropped after it has come back.
   Scenario: What is written again in time stays
     Given a store with upstream "i-1" and configuration 7, followed by entry "e1"
