--- a/emulator/endless.py
+++ b/emulator/endless.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from tornado import iostream
+
 _STATUS = b"HTTP/1.1 200 OK\r\n"
 _CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 _LENGTH = b"Content-Length: 5\r\n\r\n"
@@ -87,3 +89,16 @@
 
 def _chunk(size_bytes: int) -> bytes:
     return b"%x\r\n%b\r\n" % (size_bytes, b"x" * size_bytes)
+
+
+async def write_without_end(
+    stream: iostream.IOStream, form: EndlessForm
+) -> None:
+    """Writes a form of bytes until the other side closes the connection."""
+    try:
+        await stream.write(form.start)
+        while True:
+            await stream.write(form.piece)
+    except iostream.StreamClosedError:
+        # The other side has cut it off, as it should.
+        return
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -9,11 +9,11 @@
 
 import msgspec
 from tornado import httpserver
-from tornado import iostream
 from tornado import netutil
 from tornado import web
 
 from emulator.endless import endless_form
+from emulator.endless import write_without_end
 from emulator.handler_connection import connection_of
 from emulator.store_state import StoredItem
 from emulator.store_state import StoreState
@@ -231,14 +231,8 @@
 
     async def respond_without_end(self) -> None:
         form = endless_form("header_value", headers=b"")
-        stream = connection_of(self).stream
-        try:
-            await stream.write(form.start)
-            while True:
-                await stream.write(form.piece)
-        except iostream.StreamClosedError:
-            # The caller has cut the response off, as it should.
-            raise web.Finish from None
+        await write_without_end(connection_of(self).stream, form)
+        raise web.Finish
 
     def fail(self, status: int) -> None:
         self.set_status(status)
--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -18,6 +18,7 @@
 from almondstair.platform import headers as names
 from emulator.endless import FORMS
 from emulator.endless import endless_form
+from emulator.endless import write_without_end
 from emulator.handler_connection import connection_of
 
 CACHED_RUN_TIME_FACTOR = 0.3
@@ -434,15 +435,9 @@
 
     async def respond_without_end(self, form_name: str) -> None:
         """Writes bytes without end until the other side closes."""
-        stream = self.stream()
         form = endless_form(form_name, headers=self.identifying_headers())
-        try:
-            await stream.write(form.start)
-            while True:
-                await stream.write(form.piece)
-        except iostream.StreamClosedError:
-            # The other side has cut the response off, as it should.
-            raise web.Finish from None
+        await write_without_end(self.stream(), form)
+        raise web.Finish
 
     def identifying_headers(self) -> bytes:
         """Returns the headers by which a response counts."""
--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -85,6 +85,20 @@
     Then the gateway's memory stays below 128 MB
     And requests that may run again are answered 200 within 1 s
 
+  # Guards against a bound that counts what is part of a body, or counts it twice.
+  Scenario Outline: What is part of a body does not count
+    Given a bound of 1000 bytes
+    When <received> bytes come, of which <body> are part of a body
+    Then the bound is <state>
+
+    Examples:
+      | received | body  | state    |
+      | 1000     | 0     | kept     |
+      | 1001     | 0     | exceeded |
+      | 100000   | 99000 | kept     |
+      | 3000     | 1000  | kept     |
+      | 3001     | 1000  | exceeded |
+
   # Guards against responses and requests that a bound cuts although they are valid.
   Scenario: What is valid is not cut
     Given a connection to an upstream
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -13,6 +13,7 @@
 from behave import then
 from behave import when
 
+from almondstair.core.overhead import OverheadBound
 from almondstair.gateway.simple_http_client import SimpleHttpClient
 from almondstair.gateway.upstream_connection import ExchangeEnd
 from almondstair.gateway.upstream_connection import UpstreamConnection
@@ -307,7 +308,25 @@
     assert context.sent_bytes <= limit_bytes, context.sent_bytes
 
 
-# Valid messages.
+# The bound by itself, and valid messages.
+
+
+@given("a bound of {limit_bytes:d} bytes")
+def step_bound(context, limit_bytes):
+    context.bound = OverheadBound(limit_bytes=limit_bytes)
+
+
+@when(
+    "{received_bytes:d} bytes come, of which {body_bytes:d} are part of a body"
+)
+def step_come(context, received_bytes, body_bytes):
+    context.bound.add_received(received_bytes)
+    context.bound.add_body(body_bytes)
+
+
+@then("the bound is {state}")
+def step_state(context, state):
+    assert context.bound.exceeded is (state == "exceeded")
 
 
 class _Sink(UpstreamResponseSink):
