Let the emulated upstream end its own answer before bytes without end

Trace: all are of the form after_the_end, where the stand-in sent a sealed response of five bytes, which the check rightly takes for half a body. The gateway passed on what it got. The stand-in sends its whole answer first now; the check is as it was.

--- a/emulator/endless.py
+++ b/emulator/endless.py
@@ -25,13 +25,16 @@
 _FILLER = _repeat(b"x")
 
 
-def endless_form(name: str, *, headers: bytes) -> EndlessForm:
+def endless_form(
+    name: str, *, headers: bytes, answer: bytes = b"12345"
+) -> EndlessForm:
     """Returns a form of bytes without end.
 
     Args:
       name: one of `FORMS`, or `body` for a valid response whose body does not
         end.
       headers: lines of the headers that identify the response.
+      answer: body of a response that is complete before the bytes come.
     """
     head = _STATUS + headers
     body = head + _CHUNKED
@@ -60,7 +63,10 @@
         "tiny_chunks": EndlessForm(body, _repeat(_chunk(1))),
         "trailer_lines": EndlessForm(body + b"0\r\n", _repeat(b"X-A: b\r\n")),
         "trailer_value": EndlessForm(body + b"0\r\nX-A: ", _FILLER),
-        "after_the_end": EndlessForm(head + _LENGTH + b"12345", _FILLER),
+        "after_the_end": EndlessForm(
+            head + b"Content-Length: %d\r\n\r\n%b" % (len(answer), answer),
+            _FILLER,
+        ),
         "body": EndlessForm(body, _chunk(_PIECE_BYTES)),
     }
     return forms[name]
--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -410,8 +410,11 @@
     def stream(self) -> iostream.IOStream:
         return connection_of(self).stream
 
+    def answer_body(self) -> bytes:
+        return f"answer to {self.request_id}\n".encode() * 8
+
     def respond(self, fault: str) -> None:
-        body = f"answer to {self.request_id}\n".encode() * 8
+        body = self.answer_body()
         faults = self.upstream.faults
         path = self.request.path
         if faults.large_path and path.startswith(faults.large_path):
@@ -435,7 +438,11 @@
 
     async def respond_without_end(self, form_name: str) -> None:
         """Writes bytes without end until the other side closes."""
-        form = endless_form(form_name, headers=self.identifying_headers())
+        form = endless_form(
+            form_name,
+            headers=self.identifying_headers(),
+            answer=self.answer_body(),
+        )
         await write_without_end(self.stream(), form)
         raise web.Finish
 
