--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -20,35 +20,35 @@
 from almondstair.gateway.upstream_connection import UpstreamResponseSink
 from emulator.documents import HOST
 from emulator.endless import endless_form
-from features.steps.pipelined_responses_steps import _Rig
 from features.support import connection_trace
+from features.support.caller_rig import CallerRig
 from features.support.gateway_world import GatewayWorld
 
 _MEBIBYTE_BYTES = 1 << 20
-_FEATURE_LOOPS = {"GET": 4, "POST": 4}
+_LOOPS = {"GET": 4, "POST": 4}
 _PATHS = {"GET": "/safe/x", "POST": "/unsafe/x"}
 _BEFORE_S = 2.0
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 # Ticks of the processor's clock are coarse beside the time of two seconds.
 _CLOCK_NOISE_S = 0.2
-_PIECE = 65_536
+_PIECE_BYTES = 65_536
 _HEAD = f"POST /safe/x HTTP/1.1\r\nHost: {HOST}\r\n".encode()
 _CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 _FORMS = {
     "blank lines": (b"", b"\r\n" * 8192),
-    "target": (b"GET /", b"x" * _PIECE),
+    "target": (b"GET /", b"x" * _PIECE_BYTES),
     "header lines": (_HEAD, b"X-A: b\r\n" * 8192),
-    "header name": (_HEAD, b"x" * _PIECE),
-    "header value": (_HEAD + b"X-A: ", b"x" * _PIECE),
-    "header blanks": (_HEAD + b"X-A:", b" " * _PIECE),
-    "chunk extension": (_CHUNKED + b"5;a=", b"x" * _PIECE),
-    "chunk size": (_CHUNKED, b"0" * _PIECE),
+    "header name": (_HEAD, b"x" * _PIECE_BYTES),
+    "header value": (_HEAD + b"X-A: ", b"x" * _PIECE_BYTES),
+    "header blanks": (_HEAD + b"X-A:", b" " * _PIECE_BYTES),
+    "chunk extension": (_CHUNKED + b"5;a=", b"x" * _PIECE_BYTES),
+    "chunk size": (_CHUNKED, b"0" * _PIECE_BYTES),
     "tiny chunks": (_CHUNKED, b"1\r\nx\r\n" * 8192),
     "trailer lines": (_CHUNKED + b"0\r\n", b"X-A: b\r\n" * 8192),
-    "trailer value": (_CHUNKED + b"0\r\nX-A: ", b"x" * _PIECE),
+    "trailer value": (_CHUNKED + b"0\r\nX-A: ", b"x" * _PIECE_BYTES),
     "after the end": (
         _HEAD + b"Connection: close\r\nContent-Length: 0\r\n\r\n",
-        b"x" * _PIECE,
+        b"x" * _PIECE_BYTES,
     ),
 }
 
@@ -65,9 +65,9 @@
     def __init__(self, world):
         self._world = world
         self._stopped = threading.Event()
-        self.results = {method: [] for method in _FEATURE_LOOPS}
+        self.results = {method: [] for method in _LOOPS}
         self._threads = []
-        for method, count in _FEATURE_LOOPS.items():
+        for method, count in _LOOPS.items():
             for _ in range(count):
                 thread = threading.Thread(target=self._send, args=(method,))
                 thread.start()
@@ -209,7 +209,7 @@
             context,
             count,
             f"{start}{size_bytes}\r\n\r\n".encode(),
-            b"x" * _PIECE,
+            b"x" * _PIECE_BYTES,
             listener="lookups",
         )
 
@@ -387,7 +387,7 @@
 )
 def step_request_whole(context, chunk_bytes):
     del chunk_bytes
-    rig = _Rig()
+    rig = CallerRig()
     context.add_cleanup(rig.close)
     rig.receive(
         b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/features/steps/pipelined_responses_steps.py
+++ b/features/steps/pipelined_responses_steps.py
@@ -1,6 +1,5 @@
 """Steps for several requests in flight on one caller's connection."""
 
-import asyncio
 import socket
 import time
 
@@ -9,15 +8,13 @@
 from behave import when
 
 from almondstair.gateway import caller_connection
-from almondstair.gateway.caller_connection import CallerConnection
-from almondstair.gateway.caller_connection import RequestHandler
 from almondstair.gateway.caller_request import WriteWait
 from almondstair.gateway.http_encoding import ResponseHead
 from features.support import connection_trace
+from features.support.caller_rig import CallerRig
 from features.support.gateway_world import GatewayWorld
 
 _OK = ResponseHead(status=200, headers=[])
-_PIECE = b"x" * 1000
 _BODY_BYTES = caller_connection.MAX_BUFFERED_BODY_BYTES + 1
 _RECEIVE_BYTES = 1 << 16
 _PAUSE_S = 0.02
@@ -104,102 +101,8 @@
 # In one process.
 
 
-class _Handler(RequestHandler):
-    """Leaves each request to the scenario."""
-
-    def __init__(self):
-        self.requests = []
-
-    def limits(self):
-        return connection_trace.LIMITS
-
-    def is_cancellable(self, request):
-        del request
-        return False
-
-    def record_wait(self, wait):
-        del wait
-
-    def refusal(self, request):
-        del request
-
-    def record_closed(self, request):
-        del request
-
-    async def handle(self, request):
-        self.requests.append(request)
-
-
-class _Transport(connection_trace.ScriptedTransport):
-    """Knows whether it reads."""
-
-    reads = True
-
-    def pause_reading(self):
-        self.reads = False
-
-    def resume_reading(self):
-        self.reads = True
-
-
-class _Rig:
-    """A connection in an event loop of its own."""
-
-    def __init__(self):
-        self.loop = asyncio.new_event_loop()
-        self.handler = _Handler()
-        self.transport = _Transport([])
-        self.run(self._open())
-        self.writers = []
-
-    def run(self, work):
-        return self.loop.run_until_complete(work)
-
-    async def _open(self):
-        self.connection = CallerConnection(
-            handler=self.handler, connections=set()
-        )
-        self.connection.connection_made(self.transport)
-
-    def receive(self, data):
-        async def feed():
-            self.connection.data_received(data)
-            await connection_trace.settle()
-
-        self.run(feed())
-
-    def send(self, size_bytes=0):
-        """Sends a request and its whole body."""
-        self.receive(
-            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
-            % size_bytes
-            + b"x" * size_bytes
-        )
-
-    def write(self, request):
-        """Begins to write a piece of a response; returns the writer."""
-
-        async def begin():
-            writer = asyncio.ensure_future(request.write(_PIECE))
-            await connection_trace.settle()
-            return writer
-
-        return self.run(begin())
-
-    def settle(self):
-        self.run(connection_trace.settle())
-
-    def close(self):
-        async def lose():
-            self.connection.connection_lost(None)
-            await connection_trace.settle()
-
-        self.run(lose())
-        self.loop.close()
-
-
 def _open_rig(context):
-    context.rig = _Rig()
+    context.rig = CallerRig()
     context.add_cleanup(context.rig.close)
     return context.rig
 
