--- a/review/trial.py
+++ b/review/trial.py
@@ -148,6 +148,8 @@
         self.ip = ip
         self.port = 0
         self.state = "ready"
+        # Unix milliseconds of its start, at deployments that have it.
+        self.born_ms: int | None = None
         self.runs: list[Run] = []
         self.dropped: list[str] = []
         self.ended: dict[str, float] = {}
@@ -169,8 +171,12 @@
     def registration(self) -> str:
         """Returns what it writes to the store, with the next number."""
         self._sequence += 1
+        entry: dict[str, Any] = {}
+        if self.born_ms is not None:
+            entry["born"] = self.born_ms
         return json.dumps(
-            {
+            entry
+            | {
                 "service": self.service,
                 "address": f"{self.ip}:{self.port}",
                 "zone": self.zone,
@@ -457,7 +463,7 @@
             "version": f"{version:08x}",
             "limits": {
                 "maxHeaderBytes": 16384,
-                "maxBodyBytes": 4 << 20,
+                "maxBodyBytes": 64 << 20,
                 "headerTimeoutS": 3,
                 "idleTimeoutS": 15,
             },
