Log the key at which applying a change of the store fails

The line 324 of the task named no key: whether a poll cannot be read, one key raises, or what is derived from several keys does, could not be told apart.

New event 463 with key, revision and error; behaviour is unchanged.

--- a/almondstair/gateway/store_sync.py
+++ b/almondstair/gateway/store_sync.py
@@ -317,7 +317,16 @@
             first=batch.listing and not self._fleet.upstream_count()
         )
         for item in batch.items:
-            self._apply_item(item, from_copy=restored)
+            try:
+                self._apply_item(item, from_copy=restored)
+            except Exception as error:
+                log.event(
+                    log.Event.STORE_CHANGE_FAILED,
+                    error=error,
+                    key=item.key,
+                    **revision_fields(item.revision),
+                )
+                raise
         if batch.listing:
             self._drop_unlisted(batch, restored=restored)
             self._fleet.mark_loaded()
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -274,6 +274,9 @@
         logging.WARNING,
         "the store was restored from a copy; its data is read again",
     )
+    STORE_CHANGE_FAILED = EventRule(
+        463, logging.ERROR, "a change of the store could not be applied"
+    )
 
 
 def setup(*, level: str, file: str) -> None:
