Apply each change of the store by itself, and decode whatever others write

Cause, by the log field of the commit before: one key raised in its decoder, the error ended the batch, and the task began again at the revision before it.

Decoding ends in a value or in one error, whatever the bytes; and a change that raises all the same is skipped alone, so that no key stands for the others.

--- a/almondstair/gateway/gateway_metrics.py
+++ b/almondstair/gateway/gateway_metrics.py
@@ -80,6 +80,11 @@
             "almondstair_lapsed_registrations",
             "registrations that the store lacks and this entry still keeps",
         )
+        self.skipped_keys = self._gauge(
+            "almondstair_skipped_keys",
+            "keys of the store whose last value is not applied, by cause",
+            ("cause",),
+        )
         self.configuration_version = self._gauge(
             "almondstair_configuration_version",
             "version of the configuration in force",
--- a/almondstair/gateway/http_pages.py
+++ b/almondstair/gateway/http_pages.py
@@ -7,6 +7,8 @@
 from tornado import netutil
 from tornado import web
 
+from almondstair.decoding import parse_decimal
+
 # How long callers cache a lookup. A stopping entry serves for this long, so a
 # short time makes stops short; each caller sends one lookup in this time.
 LOOKUP_TTL_S = 2.0
@@ -70,12 +72,12 @@
     def get(self) -> None:
         """Responds with the changes after a given number of this mirror."""
         source = self.get_query_argument("source", "")
-        after = self.get_query_argument("after", "0")
-        if not after.isdigit():
+        after = parse_decimal(self.get_query_argument("after", "0"))
+        if after is None:
             self.set_status(400)
             return
         self.set_header("Content-Type", "application/msgpack")
-        self.write(self.source.mirror_changes(source=source, after=int(after)))
+        self.write(self.source.mirror_changes(source=source, after=after))
 
 
 class MetricsPage(_Page):
@@ -101,11 +103,11 @@
 
     def get(self) -> None:
         """Responds with JSON for `almondstairctl gateway config`."""
-        version = self.get_query_argument("version", "0")
-        if not version.isdigit():
+        version = parse_decimal(self.get_query_argument("version", "0"))
+        if version is None:
             self.set_status(400)
             return
-        found = self.source.configuration(version=int(version))
+        found = self.source.configuration(version=version)
         if found is None:
             self.set_status(404)
             return
--- a/almondstair/gateway/load_exchange.py
+++ b/almondstair/gateway/load_exchange.py
@@ -43,6 +43,7 @@
 from almondstair.core.statement_reports import StatementReports
 from almondstair.core.upstream_limits import LimitChange
 from almondstair.core.upstream_links import UpstreamLinks
+from almondstair.errors import AlmondstairError
 from almondstair.gateway import peer_messages
 from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.peer_messages import LostRequest
@@ -176,7 +177,7 @@
         self._entries_by_zone: dict[str, list[Entry]] = {}
         self._entries_version = -1
         self._total_at_s = 0.0
-        self._unreadable_messages = 0
+        self._bad_messages = 0
         self._planner = Planner()
 
     # Receiving.
@@ -224,16 +225,36 @@
     def datagram_received(
         self, data: bytes, addr: tuple[str | int, int]
     ) -> None:
-        """Decodes and applies another entry's message."""
+        """Decodes and applies another entry's message.
+
+        A message that cannot be applied must not fail the request that is
+        placed after the pending messages are read.
+        """
         try:
             message = peer_messages.decode(data)
-        except msgspec.MsgspecError:
-            self._unreadable_messages += 1
-            if self._unreadable_messages == 1:
-                log.event(log.Event.PEER_MESSAGE_BAD, address=str(addr))
+            if message.entry != self._own_name:
+                self._apply_message(message, now_s())
+        except AlmondstairError as error:
+            self._record_bad_message(addr, detail=error.detail)
+        except Exception as error:
+            self._record_bad_message(addr, error=error)
+
+    def _record_bad_message(
+        self,
+        addr: tuple[str | int, int],
+        *,
+        detail: str = "",
+        error: Exception | None = None,
+    ) -> None:
+        self._bad_messages += 1
+        if self._bad_messages > 1:
             return
-        if message.entry != self._own_name:
-            self._apply_message(message, now_s())
+        log.event(
+            log.Event.PEER_MESSAGE_BAD,
+            error=error,
+            address=str(addr),
+            detail=detail,
+        )
 
     def _apply_message(self, message: Message, now: float) -> None:
         self._last_heard_s[message.entry] = now
--- a/almondstair/gateway/mirror.py
+++ b/almondstair/gateway/mirror.py
@@ -17,6 +17,8 @@
 # compressed.
 MIN_COMPRESSED_BYTES = 4096
 COMPRESSION_LEVEL = 1
+# Longest value that is decompressed. A value of the store has 1 MiB at most.
+MAX_VALUE_BYTES = 16 * 1024 * 1024
 
 
 class MirrorItem(msgspec.Struct, array_like=True):
@@ -45,11 +47,15 @@
         """Returns the value as it is in the store.
 
         Raises:
-          zlib.error: the compressed value is invalid.
+          zlib.error: the compressed value is invalid, or too long.
         """
         if self.value is None or not self.compressed:
             return self.value
-        return zlib.decompress(self.value)
+        decompressor = zlib.decompressobj()
+        value = decompressor.decompress(self.value, MAX_VALUE_BYTES)
+        if not decompressor.eof:
+            raise zlib.error("the value is incomplete or too long")
+        return value
 
 
 def _make_item(key: str, value: bytes, revision: Revision) -> MirrorItem:
--- a/almondstair/gateway/operator_reports.py
+++ b/almondstair/gateway/operator_reports.py
@@ -15,6 +15,7 @@
 from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.gateway_metrics import GatewayMetrics
 from almondstair.gateway.overload_control import OverloadControl
+from almondstair.gateway.skipped_keys import SkipCause
 from almondstair.gateway.store_sync import StoreSync
 from almondstair.platform.kv import KvClient
 
@@ -22,6 +23,8 @@
 NO_REPORT_AGE_S = 1e9
 # Organisations in the metrics, those with the most refused requests.
 MAX_LISTED_ORGANISATIONS = 20
+# Skipped keys of the store in the status, the latest ones.
+MAX_LISTED_KEYS = 20
 
 
 class OperatorReports:
@@ -81,6 +84,9 @@
         metrics.store_age_s.set(now - self._store_sync.as_of_s)
         metrics.store_epoch.set(self._store_sync.revision.epoch)
         metrics.lapsed_registrations.set(self._fleet.lapsed_count())
+        for cause in SkipCause:
+            count = self._store_sync.skipped.count(cause)
+            metrics.skipped_keys.labels(cause).set(count)
         metrics.configuration_version.set(table.version if table else 0)
         metrics.entries.set(len(self._fleet.entries))
         metrics.requests_in_flight.set(len(self._in_flight))
@@ -219,6 +225,7 @@
             "store_revision": self._store_sync.revision.number,
             "store_epoch": self._store_sync.revision.epoch,
             "store_age_s": round(now - self._store_sync.as_of_s, 2),
+            "skipped_keys": self._store_sync.skipped.latest(MAX_LISTED_KEYS),
             "peers_heard": self._fleet.peer_loads_complete,
             "links": self._describe_links(now),
             "entries_without_upstreams": sorted(self._cut_off.names),
--- a/almondstair/gateway/peer_messages.py
+++ b/almondstair/gateway/peer_messages.py
@@ -14,6 +14,8 @@
 from almondstair.core.statement_reports import NO_STATEMENTS
 from almondstair.core.statement_reports import ReportedStatements
 from almondstair.core.upstream_limits import LimitStatement
+from almondstair.decoding import decode as decode_foreign
+from almondstair.errors import ErrorKind
 
 
 class OwnLoads(msgspec.Struct, array_like=True, tag=0):
@@ -152,6 +154,6 @@
     """Decodes a datagram.
 
     Raises:
-      msgspec.MsgspecError: the datagram is not a message of this version.
+      AlmondstairError: `bad_request`, if it is no message of this version.
     """
-    return _DECODER.decode(data)
+    return decode_foreign(_DECODER.decode, data, kind=ErrorKind.BAD_REQUEST)
--- a/almondstair/gateway/registrations.py
+++ b/almondstair/gateway/registrations.py
@@ -1,6 +1,5 @@
 """Registrations of upstreams and entries, applied to the view of the fleet."""
 
-from collections import OrderedDict
 from collections.abc import Collection
 
 from almondstair import log
@@ -13,14 +12,10 @@
 from almondstair.gateway.change_log import ChangeLog
 from almondstair.gateway.connection_pool import ConnectionPool
 from almondstair.gateway.mirror import Mirror
+from almondstair.gateway.skipped_keys import SkippedKeys
 from almondstair.platform import documents
 from almondstair.platform.kv import Item
 
-# Latest keys with unreadable registrations, each of which is logged only once
-# while it is remembered. Another writer may change such a key many times a
-# second.
-MAX_LOGGED_KEYS = 256
-
 
 class Registrations:
     """Applies registrations of upstreams and entries.
@@ -33,7 +28,12 @@
     """
 
     def __init__(
-        self, *, fleet: Fleet, pool: ConnectionPool, mirror: Mirror
+        self,
+        *,
+        fleet: Fleet,
+        pool: ConnectionPool,
+        mirror: Mirror,
+        skipped: SkippedKeys,
     ) -> None:
         """Creates the registrations that one entry knows.
 
@@ -41,6 +41,7 @@
           fleet: the view to update.
           pool: connections to upstreams; those of gone ones are closed.
           mirror: gets the changes that other entries need.
+          skipped: gets the keys with unreadable registrations.
         """
         self._fleet = fleet
         self._pool = pool
@@ -48,7 +49,7 @@
         self.change_log = ChangeLog()
         # Revision of the last applied registration, by the upstream's id.
         self._revisions: dict[str, Revision] = {}
-        self._logged: OrderedDict[str, None] = OrderedDict()
+        self._skipped = skipped
 
     def reset_revisions(self) -> None:
         """Forgets the revisions of a store that was replaced by another."""
@@ -63,12 +64,14 @@
         """
         upstream_id = item.key.removeprefix(documents.UPSTREAM_PREFIX)
         if item.value is None:
+            self._skipped.forget(item.key)
             self._remove_upstream(upstream_id, item.revision)
             return
         record = documents.decode_upstream(item.key, item.value)
         if record is None:
-            self._log_unreadable(item)
+            self._skip_unreadable(item)
             return
+        self._skipped.forget(item.key)
         if item.revision <= self._revisions.get(upstream_id, Revision()):
             # A peer's first response has each upstream's last change, without
             # later renewals. Applied as current, a registration from an
@@ -153,8 +156,9 @@
         name = item.key.removeprefix(documents.ENTRY_PREFIX)
         record = documents.decode_entry(item.value)
         if record is None or not name:
-            self._log_unreadable(item)
+            self._skip_unreadable(item)
             return
+        self._skipped.forget(item.key)
         entry = Entry(
             name=name,
             callers=record.callers,
@@ -175,14 +179,7 @@
                 **revision_fields(item.revision),
             )
 
-    def _log_unreadable(self, item: Item) -> None:
-        if item.key in self._logged:
-            return
-        self._logged[item.key] = None
-        if len(self._logged) > MAX_LOGGED_KEYS:
-            self._logged.popitem(last=False)
-        log.event(
-            log.Event.REGISTRATION_BAD,
-            key=item.key,
-            **revision_fields(item.revision),
+    def _skip_unreadable(self, item: Item) -> None:
+        self._skipped.record_unreadable(
+            item.key, revision=item.revision, now_s=now_s()
         )
--- a/almondstair/gateway/relay_messages.py
+++ b/almondstair/gateway/relay_messages.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from almondstair.decoding import parse_finite
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.errors import Ran
@@ -49,6 +50,8 @@
 _MAX_LEAVING = 64
 _MAX_AGE_S = 3600.0
 _HASH_RANGE = 1 << 64
+# Longest number in a header: the digits of a hash.
+_MAX_NUMBER_CHARACTERS = 20
 
 
 class RelayedRequest(NamedTuple):
@@ -161,10 +164,7 @@
       AlmondstairError: `bad_request`, if the header is wrong.
     """
     parts = _names(headers, _LEAVING, most=_MAX_LEAVING)
-    try:
-        return [int(part, 16) for part in parts]
-    except ValueError as error:
-        raise _invalid(_LEAVING) from error
+    return [_hash(part, _LEAVING) for part in parts]
 
 
 def encode_rests(rests: list[tuple[int, int]]) -> Headers:
@@ -188,16 +188,16 @@
     rests = []
     for part in _names(headers, _RESTS, most=MAX_RESTING):
         upstream, _, left_ms = part.partition(":")
-        try:
-            rests.append((int(upstream, 16), int(left_ms, 16)))
-        except ValueError as error:
-            raise _invalid(_RESTS) from error
+        rests.append((_hash(upstream, _RESTS), _hash(left_ms, _RESTS)))
     return rests
 
 
 def _retry_after_ms(headers: Headers) -> int | None:
     value = find_header(headers, b"retry-after")
-    return None if value is None else round(float(value) * 1000)
+    seconds = None if value is None else parse_finite(value)
+    if seconds is None or not 0 <= seconds <= _MAX_AGE_S:
+        return None
+    return round(seconds * 1000)
 
 
 def _names(headers: Headers, name: bytes, *, most: int) -> tuple[str, ...]:
@@ -222,10 +222,22 @@
 
 
 def _number(headers: Headers, name: bytes, *, base: int) -> int:
-    text = _text(headers, name, required=True)
+    return _integer(_text(headers, name, required=True), name, base=base)
+
+
+def _hash(text: str, name: bytes) -> int:
+    value = _integer(text, name, base=16)
+    if value >= _HASH_RANGE:
+        raise _invalid(name)
+    return value
+
+
+def _integer(text: str, name: bytes, *, base: int) -> int:
     # int() also takes signs, spaces and underscores.
     if not text.isalnum() or not text.isascii():
         raise _invalid(name)
+    if len(text) > _MAX_NUMBER_CHARACTERS:
+        raise _invalid(name)
     try:
         return int(text, base)
     except ValueError as error:
--- a/almondstair/gateway/sources.py
+++ b/almondstair/gateway/sources.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from almondstair.core.revisions import Revision
+from almondstair.decoding import decode
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.gateway.mirror import MirrorPage
@@ -32,6 +33,7 @@
       revision: the store's revision that they reflect.
       age_s: time since the store sent them, in seconds.
       from_store: whether they come from the store itself.
+      unreadable: starts of items that cannot be decoded.
     """
 
     items: list[Item]
@@ -39,6 +41,7 @@
     revision: Revision
     age_s: float
     from_store: bool
+    unreadable: tuple[str, ...] = ()
 
 
 class Source(abc.ABC):
@@ -76,6 +79,7 @@
                     revision=page.revision,
                     age_s=0.0,
                     from_store=True,
+                    unreadable=page.unreadable,
                 )
         return await self._list()
 
@@ -96,8 +100,13 @@
         The pages are not a snapshot. The next poll returns what changed in the
         meantime, because it asks for the changes after the first page's
         revision.
+
+        Raises:
+          AlmondstairError: `platform_unavailable`; also if no item of a page
+            can be decoded, as the next page is asked for by the last key.
         """
         items: list[Item] = []
+        unreadable: list[str] = []
         after = ""
         revision = Revision()
         while True:
@@ -107,8 +116,14 @@
             if page.revision.epoch != revision.epoch:
                 return None
             items.extend(page.items)
-            if not page.more or not page.items:
+            unreadable.extend(page.unreadable)
+            if not page.more:
                 break
+            if not page.items:
+                raise AlmondstairError(
+                    kind=ErrorKind.PLATFORM_UNAVAILABLE,
+                    detail=f"no key after {after!r} can be read",
+                )
             after = page.items[-1].key
         return Batch(
             items=items,
@@ -116,6 +131,7 @@
             revision=revision,
             age_s=0.0,
             from_store=True,
+            unreadable=tuple(unreadable),
         )
 
 
@@ -189,10 +205,12 @@
             )
             if response.status != 200:
                 raise OSError(f"status {response.status}")
-            return _PAGE.decode(response.body)
-        except (OSError, TimeoutError, msgspec.MsgspecError) as error:
+        except (OSError, TimeoutError) as error:
             cause = str(error) or "timed out"
             raise AlmondstairError(
                 kind=ErrorKind.PLATFORM_UNAVAILABLE,
                 detail=f"peer {self.address}: {cause}",
             ) from error
+        return decode(
+            _PAGE.decode, response.body, kind=ErrorKind.PLATFORM_UNAVAILABLE
+        )
--- a/almondstair/gateway/store_sync.py
+++ b/almondstair/gateway/store_sync.py
@@ -17,6 +17,8 @@
 from almondstair.gateway.mirror import Mirror
 from almondstair.gateway.mirror import MirrorPage
 from almondstair.gateway.registrations import Registrations
+from almondstair.gateway.skipped_keys import SkipCause
+from almondstair.gateway.skipped_keys import SkippedKeys
 from almondstair.gateway.sources import Batch
 from almondstair.gateway.sources import PeerSource
 from almondstair.gateway.sources import Source
@@ -61,6 +63,7 @@
       as_of_s: time that the view of the fleet reflects, on the entry's clock.
       revision: the store's revision that the view reflects.
       history: the configurations that were in force.
+      skipped: keys whose last value is not applied.
     """
 
     def __init__(
@@ -95,8 +98,9 @@
         self._peers: dict[str, PeerSource] = {}
         self._store_lost = False
         self._store_cooldown_until_s = 0.0
+        self.skipped = SkippedKeys()
         self._registrations = Registrations(
-            fleet=fleet, pool=pool, mirror=self._mirror
+            fleet=fleet, pool=pool, mirror=self._mirror, skipped=self.skipped
         )
         self.as_of_s = 0.0
         self.revision = Revision()
@@ -317,16 +321,8 @@
             first=batch.listing and not self._fleet.upstream_count()
         )
         for item in batch.items:
-            try:
-                self._apply_item(item, from_copy=restored)
-            except Exception as error:
-                log.event(
-                    log.Event.STORE_CHANGE_FAILED,
-                    error=error,
-                    key=item.key,
-                    **revision_fields(item.revision),
-                )
-                raise
+            self._apply_item(item, from_copy=restored)
+        self._skip_unreadable(batch)
         if batch.listing:
             self._drop_unlisted(batch, restored=restored)
             self._fleet.mark_loaded()
@@ -378,6 +374,7 @@
           restored: whether it is the first one of a restored store.
         """
         keys = {item.key for item in batch.items if item.value is not None}
+        self.skipped.retain(keys.union(batch.unreadable))
         if restored:
             with self._fleet.lapsing(now_s=now_s()):
                 self._drop_registrations(keys, batch.revision)
@@ -400,7 +397,27 @@
                 continue
             self._apply_entry(Item(key, None, revision))
 
+    def _skip_unreadable(self, batch: Batch) -> None:
+        """Records items of the store whose key is not known either."""
+        for shown in batch.unreadable:
+            self.skipped.record_unreadable(
+                shown, revision=batch.revision, now_s=now_s()
+            )
+
     def _apply_item(self, item: Item, *, from_copy: bool) -> None:
+        """Applies one change; an error skips its key alone.
+
+        Otherwise one key that raises would keep all later changes of the store
+        from being applied, as each poll begins at the revision before it.
+        """
+        try:
+            self._apply_change(item, from_copy=from_copy)
+        except Exception as error:
+            self.skipped.record_failed(
+                item.key, error=error, revision=item.revision, now_s=now_s()
+            )
+
+    def _apply_change(self, item: Item, *, from_copy: bool) -> None:
         if item.key == documents.CONFIGURATION_KEY:
             self._apply_configuration(item)
         elif item.key.startswith(documents.UPSTREAM_PREFIX):
@@ -411,17 +428,25 @@
             self._apply_entry(item)
 
     def _apply_configuration(self, item: Item) -> None:
+        """Applies a configuration, or nothing of it if a part is invalid."""
         if item.value is None:
             return
         try:
             configuration = documents.decode_configuration(item.value)
+            text = documents.without_keys(item.value)
         except AlmondstairError as error:
-            log.event(log.Event.CONFIGURATION_BAD, detail=error.detail)
+            self.skipped.record(item.key, SkipCause.UNREADABLE, now_s=now_s())
+            log.event(
+                log.Event.CONFIGURATION_BAD,
+                detail=error.detail,
+                **revision_fields(item.revision),
+            )
             return
+        self.skipped.forget(item.key)
         if self._fleet.apply_configuration(configuration):
             self.history.add(
                 version=configuration.version,
-                text=documents.without_keys(item.value),
+                text=text,
                 revision=item.revision,
                 now_s=now_s(),
             )
--- a/almondstair/gateway/upstream_connection.py
+++ b/almondstair/gateway/upstream_connection.py
@@ -18,6 +18,7 @@
 from almondstair.body import RequestBody
 from almondstair.clock import now_s
 from almondstair.core.overhead import OverheadBound
+from almondstair.decoding import parse_decimal
 from almondstair.gateway.http_encoding import LAST_CHUNK
 from almondstair.gateway.http_encoding import Headers
 from almondstair.gateway.http_encoding import ResponseHead
@@ -355,8 +356,9 @@
             return
         for part in value.split(b","):
             name, _, text = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and text.isdigit():
-                self._idle_limit_s = int(text) * IDLE_USED_SHARE
+            timeout_s = parse_decimal(text)
+            if name.lower() == b"timeout" and timeout_s is not None:
+                self._idle_limit_s = timeout_s * IDLE_USED_SHARE
 
     # Streaming of long responses.
 
@@ -595,7 +597,6 @@
 
 def _is_long(headers: Headers) -> bool:
     """Returns whether a response states a length above the small ones."""
-    length = find_header(headers, b"content-length")
-    if length is None or not length.isdigit():
-        return False
-    return int(length) > SMALL_RESPONSE_BYTES
+    value = find_header(headers, b"content-length")
+    length = None if value is None else parse_decimal(value)
+    return length is not None and length > SMALL_RESPONSE_BYTES
--- a/almondstair/platform/boot.py
+++ b/almondstair/platform/boot.py
@@ -1,6 +1,7 @@
 """The settings file that the platform writes for each process."""
 
 from pathlib import Path
+import sys
 import tomllib
 from typing import Any, NamedTuple
 
@@ -118,7 +119,8 @@
     try:
         text = Path(path).read_text(encoding="utf-8")
         tables = tomllib.loads(text)
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
+        # Invalid TOML and invalid UTF-8 are ValueErrors.
         raise AlmondstairError(
             kind=ErrorKind.SETTINGS_INVALID,
             detail=f"{path}: {error}; check {PATH_VARIABLE} and the file",
@@ -161,7 +163,7 @@
             return default
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise self._invalid(key, "a number")
-        if value < 0:
+        if not 0 <= value <= sys.float_info.max:
             raise self._invalid(key, "0 or more")
         return float(value)
 
--- a/almondstair/platform/documents.py
+++ b/almondstair/platform/documents.py
@@ -20,6 +20,7 @@
 from almondstair.core.routing import RoutingConfiguration
 from almondstair.core.routing import ServiceRule
 from almondstair.core.upstream_state import UpstreamRecord
+from almondstair.decoding import decode
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 
@@ -36,27 +37,43 @@
 MAX_SLOTS = 64_000
 MAX_COLD_S = 3600.0
 MAX_SAFE_INTEGER = 2**53 - 1
+# Largest numbers in a configuration; larger ones cannot be sent to other
+# entries or added to a time.
+MAX_CONFIGURED_S = 1e9
 # The id is sent in a header of each request to the upstream.
 _UPSTREAM_ID = re.compile(r"[!-~]{1,200}")
 # The name is sent in a header of each request of the organisation.
 _ORGANISATION_NAME = re.compile(r"[!-~]([ -~]{0,198}[!-~])?")
 _VERSION_BASE = 16
+_MAX_VERSION_CHARACTERS = 16
 _KINDS = {str(kind): kind for kind in RouteKind}
 
 
+_Integer = Annotated[
+    int, msgspec.Meta(ge=-MAX_SAFE_INTEGER, le=MAX_SAFE_INTEGER)
+]
+_Number = Annotated[
+    float, msgspec.Meta(ge=-MAX_SAFE_INTEGER, le=MAX_SAFE_INTEGER)
+]
+_Seconds = Annotated[
+    float, msgspec.Meta(ge=-MAX_CONFIGURED_S, le=MAX_CONFIGURED_S)
+]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_SAFE_INTEGER)]
+
+
 class _Match(msgspec.Struct):
     prefix: str
 
 
 class _TrafficShare(msgspec.Struct):
     service: str
-    weight: float
+    weight: _Number
 
 
 class _Action(msgspec.Struct, rename="camel"):
     # `camel` also converts suffixes of units, as in `timeoutS`.
-    timeout_s: float = 0.0
-    attempts: int = 1
+    timeout_s: _Seconds = 0.0
+    attempts: _Integer = 1
     service: str = ""
     traffic_split: Sequence[_TrafficShare] = ()
     allowed_regions: Sequence[str] = ()
@@ -67,8 +84,8 @@
     route_type: str
     match: _Match
     action: _Action
-    target_latency_s: float = 1.0
-    priority: int = 0
+    target_latency_s: _Seconds = 1.0
+    priority: _Integer = 0
     session_affinity: bool = False
     public: bool = False
 
@@ -81,25 +98,25 @@
 class _Cluster(msgspec.Struct, rename="camel"):
     name: str
     health_path: str = "/"
-    max_conns: int = 0
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0
+    max_conns: _Integer = 0
+    cold_start_s: _Seconds = 0.0
+    cold_per_s: _Number = 0.0
 
 
 class _Tenant(msgspec.Struct, rename="camel"):
     name: str
     api_keys: Sequence[str] = ()
-    priority: int | None = None
-    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
-    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    priority: _Integer | None = None
+    rate_per_s: _Rate = 0.0
+    burst: _Rate = 0.0
     allowed_regions: Sequence[str] = ()
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    max_header_bytes: _Integer
+    max_body_bytes: _Integer
+    header_timeout_s: _Seconds
+    idle_timeout_s: _Seconds
 
 
 class _Configuration(msgspec.Struct):
@@ -141,14 +158,18 @@
     region: str
     availability_zone: str
     incarnation: str
-    cores: Annotated[float, msgspec.Meta(ge=0)] = 0.0
-    link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cores: _Rate = 0.0
+    link_mbps: _Rate = 0.0
     relays: str = ""
 
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
 _UPSTREAM = msgspec.json.Decoder(_Upstream)
 _ENTRY = msgspec.json.Decoder(EntryRecord)
+# A configuration as its writer encoded it, except for the keys of callers.
+_DOCUMENT = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_DOCUMENT_TENANTS = msgspec.json.Decoder(list[dict[str, msgspec.Raw]])
+_DOCUMENT_KEYS = msgspec.json.Decoder(list[str])
 
 
 def decode_configuration(value: bytes) -> RoutingConfiguration:
@@ -157,13 +178,9 @@
     Raises:
       AlmondstairError: `configuration_invalid`.
     """
-    try:
-        wire = _CONFIGURATION.decode(value)
-        version = int(wire.version, _VERSION_BASE)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise AlmondstairError(
-            kind=ErrorKind.CONFIGURATION_INVALID, detail=str(error)
-        ) from error
+    wire = decode(
+        _CONFIGURATION.decode, value, kind=ErrorKind.CONFIGURATION_INVALID
+    )
     routes = []
     for listener in wire.listeners:
         for rule in listener.rule_set:
@@ -178,7 +195,7 @@
             cold_rate_per_s=cluster.cold_per_s,
         )
     return RoutingConfiguration(
-        version=version,
+        version=_version(wire.version),
         limits=CallerLimits(
             header_bytes=wire.limits.max_header_bytes,
             body_bytes=wire.limits.max_body_bytes,
@@ -191,6 +208,21 @@
     )
 
 
+def _version(text: str) -> int:
+    """Returns the number of a version.
+
+    Raises:
+      AlmondstairError: `configuration_invalid`.
+    """
+    try:
+        version = int(text[: _MAX_VERSION_CHARACTERS + 1], _VERSION_BASE)
+    except ValueError as error:
+        raise _invalid("version is not a hexadecimal number") from error
+    if len(text) > _MAX_VERSION_CHARACTERS or version < 0:
+        raise _invalid("version is out of range")
+    return version
+
+
 def _organisations(tenants: Sequence[_Tenant]) -> tuple[Organisation, ...]:
     """Returns the organisations of a configuration.
 
@@ -231,15 +263,28 @@
 
 
 def without_keys(value: bytes) -> bytes:
-    """Returns the text of a configuration with digests in place of keys."""
-    document = msgspec.json.decode(value)
-    if not document.get("tenants"):
+    """Returns the text of a configuration with digests in place of keys.
+
+    Fields that this version does not know are returned as they are written.
+
+    Raises:
+      AlmondstairError: `configuration_invalid`.
+    """
+    return decode(_without_keys, value, kind=ErrorKind.CONFIGURATION_INVALID)
+
+
+def _without_keys(value: bytes) -> bytes:
+    document = _DOCUMENT.decode(value)
+    if "tenants" not in document:
         return value
-    for tenant in document["tenants"]:
-        digests = [
-            key_digest(key.encode()) for key in tenant.get("apiKeys", [])
-        ]
-        tenant["apiKeys"] = digests
+    tenants = _DOCUMENT_TENANTS.decode(document["tenants"])
+    for tenant in tenants:
+        digests = []
+        if "apiKeys" in tenant:
+            for key in _DOCUMENT_KEYS.decode(tenant["apiKeys"]):
+                digests.append(key_digest(key.encode()))
+        tenant["apiKeys"] = msgspec.Raw(msgspec.json.encode(digests))
+    document["tenants"] = msgspec.Raw(msgspec.json.encode(tenants))
     return msgspec.json.encode(document)
 
 
@@ -288,8 +333,10 @@
     if _UPSTREAM_ID.fullmatch(upstream_id) is None:
         return None
     try:
-        wire = _UPSTREAM.decode(value)
-    except msgspec.MsgspecError:
+        wire = decode(
+            _UPSTREAM.decode, value, kind=ErrorKind.CONFIGURATION_INVALID
+        )
+    except AlmondstairError:
         return None
     if address_problem(wire.address) is not None:
         return None
@@ -310,8 +357,10 @@
 def decode_entry(value: bytes) -> EntryRecord | None:
     """Decodes an entry's registration; returns None if it is invalid."""
     try:
-        record = _ENTRY.decode(value)
-    except msgspec.MsgspecError:
+        record = decode(
+            _ENTRY.decode, value, kind=ErrorKind.CONFIGURATION_INVALID
+        )
+    except AlmondstairError:
         return None
     addresses = [record.callers, record.peers]
     if record.relays:
--- a/almondstair/platform/headers.py
+++ b/almondstair/platform/headers.py
@@ -1,5 +1,7 @@
 """Names and formats of the platform's headers."""
 
+from almondstair.decoding import parse_finite
+
 REQUEST_ID = b"x-almondstair-request-id"
 DEADLINE = b"x-almondstair-deadline-ms"
 AFFINITY_KEY = b"x-almondstair-affinity-key"
@@ -32,10 +34,8 @@
 
 def parse_milliseconds(value: bytes) -> float | None:
     """Parses a time in milliseconds into seconds; None if it is invalid."""
-    try:
-        return max(0.0, float(value) / 1000)
-    except ValueError:
-        return None
+    milliseconds = parse_finite(value)
+    return None if milliseconds is None else max(0.0, milliseconds / 1000)
 
 
 def parse_key(value: bytes) -> bytes | None:
--- a/almondstair/platform/kv.py
+++ b/almondstair/platform/kv.py
@@ -2,12 +2,15 @@
 
 import base64
 from collections.abc import Callable
-from typing import NamedTuple
+import json
+from typing import Annotated, Any, NamedTuple
 from urllib import parse
 
 import msgspec
 
 from almondstair.core.revisions import Revision
+from almondstair.decoding import decode
+from almondstair.decoding import parse_decimal
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.gateway.http_encoding import ResponseHead
@@ -20,7 +23,8 @@
 CALL_TIMEOUT_S = 1.0
 # Epoch of the store's history, in each of its responses.
 _EPOCH_HEADER = b"store-era"
-_MAX_EPOCH_DIGITS = 18
+# Start of an unreadable item that is logged.
+_MAX_SHOWN_BYTES = 100
 _OK = 200
 _NOT_FOUND = 404
 _COMPACTED = 410
@@ -48,32 +52,47 @@
       items: the keys, or the changes.
       more: whether there are more pages.
       revision: the store's revision that the page reflects.
+      unreadable: starts of the items that cannot be decoded.
     """
 
     items: list[Item]
     more: bool
     revision: Revision
+    unreadable: tuple[str, ...] = ()
+
+
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class _WireItem(msgspec.Struct, rename="camel"):
     key: str
-    revision: int = 0
+    revision: _Number = 0
     value: str = ""
     removed: bool = False
 
 
 class _WirePage(msgspec.Struct, rename="camel"):
-    as_of: int
-    items: list[_WireItem] = []
-    events: list[_WireItem] = []
+    as_of: _Number
+    items: list[msgspec.Raw] = []
+    events: list[msgspec.Raw] = []
+    has_more: bool = False
+
+
+class _WireParsedPage(msgspec.Struct, rename="camel"):
+    """A page of which the JSON is parsed, but no item is decoded."""
+
+    as_of: _Number
+    items: list[Any] = []
+    events: list[Any] = []
     has_more: bool = False
 
 
 class _WireLease(msgspec.Struct):
-    lease: int
+    lease: _Number
 
 
 _PAGE = msgspec.json.Decoder(_WirePage)
+_ITEM = msgspec.json.Decoder(_WireItem)
 _LEASE = msgspec.json.Decoder(_WireLease)
 
 
@@ -201,10 +220,11 @@
         response = await self._call("lease", "POST", "/kv-lease", body)
         if response.status != _OK:
             raise self._status_error("lease", response.status)
-        try:
-            return _LEASE.decode(response.body).lease
-        except msgspec.MsgspecError as error:
-            raise self._status_error("lease", response.status) from error
+        return decode(
+            _LEASE.decode,
+            response.body,
+            kind=ErrorKind.PLATFORM_UNAVAILABLE,
+        ).lease
 
     async def renew_lease(self, lease: int) -> bool:
         """Renews a lease; returns whether it still existed."""
@@ -246,21 +266,63 @@
 
 
 def _read_page(body: bytes, *, epoch: int = 0) -> Page:
+    """Decodes a page.
+
+    Each item is decoded by itself, so that one that another writer has stored
+    under an unusual key does not make the others unreadable.
+
+    Raises:
+      AlmondstairError: `platform_unavailable`, if the page is invalid.
+    """
+    kind = ErrorKind.PLATFORM_UNAVAILABLE
+    wire: _WirePage | _WireParsedPage
     try:
-        wire = _PAGE.decode(body)
-        items = []
-        for item in wire.items + wire.events:
-            items.append(_decode_item(item, epoch))
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise AlmondstairError(
-            kind=ErrorKind.PLATFORM_UNAVAILABLE,
-            detail=f"the store's response is invalid: {error}",
-        ) from error
+        wire = decode(_PAGE.decode, body, kind=kind)
+    except AlmondstairError:
+        # msgspec rejects a whole text for one string with half a character.
+        wire = decode(_parse_page, body, kind=kind)
+    items = []
+    unreadable = []
+    for encoded in [*wire.items, *wire.events]:
+        try:
+            items.append(_decode_item(_wire_item(encoded), epoch))
+        except (ValueError, RecursionError):
+            unreadable.append(_shown(encoded))
     return Page(
-        items=items, more=wire.has_more, revision=Revision(epoch, wire.as_of)
+        items=items,
+        more=wire.has_more,
+        revision=Revision(epoch, wire.as_of),
+        unreadable=tuple(unreadable),
     )
 
 
+def _parse_page(body: bytes) -> _WireParsedPage:
+    return msgspec.convert(json.loads(body), _WireParsedPage)
+
+
+def _wire_item(encoded: Any) -> _WireItem:
+    """Decodes an item.
+
+    Raises:
+      ValueError: it is invalid; also msgspec's errors.
+      RecursionError: it is nested too deeply.
+    """
+    if isinstance(encoded, msgspec.Raw):
+        return _ITEM.decode(encoded)
+    item = msgspec.convert(encoded, _WireItem)
+    # A key with half a character cannot be logged or sent to other entries.
+    item.key.encode()
+    return item
+
+
+def _shown(encoded: Any) -> str:
+    """Returns the start of an item that cannot be decoded."""
+    if isinstance(encoded, msgspec.Raw):
+        start = bytes(encoded)[:_MAX_SHOWN_BYTES]
+        return start.decode("utf-8", "backslashreplace")
+    return ascii(encoded)[:_MAX_SHOWN_BYTES]
+
+
 def _read_epoch(head: ResponseHead, *, default: int) -> int:
     """Returns the store's epoch that a response states.
 
@@ -269,11 +331,8 @@
       default: the epoch if the response states none.
     """
     value = find_header(head.headers, _EPOCH_HEADER)
-    if value is None or not value.isdigit():
-        return default
-    if len(value) > _MAX_EPOCH_DIGITS:
-        return default
-    return int(value)
+    epoch = None if value is None else parse_decimal(value)
+    return default if epoch is None else epoch
 
 
 def _ignore_change() -> None:
--- a/emulator/documents.py
+++ b/emulator/documents.py
@@ -1,7 +1,7 @@
 """Gateway settings and configurations in the platform's formats."""
 
 import base64
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 import json
 from typing import Any, NamedTuple
 
@@ -184,11 +184,12 @@
 
 
 def operator_change(
-    puts: dict[str, str] | None = None, remove: list[str] | None = None
+    puts: Mapping[str, str | bytes] | None = None,
+    remove: list[str] | None = None,
 ) -> dict[str, Any]:
     """Returns the body of an operator's transaction on the store."""
     rows = []
-    for key, text in (puts or {}).items():
-        value = base64.b64encode(text.encode()).decode()
-        rows.append({"key": key, "value": value})
+    for key, content in (puts or {}).items():
+        data = content.encode() if isinstance(content, str) else content
+        rows.append({"key": key, "value": base64.b64encode(data).decode()})
     return {"puts": rows, "remove": remove or []}
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -465,7 +465,11 @@
     """
     if not zone or item.get("removed") or item["key"].startswith("op/"):
         return item
-    record = msgspec.json.decode(base64.b64decode(item["value"]))
+    try:
+        record = msgspec.json.decode(base64.b64decode(item["value"]))
+    except (ValueError, RecursionError):
+        # Of another writer; it names no address.
+        return item
     if not isinstance(record, dict):
         return item
     for field, value in record.items():
