Start with the configuration of a peer while the store's is invalid

Found by asking what a gateway does that starts beside a key it cannot use: if that key is the operator's configuration, the gateways that run keep the one before. One that starts gets theirs if it follows the store through another, but the one that reads the store for its zone knew none and was never ready.

It asks up to three others in each poll until it has theirs; the store gets no further call.

--- a/almondstair/gateway/store_sync.py
+++ b/almondstair/gateway/store_sync.py
@@ -48,6 +48,9 @@
 MAX_PEER_AGE_S = 1.5
 # Peers of other zones that are polled when the store rejects this entry.
 REMOTE_PEERS = 2
+# Entries that are asked in one poll for the configuration in force while the
+# store's is invalid.
+MAX_CONFIGURATION_PEERS = 3
 # If at least this share of the upstreams wrote to the store during an outage,
 # the outage concerned only this entry. After an outage of the store itself, the
 # upstreams resume writing one by one.
@@ -195,10 +198,48 @@
             fresh = batch.age_s <= MAX_PEER_AGE_S or not self._fleet.ready
             self._apply_batch(batch, fresh=fresh)
             if fresh:
+                await self._adopt_configuration()
                 return True
         self._record_loss(failure)
         return False
 
+    async def _adopt_configuration(self) -> None:
+        """Takes the configuration of a peer while the store's is invalid.
+
+        The others keep the last valid one, which an entry that starts does not
+        know. Otherwise each restart would take an entry out of service until
+        the operator has corrected the configuration.
+        """
+        key = documents.CONFIGURATION_KEY
+        if self._fleet.table is not None or key not in self.skipped.causes:
+            return
+        for address in self._configuration_peers():
+            # A source of its own, as only one key of its listing is used.
+            source = PeerSource(address=address)
+            try:
+                batch = await source.fetch(after=Revision())
+            except AlmondstairError as error:
+                log.event(log.Event.ROUND_FAILED, detail=error.detail)
+                continue
+            finally:
+                source.close()
+            for item in batch.items:
+                if item.key == key:
+                    self._apply_item(item, from_copy=False)
+            # The store's value is still skipped.
+            self.skipped.record(key, SkipCause.UNREADABLE, now_s=now_s())
+            if self._fleet.table is not None:
+                return
+
+    def _configuration_peers(self) -> list[str]:
+        """Returns addresses of entries that may have a configuration."""
+        addresses = [source.address for source in self._seeds]
+        for entry in self._fleet.entries.values():
+            if entry.name != self._own_name:
+                addresses.append(entry.peers)
+        count = min(MAX_CONFIGURATION_PEERS, len(addresses))
+        return random.sample(addresses, k=count)
+
     def _sources(self) -> list[Source]:
         """Returns the sources to poll, best first.
 
--- a/features/foreign_values.feature
+++ b/features/foreign_values.feature
@@ -61,6 +61,13 @@
       | deep_lists      | not in force |
       | deep_objects    | not in force |
 
+  # Guards against a restart beside an invalid configuration that takes a gateway out of service.
+  Scenario: A gateway that starts beside an invalid configuration uses that of another
+    Given a gateway that follows a store
+    When the operator writes a configuration that is not valid
+    Then a second gateway that starts is ready and serves within 5 s
+    And both apply the next valid configuration within 2 s
+
   # Guards against keys of callers that are shown to operators.
   Scenario Outline: Keys of callers never reach the history
     Then the text without keys of a configuration with <tenants> has no key
--- a/features/steps/foreign_values_steps.py
+++ b/features/steps/foreign_values_steps.py
@@ -445,6 +445,27 @@
     _until_served(context, "g1", limit_s)
 
 
+@when("the operator writes a configuration that is not valid")
+def step_invalid_configuration(context):
+    context.world.operate(puts={documents.CONFIGURATION_KEY: FRAGMENTS["null"]})
+    time.sleep(_POLLED_S)
+
+
+@then("a second gateway that starts is ready and serves within {limit_s:d} s")
+def step_second_serves(context, limit_s):
+    # The only one of its zone, so that it reads the store itself.
+    context.world.start_gateway("g2", "b1", ready=False)
+    context.world.wait_ready("g2", limit_s=limit_s)
+    assert context.world.send("GET", "/safe/x", gateway="g2").status == 200
+
+
+@then("both apply the next valid configuration within {limit_s:d} s")
+def step_next_valid(context, limit_s):
+    context.world.configure([*context.world.routes, route("/added/")])
+    for gateway in ("g1", "g2"):
+        _until_served(context, gateway, limit_s)
+
+
 @then("a gateway that starts now is ready and serves it within {limit_s:d} s")
 def step_starts(context, limit_s):
     context.world.start_gateway("g2", ready=False)
