--- a/almondstair/gateway/call_recorder.py
+++ b/almondstair/gateway/call_recorder.py
@@ -256,6 +256,7 @@
     return {
         "write_wait": str(request.write_wait),
         "unsent_bytes": request.unsent_bytes(),
+        "written_bytes": request.written_bytes,
     }
 
 
--- a/almondstair/gateway/caller_connection.py
+++ b/almondstair/gateway/caller_connection.py
@@ -51,6 +51,8 @@
 MAX_FRAMING_BYTES = 128 * 1024
 # Bytes that are parsed before the bounds are checked.
 _PARSED_PIECE_BYTES = 64 * 1024
+# Why this entry closed a connection, for logs.
+RESPONSE_CUT = "a response on the connection broke off"
 # Added to the announced idle timeout, for a request already on its way.
 IDLE_TIMEOUT_MARGIN_S = 1.0
 
@@ -608,7 +610,9 @@
         while self._pending:
             request = self._pending[0]
             if request.output:
-                self._transport.write(b"".join(request.output))
+                data = b"".join(request.output)
+                self._transport.write(data)
+                request.written_bytes += len(data)
                 request.output.clear()
             if request.state is not ResponseProgress.ENDED:
                 return
@@ -697,6 +701,8 @@
 
     def abort(self) -> None:
         """Closes immediately, even in the middle of a response."""
+        for request in self._pending:
+            request.closed_by_entry = request.closed_by_entry or RESPONSE_CUT
         if self._transport is not None:
             self._transport.abort()
 
--- a/almondstair/gateway/caller_request.py
+++ b/almondstair/gateway/caller_request.py
@@ -121,6 +121,7 @@
         when it was given up.
       task: task that handles the request, once it has started.
       output: encoded parts of the response that are not written yet.
+      written_bytes: bytes of the response that were written.
     """
 
     def __init__(
@@ -157,6 +158,7 @@
         self.write_wait = WriteWait.NOTHING
         self.task: asyncio.Task[None] | None = None
         self.output: list[bytes] = []
+        self.written_bytes = 0
         self._chunked = False
 
     def header(self, name: bytes) -> bytes | None:
