Withdraw a response that ends early before its first byte is written

The first byte written to the caller decides. Until then a response that ends early is withdrawn: the request is sent again where that is allowed, or gets its error in its turn. After it the connection is half closed behind what is written, so that the responses before arrive, and the requests behind end at once.

On related paths: deadlines, upstreams that break off or go on without end, refused bodies and relayed responses end by the same two ways; the writer of a failed attempt is cancelled with its exchange.

--- a/almondstair/gateway/caller_connection.py
+++ b/almondstair/gateway/caller_connection.py
@@ -141,6 +141,8 @@
         self._idle_timer: asyncio.TimerHandle | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._lost = False
+        # Whether a response broke off after a part of it was written.
+        self._truncated = False
         self._write_paused = False
         self._writers: list[asyncio.Future[None]] = []
         self._last_active_s = now_s()
@@ -177,10 +179,14 @@
         self._wake_writers()
         if self._current is not None:
             self._current.body.abort()
+        if not self._truncated:
+            self._disconnect_pending()
+        self._release_memory()
+
+    def _disconnect_pending(self) -> None:
         for request in self._pending:
             self._report_wait(request, behind=self._pending[0], delivered=False)
             self._on_disconnect(request)
-        self._release_memory()
 
     def _release_memory(self) -> None:
         """Ends the counts; a request that runs on holds its body until then."""
@@ -560,7 +566,7 @@
 
     def _write_wait(self, request: CallerRequest) -> WriteWait:
         """Returns what the response to a request has to wait for."""
-        if self._lost or request.caller_disconnected:
+        if self._lost or self._truncated or request.caller_disconnected:
             return WriteWait.NOTHING
         if self._pending and self._pending[0] is not request:
             return WriteWait.TURN
@@ -604,7 +610,7 @@
     def _write_ready(self) -> None:
         if self._transport is None:
             return
-        if self._transport.is_closing():
+        if self._truncated or self._transport.is_closing():
             self._drop_output()
             return
         while self._pending:
@@ -700,12 +706,37 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Closes immediately, even in the middle of a response."""
-        for request in self._pending:
-            request.closed_by_entry = request.closed_by_entry or RESPONSE_CUT
+        """Closes immediately; what the caller has not received is lost."""
         if self._transport is not None:
             self._transport.abort()
 
+    def end_truncated(self) -> None:
+        """Closes behind what is written, in the middle of a response.
+
+        The responses before it still reach the caller, who may not have read
+        them. The requests behind it get none: those that need not run to their
+        end are cancelled at once.
+        """
+        if self._truncated or self._lost or self._transport is None:
+            return
+        self._truncated = True
+        self._reading_ended = True
+        for request in self._pending:
+            request.closed_by_entry = request.closed_by_entry or RESPONSE_CUT
+        self._disconnect_pending()
+        self._drop_output()
+        self._wake_writers()
+        if self._transport.is_closing():
+            return
+        self._transport.write_eof()
+        # Unread bytes would reset the connection at its close.
+        self._read_pauses.clear()
+        if not self._held_back:
+            self._transport.resume_reading()
+        self._discard_then_close()
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._limits.idle_timeout_s, self.abort)
+
     def _check_idle(self) -> None:
         loop = asyncio.get_running_loop()
         self._limits = self._handler.limits()
--- a/almondstair/gateway/caller_request.py
+++ b/almondstair/gateway/caller_request.py
@@ -68,8 +68,8 @@
         """Returns the bytes of responses that the caller has not read."""
 
     @abc.abstractmethod
-    def abort(self) -> None:
-        """Closes immediately, even in the middle of a response."""
+    def end_truncated(self) -> None:
+        """Closes behind what is written, in the middle of a response."""
 
 
 class WriteWait(enum.StrEnum):
@@ -167,9 +167,20 @@
 
     @property
     def response_begun(self) -> bool:
-        """Whether the response has begun."""
+        """Whether the response has begun; it may not be written yet."""
         return self.state is not ResponseProgress.WAITING
 
+    @property
+    def response_fixed(self) -> bool:
+        """Whether the response can no longer become another one.
+
+        One of which nothing is written can be withdrawn, however much of it has
+        come from the upstream.
+        """
+        if self.state is ResponseProgress.ENDED:
+            return True
+        return self.written_bytes > 0
+
     def unsent_bytes(self) -> int:
         """Returns the unread bytes of all responses of its connection."""
         return self._connection.unsent_bytes()
@@ -194,9 +205,13 @@
         self._finish()
 
     def respond_with_problem(self, error: AlmondstairError) -> None:
-        """Sends a problem document, or closes a response that has begun."""
+        """Sends a problem document in place of a response not yet written.
+
+        If a part of a response is written, the connection ends instead.
+        """
+        self.withdraw_response()
         if self.state is ResponseProgress.STREAMING:
-            self.abort()
+            self.break_off()
             return
         headers: Headers = [
             (b"content-type", PROBLEM_CONTENT_TYPE.encode()),
@@ -244,10 +259,23 @@
             self.output.append(LAST_CHUNK)
         self._finish()
 
-    def abort(self) -> None:
-        """Aborts the connection so that the caller notices the truncation."""
+    def withdraw_response(self) -> None:
+        """Drops a streamed response of which nothing is written.
+
+        The request may then be sent again, or get an error in its turn. Ending
+        the connection instead would lose the requests before it.
+        """
+        if self.response_fixed:
+            return
+        self.output.clear()
+        self.state = ResponseProgress.WAITING
+        self.write_wait = WriteWait.NOTHING
+        self._connection.flush()
+
+    def break_off(self) -> None:
+        """Ends the connection so that the caller notices the truncation."""
         self.state = ResponseProgress.ENDED
-        self._connection.abort()
+        self._connection.end_truncated()
 
     def _write_start(self, status: int, headers: Headers) -> None:
         if self.close_after or self._connection.draining:
--- a/almondstair/gateway/forwarder.py
+++ b/almondstair/gateway/forwarder.py
@@ -348,6 +348,7 @@
             self._overload.record_answered(call.service)
             self._send_response(call, choice, outcome.exchange)
             return ""
+        call.request.withdraw_response()
         if not _is_orderly_refusal(outcome):
             self._placer.record_disruption(now_s=now_s())
         self._recorder.record_failed_attempt(call, choice, outcome)
@@ -475,7 +476,7 @@
         return allowed
 
     def _may_retry(self, call: ForwardedCall, verdict: AttemptVerdict) -> bool:
-        if call.request.response_begun or call.request.caller_disconnected:
+        if call.request.response_fixed or call.request.caller_disconnected:
             return False
         if call.attempts >= call.route.attempts:
             return False
--- a/almondstair/gateway/relay_forwarder.py
+++ b/almondstair/gateway/relay_forwarder.py
@@ -119,6 +119,7 @@
                 assert outcome.exchange is not None
                 self._respond(call, entry, outcome.exchange)
                 return True
+            call.request.withdraw_response()
             self._recorder.record_failed_relay(call, entry, outcome.error)
             if _is_final(call, outcome.error):
                 raise self._final_error(call, outcome.error)
@@ -283,7 +284,7 @@
     """Returns whether no other entry may get the request."""
     if error.kind in _FINAL_ERRORS or call.request.body.consumed:
         return True
-    if call.request.response_begun or call.request.caller_disconnected:
+    if call.request.response_fixed or call.request.caller_disconnected:
         return True
     if error.ran is Ran.NO:
         return False
--- a/almondstair/gateway/upstream_connection.py
+++ b/almondstair/gateway/upstream_connection.py
@@ -498,6 +498,7 @@
             raise
         finally:
             self._cancel_body_task()
+            self._cancel_sink_task()
             self._release_memory()
         if self._body_unfinished:
             # The connection cannot be reused: the body is incomplete.
@@ -594,6 +595,16 @@
             self._body_task.cancel()
         self._body_task = None
 
+    def _cancel_sink_task(self) -> None:
+        """Ends the writing of a response that is not complete.
+
+        It would go on with the bytes of this exchange when the turn of its
+        request comes, between those of another attempt or of an error.
+        """
+        if self._sink_task is not None and not self._sink_task.done():
+            self._sink_task.cancel()
+        self._sink_task = None
+
 
 def _is_long(headers: Headers) -> bool:
     """Returns whether a response states a length above the small ones."""
--- a/features/support/caller_rig.py
+++ b/features/support/caller_rig.py
@@ -4,6 +4,7 @@
 
 from almondstair.gateway.caller_connection import CallerConnection
 from almondstair.gateway.caller_connection import RequestHandler
+from almondstair.gateway.caller_request import ResponseProgress
 from features.support import connection_trace
 
 _PIECE_BYTES = 1000
@@ -12,6 +13,9 @@
 class _Handler(RequestHandler):
     """Leaves each request to the scenario."""
 
+    # Whether requests end with their callers; then they run until answered.
+    cancellable = False
+
     def __init__(self):
         self.requests = []
 
@@ -20,7 +24,7 @@
 
     def is_cancellable(self, request):
         del request
-        return False
+        return self.cancellable
 
     def record_wait(self, wait):
         del wait
@@ -33,12 +37,28 @@
 
     async def handle(self, request):
         self.requests.append(request)
+        while self.cancellable and request.state is not ResponseProgress.ENDED:
+            await asyncio.sleep(0.01)
 
 
 class _Transport(connection_trace.ScriptedTransport):
-    """Knows whether it reads."""
+    """Knows whether it reads, what it sent and how it ended."""
 
     reads = True
+    sent = b""
+    aborted = False
+    ended_output = False
+
+    def write(self, data):
+        super().write(data)
+        self.sent += data
+
+    def write_eof(self):
+        self.ended_output = True
+
+    def abort(self):
+        super().abort()
+        self.aborted = True
 
     def pause_reading(self):
         self.reads = False
@@ -91,6 +111,12 @@
 
         return self.run(begin())
 
+    def timers(self):
+        """Returns the timers that have been set and not run."""
+        return [
+            timer for timer in self.loop._scheduled if not timer.cancelled()
+        ]
+
     def settle(self):
         self.run(connection_trace.settle())
 
