Play other writers' values, late responses and overlapping restarts in the soak

Three further draws, each with random numbers of its own, so that a seed keeps its plan of the others: another writer stores values of all forms; half as many callers again send groups of requests ahead, whose deadlines and sizes make responses late behind others; and stops, restarts, signals and changes come in series, one begun before the other has ended. A new check finds requests that an upstream ran and that got no response at all because of one behind them.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,6 +16,7 @@
       | limits        | 14 runs in 4 s at a limit of 1 a second |
       | stops         | a request cut during a stop            |
       | configuration | a 404 for a known route                |
+      | ahead         | a request lost for one behind it       |
       | recovery      | half of the requests failing at the end |
       | cuts          | 12 refused requests during a cut       |
 
@@ -68,6 +69,11 @@
     When the soak plays seed 3 with cuts for 20 s
     Then it broke no promise and most requests were served
 
+  # Guards against values of another writer, late responses and overlapping restarts that break a promise beside other faults.
+  Scenario: Another writer, responses late behind others, and restarts in series
+    When the soak plays seed 7 with values, late responses and series for 20 s
+    Then it broke no promise and most requests were served
+
   # Guards against upstreams that leave or want rest beside other faults.
   Scenario: Upstreams that say they leave or want rest beside other faults
     When the soak plays seed 4 with statements for 20 s
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -52,6 +52,7 @@
         "cold": lambda: checks.check_cold(ran, _COLD),
         "limits": lambda: checks.check_limits(ran, _LIMITS),
         "cuts": lambda: checks.check_cut(sent, _CUT),
+        "ahead": lambda: checks.check_ahead(sent),
         "stops": lambda: checks.check_graceful_stops(sent, _STOP),
         "configuration": lambda: checks.check_configuration(sent, _KNOWN),
         "recovery": lambda: checks.check_recovery(sent, _END, min_share=0.5),
@@ -72,6 +73,9 @@
     "another request's signature": [_REQUEST._replace(seal="seal-a")],
     "half a body": [_REQUEST._replace(complete=False)],
     "a request cut during a stop": [_REQUEST._replace(status=0)],
+    "a request lost for one behind it": [
+        _REQUEST._replace(status=0, complete=False)
+    ],
     "a 404 for a known route": [_REQUEST._replace(status=404)],
     "12 refused requests during a cut": [_REQUEST._replace(status=503)] * 12,
     "half of the requests failing at the end": [_REQUEST._replace(status=502)]
@@ -198,6 +202,14 @@
     _run_soak(context, seed, seconds, "--restores", "--endless")
 
 
+@when(
+    "the soak plays seed {seed:d} with values, late responses and series for "
+    "{seconds:d} s"
+)
+def step_soak_late(context, seed, seconds):
+    _run_soak(context, seed, seconds, "--foreign", "--ahead", "--series")
+
+
 @when("the soak plays seed {seed:d} with limits for {seconds:d} s")
 def step_soak_limits(context, seed, seconds):
     _run_soak(context, seed, seconds, "--limits")
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -35,6 +35,9 @@
     statements: bool = False,
     restores: bool = False,
     endless: bool = False,
+    foreign: bool = False,
+    ahead: bool = False,
+    series: bool = False,
 ) -> Report:
     """Runs one seed; keeps the processes' logs if `logs` names a folder."""
     with tempfile.TemporaryDirectory(prefix="almondstair-soak-") as folder:
@@ -51,6 +54,9 @@
             statements=statements,
             restores=restores,
             endless=endless,
+            foreign=foreign,
+            ahead=ahead,
+            series=series,
         )
         report = asyncio.run(soak.run())
         if report.violations:
@@ -118,6 +124,9 @@
         statements: bool = False,
         restores: bool = False,
         endless: bool = False,
+        foreign: bool = False,
+        ahead: bool = False,
+        series: bool = False,
     ) -> None:
         """Runs one seed.
 
@@ -134,6 +143,10 @@
             besides.
           restores: whether the store is restored from copies besides.
           endless: whether upstreams send bytes without end besides.
+          foreign: whether another writer stores values of all forms besides.
+          ahead: whether some callers send requests ahead, whose responses are
+            late behind others.
+          series: whether stops, restarts and changes come in series besides.
         """
         kinds = FIRST_KINDS if first_kinds else DRAWN_KINDS
         report = run_seed(
@@ -147,26 +160,44 @@
             statements=statements,
             restores=restores,
             endless=endless,
+            foreign=foreign,
+            ahead=ahead,
+            series=series,
         )
         print_report(report)
         sys.exit(1 if report.violations else 0)
 
     def many(
-        self, first: int = 0, count: int = 10, seconds: float = 25
+        self,
+        first: int = 0,
+        count: int = 10,
+        seconds: float = 25,
+        *,
+        size: tuple[int, int, int] = (6, 3, 8),
     ) -> None:
-        """Runs consecutive seeds, from a random one if `first` is 0."""
+        """Runs consecutive seeds with all kinds of faults.
+
+        Args:
+          first: the first seed; 0 for a random one.
+          count: number of seeds.
+          seconds: length of each run.
+          size: number of upstreams, gateways and callers.
+        """
         first = first or random.randrange(1, 1_000_000)
         failed = []
         for seed in range(first, first + count):
             report = run_seed(
                 seed,
                 seconds,
-                Size(),
+                Size(*size),
                 limits=True,
                 cuts=True,
                 statements=True,
                 restores=True,
                 endless=True,
+                foreign=True,
+                ahead=True,
+                series=True,
             )
             print_report(report)
             if report.violations:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 import uuid
 
 from emulator.caller_wire import EmulatedRequest
+from emulator.caller_wire import EmulatedResponse
 from emulator.caller_wire import encode_request
 from emulator.caller_wire import read_response
 from soak.checks import SentRequest
@@ -14,6 +15,14 @@
 DEADLINE_MS = 3000
 MEAN_INTERVAL_S = 0.03
 KEY_COUNT = 30
+# Responses to requests whose path starts with this are larger than a gateway
+# buffers; the prefix belongs to the route of safe requests.
+LARGE_PREFIX = "/safe/large"
+LARGE_BYTES = 400_000
+# Deadlines of requests behind others, in milliseconds; with the short ones
+# their responses are late before their turn.
+DEADLINES_AHEAD_MS = (20, 60, 150, DEADLINE_MS)
+MAX_AHEAD = 4
 
 
 class Caller:
@@ -115,3 +124,87 @@
             )
         )
         return response is not None and response.keeps_alive
+
+
+class CallerSendingAhead(Caller):
+    """Sends several requests together, the first of them a small one.
+
+    Attributes:
+      first: the first request of each group, with its result.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        """Makes a caller; see the base class."""
+        super().__init__(rng=rng)
+        self.first: list[SentRequest] = []
+
+    async def _exchange(
+        self,
+        name: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        prefixes: list[str],
+    ) -> bool:
+        """Sends a group; returns whether the connection stays usable."""
+        group = [self._request("/safe/", DEADLINE_MS)]
+        for _ in range(self._rng.randrange(1, MAX_AHEAD)):
+            prefix = self._rng.choice((LARGE_PREFIX, "/safe/"))
+            group.append(
+                self._request(prefix, self._rng.choice(DEADLINES_AHEAD_MS))
+            )
+        sent_s = time.monotonic()
+        writer.write(b"".join(map(encode_request, group)))
+        usable = True
+        for position, outgoing in enumerate(group):
+            # Behind a response that closes the connection nothing is read.
+            read = usable
+            response = await self._read(reader) if usable else None
+            usable = response is not None and response.keeps_alive
+            self.gateway_by_request[outgoing.request] = name
+            sent = self._sent(outgoing, sent_s, response)._replace(read=read)
+            self.sent.append(sent)
+            if position == 0:
+                self.first.append(sent)
+        return usable
+
+    def _request(self, prefix: str, deadline_ms: int) -> EmulatedRequest:
+        key = str(self._rng.randrange(KEY_COUNT))
+        return EmulatedRequest(
+            request=uuid.uuid4().hex[:16],
+            path=f"{prefix}{key}",
+            key=key,
+            deadline_ms=deadline_ms,
+        )
+
+    @staticmethod
+    async def _read(reader: asyncio.StreamReader) -> EmulatedResponse | None:
+        try:
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                return await read_response(reader)
+        except (OSError, EOFError, ValueError, TimeoutError):
+            return None
+
+    @staticmethod
+    def _sent(
+        outgoing: EmulatedRequest,
+        sent_s: float,
+        response: EmulatedResponse | None,
+    ) -> SentRequest:
+        complete = False
+        if response is not None:
+            # An upstream that has just started has no large responses yet.
+            size_bytes = len(response.body)
+            small = response._replace(body=response.body.rstrip(b"."))
+            complete = small.is_complete(outgoing.request) and (
+                size_bytes in (LARGE_BYTES, len(small.body))
+            )
+        return SentRequest(
+            request=outgoing.request,
+            path=outgoing.path,
+            idempotent=True,
+            sent_s=sent_s,
+            ended_s=time.monotonic(),
+            status=response.status if response else 0,
+            seal=response.seal if response else "",
+            complete=complete,
+        )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -231,6 +231,22 @@
     return violations
 
 
+def check_ahead(first: Iterable[SentRequest]) -> list[Violation]:
+    """Finds requests that an upstream ran and that got no response at all.
+
+    Args:
+      first: small requests that were sent before others on their connections,
+        while no gateway ended.
+    """
+    violations = []
+    for request in first:
+        if not request.status:
+            violations.append(
+                Violation("late responses lose none before them", str(request))
+            )
+    return violations
+
+
 def check_configuration(
     sent: Iterable[SentRequest], routes: Iterable[Span]
 ) -> list[Violation]:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,6 +5,7 @@
 import random
 from typing import NamedTuple
 
+from emulator import foreign_values
 from emulator.endless import FORMS
 
 # No fault begins while the processes start, nor in the last seconds, so that
@@ -53,6 +54,17 @@
 ]
 
 
+# Kinds that come in series, one begun before the other has ended.
+SERIES_KINDS = (
+    FaultKind.GATEWAY_STOP,
+    FaultKind.GATEWAY_HANGUP,
+    FaultKind.CONFIGURE,
+    FaultKind.UPSTREAM_DRAIN,
+    FaultKind.UPSTREAM_RESTART,
+    FaultKind.GATEWAY_KILL,
+)
+
+
 class Step(NamedTuple):
     """Describes one fault.
 
@@ -246,6 +258,57 @@
     return sorted(steps)
 
 
+def make_foreign(seed: int, *, seconds: float) -> list[Step]:
+    """Returns the steps of a seed in which another writer stores anything.
+
+    Args:
+      seed: the seed.
+      seconds: length of the run.
+    """
+    rng = random.Random(f"values of another writer of {seed}")
+    span_s = max(1.0, seconds - START_SETTLE_S - FINAL_CALM_S)
+    steps = []
+    for _ in range(max(4, int(span_s))):
+        steps.append(
+            Step(
+                at_s=START_SETTLE_S + rng.random() * span_s,
+                kind=FaultKind.FOREIGN_WRITER,
+                target=rng.randrange(1000),
+                duration_s=rng.uniform(0.3, 6.0),
+                variant=rng.choice(foreign_values.FORMS),
+            )
+        )
+    return sorted(steps)
+
+
+def make_restarts(seed: int, *, seconds: float) -> list[Step]:
+    """Returns series of stops, restarts, signals and changes that overlap.
+
+    Args:
+      seed: the seed.
+      seconds: length of the run.
+    """
+    rng = random.Random(f"series of restarts of {seed}")
+    span_s = max(1.0, seconds - START_SETTLE_S - FINAL_CALM_S)
+    steps = []
+    for _ in range(max(1, int(span_s / 6))):
+        begin_s = START_SETTLE_S + rng.random() * span_s
+        for _ in range(rng.randrange(3, 7)):
+            begin_s = min(
+                begin_s + rng.uniform(0.0, 0.8), START_SETTLE_S + span_s
+            )
+            steps.append(
+                Step(
+                    at_s=begin_s,
+                    kind=rng.choice(SERIES_KINDS),
+                    target=rng.randrange(1000),
+                    duration_s=rng.uniform(0.3, 2.0),
+                    variant="",
+                )
+            )
+    return sorted(steps)
+
+
 def make_endless(seed: int, *, seconds: float) -> list[Step]:
     """Returns the steps of a seed in which upstreams send bytes without end.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 
 from almondstair.platform import headers
 from almondstair.platform import statements
+from emulator import foreign_values
 from emulator import statement_rules
 from emulator.deployment import Deployment
 from emulator.deployment import Service
@@ -21,7 +22,10 @@
 from emulator.world import World
 from soak import checks
 from soak import plan
+from soak.callers import LARGE_BYTES
+from soak.callers import LARGE_PREFIX
 from soak.callers import Caller
+from soak.callers import CallerSendingAhead
 from soak.checks import Span
 from soak.checks import Violation
 from soak.loop_watch import LoopWatch
@@ -89,7 +93,7 @@
         )
 
 
-def foreign_registration(variant: str) -> str:
+def foreign_registration(variant: str) -> str | bytes:
     """Returns an invalid registration, as another writer may store it."""
     record: dict[str, object] = {
         "service": "service",
@@ -101,6 +105,11 @@
         "coldLeftS": 0,
         "seq": 1,
     }
+    if variant in foreign_values.FORMS:
+        # A state that is not named keeps what can be decoded from use.
+        return foreign_values.foreign_value(
+            variant, {**record, "state": "lost"}, "zone"
+        )
     if variant == "no_text":
         return "\x00{"
     if variant == "no_slots":
@@ -176,6 +185,9 @@
         statements: bool = False,
         restores: bool = False,
         endless: bool = False,
+        foreign: bool = False,
+        ahead: bool = False,
+        series: bool = False,
     ) -> None:
         """Makes the plan and starts nothing."""
         self._seed = seed
@@ -191,6 +203,11 @@
             self._steps += plan.make_restores(seed, seconds=seconds)
         if endless:
             self._steps += plan.make_endless(seed, seconds=seconds)
+        if foreign:
+            self._steps += plan.make_foreign(seed, seconds=seconds)
+        if series:
+            self._steps += plan.make_restarts(seed, seconds=seconds)
+        self._ahead = ahead
         self._steps.sort()
         self._world = World(
             deployment=size.deployment(),
@@ -201,6 +218,11 @@
             Caller(rng=random.Random(seed * 1000 + number))
             for number in range(size.callers)
         ]
+        if ahead:
+            for number in range(size.callers // 2):
+                self._callers.append(
+                    CallerSendingAhead(rng=random.Random(f"{seed} {number}"))
+                )
         self._prefixes = ["/safe/", "/unsafe/"]
         self._no_traffic_spans: list[Span] = []
         self._cold_spans: list[Span] = []
@@ -223,6 +245,9 @@
         try:
             await self._world.start()
             await self._world.configure(self._prefixes)
+            if self._ahead:
+                for name in self._world.upstreams:
+                    await self._set_upstream_faults(name)
             await self._wait_until_steady()
             began_s = time.monotonic()
             self._end_s = began_s + self._seconds
@@ -391,9 +416,16 @@
             self._world.upstreams[name],
             "/emulator/faults",
             limits=limits,
+            **self._large_responses(),
             **faults,
         )
 
+    def _large_responses(self) -> dict[str, object]:
+        """Returns what makes some responses larger than gateways buffer."""
+        if not self._ahead:
+            return {}
+        return {"large_path": LARGE_PREFIX, "large_bytes": LARGE_BYTES}
+
     async def _upstream_limit(self, step: Step) -> None:
         name = self._upstream(step)
         if name in self._limits:
@@ -504,6 +536,8 @@
             # A new process states no limit.
             self._limit_ends_s[limit] = time.monotonic()
         await self._world.start_upstream(name, same_id=same_id)
+        if self._ahead:
+            await self._set_upstream_faults(name)
         started_s = time.monotonic()
         self._cold_spans.append(Span(name, started_s, started_s + COLD_S))
         self._claimed.discard(name)
@@ -655,16 +689,37 @@
                 self._keep_executed(at_gateway, ran), [span]
             )
         self._check_statements(sent, gateway_of)
-        calm = [each for each in sent if not self._is_disturbed_at(each.sent_s)]
+        self._check_ahead(ran)
+        # The others give up some of their requests early.
+        patient = [
+            each
+            for caller in self._callers
+            if not isinstance(caller, CallerSendingAhead)
+            for each in caller.sent
+        ]
+        calm = [
+            each for each in patient if not self._is_disturbed_at(each.sent_s)
+        ]
         self._violations += checks.check_configuration(calm, self._route_spans)
         self._check_cuts(calm, gateway_of)
         final_span = Span(
             "the end", self._end_s - FINAL_SPAN_S, self._end_s - FINAL_MARGIN_S
         )
         self._violations += checks.check_recovery(
-            sent, [final_span], min_share=MIN_SERVED_SHARE
+            patient, [final_span], min_share=MIN_SERVED_SHARE
         )
 
+    def _check_ahead(self, ran: list[UpstreamRun]) -> None:
+        """Checks that no request is lost for one behind it."""
+        first = []
+        for caller in self._callers:
+            if not isinstance(caller, CallerSendingAhead):
+                continue
+            for each in self._keep_executed(caller.first, ran):
+                if not self._is_gateway_disturbed_at(each.sent_s):
+                    first.append(each)
+        self._violations += checks.check_ahead(first)
+
     def _check_statements(
         self, sent: list[checks.SentRequest], gateway_of: dict[str, str]
     ) -> None:
