Do not take a caller for stalled whose output waits for its turn

With the part memory (off by default) an entry that holds too many bytes closes the connections of callers first that do not read. Output that waits for an earlier response counted as unread, so that a caller in good standing lost the request it waited for.

Only what is in the connection's write buffer can be read.

--- a/almondstair/gateway/caller_connection.py
+++ b/almondstair/gateway/caller_connection.py
@@ -507,11 +507,13 @@
         """Counts the output that the caller has not read."""
         if self._memory is None or self._transport is None:
             return
-        size_bytes = self._transport.get_write_buffer_size()
+        unread_bytes = self._transport.get_write_buffer_size()
+        waiting_bytes = 0
         for request in self._pending:
-            size_bytes += sum(map(len, request.output))
-        self._memory.set_output(size_bytes)
-        self._memory.set_stalled(size_bytes > 0 or self._waits_for_body())
+            waiting_bytes += sum(map(len, request.output))
+        self._memory.set_output(unread_bytes + waiting_bytes)
+        # Output that waits for an earlier response cannot be read yet.
+        self._memory.set_stalled(unread_bytes > 0 or self._waits_for_body())
 
     def _waits_for_body(self) -> bool:
         """Returns whether the caller has stopped in the middle of a body."""
--- a/features/early_ends.feature
+++ b/features/early_ends.feature
@@ -66,6 +66,13 @@
     And it gets another response, and the first is answered
     Then the caller gets the first response and the other one, and no more
 
+  # Guards against a connection that is closed for its held bytes, with the request that the caller waits for.
+  Scenario: A response behind an unanswered request does not count as unread
+    Given a caller's connection with two requests in flight, whose bytes are counted
+    When the second is answered
+    Then its bytes are counted, but the caller does not count as stalled
+    And it does once it has not read the first response
+
   # Guards against requests behind a broken response that run on for nobody.
   Scenario: Requests behind a response that breaks off are cancelled at once
     Given a caller's connection with two requests in flight
--- a/features/steps/early_ends_steps.py
+++ b/features/steps/early_ends_steps.py
@@ -9,12 +9,14 @@
 from behave import then
 from behave import when
 
+from almondstair.core.held_bytes import HeldBytes
 from almondstair.errors import AlmondstairError
 from almondstair.errors import ErrorKind
 from almondstair.gateway.caller_connection import RESPONSE_CUT
 from almondstair.gateway.caller_request import WriteWait
 from almondstair.gateway.forwarded_call import ForwardingSink
 from almondstair.gateway.http_encoding import ResponseHead
+from almondstair.gateway.memory_guard import MemoryGuard
 from almondstair.gateway.upstream_connection import ExchangeEnd
 from almondstair.gateway.upstream_connection import UpstreamConnection
 from almondstair.log import Event
@@ -34,6 +36,7 @@
 _OK = ResponseHead(status=200, headers=[])
 _STREAMED = b"first attempt "
 _OTHER = b"other response"
+_BUDGET_BYTES = 1 << 22
 
 
 def _routes():
@@ -247,6 +250,39 @@
     context.first, context.second = context.rig.handler.requests
 
 
+@given(
+    "a caller's connection with two requests in flight, whose bytes are counted"
+)
+def step_counted_rig(context):
+    held = HeldBytes(budget_bytes=_BUDGET_BYTES)
+    guard = MemoryGuard(held=held, is_active=lambda: False)
+    context.rig = CallerRig(memory_guard=guard)
+    context.add_cleanup(context.rig.close)
+    context.rig.send()
+    context.rig.send()
+    context.first, context.second = context.rig.handler.requests
+    context.counted = context.first.memory.connection
+
+
+@when("the second is answered")
+def step_second_answered(context):
+    context.rig.run(_respond_late(context.second))
+    context.rig.connection.refresh_held()
+
+
+@then("its bytes are counted, but the caller does not count as stalled")
+def step_not_stalled(context):
+    assert context.counted.held_bytes > len(_OTHER)
+    assert not context.counted.is_stalled
+
+
+@then("it does once it has not read the first response")
+def step_stalled(context):
+    context.rig.run(_respond_late(context.first))
+    context.rig.connection.refresh_held()
+    assert context.counted.is_stalled
+
+
 def _break_off(context, request):
     """Streams a response from an upstream's connection that breaks off."""
 
--- a/features/support/caller_rig.py
+++ b/features/support/caller_rig.py
@@ -70,19 +70,19 @@
 class CallerRig:
     """A connection in an event loop of its own."""
 
-    def __init__(self):
-        """Opens the connection."""
+    def __init__(self, **options):
+        """Opens the connection with some options of its own."""
         self.loop = asyncio.new_event_loop()
         self.handler = _Handler()
         self.transport = _Transport([])
-        self.run(self._open())
+        self.run(self._open(options))
 
     def run(self, work):
         return self.loop.run_until_complete(work)
 
-    async def _open(self):
+    async def _open(self, options):
         self.connection = CallerConnection(
-            handler=self.handler, connections=set()
+            handler=self.handler, connections=set(), **options
         )
         self.connection.connection_made(self.transport)
 
