--- a/soak/callers.py
+++ b/soak/callers.py
@@ -110,19 +110,7 @@
         except (OSError, EOFError, ValueError, TimeoutError):
             response = None
         self.gateway_by_request[outgoing.request] = name
-        self.sent.append(
-            SentRequest(
-                request=outgoing.request,
-                path=outgoing.path,
-                idempotent=idempotent,
-                sent_s=sent_s,
-                ended_s=time.monotonic(),
-                status=response.status if response else 0,
-                seal=response.seal if response else "",
-                complete=response is not None
-                and response.is_complete(outgoing.request),
-            )
-        )
+        self.sent.append(_sent_request(outgoing, sent_s, response))
         return response is not None and response.keeps_alive
 
 
@@ -161,7 +149,7 @@
             response = await self._read(reader) if usable else None
             usable = response is not None and response.keeps_alive
             self.gateway_by_request[outgoing.request] = name
-            sent = self._sent(outgoing, sent_s, response)._replace(read=read)
+            sent = _sent_request(outgoing, sent_s, response)._replace(read=read)
             self.sent.append(sent)
             if position == 0:
                 self.first.append(sent)
@@ -184,27 +172,32 @@
         except (OSError, EOFError, ValueError, TimeoutError):
             return None
 
-    @staticmethod
-    def _sent(
-        outgoing: EmulatedRequest,
-        sent_s: float,
-        response: EmulatedResponse | None,
-    ) -> SentRequest:
-        complete = False
-        if response is not None:
-            # An upstream that has just started has no large responses yet.
-            size_bytes = len(response.body)
-            small = response._replace(body=response.body.rstrip(b"."))
-            complete = small.is_complete(outgoing.request) and (
-                size_bytes in (LARGE_BYTES, len(small.body))
-            )
-        return SentRequest(
-            request=outgoing.request,
-            path=outgoing.path,
-            idempotent=True,
-            sent_s=sent_s,
-            ended_s=time.monotonic(),
-            status=response.status if response else 0,
-            seal=response.seal if response else "",
-            complete=complete,
-        )
+
+def _sent_request(
+    outgoing: EmulatedRequest,
+    sent_s: float,
+    response: EmulatedResponse | None,
+) -> SentRequest:
+    """Returns a request with its result, as the checks read it."""
+    return SentRequest(
+        request=outgoing.request,
+        path=outgoing.path,
+        idempotent=not outgoing.body,
+        sent_s=sent_s,
+        ended_s=time.monotonic(),
+        status=response.status if response else 0,
+        seal=response.seal if response else "",
+        complete=response is not None and _is_complete(outgoing, response),
+    )
+
+
+def _is_complete(outgoing: EmulatedRequest, response: EmulatedResponse) -> bool:
+    if not outgoing.path.startswith(LARGE_PREFIX):
+        return response.is_complete(outgoing.request)
+    small = response._replace(body=response.body.rstrip(b"."))
+    # An upstream that has just started has no large responses yet.
+    sizes_bytes = (LARGE_BYTES, len(small.body))
+    return (
+        small.is_complete(outgoing.request)
+        and len(response.body) in sizes_bytes
+    )
