List the store by prefix where a page is too long, and cut long values there

Found by asking for bounded memory: values may have 1 MiB, and with 12 keys of 1,000,000 bytes a page has more than the 8 MiB that a gateway reads of a response.

A page that is too long is listed by prefix. Registrations are short, so their values are cut behind 12 KiB while they are received; the configuration is not. The usual calls stay as they are. A failed exchange drops what it has read, which connections kept until they were collected.

--- a/almondstair/gateway/upstream_connection.py
+++ b/almondstair/gateway/upstream_connection.py
@@ -495,6 +495,7 @@
                 await self._sink_task
         except BaseException:
             self.close()
+            self._buffered.clear()
             raise
         finally:
             self._cancel_body_task()
@@ -516,13 +517,15 @@
         self._memory = None
 
     def _result(self, end: ExchangeEnd) -> UpstreamExchange:
+        body = b""
+        if end is ExchangeEnd.COMPLETE:
+            body = b"".join(self._buffered)
+        # The connection may be kept, or be collected much later.
+        self._buffered.clear()
         if self._caller_disconnected:
             return UpstreamExchange(end=ExchangeEnd.CALLER_DISCONNECTED)
         return UpstreamExchange(
-            end=end,
-            head=self._head,
-            body=b"".join(self._buffered),
-            streamed=self._streamed,
+            end=end, head=self._head, body=body, streamed=self._streamed
         )
 
     def _send(
--- a/almondstair/log.py
+++ b/almondstair/log.py
@@ -277,6 +277,11 @@
     STORE_CHANGE_FAILED = EventRule(
         463, logging.ERROR, "a change of the store could not be applied"
     )
+    STORE_PAGE_TOO_LONG = EventRule(
+        464,
+        logging.WARNING,
+        "a page of the store is too long; registrations are listed by prefix",
+    )
 
 
 def setup(*, level: str, file: str) -> None:
--- a/almondstair/platform/kv.py
+++ b/almondstair/platform/kv.py
@@ -15,7 +15,9 @@
 from almondstair.errors import ErrorKind
 from almondstair.gateway.http_encoding import ResponseHead
 from almondstair.gateway.http_encoding import find_header
+from almondstair.gateway.long_strings import LongStringCutter
 from almondstair.gateway.simple_http_client import HttpResponse
+from almondstair.gateway.simple_http_client import ResponseTooLongError
 from almondstair.gateway.simple_http_client import SimpleHttpClient
 
 # Responses take milliseconds. A longer time means a dead connection or a
@@ -45,6 +47,10 @@
     revision: Revision
 
 
+class PageTooLongError(AlmondstairError):
+    """Raised for a page with more bytes than an entry may hold."""
+
+
 class Page(NamedTuple):
     """Holds one page of a listing or of changes.
 
@@ -145,13 +151,27 @@
         self._http_client.close()
 
     async def _call(
-        self, kind: str, method: str, path: str, body: bytes = b""
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        cutter: LongStringCutter | None = None,
     ) -> HttpResponse:
         self.calls[kind] = self.calls.get(kind, 0) + 1
         try:
             response = await self._http_client.call(
-                method=method, path=path, body=body, timeout_s=CALL_TIMEOUT_S
+                method=method,
+                path=path,
+                body=body,
+                timeout_s=CALL_TIMEOUT_S,
+                cutter=cutter,
             )
+        except ResponseTooLongError as error:
+            raise PageTooLongError(
+                kind=ErrorKind.PLATFORM_UNAVAILABLE, detail=f"{kind}: {error}"
+            ) from error
         except (OSError, TimeoutError) as error:
             raise AlmondstairError(
                 kind=ErrorKind.PLATFORM_UNAVAILABLE,
@@ -171,7 +191,12 @@
         )
 
     async def list_page(
-        self, *, prefix: str, after: str = "", stale: bool = False
+        self,
+        *,
+        prefix: str,
+        after: str = "",
+        stale: bool = False,
+        max_value_bytes: int = 0,
     ) -> Page:
         """Returns a page of the keys with a prefix.
 
@@ -180,6 +205,8 @@
           after: last key of the previous page.
           stale: whether the response may be seconds old, which costs a tenth
             of a current one.
+          max_value_bytes: longer values may be cut, so that the page is not too
+            long; 0 for none.
         """
         query = {"prefix": prefix}
         if after:
@@ -187,7 +214,11 @@
         if stale:
             query["staleOk"] = "1"
         path = "/kv-range?" + parse.urlencode(query)
-        response = await self._call("list", "GET", path)
+        cutter = None
+        if max_value_bytes:
+            # Values are encoded in base64.
+            cutter = LongStringCutter(limit_bytes=max_value_bytes * 4 // 3)
+        response = await self._call("list", "GET", path, cutter=cutter)
         if response.status != _OK:
             raise self._status_error("list", response.status)
         return self._page(response)
--- a/features/foreign_values.feature
+++ b/features/foreign_values.feature
@@ -99,6 +99,15 @@
     When a listing has a page without a readable item before the last page
     Then the listing fails
 
+  # Guards against values of another writer that make a page longer than a gateway reads, and fill its memory.
+  Scenario: Long values of another writer hold up no change
+    Given a gateway that follows a store
+    When another writer stores 12 values of 1000000 bytes, and a route is added
+    Then the gateway serves the added route within 2 s
+    And a gateway that starts now is ready and serves it within 5 s
+    And neither has used more than 100 MB
+    And one line of each tells that a page was too long
+
   # Guards against decoders that raise, or let a value through that others cannot bear.
   Scenario Outline: Generated values end in a value or in one error
     Then 400 generated values for <decoder> end in a value or in one error
@@ -119,6 +128,7 @@
       | deadlines of callers        |
       | settings files              |
       | addresses                   |
+      | long strings of a page      |
 
   # Guards against a datagram that fails the request placed after it is read.
   Scenario: A datagram that cannot be applied is dropped alone
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -27,6 +27,7 @@
 from almondstair.gateway import mirror
 from almondstair.gateway import relay_messages
 from almondstair.gateway import sources
+from almondstair.gateway.long_strings import LongStringCutter
 from almondstair.platform import boot
 from almondstair.platform import documents
 from almondstair.platform import headers
@@ -302,6 +303,45 @@
     assert 0 < int(port) < 1 << 16, text
 
 
+def _check_cut(drawn_values):
+    value, limit_bytes, sizes_bytes = drawn_values
+    data = json.dumps(value, ensure_ascii=sizes_bytes[0] % 2 == 0).encode()
+    cutter = LongStringCutter(limit_bytes=limit_bytes)
+    passed = b""
+    place = 0
+    while place < len(data):
+        for size_bytes in sizes_bytes:
+            passed += cutter.feed(data[place : place + size_bytes])
+            place += size_bytes
+    # A character of several bytes may be cut in the middle.
+    cut = json.loads(passed.decode("utf-8", "ignore"))
+    whole = json.loads(passed.decode("utf-8", "ignore")) == value
+    assert whole or len(passed) < len(data), (passed, data)
+    for text, original in zip(_strings(cut), _strings(value), strict=True):
+        assert original.startswith(text), (text, original)
+        if len(json.dumps(original)) - 2 <= limit_bytes:
+            assert text == original, (text, original)
+
+
+def _strings(value):
+    """Returns all values of a document that are strings, in order."""
+    if isinstance(value, str):
+        return [value]
+    found = []
+    if isinstance(value, list):
+        for inner in value:
+            found += _strings(inner)
+    return found
+
+
+_CUT_TEXTS = strategies.tuples(
+    strategies.recursive(
+        strategies.integers() | strategies.text(),
+        lambda inner: strategies.lists(inner, max_size=4),
+    ),
+    strategies.integers(0, 30),
+    strategies.lists(strategies.integers(1, 9), min_size=1, max_size=4),
+)
 _ADDRESSES = (
     strategies.text(max_size=50)
     | strategies.sampled_from(sorted(ADDRESSES.values()))
@@ -364,6 +404,7 @@
         _check_settings,
     ),
     "addresses": (_ADDRESSES, _check_address),
+    "long strings of a page": (_CUT_TEXTS, _check_cut),
 }
 
 
--- a/features/steps/foreign_values_steps.py
+++ b/features/steps/foreign_values_steps.py
@@ -43,6 +43,7 @@
 _BATCHES = 20
 # Longer than the time between two polls of the store.
 _POLLED_S = 1.0
+_TOO_LONG = log.Event.STORE_PAGE_TOO_LONG.value.number
 _KEYS = ("secret-1", "secret-2", "secret-3")
 # What is patched so that applying a change raises, and its key.
 _RAISING = {
@@ -447,6 +448,32 @@
     context.world.configure([*context.world.routes, route("/added/")])
 
 
+@when(
+    "another writer stores {count:d} values of {size_bytes:d} bytes, and a "
+    "route is added"
+)
+def step_long_values(context, count, size_bytes):
+    for number in range(count):
+        key = f"servers/foreign-{number}"
+        context.world.operate(puts={key: b"x" * size_bytes})
+    context.world.configure([*context.world.routes, route("/added/")])
+
+
+@then("neither has used more than {limit_mb:d} MB")
+def step_memory(context, limit_mb):
+    for gateway in ("g1", "g2"):
+        child = context.world.processes.children[gateway]
+        most_bytes = child.resident_bytes(field="VmHWM")
+        assert most_bytes < limit_mb * 10**6, (gateway, most_bytes)
+
+
+@then("one line of each tells that a page was too long")
+def step_too_long(context):
+    for gateway in ("g1", "g2"):
+        lines = context.world.log_events(gateway, _TOO_LONG)
+        assert len(lines) == 1, (gateway, lines)
+
+
 @then("the gateway serves the added route within {limit_s:d} s")
 def step_added(context, limit_s):
     _until_served(context, "g1", limit_s)
