Name the peer whose page cannot be decoded

Found by reading the change: the error of such a page lost the peer's address, which line 421 shows. Hexadecimal numbers of relayed requests are named as such.

--- a/almondstair/gateway/relay_messages.py
+++ b/almondstair/gateway/relay_messages.py
@@ -164,7 +164,7 @@
       AlmondstairError: `bad_request`, if the header is wrong.
     """
     parts = _names(headers, _LEAVING, most=_MAX_LEAVING)
-    return [_hash(part, _LEAVING) for part in parts]
+    return [_hexadecimal(part, _LEAVING) for part in parts]
 
 
 def encode_rests(rests: list[tuple[int, int]]) -> Headers:
@@ -188,7 +188,9 @@
     rests = []
     for part in _names(headers, _RESTS, most=MAX_RESTING):
         upstream, _, left_ms = part.partition(":")
-        rests.append((_hash(upstream, _RESTS), _hash(left_ms, _RESTS)))
+        rests.append(
+            (_hexadecimal(upstream, _RESTS), _hexadecimal(left_ms, _RESTS))
+        )
     return rests
 
 
@@ -225,7 +227,7 @@
     return _integer(_text(headers, name, required=True), name, base=base)
 
 
-def _hash(text: str, name: bytes) -> int:
+def _hexadecimal(text: str, name: bytes) -> int:
     value = _integer(text, name, base=16)
     if value >= _HASH_RANGE:
         raise _invalid(name)
--- a/almondstair/gateway/sources.py
+++ b/almondstair/gateway/sources.py
@@ -262,12 +262,12 @@
             )
             if response.status != 200:
                 raise OSError(f"status {response.status}")
-        except (OSError, TimeoutError) as error:
+            return decode(
+                _PAGE.decode, response.body, kind=ErrorKind.PLATFORM_UNAVAILABLE
+            )
+        except (OSError, TimeoutError, AlmondstairError) as error:
             cause = str(error) or "timed out"
             raise AlmondstairError(
                 kind=ErrorKind.PLATFORM_UNAVAILABLE,
                 detail=f"peer {self.address}: {cause}",
             ) from error
-        return decode(
-            _PAGE.decode, response.body, kind=ErrorKind.PLATFORM_UNAVAILABLE
-        )
